Lay down the core types

Cause: nothing stands yet; the shape has to be set before work is split. Result: not measured, nothing runs yet.

--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements; each command ends in one NAME=value line."""
--- /dev/null
+++ b/demo/__init__.py
@@ -0,0 +1,1 @@
+"""The main job on embedded stand-ins."""
--- /dev/null
+++ b/sesamehall/__init__.py
@@ -0,0 +1,1 @@
+"""Fleet capacity and maintenance manager."""
--- /dev/null
+++ b/sesamehall/codecs/__init__.py
@@ -0,0 +1,1 @@
+"""Translations between the core types and their encodings."""
--- /dev/null
+++ b/sesamehall/core/__init__.py
@@ -0,0 +1,1 @@
+"""Plain immutable types: what the decisions read and what they produce."""
--- /dev/null
+++ b/sesamehall/core/agreement.py
@@ -0,0 +1,149 @@
+"""State that every node derives from the log, and verdicts on its records."""
+
+from dataclasses import dataclass
+from enum import Enum
+
+from immutables import Map
+
+from sesamehall.core.data import EMPTY_MAP
+from sesamehall.core.data import Instance
+from sesamehall.core.data import JobStatus
+from sesamehall.core.data import Key
+from sesamehall.core.data import Limit
+from sesamehall.core.data import Move
+from sesamehall.core.data import Plan
+from sesamehall.core.data import Pool
+from sesamehall.core.data import Service
+
+
+class Verdict(Enum):
+    """Whether a record of the log took effect, and if not, why."""
+
+    ACCEPTED = "accepted"
+    REPEATED = "repeated"
+    UNREADABLE = "unreadable"
+    STALE_VERSION = "stale version"
+    STALE_EPOCH = "stale epoch"
+    UNKNOWN_TEAM = "unknown team"
+    UNKNOWN_NAME = "unknown name"
+    ALREADY_DONE = "already done"
+    CEILING_REACHED = "ceiling reached"
+    WITHDRAWN = "withdrawn"
+    STILL_IN_USE = "still in use"
+
+
+@dataclass(frozen=True, slots=True)
+class Role:
+    """Who places, moves and maintains.
+
+    Attributes:
+      holder: Name of the steward, or "" before the first claim.
+      epoch: Offset of the accepted claim, -1 before the first.
+      renewed_offset: Offset of the holder's latest accepted record.
+    """
+
+    holder: str = ""
+    epoch: int = -1
+    renewed_offset: int = -1
+
+
+@dataclass(frozen=True, slots=True)
+class EntryMember:
+    """An incarnation of an entry that takes part in the ceilings.
+
+    Attributes:
+      name: Name of the entry.
+      incarnation: Identifier of that start of the process.
+      renewed_offset: Offset of its latest joining or renewal.
+      granted_by_team: Units withdrawn less units deposited, corrected by
+        the settlements with incarnations that are gone.
+    """
+
+    name: str
+    incarnation: str
+    renewed_offset: int
+    granted_by_team: Map[str, int] = EMPTY_MAP
+
+
+@dataclass(frozen=True, slots=True)
+class Settlement:
+    """Units of incarnations that are gone, on their way to the account.
+
+    Attributes:
+      gone: Incarnations whose units are being collected, mapped to True.
+      missing: Pairs "member>gone" still to be settled, mapped to True.
+      units_by_team: Sum so far; meaningless until nothing is missing.
+    """
+
+    gone: Map[str, bool] = EMPTY_MAP
+    missing: Map[str, bool] = EMPTY_MAP
+    units_by_team: Map[str, int] = EMPTY_MAP
+
+
+@dataclass(frozen=True, slots=True)
+class Placement:
+    """An instance and the one pool it belongs to.
+
+    Attributes:
+      instance: The instance as listed when it joined.
+      pool: Name of its pool.
+      move: The move that is draining it, or None.
+    """
+
+    instance: Instance
+    pool: str
+    move: Move | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Agreed:
+    """Everything that follows from the log below an offset.
+
+    Attributes:
+      next_offset: First offset not applied yet.
+      plans_version: Number of accepted edits of the plans.
+      limits_version: Number of accepted edits of the limits.
+      plans_by_team: The teams' plans.
+      services_by_name: All services.
+      pools_by_name: All pools.
+      limits_by_team: The teams' limits.
+      keys_by_id: Keys in force.
+      withdrawn_key_ids: Keys that must never work again, mapped to True.
+      role: Who places, moves and maintains.
+      members_by_incarnation: Entries that take part in the ceilings.
+      account_by_team: Units in the log's own account, less the whole
+        ceiling that every account begins with.
+      settlement: Units of gone incarnations that are being collected.
+      placements_by_instance: Each instance's one pool.
+      moves_by_operation: Moves that are not finished.
+      jobs_by_id: Jobs and what has become of them.
+      waiting_job_ids: Jobs not placed yet, mapped to True.
+      waiting_jobs_by_team: Number of them.
+      job_ids_by_worker: Jobs placed on each worker that have not ended.
+      running_jobs_by_team: Number of placed jobs that have not ended.
+      verdicts_by_record_id: Verdicts on recent records.
+      recent_record_ids: Ids in that map, oldest first.
+    """
+
+    next_offset: int = 0
+    plans_version: int = 0
+    limits_version: int = 0
+    plans_by_team: Map[str, Plan] = EMPTY_MAP
+    services_by_name: Map[str, Service] = EMPTY_MAP
+    pools_by_name: Map[str, Pool] = EMPTY_MAP
+    limits_by_team: Map[str, Limit] = EMPTY_MAP
+    keys_by_id: Map[str, Key] = EMPTY_MAP
+    withdrawn_key_ids: Map[str, bool] = EMPTY_MAP
+    role: Role = Role()
+    members_by_incarnation: Map[str, EntryMember] = EMPTY_MAP
+    account_by_team: Map[str, int] = EMPTY_MAP
+    settlement: Settlement = Settlement()
+    placements_by_instance: Map[str, Placement] = EMPTY_MAP
+    moves_by_operation: Map[str, Move] = EMPTY_MAP
+    jobs_by_id: Map[str, JobStatus] = EMPTY_MAP
+    waiting_job_ids: Map[str, bool] = EMPTY_MAP
+    waiting_jobs_by_team: Map[str, int] = EMPTY_MAP
+    job_ids_by_worker: Map[str, tuple[str, ...]] = EMPTY_MAP
+    running_jobs_by_team: Map[str, int] = EMPTY_MAP
+    verdicts_by_record_id: Map[str, Verdict] = EMPTY_MAP
+    recent_record_ids: tuple[str, ...] = ()
--- /dev/null
+++ b/sesamehall/core/logevents.py
@@ -0,0 +1,107 @@
+"""Catalogue of numbered log events.
+
+docs/EVENTS.md holds the same table; a test keeps the two equal.
+"""
+
+from dataclasses import dataclass
+import logging
+
+
+@dataclass(frozen=True, slots=True)
+class LogEvent:
+    """One kind of log line.
+
+    Attributes:
+      number: Number of the kind; never given a second meaning.
+      name: Short name in words.
+      level: Level of the logging module.
+      action: What an operator does on seeing it.
+    """
+
+    number: int
+    name: str
+    level: int
+    action: str
+
+
+def _info(number, name, action="Nothing; kept to explain decisions."):
+    return LogEvent(number, name, logging.INFO, action)
+
+
+def _warning(number, name, action):
+    return LogEvent(number, name, logging.WARNING, action)
+
+
+REQUEST_ROUTED = _info(100, "request routed")
+REQUEST_REFUSED = _info(101, "request refused")
+REQUEST_RETRIED = _info(102, "request retried")
+REQUEST_ANSWERED = _info(103, "request answered")
+REQUEST_UNKNOWN = _warning(
+    104,
+    "request outcome unknown",
+    "Look at the target named; many such lines point to a sick target.",
+)
+TARGET_SET_ASIDE = _warning(
+    110, "target set aside", "Look at the target; it is probed by itself."
+)
+TARGET_BACK = _info(111, "target back")
+TARGET_DRAINED = _info(112, "target drained")
+
+UNITS_GIVEN = _info(200, "ceiling units given")
+UNITS_TAKEN = _info(201, "ceiling units taken")
+ENTRY_JOINED = _info(210, "entry joined")
+ENTRY_GONE = _info(211, "entry gone")
+LEASE_OVER = _warning(
+    212,
+    "entry lease over",
+    "Restore the entry's way to the log; it starts nothing until then.",
+)
+
+RECORD_ACCEPTED = _info(300, "record accepted")
+RECORD_REFUSED = _warning(
+    301,
+    "record refused",
+    "If it was your edit, make it again from the newest.",
+)
+RECORD_UNREADABLE = _warning(
+    302, "record unreadable", "Find the writer; a version may be too new."
+)
+LOG_UNREACHABLE = _warning(
+    303, "log unreachable", "Look at the platform; serving goes on."
+)
+LOG_BACK = _info(304, "log back")
+LOG_GAP = _warning(
+    305,
+    "log forgot records",
+    "Check the retention; the state is taken from a peer.",
+)
+INSTANCES_UNLISTED = _warning(
+    306, "instances not listed", "Look at the platform; the last list stays."
+)
+
+PEER_CONNECTED = _info(400, "peer connected")
+PEER_LOST = _warning(
+    401, "peer lost", "If many at once, look at the network between them."
+)
+PEER_REFUSED = _warning(
+    402, "peer refused", "Compare the settings and versions of the two nodes."
+)
+
+ROLE_TAKEN = _info(500, "role taken")
+ROLE_LOST = _info(501, "role lost")
+JOB_PLACED = _info(510, "job placed")
+JOB_ENDED = _info(511, "job ended")
+JOB_HELD = _info(512, "job held back")
+MOVE_STARTED = _info(521, "move started")
+MOVE_FINISHED = _info(522, "move finished")
+
+NODE_STARTED = _info(900, "node started")
+NODE_STOPPING = _info(901, "node stopping")
+NODE_STOPPED = _info(902, "node stopped")
+INTERNAL_ERROR = LogEvent(
+    999, "internal error", logging.ERROR, "Report it with the history file."
+)
+
+LOG_EVENTS = tuple(
+    value for value in list(globals().values()) if isinstance(value, LogEvent)
+)
--- /dev/null
+++ b/sesamehall/runtime/__init__.py
@@ -0,0 +1,1 @@
+"""Threads, sockets and timers: carries out effects, feeds back events."""
--- /dev/null
+++ b/sesamehall/scripts/__init__.py
@@ -0,0 +1,1 @@
+"""Thin entry points of the installed programs."""
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the platform, an executor and a worker."""
