--- /dev/null
+++ b/sesamehall/reducer/admission.py
@@ -0,0 +1,175 @@
+"""Admission: whose work a request is, and whether it may wait here."""
+
+from dataclasses import dataclass
+from dataclasses import replace
+from hmac import compare_digest
+
+from sesamehall.core.codes import KEY_MISSING
+from sesamehall.core.codes import KEY_REFUSED
+from sesamehall.core.codes import NO_LIMIT
+from sesamehall.core.codes import NO_SUCH_SERVICE
+from sesamehall.core.codes import NOT_ADMITTED
+from sesamehall.core.codes import NOT_READY
+from sesamehall.core.codes import QUEUE_FULL
+from sesamehall.core.codes import REPEATED
+from sesamehall.core.codes import ResultCode
+from sesamehall.core.codes import STOPPING
+from sesamehall.core.data import PresentedKey
+from sesamehall.core.data import Request
+from sesamehall.core.effects import log
+from sesamehall.core.effects import Reply
+from sesamehall.core.events import RequestReceived
+from sesamehall.core.limits import LONGEST_REQUEST_MS
+from sesamehall.core.logevents import REQUEST_REFUSED
+from sesamehall.core.state import Phase
+from sesamehall.core.state import State
+from sesamehall.core.state import Ticket
+from sesamehall.core.step import Step
+from sesamehall.reducer.dispatching import dispatch_waiting
+from sesamehall.reducer.queues import caller_name
+from sesamehall.reducer.queues import enqueue
+
+ABSENT_DIGEST = bytes(32)  # compared for unknown keys, to take equal time
+
+
+@dataclass(frozen=True, slots=True)
+class Admitted:
+    """A request may be taken.
+
+    Attributes:
+      team: Team that it is charged to.
+    """
+
+    team: str
+
+
+@dataclass(frozen=True, slots=True)
+class Refused:
+    """A request may not be taken; nothing of it was run.
+
+    Attributes:
+      code: The result code that says why.
+      detail: What exactly, for a person to read.
+    """
+
+    code: ResultCode
+    detail: str
+
+
+Admission = Admitted | Refused
+
+
+def receive_request(state: State, event: RequestReceived) -> Step:
+    """Take a request into its queue, or refuse it.
+
+    Args:
+      state: State of the entry.
+      event: The request.
+    Returns:
+      A Step that dispatches, queues or refuses the request.
+    """
+    request = _bound_deadline(event.request, event.at_ms)
+    match admit(state, request):
+        case Refused(code, detail):
+            return refuse(state, request.request_id, code, detail)
+        case Admitted(team):
+            ticket = Ticket(request, team, event.at_ms)
+            queued = enqueue(state, ticket)
+            return dispatch_waiting(queued, event.at_ms)
+
+
+def refuse(
+    state: State, request_id: str, code: ResultCode, detail: str
+) -> Step:
+    """Refuse a request or a job call.
+
+    Args:
+      state: State of the entry, returned unchanged.
+      request_id: Identifier of the request or call.
+      code: The result code.
+      detail: What exactly, for a person to read.
+    Returns:
+      A Step with the reply and its log line.
+    """
+    line = log(
+        REQUEST_REFUSED, request=request_id, code=code.number, detail=detail
+    )
+    return Step(state, (Reply(request_id, code, detail), line))
+
+
+def admit(state: State, request: Request) -> Admission:
+    """Decide whether a request may be taken, and for which team.
+
+    Args:
+      state: State of the entry.
+      request: The request.
+    Returns:
+      Admitted with the team, or Refused with the code.
+    """
+    early = _check_phase(state)
+    if early is not None:
+        return early
+    service = state.agreed.services_by_name.get(request.service)
+    if service is None:
+        return Refused(NO_SUCH_SERVICE, request.service)
+    if request.key is None and service.open_to is not None:
+        return _check_room(state, request, service.open_to)
+    owner = identify_team(state, request.key)
+    match owner:
+        case Refused():
+            return owner
+        case Admitted(team):
+            plan = state.agreed.plans_by_team.get(team)
+            if plan is None or service.name not in plan.services:
+                return Refused(NOT_ADMITTED, f"{team} to {service.name}")
+            return _check_room(state, request, team)
+
+
+def identify_team(state: State, key: PresentedKey | None) -> Admission:
+    """Find the team that a key belongs to.
+
+    Args:
+      state: State of the entry.
+      key: The key shown, or None.
+    Returns:
+      Admitted with the team, or Refused with the code.
+    """
+    if key is None:
+        return Refused(KEY_MISSING, "no key shown")
+    known = state.agreed.keys_by_id.get(key.key_id)
+    digest = ABSENT_DIGEST if known is None else known.digest
+    matches = compare_digest(digest, key.digest)
+    if known is None or not matches:
+        return Refused(KEY_REFUSED, "not in force")
+    return Admitted(known.team)
+
+
+def _check_phase(state):
+    """Refuse everything while the entry cannot serve."""
+    if state.phase is not Phase.SERVING:
+        return Refused(STOPPING, state.identity.node.name)
+    if state.agreed.next_offset == 0:
+        return Refused(NOT_READY, "nothing of the log is known yet")
+    return None
+
+
+def _check_room(state, request, team):
+    """Refuse a team without limit, a full queue and a caller's id in use."""
+    if team not in state.agreed.limits_by_team:
+        return Refused(NO_LIMIT, team)
+    waiting = state.entry.waiting_by_team.get(team, 0)
+    if waiting >= state.identity.queue_limit:
+        return Refused(QUEUE_FULL, f"{waiting} of {team} are waiting")
+    if request.caller_id is not None:
+        name = caller_name(team, request.caller_id)
+        if name in state.entry.request_id_by_caller_id:
+            return Refused(REPEATED, request.caller_id)
+    return Admitted(team)
+
+
+def _bound_deadline(request, at_ms):
+    """Cut a deadline to the longest that ceilings can wait for."""
+    latest = at_ms + LONGEST_REQUEST_MS
+    if request.deadline_ms <= latest:
+        return request
+    return replace(request, deadline_ms=latest)
--- /dev/null
+++ b/sesamehall/reducer/agreement.py
@@ -0,0 +1,142 @@
+"""The fold over the log: every node derives the agreed state with it."""
+
+from dataclasses import replace
+
+from sesamehall.core.agreement import Agreed
+from sesamehall.core.agreement import Verdict
+from sesamehall.core.records import EntryExpired
+from sesamehall.core.records import EntryJoined
+from sesamehall.core.records import EntryLeft
+from sesamehall.core.records import EntryRenewed
+from sesamehall.core.records import InstanceJoined
+from sesamehall.core.records import JobCancelled
+from sesamehall.core.records import JobEnded
+from sesamehall.core.records import JobPlaced
+from sesamehall.core.records import JobSubmitted
+from sesamehall.core.records import KeyGiven
+from sesamehall.core.records import KeyWithdrawn
+from sesamehall.core.records import LimitsPublished
+from sesamehall.core.records import LogEntry
+from sesamehall.core.records import MoveFinished
+from sesamehall.core.records import MoveStarted
+from sesamehall.core.records import PlansPublished
+from sesamehall.core.records import RecordBody
+from sesamehall.core.records import RoleClaimed
+from sesamehall.core.records import RoleRenewed
+from sesamehall.core.records import UnitsDeposited
+from sesamehall.core.records import UnitsSettled
+from sesamehall.core.records import UnitsWithdrawn
+from sesamehall.reducer.accounts import deposit_units
+from sesamehall.reducer.accounts import expire_entry
+from sesamehall.reducer.accounts import join_entry
+from sesamehall.reducer.accounts import leave_entry
+from sesamehall.reducer.accounts import renew_entry
+from sesamehall.reducer.accounts import settle_units
+from sesamehall.reducer.accounts import withdraw_units
+from sesamehall.reducer.lists import give_key
+from sesamehall.reducer.lists import publish_limits
+from sesamehall.reducer.lists import publish_plans
+from sesamehall.reducer.lists import withdraw_key
+from sesamehall.reducer.placements import cancel_job
+from sesamehall.reducer.placements import claim_role
+from sesamehall.reducer.placements import end_job
+from sesamehall.reducer.placements import fence
+from sesamehall.reducer.placements import finish_move
+from sesamehall.reducer.placements import join_instance
+from sesamehall.reducer.placements import place_job
+from sesamehall.reducer.placements import start_move
+from sesamehall.reducer.placements import submit_job
+
+VERDICTS_KEPT = 4096  # a record repeated later than this is judged anew
+
+Judged = tuple[Agreed, Verdict]
+
+
+def apply_entry(agreed: Agreed, entry: LogEntry) -> Judged:
+    """Apply the next entry of the log.
+
+    Args:
+      agreed: State after all entries below this one.
+      entry: The entry; its offset must be the state's next offset.
+    Returns:
+      The state after it and the verdict on its record.
+    """
+    advanced = replace(agreed, next_offset=entry.offset + 1)
+    if entry.record is None:
+        return advanced, Verdict.UNREADABLE
+    record_id = entry.record.record_id
+    if record_id in agreed.verdicts_by_record_id:
+        return advanced, Verdict.REPEATED
+    changed, verdict = _judge(advanced, entry.record.body, entry.offset)
+    return _remember(changed, record_id, verdict), verdict
+
+
+def _judge(agreed: Agreed, body: RecordBody, offset: int) -> Judged:
+    """Judge a record that was not seen before."""
+    match body:
+        case PlansPublished():
+            return publish_plans(agreed, body)
+        case LimitsPublished():
+            return publish_limits(agreed, body)
+        case KeyGiven():
+            return give_key(agreed, body)
+        case KeyWithdrawn():
+            return withdraw_key(agreed, body)
+        case EntryJoined():
+            return join_entry(agreed, body, offset)
+        case EntryRenewed():
+            return renew_entry(agreed, body, offset)
+        case EntryLeft():
+            return leave_entry(agreed, body)
+        case UnitsSettled():
+            return settle_units(agreed, body)
+        case UnitsWithdrawn():
+            return withdraw_units(agreed, body)
+        case UnitsDeposited():
+            return deposit_units(agreed, body)
+        case JobSubmitted():
+            return submit_job(agreed, body)
+        case JobCancelled():
+            return cancel_job(agreed, body)
+        case RoleClaimed():
+            return claim_role(agreed, body, offset)
+    return _judge_fenced(agreed, body, offset)
+
+
+def _judge_fenced(agreed: Agreed, body: RecordBody, offset: int) -> Judged:
+    """Judge a record that only the holder of the role may write."""
+    fenced, verdict = fence(agreed, body.epoch, offset)
+    if verdict is not Verdict.ACCEPTED:
+        return agreed, verdict
+    match body:
+        case RoleRenewed():
+            return fenced, verdict
+        case EntryExpired():
+            return expire_entry(fenced, body)
+        case InstanceJoined():
+            return join_instance(fenced, body)
+        case MoveStarted():
+            return start_move(fenced, body)
+        case MoveFinished():
+            return finish_move(fenced, body)
+        case JobPlaced():
+            return place_job(fenced, body)
+        case JobEnded():
+            return end_job(fenced, body)
+    raise TypeError(f"no judgement for {type(body).__name__}")
+
+
+def _remember(agreed: Agreed, record_id: str, verdict: Verdict) -> Agreed:
+    """Keep a verdict, and drop the oldest beyond the number kept."""
+    verdicts = agreed.verdicts_by_record_id.set(record_id, verdict)
+    recent = agreed.recent_record_ids + (record_id,)
+    if len(recent) > VERDICTS_KEPT:
+        dropped = recent[: -VERDICTS_KEPT // 2]
+        recent = recent[len(dropped) :]
+        with verdicts.mutate() as changed:
+            for old_id in dropped:
+                del changed[old_id]
+            verdicts = changed.finish()
+    return replace(
+        agreed, verdicts_by_record_id=verdicts, recent_record_ids=recent
+    )
--- /dev/null
+++ b/sesamehall/reducer/allotments.py
@@ -0,0 +1,514 @@
+"""An entry's part of the fleet-wide ceilings.
+
+Entries hold units (see the units module) and spend only what they hold.  A
+giver subtracts units before it sends them, as a running total of which the
+largest wins; so a message that is lost, late or repeated can delay units but
+never count them twice.  Only members known from the log are given any, which
+lets the units of an incarnation that is gone be found again.
+"""
+
+from dataclasses import replace
+
+from immutables import Map
+
+from sesamehall.core.data import EMPTY_MAP
+from sesamehall.core.data import NodeKind
+from sesamehall.core.effects import log
+from sesamehall.core.effects import Send
+from sesamehall.core.effects import SetTimer
+from sesamehall.core.limits import UNITS_ASK_MS
+from sesamehall.core.logevents import UNITS_GIVEN
+from sesamehall.core.logevents import UNITS_TAKEN
+from sesamehall.core.messages import UnitsAsked
+from sesamehall.core.messages import UnitsReceived
+from sesamehall.core.messages import UnitsSent
+from sesamehall.core.records import UnitsDeposited
+from sesamehall.core.records import UnitsWithdrawn
+from sesamehall.core.state import Peer
+from sesamehall.core.state import State
+from sesamehall.core.state import Want
+from sesamehall.core.step import Step
+from sesamehall.core.step import then
+from sesamehall.core.timers import UnitsTimer
+from sesamehall.reducer.accounts import free_account_units
+from sesamehall.reducer.counts import add_count
+from sesamehall.reducer.counts import drop_key
+from sesamehall.reducer.proposals import propose
+from sesamehall.reducer.units import places
+from sesamehall.reducer.units import units_for
+from sesamehall.reducer.units import WHOLE
+
+
+def held_units(state: State, team: str) -> int:
+    """Compute the units of a team's ceiling that this entry holds.
+
+    Args:
+      state: State of the entry.
+      team: Name of the team.
+    Returns:
+      The units; 0 for an incarnation that is not a member.
+    """
+    incarnation = state.identity.incarnation
+    member = state.agreed.members_by_incarnation.get(incarnation)
+    if member is None:
+        return 0
+    held = member.granted_by_team.get(team, 0)
+    held += state.allotments.net_by_team.get(team, 0)
+    for units_by_team in state.allotments.deposits_by_record_id.values():
+        held -= units_by_team.get(team, 0)
+    return held
+
+
+def has_place(state: State, team: str, at_ms: int) -> bool:
+    """Tell whether this entry may start one more request of a team.
+
+    Args:
+      state: State of the entry.
+      team: Name of the team.
+      at_ms: The node's clock.
+    Returns:
+      True within the entry's lease and its part of the ceiling.
+    """
+    if at_ms >= state.allotments.lease_end_ms:
+        return False
+    limit = state.agreed.limits_by_team.get(team)
+    if limit is None:
+        return False
+    running = state.entry.running_by_team.get(team, 0)
+    return running < places(held_units(state, team), limit.ceiling)
+
+
+def missing_units(state: State, team: str) -> int:
+    """Compute the units that would let all waiting requests start.
+
+    Args:
+      state: State of the entry.
+      team: Name of the team.
+    Returns:
+      The units beyond those held, never below zero.
+    """
+    limit = state.agreed.limits_by_team.get(team)
+    if limit is None:
+        return 0
+    running = state.entry.running_by_team.get(team, 0)
+    waiting = state.entry.waiting_by_team.get(team, 0)
+    wanted = min(running + waiting, limit.ceiling)
+    needed = units_for(wanted, limit.ceiling)
+    return max(needed - held_units(state, team), 0)
+
+
+def spare_units(state: State, team: str) -> int:
+    """Compute the units that no request in flight stands on.
+
+    Args:
+      state: State of the entry.
+      team: Name of the team.
+    Returns:
+      The units, never below zero.
+    """
+    held = held_units(state, team)
+    limit = state.agreed.limits_by_team.get(team)
+    if limit is None:
+        return max(held, 0)
+    running = state.entry.running_by_team.get(team, 0)
+    return max(held - units_for(running, limit.ceiling), 0)
+
+
+def seek_units(state: State, team: str, at_ms: int) -> Step:
+    """Ask for units of a team whose waiting requests lack them.
+
+    Questions stand with the peers until they change much, so that a team at
+    its ceiling causes no stream of them.
+
+    Args:
+      state: State of the entry.
+      team: Name of the team.
+      at_ms: The node's clock.
+    Returns:
+      A Step with questions to peers, a withdrawal, or nothing.
+    """
+    missing = missing_units(state, team)
+    asked = state.allotments.asked_by_team.get(team)
+    if asked is None and missing == 0:
+        return Step(state)
+    if asked is not None:
+        return Step(state)
+    allotments = replace(
+        state.allotments,
+        asked_by_team=state.allotments.asked_by_team.set(team, missing),
+    )
+    timer = SetTimer(UnitsTimer(team), at_ms + UNITS_ASK_MS)
+    step = Step(replace(state, allotments=allotments), (timer,))
+    step = then(step, _withdraw, team, missing, at_ms)
+    return then(step, _ask_peers, team, missing)
+
+
+def review_question(state: State, team: str, at_ms: int) -> Step:
+    """Repeat, change or take back a standing question.
+
+    Args:
+      state: State of the entry.
+      team: Name of the team.
+      at_ms: The node's clock.
+    Returns:
+      A Step; the timer goes on as long as units are missing.
+    """
+    asked = state.allotments.asked_by_team.get(team)
+    if asked is None:
+        return Step(state)
+    missing = missing_units(state, team)
+    if missing == 0:
+        allotments = replace(
+            state.allotments,
+            asked_by_team=state.allotments.asked_by_team.delete(team),
+        )
+        return _ask_peers(replace(state, allotments=allotments), team, 0)
+    timer = SetTimer(UnitsTimer(team), at_ms + UNITS_ASK_MS)
+    step = Step(state, (timer,))
+    step = then(step, _withdraw, team, missing, at_ms)
+    if asked // 2 <= missing <= asked * 2:
+        return step
+    allotments = replace(
+        state.allotments,
+        asked_by_team=state.allotments.asked_by_team.set(team, missing),
+    )
+    step = Step(replace(step.state, allotments=allotments), step.effects)
+    return then(step, _ask_peers, team, missing)
+
+
+def repeat_questions(state: State) -> Step:
+    """Repeat every standing question, since messages may have been lost.
+
+    Args:
+      state: State of the entry.
+    Returns:
+      A Step with the questions.
+    """
+    step = Step(state)
+    for team in state.allotments.asked_by_team:
+        step = then(step, _ask_peers, team, missing_units(state, team))
+    return step
+
+
+def take_question(
+    state: State, peer: Peer, question: UnitsAsked, at_ms: int
+) -> Step:
+    """Note what a peer asks for, and give what can be spared at once.
+
+    Args:
+      state: State of the entry.
+      peer: The peer.
+      question: Its question; it replaces an earlier one.
+      at_ms: The node's clock.
+    Returns:
+      A Step with the units given.
+    """
+    if question.for_account:
+        return _deposit(state, question.team, question.units, at_ms)
+    wants = state.allotments.wants_by_team.get(question.team, EMPTY_MAP)
+    if question.units > 0:
+        want = Want(question.units, question.holding)
+        wants = wants.set(peer.name, want)
+    else:
+        wants = drop_key(wants, peer.name)
+    changed = _with_wants(state, question.team, wants)
+    return give_wanted(changed, question.team, at_ms)
+
+
+def give_wanted(state: State, team: str, at_ms: int) -> Step:
+    """Give spare units of a team to the peers that asked for them.
+
+    An entry with waiting requests of its own gives a whole place only to a
+    peer that holds two places less, and otherwise at most the fraction of a
+    place that it cannot use itself, to a peer whose name sorts first; so
+    fractions gather and places even out instead of going round.
+
+    Args:
+      state: State of the entry.
+      team: Name of the team.
+      at_ms: The node's clock, for the timers of later questions.
+    Returns:
+      A Step with the units given.
+    """
+    step = Step(state)
+    while True:
+        wants = step.state.allotments.wants_by_team.get(team)
+        if not wants:
+            return step
+        name = _neediest(wants)
+        units = _units_to_give(step.state, team, name, wants[name])
+        if units <= 0:
+            return step
+        step = then(step, _give, team, name, units)
+
+
+def take_units(state: State, peer: Peer, message: UnitsSent) -> Step:
+    """Take units that a peer has given.
+
+    Args:
+      state: State of the entry.
+      peer: The sender.
+      message: Running totals; the largest of each team wins.
+    Returns:
+      A Step that confirms the totals, or none for one not addressed to
+      this incarnation or from an incarnation that is not a member.
+    """
+    if message.taker != state.identity.incarnation:
+        return Step(state)
+    if message.giver not in state.agreed.members_by_incarnation:
+        return Step(state)
+    known = state.allotments.received.get(message.giver, EMPTY_MAP)
+    gained = Map(
+        (team, total - known.get(team, 0))
+        for team, total in message.total_by_team.items()
+        if total > known.get(team, 0)
+    )
+    totals = _add(known, gained)
+    allotments = replace(
+        state.allotments,
+        received=state.allotments.received.set(message.giver, totals),
+        net_by_team=_add(state.allotments.net_by_team, gained),
+    )
+    confirmation = UnitsReceived(
+        message.giver,
+        message.taker,
+        Map((team, totals[team]) for team in message.total_by_team),
+    )
+    lines = tuple(
+        log(UNITS_TAKEN, team=team, units=units, giver=peer.name)
+        for team, units in gained.items()
+    )
+    return Step(
+        replace(state, allotments=allotments),
+        (Send(peer.name, confirmation),) + lines,
+    )
+
+
+def take_confirmation(state: State, message: UnitsReceived) -> Step:
+    """Note which totals a peer has taken.
+
+    Args:
+      state: State of the entry.
+      message: Totals that the peer has taken.
+    Returns:
+      A Step; confirmed totals are not sent again.
+    """
+    if message.giver != state.identity.incarnation:
+        return Step(state)
+    known = state.allotments.confirmed.get(message.taker, EMPTY_MAP)
+    newer = Map(
+        (team, total)
+        for team, total in message.total_by_team.items()
+        if total > known.get(team, 0)
+    )
+    confirmed = state.allotments.confirmed.set(
+        message.taker, known.update(newer)
+    )
+    allotments = replace(state.allotments, confirmed=confirmed)
+    return Step(replace(state, allotments=allotments))
+
+
+def resend_units(state: State, peer: Peer) -> Step:
+    """Send the totals again that a peer has not confirmed.
+
+    Args:
+      state: State of the entry.
+      peer: The peer.
+    Returns:
+      A Step with one message, or none.
+    """
+    sent = state.allotments.sent.get(peer.incarnation, EMPTY_MAP)
+    confirmed = state.allotments.confirmed.get(peer.incarnation, EMPTY_MAP)
+    open_totals = Map(
+        (team, total)
+        for team, total in sent.items()
+        if total > confirmed.get(team, 0)
+    )
+    if not open_totals:
+        return Step(state)
+    message = UnitsSent(
+        state.identity.incarnation, peer.incarnation, open_totals
+    )
+    return Step(state, (Send(peer.name, message),))
+
+
+def forget_wants(state: State, peer_name: str) -> State:
+    """Forget what a peer asked for, when its stream ends.
+
+    Args:
+      state: State of the entry.
+      peer_name: Name of the peer.
+    Returns:
+      The state without the peer's questions.
+    """
+    for team, wants in state.allotments.wants_by_team.items():
+        if peer_name in wants:
+            state = _with_wants(state, team, wants.delete(peer_name))
+    return state
+
+
+def _neediest(wants):
+    """Choose the peer that holds least, by name among equals."""
+    return min(wants, key=lambda name: (wants[name].holding, name))
+
+
+def _units_to_give(state, team, name, want):
+    """Decide how many units a peer gets now; 0 for none."""
+    peer = state.peers_by_name.get(name)
+    if peer is None:
+        return 0
+    if peer.incarnation not in state.agreed.members_by_incarnation:
+        return 0
+    spare = min(spare_units(state, team), want.units)
+    if state.entry.waiting_by_team.get(team, 0) == 0:
+        return spare
+    return _units_beside_own(state, team, name, want, spare)
+
+
+def _units_beside_own(state, team, name, want, spare):
+    """Decide what an entry that could use the units itself gives away."""
+    limit = state.agreed.limits_by_team.get(team)
+    if limit is None:
+        return spare
+    place = units_for(1, limit.ceiling)
+    ahead = held_units(state, team) - want.holding
+    if ahead >= 2 * place:
+        return min(spare, max(place, ahead // 2 // place * place))
+    fraction = spare_units(state, team) % place
+    if name < state.identity.node.name:
+        return min(fraction, want.units)
+    return 0
+
+
+def _give(state, team, name, units):
+    """Subtract units and send the new total to a peer."""
+    incarnation = state.peers_by_name[name].incarnation
+    sent = state.allotments.sent.get(incarnation, EMPTY_MAP)
+    total = sent.get(team, 0) + units
+    allotments = replace(
+        state.allotments,
+        sent=state.allotments.sent.set(incarnation, sent.set(team, total)),
+        net_by_team=add_count(state.allotments.net_by_team, team, -units),
+    )
+    wants = allotments.wants_by_team[team]
+    want = wants[name]
+    if want.units > units:
+        left = Want(want.units - units, want.holding + units)
+        wants = wants.set(name, left)
+    else:
+        wants = wants.delete(name)
+    changed = _with_wants(replace(state, allotments=allotments), team, wants)
+    message = UnitsSent(
+        state.identity.incarnation, incarnation, Map({team: total})
+    )
+    line = log(UNITS_GIVEN, team=team, units=units, taker=name)
+    return Step(changed, (Send(name, message), line))
+
+
+def _with_wants(state, team, wants):
+    wants_by_team = state.allotments.wants_by_team
+    if wants:
+        wants_by_team = wants_by_team.set(team, wants)
+    else:
+        wants_by_team = drop_key(wants_by_team, team)
+    allotments = replace(state.allotments, wants_by_team=wants_by_team)
+    return replace(state, allotments=allotments)
+
+
+def _ask_peers(state, team, units):
+    """Put a question to every entry."""
+    question = UnitsAsked(team, units, held_units(state, team))
+    peers_by_name = state.identity.peers_by_name
+    sends = tuple(
+        Send(name, question)
+        for name in state.peers_by_name
+        if peers_by_name[name].kind is NodeKind.ENTRY
+    )
+    return Step(state, sends)
+
+
+def withdraw_units(
+    state: State, units_by_team: Map[str, int], at_ms: int
+) -> Step:
+    """Propose to take units out of the log's account.
+
+    Args:
+      state: State of the entry.
+      units_by_team: Most units wanted for each team.
+      at_ms: The node's clock.
+    Returns:
+      A Step; no team has two withdrawals under way.
+    """
+    record_id = f"{state.identity.incarnation}/withdraw/{state.serial}"
+    pending = state.allotments.withdrawals_by_team.update(
+        {team: record_id for team in units_by_team}
+    )
+    changed = replace(
+        state,
+        serial=state.serial + 1,
+        allotments=replace(state.allotments, withdrawals_by_team=pending),
+    )
+    body = UnitsWithdrawn(state.identity.incarnation, units_by_team)
+    return propose(changed, record_id, body, at_ms)
+
+
+def first_part(state: State) -> int:
+    """Compute the units that an entry takes of every ceiling at its start.
+
+    Args:
+      state: State of the entry.
+    Returns:
+      An equal part for each entry of the settings and one for the jobs.
+    """
+    return WHOLE // (entry_count(state) + 1)
+
+
+def _withdraw(state, team, units, at_ms):
+    """Withdraw units from the log's account when it has some to spare."""
+    incarnation = state.identity.incarnation
+    if incarnation not in state.agreed.members_by_incarnation:
+        return Step(state)
+    if team in state.allotments.withdrawals_by_team:
+        return Step(state)
+    if state.agreed.waiting_jobs_by_team.get(team, 0):
+        return Step(state)
+    if units == 0 or free_account_units(state.agreed, team) == 0:
+        return Step(state)
+    wanted = max(units, first_part(state))
+    return withdraw_units(state, Map({team: wanted}), at_ms)
+
+
+def _deposit(state, team, units, at_ms):
+    """Deposit spare units for jobs; they are subtracted from now on."""
+    units = min(units, spare_units(state, team))
+    if units <= 0:
+        return Step(state)
+    incarnation = state.identity.incarnation
+    record_id = f"{incarnation}/deposit/{state.serial}"
+    given = Map({team: units})
+    deposits = state.allotments.deposits_by_record_id.set(record_id, given)
+    changed = replace(
+        state,
+        serial=state.serial + 1,
+        allotments=replace(state.allotments, deposits_by_record_id=deposits),
+    )
+    body = UnitsDeposited(incarnation, given)
+    return propose(changed, record_id, body, at_ms)
+
+
+def entry_count(state: State) -> int:
+    """Count the entries that the settings name, this one included.
+
+    Args:
+      state: State of a node.
+    Returns:
+      The number of entries, at least 1.
+    """
+    peers = state.identity.peers_by_name.values()
+    return 1 + sum(peer.kind is NodeKind.ENTRY for peer in peers)
+
+
+def _add(totals, gained):
+    return totals.update(
+        {team: totals.get(team, 0) + units for team, units in gained.items()}
+    )
--- /dev/null
+++ b/sesamehall/reducer/answers.py
@@ -0,0 +1,245 @@
+"""Answers: what a finished attempt means for caller, team and target."""
+
+from dataclasses import replace
+
+from sesamehall.core.codes import DEADLINE_PASSED
+from sesamehall.core.codes import LOST
+from sesamehall.core.codes import ResultCode
+from sesamehall.core.codes import TARGETS_UNREACHABLE
+from sesamehall.core.codes import TIMED_OUT
+from sesamehall.core.effects import Forward
+from sesamehall.core.effects import log
+from sesamehall.core.effects import Reply
+from sesamehall.core.effects import SetTimer
+from sesamehall.core.events import Broken
+from sesamehall.core.events import CallerGone
+from sesamehall.core.events import Completed
+from sesamehall.core.events import DeadlinePassed
+from sesamehall.core.events import Declined
+from sesamehall.core.events import NotSent
+from sesamehall.core.events import TargetAnswered
+from sesamehall.core.limits import LINGER_MS
+from sesamehall.core.limits import MOST_ATTEMPTS
+from sesamehall.core.limits import RETRY_COST_MILLI
+from sesamehall.core.limits import RETRY_EARN_MILLI
+from sesamehall.core.limits import RETRY_MOST_MILLI
+from sesamehall.core.logevents import REQUEST_ANSWERED
+from sesamehall.core.logevents import REQUEST_RETRIED
+from sesamehall.core.logevents import REQUEST_UNKNOWN
+from sesamehall.core.state import EntryState
+from sesamehall.core.state import State
+from sesamehall.core.state import Ticket
+from sesamehall.core.step import Step
+from sesamehall.core.step import then
+from sesamehall.core.timers import LingerTimer
+from sesamehall.reducer.admission import refuse
+from sesamehall.reducer.allotments import give_wanted
+from sesamehall.reducer.counts import add_count
+from sesamehall.reducer.dispatching import dispatch_waiting
+from sesamehall.reducer.health import note_failure
+from sesamehall.reducer.health import note_full
+from sesamehall.reducer.health import note_success
+from sesamehall.reducer.load import note_load
+from sesamehall.reducer.queues import forget
+from sesamehall.reducer.queues import requeue
+
+
+def finish_attempt(state: State, event: TargetAnswered) -> Step:
+    """Decide what follows from the end of an attempt.
+
+    An answer to an attempt that is not the current one changes nothing.
+
+    Args:
+      state: State of the entry.
+      event: The end of the attempt.
+    Returns:
+      A Step with the caller's answer or another attempt.
+    """
+    ticket = state.entry.tickets_by_request_id.get(event.request_id)
+    if ticket is None or not ticket.target:
+        return Step(state)
+    if ticket.attempt != event.attempt:
+        return Step(state)
+    match event.outcome:
+        case Completed(status):
+            step = _complete(state, ticket, status, event.at_ms)
+        case Declined():
+            step = note_full(state, ticket.target, event.at_ms)
+            step = then(step, _put_back, ticket, (), event.at_ms)
+        case NotSent(reason):
+            step = note_failure(state, ticket.target, reason, event.at_ms)
+            step = then(step, _try_another, ticket, event.at_ms)
+        case Broken(reason, timed_out):
+            step = note_failure(state, ticket.target, reason, event.at_ms)
+            step = then(step, _break_off, ticket, timed_out, event.at_ms)
+    step = then(step, give_wanted, ticket.team, event.at_ms)
+    return then(step, dispatch_waiting, event.at_ms)
+
+
+def pass_deadline(state: State, event: DeadlinePassed) -> Step:
+    """Answer a request whose caller's time is over, if it still waits.
+
+    One that a target runs is answered when its attempt ends.
+
+    Args:
+      state: State of the entry.
+      event: The end of the caller's time.
+    Returns:
+      A Step with the refusal, or none.
+    """
+    ticket = state.entry.tickets_by_request_id.get(event.request_id)
+    if ticket is None or ticket.target:
+        return Step(state)
+    entry = forget(state.entry, ticket)
+    waited_ms = event.at_ms - ticket.received_ms
+    return refuse(
+        replace(state, entry=entry),
+        event.request_id,
+        DEADLINE_PASSED,
+        f"waited {waited_ms} ms",
+    )
+
+
+def drop_gone(state: State, event: CallerGone) -> Step:
+    """Drop a waiting request whose caller has gone.
+
+    Args:
+      state: State of the entry.
+      event: The caller that has gone.
+    Returns:
+      A Step; a request that a target runs is left to its end.
+    """
+    passed = DeadlinePassed(event.at_ms, event.request_id)
+    return pass_deadline(state, passed)
+
+
+def end_linger(state: State, attempt: str, at_ms: int) -> Step:
+    """Free what an attempt of unknown outcome may have used until now.
+
+    Args:
+      state: State of the entry.
+      attempt: Name of the attempt.
+      at_ms: The node's clock.
+    Returns:
+      A Step that uses the freed slot and place.
+    """
+    ticket = state.entry.lingering_by_attempt.get(attempt)
+    if ticket is None:
+        return Step(state)
+    lingering = state.entry.lingering_by_attempt.delete(attempt)
+    entry = replace(state.entry, lingering_by_attempt=lingering)
+    step = _release(replace(state, entry=entry), ticket, at_ms)
+    step = then(step, give_wanted, ticket.team, at_ms)
+    return then(step, dispatch_waiting, at_ms)
+
+
+def _complete(state, ticket, status, at_ms):
+    """Forward a whole answer."""
+    step = _release(state, ticket, at_ms)
+    step = then(step, note_success, ticket.target)
+    entry = forget(step.state.entry, ticket)
+    budget = entry.retry_budget_milli + RETRY_EARN_MILLI
+    entry = replace(entry, retry_budget_milli=min(budget, RETRY_MOST_MILLI))
+    line = log(
+        REQUEST_ANSWERED,
+        request=ticket.request.request_id,
+        target=ticket.target,
+        status=status,
+        took_ms=at_ms - ticket.received_ms,
+    )
+    effects = (Forward(ticket.request.request_id), line)
+    return Step(replace(step.state, entry=entry), step.effects + effects)
+
+
+def _put_back(state, ticket, tried, at_ms):
+    """Let a request that certainly did not run wait again."""
+    step = _release(state, ticket, at_ms)
+    return then(step, _wait_again, ticket, tried)
+
+
+def _wait_again(state, ticket, tried):
+    """Put a request to the head of its line for another attempt."""
+    waiting = replace(ticket, target="", tried=ticket.tried + tried)
+    entry = requeue(state.entry, waiting)
+    line = log(
+        REQUEST_RETRIED,
+        request=ticket.request.request_id,
+        target=ticket.target,
+        attempt=ticket.attempt,
+    )
+    return Step(replace(state, entry=entry), (line,))
+
+
+def _try_another(state, ticket, at_ms):
+    """Try another target after one that got no byte of the request."""
+    if ticket.attempt < MOST_ATTEMPTS:
+        return _put_back(state, ticket, (ticket.target,), at_ms)
+    step = _release(state, ticket, at_ms)
+    entry = forget(step.state.entry, ticket)
+    state = replace(step.state, entry=entry)
+    refusal = refuse(
+        state,
+        ticket.request.request_id,
+        TARGETS_UNREACHABLE,
+        f"{ticket.attempt} attempts",
+    )
+    return Step(refusal.state, step.effects + refusal.effects)
+
+
+def _break_off(state, ticket, timed_out, at_ms):
+    """Retry an idempotent request, or say that nobody can tell."""
+    entry = state.entry
+    may_retry = (
+        ticket.request.idempotent
+        and not timed_out
+        and at_ms < ticket.request.deadline_ms
+        and ticket.attempt < MOST_ATTEMPTS
+        and entry.retry_budget_milli >= RETRY_COST_MILLI
+    )
+    code = TIMED_OUT if timed_out else LOST
+    if not may_retry:
+        return _answer_unknown(state, ticket, code, at_ms)
+    budget = entry.retry_budget_milli - RETRY_COST_MILLI
+    spent = replace(entry, retry_budget_milli=budget)
+    step = _linger(replace(state, entry=spent), ticket, at_ms)
+    return then(step, _wait_again, ticket, (ticket.target,))
+
+
+def _linger(state, ticket, at_ms):
+    """Keep the charge of an attempt that the target may still run."""
+    name = f"{ticket.request.request_id}#{ticket.attempt}"
+    lingering = state.entry.lingering_by_attempt.set(name, ticket)
+    entry = replace(state.entry, lingering_by_attempt=lingering)
+    ends_ms = max(at_ms, ticket.request.deadline_ms) + LINGER_MS
+    timer = SetTimer(LingerTimer(name), ends_ms)
+    return Step(replace(state, entry=entry), (timer,))
+
+
+def _answer_unknown(state: State, ticket: Ticket, code: ResultCode, at_ms):
+    """Answer that the outcome is unknown; keep the charge for a while."""
+    request_id = ticket.request.request_id
+    step = _linger(state, ticket, at_ms)
+    entry = forget(step.state.entry, ticket)
+    line = log(
+        REQUEST_UNKNOWN,
+        request=request_id,
+        target=ticket.target,
+        code=code.number,
+    )
+    reply = Reply(request_id, code, ticket.target)
+    return Step(replace(step.state, entry=entry), step.effects + (reply, line))
+
+
+def _release(state: State, ticket: Ticket, at_ms: int) -> Step:
+    """Take a request off the counts of its team and its target."""
+    entry: EntryState = state.entry
+    released = replace(
+        entry,
+        running_by_team=add_count(entry.running_by_team, ticket.team, -1),
+        running_by_target=add_count(
+            entry.running_by_target, ticket.target, -1
+        ),
+    )
+    return note_load(
+        replace(state, entry=released), ticket.team, ticket.target, at_ms
+    )
--- /dev/null
+++ b/sesamehall/reducer/dispatching.py
@@ -0,0 +1,109 @@
+"""Dispatching: brings waiting requests and free slots together."""
+
+from dataclasses import replace
+
+from sesamehall.core.effects import Dispatch
+from sesamehall.core.effects import log
+from sesamehall.core.logevents import REQUEST_ROUTED
+from sesamehall.core.state import EntryState
+from sesamehall.core.state import State
+from sesamehall.core.state import Target
+from sesamehall.core.state import Ticket
+from sesamehall.core.step import Step
+from sesamehall.core.step import then
+from sesamehall.reducer.allotments import has_place
+from sesamehall.reducer.allotments import seek_units
+from sesamehall.reducer.counts import add_count
+from sesamehall.reducer.load import note_load
+from sesamehall.reducer.queues import first_waiting
+from sesamehall.reducer.queues import take_first
+from sesamehall.reducer.routing import choose_target
+from sesamehall.reducer.shares import rank_team
+
+
+def dispatch_waiting(state: State, at_ms: int) -> Step:
+    """Dispatch every waiting request for which there is room.
+
+    Args:
+      state: State of the entry.
+      at_ms: The node's clock.
+    Returns:
+      A Step with the dispatches, and questions for units that are missing.
+    """
+    step = Step(state)
+    for service in state.entry.lines_by_service:
+        step = then(step, _dispatch_service, service, at_ms)
+    for team in step.state.entry.waiting_by_team:
+        step = then(step, seek_units, team, at_ms)
+    return step
+
+
+def _dispatch_service(state, service, at_ms):
+    """Dispatch one service's requests until slots or places run out."""
+    step = Step(state)
+    while True:
+        ticket = _next_ticket(step.state, service, at_ms)
+        if ticket is None:
+            return step
+        pool = step.state.agreed.services_by_name[service].pool
+        target = choose_target(step.state, pool, ticket.tried)
+        if target is None:
+            return step
+        step = then(step, _dispatch, ticket, target, at_ms)
+
+
+def _next_ticket(state: State, service: str, at_ms: int) -> Ticket | None:
+    """Choose the next request of a service by the teams' shares."""
+    best = None
+    best_rank = None
+    lines = state.entry.lines_by_service.get(service, {})
+    if service not in state.agreed.services_by_name:
+        return None
+    for team, line in lines.items():
+        if not has_place(state, team, at_ms):
+            continue
+        ticket = first_waiting(state.entry, line)
+        rank = (rank_team(state, team), ticket.received_ms, team)
+        if best_rank is None or rank < best_rank:
+            best = ticket
+            best_rank = rank
+    return best
+
+
+def _dispatch(state: State, ticket: Ticket, target: Target, at_ms: int):
+    """Send a request to a target, and charge both the team and the slot."""
+    name = target.instance.name
+    request = ticket.request
+    sent = replace(ticket, attempt=ticket.attempt + 1, target=name)
+    entry = _charge(take_first(state.entry, ticket), sent)
+    effect = Dispatch(
+        request_id=request.request_id,
+        attempt=sent.attempt,
+        target=name,
+        address=target.instance.address,
+        idempotent=request.idempotent,
+        not_after_ms=min(state.allotments.lease_end_ms, request.deadline_ms),
+        deadline_ms=request.deadline_ms,
+    )
+    line = log(
+        REQUEST_ROUTED,
+        request=request.request_id,
+        team=ticket.team,
+        service=request.service,
+        target=name,
+        attempt=sent.attempt,
+        waited_ms=at_ms - ticket.received_ms,
+    )
+    step = Step(replace(state, entry=entry), (effect, line))
+    return then(step, note_load, ticket.team, name, at_ms)
+
+
+def _charge(entry: EntryState, ticket: Ticket) -> EntryState:
+    return replace(
+        entry,
+        tickets_by_request_id=entry.tickets_by_request_id.set(
+            ticket.request.request_id, ticket
+        ),
+        running_by_team=add_count(entry.running_by_team, ticket.team, 1),
+        running_by_target=add_count(entry.running_by_target, ticket.target, 1),
+    )
--- /dev/null
+++ b/sesamehall/reducer/health.py
@@ -0,0 +1,104 @@
+"""Health of targets: those that fail are set aside and probed."""
+
+from dataclasses import replace
+
+from sesamehall.core.effects import log
+from sesamehall.core.effects import SetTimer
+from sesamehall.core.limits import ASIDE_MOST_MS
+from sesamehall.core.limits import ASIDE_MS
+from sesamehall.core.limits import BUSY_MS
+from sesamehall.core.limits import FAILURES_TO_ASIDE
+from sesamehall.core.logevents import TARGET_BACK
+from sesamehall.core.logevents import TARGET_SET_ASIDE
+from sesamehall.core.state import State
+from sesamehall.core.state import Target
+from sesamehall.core.step import Step
+from sesamehall.core.timers import ProbeTimer
+
+
+def note_success(state: State, name: str) -> Step:
+    """Note that a target gave a whole answer.
+
+    Args:
+      state: State of the entry.
+      name: Name of the target.
+    Returns:
+      A Step; a target that was being probed is back in use.
+    """
+    target = state.entry.targets_by_name.get(name)
+    if target is None or not (target.failures or target.aside):
+        return Step(state)
+    healthy = Target(target.instance)
+    effects = (log(TARGET_BACK, target=name),) if target.probing else ()
+    return Step(_with_target(state, healthy), effects)
+
+
+def note_failure(state: State, name: str, reason: str, at_ms: int) -> Step:
+    """Note that a target gave no whole answer.
+
+    Args:
+      state: State of the entry.
+      name: Name of the target.
+      reason: Why, for the log.
+      at_ms: The node's clock.
+    Returns:
+      A Step; the target is set aside after some failures in a row.
+    """
+    target = state.entry.targets_by_name.get(name)
+    if target is None or target.aside:
+        return Step(state)
+    failed = replace(target, failures=target.failures + 1)
+    if failed.failures < FAILURES_TO_ASIDE:
+        return Step(_with_target(state, failed))
+    excess = failed.failures - FAILURES_TO_ASIDE
+    pause_ms = min(ASIDE_MS << min(excess, 10), ASIDE_MOST_MS)
+    aside = replace(failed, aside=True, probing=False)
+    line = log(
+        TARGET_SET_ASIDE, target=name, failures=failed.failures, reason=reason
+    )
+    timer = SetTimer(ProbeTimer(name), at_ms + pause_ms)
+    return Step(_with_target(state, aside), (line, timer))
+
+
+def note_full(state: State, name: str, at_ms: int) -> Step:
+    """Note that a target declined a request, its slots being in use.
+
+    Args:
+      state: State of the entry.
+      name: Name of the target.
+      at_ms: The node's clock.
+    Returns:
+      A Step; the target rests for a moment without counting as sick.
+    """
+    target = state.entry.targets_by_name.get(name)
+    if target is None or target.aside:
+        return Step(state)
+    resting = replace(target, aside=True)
+    timer = SetTimer(ProbeTimer(name), at_ms + BUSY_MS)
+    return Step(_with_target(state, resting), (timer,))
+
+
+def allow_probe(state: State, name: str) -> Step:
+    """Let a target that was set aside have a request again.
+
+    A sick one gets a single request until that has succeeded.
+
+    Args:
+      state: State of the entry.
+      name: Name of the target.
+    Returns:
+      A Step with the target in use.
+    """
+    target = state.entry.targets_by_name.get(name)
+    if target is None:
+        return Step(state)
+    sick = target.failures >= FAILURES_TO_ASIDE
+    return Step(
+        _with_target(state, replace(target, aside=False, probing=sick))
+    )
+
+
+def _with_target(state, target):
+    targets = state.entry.targets_by_name.set(target.instance.name, target)
+    entry = replace(state.entry, targets_by_name=targets)
+    return replace(state, entry=entry)
--- /dev/null
+++ b/sesamehall/reducer/jobcalls.py
@@ -0,0 +1,225 @@
+"""Callers' job calls: handing in, asking and cancelling at an entry.
+
+Jobs live in the agreed state, which every entry follows; a call that changes
+one becomes a record, and is answered once the record was read back.
+"""
+
+from dataclasses import replace
+
+from sesamehall.core.agreement import Agreed
+from sesamehall.core.agreement import Verdict
+from sesamehall.core.codes import CANCEL_ACCEPTED
+from sesamehall.core.codes import JOB_ACCEPTED
+from sesamehall.core.codes import JOB_IMPOSSIBLE
+from sesamehall.core.codes import JOB_STATE
+from sesamehall.core.codes import JOB_UNKNOWN
+from sesamehall.core.codes import NO_LIMIT
+from sesamehall.core.codes import NO_SUCH_JOB
+from sesamehall.core.codes import NOT_ADMITTED
+from sesamehall.core.codes import NOT_READY
+from sesamehall.core.codes import STEWARD_UNREACHABLE
+from sesamehall.core.codes import STOPPING
+from sesamehall.core.data import Job
+from sesamehall.core.data import JobStatus
+from sesamehall.core.data import PresentedKey
+from sesamehall.core.effects import Reply
+from sesamehall.core.events import AskCalled
+from sesamehall.core.events import CancelCalled
+from sesamehall.core.events import DeadlinePassed
+from sesamehall.core.events import SubmitCalled
+from sesamehall.core.records import JobCancelled
+from sesamehall.core.records import JobSubmitted
+from sesamehall.core.records import RecordBody
+from sesamehall.core.state import Phase
+from sesamehall.core.state import State
+from sesamehall.core.step import Step
+from sesamehall.reducer.admission import identify_team
+from sesamehall.reducer.admission import refuse
+from sesamehall.reducer.admission import Refused
+from sesamehall.reducer.proposals import nearest_steward
+from sesamehall.reducer.proposals import propose
+
+
+def submit_job(state: State, event: SubmitCalled) -> Step:
+    """Hand in a job; the same id handed in again is answered alike.
+
+    Args:
+      state: State of the entry.
+      event: The call.
+    Returns:
+      A Step that proposes the job or refuses it.
+    """
+    owner = _identify(state, event.key)
+    if isinstance(owner, Refused):
+        return refuse(state, event.call_id, owner.code, owner.detail)
+    job = replace(event.job, team=owner.team)
+    refusal = _check_job(state, job)
+    if refusal is not None:
+        return refuse(state, event.call_id, refusal.code, refusal.detail)
+    known = state.agreed.jobs_by_id.get(job.job_id)
+    if known is not None:
+        reply = Reply(event.call_id, JOB_ACCEPTED, status=known)
+        return Step(state, (reply,))
+    body = JobSubmitted(job)
+    record_id = f"job/{job.team}/{job.job_id}"
+    return _propose_call(state, event.call_id, record_id, body, event.at_ms)
+
+
+def ask_job(state: State, event: AskCalled) -> Step:
+    """Tell what has become of a job.
+
+    Args:
+      state: State of the entry.
+      event: The call.
+    Returns:
+      A Step with the answer.
+    """
+    status = _find_job(state, event.key, event.job_id)
+    if isinstance(status, Refused):
+        return refuse(state, event.call_id, status.code, status.detail)
+    return Step(state, (Reply(event.call_id, JOB_STATE, status=status),))
+
+
+def cancel_job(state: State, event: CancelCalled) -> Step:
+    """Ask for the end of a job.
+
+    Args:
+      state: State of the entry.
+      event: The call.
+    Returns:
+      A Step that proposes the cancellation or refuses it.
+    """
+    status = _find_job(state, event.key, event.job_id)
+    if isinstance(status, Refused):
+        return refuse(state, event.call_id, status.code, status.detail)
+    body = JobCancelled(event.job_id)
+    record_id = f"cancel/{status.job.team}/{event.job_id}"
+    if record_id in state.agreed.verdicts_by_record_id:
+        reply = Reply(event.call_id, CANCEL_ACCEPTED, status=status)
+        return Step(state, (reply,))
+    return _propose_call(state, event.call_id, record_id, body, event.at_ms)
+
+
+def answer_judged_calls(state: State) -> Step:
+    """Answer the calls whose records were read back.
+
+    Args:
+      state: State of the entry, its agreed state brought up to date.
+    Returns:
+      A Step with the answers.
+    """
+    calls = state.entry.calls_by_record_id
+    effects = ()
+    for record_id, call_id in state.entry.calls_by_record_id.items():
+        verdict = state.agreed.verdicts_by_record_id.get(record_id)
+        if verdict is None:
+            continue
+        calls = calls.delete(record_id)
+        effects += (_judged_reply(state.agreed, record_id, call_id, verdict),)
+    entry = replace(state.entry, calls_by_record_id=calls)
+    return Step(replace(state, entry=entry), effects)
+
+
+def pass_call_deadline(state: State, event: DeadlinePassed) -> Step:
+    """Answer a call whose record was not read back in time.
+
+    Args:
+      state: State of the entry.
+      event: The end of the caller's time.
+    Returns:
+      A Step; the record may still take effect, and the answer says so.
+    """
+    calls = state.entry.calls_by_record_id
+    for record_id, call_id in calls.items():
+        if call_id == event.request_id:
+            entry = replace(
+                state.entry, calls_by_record_id=calls.delete(record_id)
+            )
+            reply = Reply(call_id, JOB_UNKNOWN, record_id)
+            return Step(replace(state, entry=entry), (reply,))
+    return Step(state)
+
+
+def find_misfit(agreed: Agreed, job: Job) -> str | None:
+    """Find out why a job can never run in its pool.
+
+    Args:
+      agreed: The agreed state.
+      job: The job.
+    Returns:
+      The reason, or None when some instance of the pool is large enough or
+      the pool has no instance yet.
+    """
+    instances = [
+        placement.instance
+        for placement in agreed.placements_by_instance.values()
+        if placement.pool == job.pool
+    ]
+    if not instances:
+        return None
+    for instance in instances:
+        fits = (
+            job.processors <= instance.processors
+            and job.memory_mb <= instance.memory_mb
+            and job.accelerators <= instance.accelerators
+        )
+        if fits:
+            return None
+    return f"no instance of {job.pool} is large enough"
+
+
+def _identify(state, key: PresentedKey | None):
+    """Find the team of a call, or why it is refused."""
+    if state.phase is not Phase.SERVING:
+        return Refused(STOPPING, state.identity.node.name)
+    if state.agreed.next_offset == 0:
+        return Refused(NOT_READY, "nothing of the log is known yet")
+    return identify_team(state, key)
+
+
+def _check_job(state: State, job: Job) -> Refused | None:
+    plan = state.agreed.plans_by_team.get(job.team)
+    if plan is None or job.pool not in plan.pools:
+        return Refused(NOT_ADMITTED, f"{job.team} to {job.pool}")
+    if job.team not in state.agreed.limits_by_team:
+        return Refused(NO_LIMIT, job.team)
+    misfit = find_misfit(state.agreed, job)
+    if misfit is not None:
+        return Refused(JOB_IMPOSSIBLE, misfit)
+    known = state.agreed.jobs_by_id.get(job.job_id)
+    if known is not None and known.job.team != job.team:
+        return Refused(NOT_ADMITTED, f"job {job.job_id} is another team's")
+    return None
+
+
+def _find_job(state, key, job_id) -> JobStatus | Refused:
+    """Find a job of the caller's own team."""
+    owner = _identify(state, key)
+    if isinstance(owner, Refused):
+        return owner
+    status = state.agreed.jobs_by_id.get(job_id)
+    if status is None or status.job.team != owner.team:
+        return Refused(NO_SUCH_JOB, job_id)
+    return status
+
+
+def _propose_call(
+    state: State, call_id: str, record_id: str, body: RecordBody, at_ms: int
+) -> Step:
+    """Propose a call's record, unless no steward could take it."""
+    if nearest_steward(state) is None:
+        return refuse(state, call_id, STEWARD_UNREACHABLE, "no stream open")
+    calls = state.entry.calls_by_record_id.set(record_id, call_id)
+    entry = replace(state.entry, calls_by_record_id=calls)
+    return propose(replace(state, entry=entry), record_id, body, at_ms)
+
+
+def _judged_reply(agreed, record_id, call_id, verdict):
+    """Build the answer to a call from the verdict on its record."""
+    kind, _, name = record_id.partition("/")
+    job_id = name.partition("/")[2]
+    status = agreed.jobs_by_id.get(job_id)
+    code = JOB_ACCEPTED if kind == "job" else CANCEL_ACCEPTED
+    if verdict not in (Verdict.ACCEPTED, Verdict.ALREADY_DONE):
+        code = NOT_ADMITTED if kind == "job" else NO_SUCH_JOB
+    return Reply(call_id, code, verdict.value, status)
--- /dev/null
+++ b/sesamehall/reducer/lifecycle.py
@@ -0,0 +1,170 @@
+"""Start, regular beat and graceful stop of a node."""
+
+from dataclasses import replace
+
+from sesamehall.core.data import NodeKind
+from sesamehall.core.effects import Exit
+from sesamehall.core.effects import log
+from sesamehall.core.effects import SetTimer
+from sesamehall.core.events import Started
+from sesamehall.core.events import StopRequested
+from sesamehall.core.limits import BEAT_MS
+from sesamehall.core.limits import LEAVE_WAIT_MS
+from sesamehall.core.logevents import NODE_STARTED
+from sesamehall.core.logevents import NODE_STOPPED
+from sesamehall.core.logevents import NODE_STOPPING
+from sesamehall.core.records import EntryLeft
+from sesamehall.core.state import Phase
+from sesamehall.core.state import State
+from sesamehall.core.step import Step
+from sesamehall.core.step import then
+from sesamehall.core.timers import BeatTimer
+from sesamehall.reducer.allotments import repeat_questions
+from sesamehall.reducer.allotments import resend_units
+from sesamehall.reducer.load import report_changes
+from sesamehall.reducer.membership import is_member
+from sesamehall.reducer.membership import keep_reserve
+from sesamehall.reducer.membership import pursue_lease
+from sesamehall.reducer.moving import finish_moves
+from sesamehall.reducer.moving import forget_reports
+from sesamehall.reducer.moving import join_instances
+from sesamehall.reducer.moving import report_drained
+from sesamehall.reducer.moving import start_moves
+from sesamehall.reducer.peers import beat_peers
+from sesamehall.reducer.peers import drop_silent_peers
+from sesamehall.reducer.placing import place_jobs
+from sesamehall.reducer.placing import watch_tasks
+from sesamehall.reducer.proposals import propose
+from sesamehall.reducer.role import expire_entries
+from sesamehall.reducer.role import holds_role
+from sesamehall.reducer.role import watch_role
+from sesamehall.reducer.stewardship import list_instances
+from sesamehall.reducer.stewardship import read_log
+
+
+def start_node(state: State, event: Started) -> Step:
+    """Begin to beat, and a steward to read the log.
+
+    Args:
+      state: State of a node that has not done anything.
+      event: The start.
+    Returns:
+      A Step with the first effects.
+    """
+    node = state.identity.node
+    line = log(
+        NODE_STARTED, node=node.name, incarnation=state.identity.incarnation
+    )
+    timer = SetTimer(BeatTimer(), event.at_ms + BEAT_MS)
+    step = Step(state, (line, timer))
+    if node.kind is NodeKind.STEWARD:
+        step = then(step, read_log)
+        step = then(step, list_instances)
+    return step
+
+
+def stop_node(state: State, event: StopRequested) -> Step:
+    """Begin to stop: take nothing new, and finish what is in flight.
+
+    Args:
+      state: State of the node.
+      event: The wish to stop; a second one changes nothing.
+    Returns:
+      A Step; a steward has nothing in flight and ends at once.
+    """
+    if state.phase is not Phase.SERVING:
+        return Step(state)
+    line = log(NODE_STOPPING, node=state.identity.node.name)
+    stopping = replace(state, phase=Phase.STOPPING, stopping_ms=event.at_ms)
+    if state.identity.node.kind is NodeKind.STEWARD:
+        step = _end(stopping)
+    else:
+        step = pursue_stop(stopping, event.at_ms)
+    return Step(step.state, (line,) + step.effects)
+
+
+def pursue_stop(state: State, at_ms: int) -> Step:
+    """Leave once nothing is in flight, and end once the log knows it.
+
+    Units that the log cannot take back in time are given up to the judges
+    of the lease, who return them later.
+
+    Args:
+      state: State of an entry.
+      at_ms: The node's clock.
+    Returns:
+      A Step; none for an entry that is not stopping.
+    """
+    if state.phase is not Phase.STOPPING:
+        return Step(state)
+    entry = state.entry
+    if entry.tickets_by_request_id or entry.calls_by_record_id:
+        return Step(replace(state, stopping_ms=at_ms))
+    if entry.lingering_by_attempt:
+        return Step(replace(state, stopping_ms=at_ms))
+    late = at_ms - state.stopping_ms >= LEAVE_WAIT_MS
+    if not is_member(state) or late:
+        return _end(state)
+    incarnation = state.identity.incarnation
+    record_id = f"{incarnation}/leave"
+    return propose(state, record_id, EntryLeft(incarnation), at_ms)
+
+
+def beat(state: State, at_ms: int) -> Step:
+    """Do what is done regularly.
+
+    Args:
+      state: State of the node.
+      at_ms: The node's clock.
+    Returns:
+      A Step that sets the timer of the next beat.
+    """
+    timer = SetTimer(BeatTimer(), at_ms + BEAT_MS)
+    step = Step(state, (timer,))
+    step = then(step, drop_silent_peers, at_ms)
+    step = then(step, beat_peers)
+    if state.identity.node.kind is NodeKind.ENTRY:
+        return then(step, _beat_entry, at_ms)
+    return then(step, _beat_steward, at_ms)
+
+
+def act_as_holder(state: State, at_ms: int) -> Step:
+    """Place, move and judge leases, as far as this steward may.
+
+    Args:
+      state: State of the steward.
+      at_ms: The node's clock.
+    Returns:
+      A Step with what the role demands; none without the role.
+    """
+    if not holds_role(state):
+        return Step(state)
+    step = Step(forget_reports(state))
+    step = then(step, join_instances, at_ms)
+    step = then(step, place_jobs, at_ms)
+    step = then(step, watch_tasks, at_ms)
+    step = then(step, start_moves, at_ms)
+    return then(step, finish_moves)
+
+
+def _beat_entry(state, at_ms):
+    step = pursue_lease(state, at_ms)
+    step = then(step, keep_reserve, at_ms)
+    step = then(step, repeat_questions)
+    for peer in state.peers_by_name.values():
+        step = then(step, resend_units, peer)
+    step = then(step, report_changes)
+    step = then(step, report_drained)
+    return then(step, pursue_stop, at_ms)
+
+
+def _beat_steward(state, at_ms):
+    step = watch_role(state, at_ms)
+    if holds_role(state):
+        step = then(step, expire_entries, at_ms)
+    return then(step, act_as_holder, at_ms)
+
+
+def _end(state):
+    line = log(NODE_STOPPED, node=state.identity.node.name)
+    return Step(replace(state, phase=Phase.STOPPED), (line, Exit()))
--- /dev/null
+++ b/sesamehall/reducer/peers.py
@@ -0,0 +1,248 @@
+"""Streams between nodes: greetings, heartbeats and what messages mean."""
+
+from dataclasses import replace
+
+from sesamehall.core.data import NodeKind
+from sesamehall.core.effects import Append
+from sesamehall.core.effects import Disconnect
+from sesamehall.core.effects import log
+from sesamehall.core.effects import Send
+from sesamehall.core.events import MessageReceived
+from sesamehall.core.events import PeerConnected
+from sesamehall.core.events import PeerDisconnected
+from sesamehall.core.limits import SILENT_AFTER_MS
+from sesamehall.core.logevents import PEER_CONNECTED
+from sesamehall.core.logevents import PEER_LOST
+from sesamehall.core.logevents import PEER_REFUSED
+from sesamehall.core.messages import AgreedForwarded
+from sesamehall.core.messages import AppendRequested
+from sesamehall.core.messages import DrainReported
+from sesamehall.core.messages import Follow
+from sesamehall.core.messages import Heartbeat
+from sesamehall.core.messages import Hello
+from sesamehall.core.messages import InstancesForwarded
+from sesamehall.core.messages import LoadReported
+from sesamehall.core.messages import OLDEST_FORMAT
+from sesamehall.core.messages import PROTOCOL_FORMAT
+from sesamehall.core.messages import RecordsForwarded
+from sesamehall.core.messages import UnitsAsked
+from sesamehall.core.messages import UnitsReceived
+from sesamehall.core.messages import UnitsSent
+from sesamehall.core.state import Peer
+from sesamehall.core.state import State
+from sesamehall.core.step import Step
+from sesamehall.core.step import then
+from sesamehall.reducer.allotments import forget_wants
+from sesamehall.reducer.allotments import resend_units
+from sesamehall.reducer.allotments import take_confirmation
+from sesamehall.reducer.allotments import take_question
+from sesamehall.reducer.allotments import take_units
+from sesamehall.reducer.counts import drop_key
+from sesamehall.reducer.dispatching import dispatch_waiting
+from sesamehall.reducer.fleet import take_instances
+from sesamehall.reducer.following import adopt_agreed
+from sesamehall.reducer.following import apply_entries
+from sesamehall.reducer.load import forget_reports
+from sesamehall.reducer.load import report_whole
+from sesamehall.reducer.load import take_report
+from sesamehall.reducer.membership import greet
+from sesamehall.reducer.moving import take_drain_report
+from sesamehall.reducer.stewardship import add_follower
+from sesamehall.reducer.stewardship import take_agreed
+from sesamehall.reducer.stewardship import take_entries
+
+
+def connect_peer(state: State, event: PeerConnected) -> Step:
+    """Greet a peer on a new stream.
+
+    Args:
+      state: State of the node.
+      event: The new stream.
+    Returns:
+      A Step with the greeting.
+    """
+    step = _drop_peer(state, event.peer)
+    peer = Peer(event.peer, "", event.at_ms)
+    peers = step.state.peers_by_name.set(event.peer, peer)
+    return Step(
+        replace(step.state, peers_by_name=peers),
+        (Send(event.peer, greet(state.identity)),),
+    )
+
+
+def disconnect_peer(state: State, event: PeerDisconnected) -> Step:
+    """Forget a peer whose stream has ended.
+
+    Args:
+      state: State of the node.
+      event: The end of the stream.
+    Returns:
+      A Step; what the peer was using counts no longer.
+    """
+    if event.peer not in state.peers_by_name:
+        return Step(state)
+    step = _drop_peer(state, event.peer)
+    effects = step.effects + (log(PEER_LOST, peer=event.peer),)
+    step = Step(step.state, effects)
+    return then(step, dispatch_waiting, event.at_ms)
+
+
+def drop_silent_peers(state: State, at_ms: int) -> Step:
+    """Close the streams on which nothing was heard for too long.
+
+    Args:
+      state: State of the node.
+      at_ms: The node's clock.
+    Returns:
+      A Step with the streams to close; the runtime reports their end.
+    """
+    effects = tuple(
+        Disconnect(name)
+        for name, peer in state.peers_by_name.items()
+        if at_ms - peer.heard_ms > SILENT_AFTER_MS
+    )
+    return Step(state, effects)
+
+
+def beat_peers(state: State) -> Step:
+    """Tell every peer that this node is alive and how far it has read.
+
+    Args:
+      state: State of the node.
+    Returns:
+      A Step with the heartbeats.
+    """
+    beat = Heartbeat(state.agreed.next_offset)
+    return Step(state, tuple(Send(name, beat) for name in state.peers_by_name))
+
+
+def take_message(state: State, event: MessageReceived) -> Step:
+    """Decide what a peer's message means.
+
+    Args:
+      state: State of the node.
+      event: The message.
+    Returns:
+      A Step; a message before the greeting closes the stream.
+    """
+    peer = state.peers_by_name.get(event.peer)
+    if peer is None:
+        return Step(state)
+    peer = replace(peer, heard_ms=event.at_ms)
+    peers = state.peers_by_name.set(event.peer, peer)
+    state = replace(state, peers_by_name=peers)
+    if isinstance(event.message, Hello):
+        return _take_greeting(state, peer, event.message)
+    if not peer.incarnation:
+        return _refuse_peer(state, event.peer, "no greeting")
+    if state.identity.node.kind is NodeKind.ENTRY:
+        return _take_at_entry(state, peer, event)
+    return _take_at_steward(state, peer, event)
+
+
+def _take_at_entry(state: State, peer: Peer, event: MessageReceived) -> Step:
+    at_ms = event.at_ms
+    message = event.message
+    match message:
+        case Heartbeat(next_offset):
+            return _pull(state, peer, next_offset)
+        case RecordsForwarded(entries):
+            return apply_entries(state, entries, at_ms)
+        case AgreedForwarded(agreed):
+            return adopt_agreed(state, agreed, at_ms)
+        case InstancesForwarded(instances):
+            listed = take_instances(state, instances)
+            return dispatch_waiting(listed, at_ms)
+        case LoadReported():
+            step = take_report(state, peer, message)
+            return then(step, dispatch_waiting, at_ms)
+        case UnitsAsked():
+            return take_question(state, peer, message, at_ms)
+        case UnitsSent():
+            step = take_units(state, peer, message)
+            return then(step, dispatch_waiting, at_ms)
+        case UnitsReceived():
+            return take_confirmation(state, message)
+    return _refuse_peer(state, peer.name, type(message).__name__)
+
+
+def _take_at_steward(state: State, peer: Peer, event: MessageReceived) -> Step:
+    at_ms = event.at_ms
+    message = event.message
+    match message:
+        case Heartbeat(next_offset):
+            return _pull(state, peer, next_offset)
+        case Follow(from_offset):
+            return add_follower(state, peer.name, from_offset)
+        case RecordsForwarded(entries):
+            return take_entries(state, entries, at_ms)
+        case AgreedForwarded():
+            return take_agreed(state, message, at_ms)
+        case InstancesForwarded():
+            return Step(state)
+        case AppendRequested(record):
+            return Step(state, (Append(record),))
+        case DrainReported():
+            return take_drain_report(state, message)
+    return _refuse_peer(state, peer.name, type(message).__name__)
+
+
+def _take_greeting(state: State, peer: Peer, hello: Hello) -> Step:
+    """Accept a peer that is who the settings say and speaks our format."""
+    node = state.identity.peers_by_name.get(hello.name)
+    if node is None or node.kind is not hello.kind:
+        return _refuse_peer(state, peer.name, "not in the settings")
+    if hello.newest < OLDEST_FORMAT or hello.oldest > PROTOCOL_FORMAT:
+        return _refuse_peer(state, peer.name, "no common format")
+    known = replace(peer, incarnation=hello.incarnation)
+    peers = state.peers_by_name.set(peer.name, known)
+    line = log(PEER_CONNECTED, peer=peer.name, incarnation=hello.incarnation)
+    step = Step(replace(state, peers_by_name=peers), (line,))
+    if hello.kind is NodeKind.STEWARD:
+        return then(step, _follow_at_home, known)
+    if state.identity.node.kind is NodeKind.ENTRY:
+        step = then(step, report_whole, peer.name)
+        return then(step, resend_units, known)
+    return step
+
+
+def _follow_at_home(state: State, peer: Peer) -> Step:
+    """Follow the stewards of the entry's own data centre."""
+    node = state.identity.peers_by_name[peer.name]
+    own = state.identity.node
+    if own.kind is not NodeKind.ENTRY or own.data_centre != node.data_centre:
+        return Step(state)
+    return Step(state, (Send(peer.name, Follow(state.agreed.next_offset)),))
+
+
+def _pull(state: State, peer: Peer, next_offset: int) -> Step:
+    """Follow a steward that has read further than this node."""
+    known = replace(peer, next_offset=next_offset)
+    peers = state.peers_by_name.set(peer.name, known)
+    state = replace(state, peers_by_name=peers)
+    node = state.identity.peers_by_name[peer.name]
+    if node.kind is not NodeKind.STEWARD:
+        return Step(state)
+    if next_offset <= state.agreed.next_offset:
+        return Step(state)
+    return Step(state, (Send(peer.name, Follow(state.agreed.next_offset)),))
+
+
+def _refuse_peer(state, name, reason):
+    line = log(PEER_REFUSED, peer=name, reason=reason)
+    return Step(state, (Disconnect(name), line))
+
+
+def _drop_peer(state: State, name: str) -> Step:
+    """Forget all that is known of a peer."""
+    peer = state.peers_by_name.get(name)
+    if peer is None:
+        return Step(state)
+    followers = drop_key(state.steward.followers_by_peer, name)
+    changed = replace(
+        forget_wants(state, name),
+        peers_by_name=state.peers_by_name.delete(name),
+        entry=forget_reports(state.entry, peer),
+        steward=replace(state.steward, followers_by_peer=followers),
+    )
+    return Step(changed)
--- /dev/null
+++ b/sesamehall/reducer/placements.py
@@ -0,0 +1,254 @@
+"""Acceptance of records about the role, instances, moves and jobs."""
+
+from dataclasses import replace
+
+from sesamehall.core.agreement import Agreed
+from sesamehall.core.agreement import Placement
+from sesamehall.core.agreement import Role
+from sesamehall.core.agreement import Verdict
+from sesamehall.core.data import JobPhase
+from sesamehall.core.data import JobStatus
+from sesamehall.core.data import Move
+from sesamehall.core.data import TERMINAL_PHASES
+from sesamehall.core.records import InstanceJoined
+from sesamehall.core.records import JobCancelled
+from sesamehall.core.records import JobEnded
+from sesamehall.core.records import JobPlaced
+from sesamehall.core.records import JobSubmitted
+from sesamehall.core.records import MoveFinished
+from sesamehall.core.records import MoveStarted
+from sesamehall.core.records import RoleClaimed
+from sesamehall.reducer.accounts import account_places
+from sesamehall.reducer.counts import add_count
+
+Judged = tuple[Agreed, Verdict]
+
+
+def claim_role(agreed: Agreed, body: RoleClaimed, offset: int) -> Judged:
+    """Judge a steward's claim of the role; of racing ones the first wins.
+
+    Args:
+      agreed: State before the record.
+      body: The claim.
+      offset: Offset of the record, which becomes the epoch.
+    Returns:
+      The state after it and the verdict.
+    """
+    if body.seen_epoch != agreed.role.epoch:
+        return agreed, Verdict.STALE_EPOCH
+    role = Role(holder=body.holder, epoch=offset, renewed_offset=offset)
+    return replace(agreed, role=role), Verdict.ACCEPTED
+
+
+def fence(agreed: Agreed, epoch: int, offset: int) -> Judged:
+    """Judge whether a writer's epoch is in force; note that it is alive.
+
+    Args:
+      agreed: State before the record.
+      epoch: Epoch that the record carries.
+      offset: Offset of the record.
+    Returns:
+      The state after it and the verdict.
+    """
+    if epoch != agreed.role.epoch:
+        return agreed, Verdict.STALE_EPOCH
+    role = replace(agreed.role, renewed_offset=offset)
+    return replace(agreed, role=role), Verdict.ACCEPTED
+
+
+def join_instance(agreed: Agreed, body: InstanceJoined) -> Judged:
+    """Judge the first joining of an instance.
+
+    Args:
+      agreed: State before the record.
+      body: The record, its epoch already checked.
+    Returns:
+      The state after it and the verdict.
+    """
+    instance = body.instance
+    if instance.name in agreed.placements_by_instance:
+        return agreed, Verdict.ALREADY_DONE
+    pool = agreed.pools_by_name.get(instance.pool)
+    if pool is None or pool.kind != instance.kind:
+        return agreed, Verdict.UNKNOWN_NAME
+    return _place(agreed, Placement(instance, instance.pool))
+
+
+def start_move(agreed: Agreed, body: MoveStarted) -> Judged:
+    """Judge the begin of a move.
+
+    Args:
+      agreed: State before the record.
+      body: The record, its epoch already checked.
+    Returns:
+      The state after it and the verdict.
+    """
+    placement = agreed.placements_by_instance.get(body.instance)
+    pool = agreed.pools_by_name.get(body.to_pool)
+    if placement is None or pool is None:
+        return agreed, Verdict.UNKNOWN_NAME
+    if pool.kind != placement.instance.kind:
+        return agreed, Verdict.UNKNOWN_NAME
+    if placement.move is not None or placement.pool == body.to_pool:
+        return agreed, Verdict.ALREADY_DONE
+    move = Move(body.operation, body.instance, placement.pool, body.to_pool)
+    moves = agreed.moves_by_operation.set(body.operation, move)
+    changed = replace(agreed, moves_by_operation=moves)
+    return _place(changed, replace(placement, move=move))
+
+
+def finish_move(agreed: Agreed, body: MoveFinished) -> Judged:
+    """Judge the end of a move.
+
+    Args:
+      agreed: State before the record.
+      body: The record, its epoch already checked.
+    Returns:
+      The state after it and the verdict.
+    """
+    move = agreed.moves_by_operation.get(body.operation)
+    if move is None:
+        return agreed, Verdict.ALREADY_DONE
+    placement = agreed.placements_by_instance[move.instance]
+    moves = agreed.moves_by_operation.delete(body.operation)
+    changed = replace(agreed, moves_by_operation=moves)
+    return _place(changed, replace(placement, pool=move.to_pool, move=None))
+
+
+def submit_job(agreed: Agreed, body: JobSubmitted) -> Judged:
+    """Judge a job handed in.
+
+    Args:
+      agreed: State before the record.
+      body: The job.
+    Returns:
+      The state after it and the verdict.
+    """
+    job = body.job
+    if job.job_id in agreed.jobs_by_id:
+        return agreed, Verdict.ALREADY_DONE
+    if job.team not in agreed.plans_by_team:
+        return agreed, Verdict.UNKNOWN_TEAM
+    counts = add_count(agreed.waiting_jobs_by_team, job.team, 1)
+    changed = replace(
+        agreed,
+        waiting_job_ids=agreed.waiting_job_ids.set(job.job_id, True),
+        waiting_jobs_by_team=counts,
+    )
+    return _record_job(changed, JobStatus(job))
+
+
+def place_job(agreed: Agreed, body: JobPlaced) -> Judged:
+    """Judge the placement of a job; the ceiling is checked here.
+
+    Args:
+      agreed: State before the record.
+      body: The record, its epoch already checked.
+    Returns:
+      The state after it and the verdict.
+    """
+    status = agreed.jobs_by_id.get(body.job_id)
+    placement = agreed.placements_by_instance.get(body.worker)
+    if status is None or placement is None:
+        return agreed, Verdict.UNKNOWN_NAME
+    if status.phase is not JobPhase.WAITING or placement.move is not None:
+        return agreed, Verdict.ALREADY_DONE
+    team = status.job.team
+    running = agreed.running_jobs_by_team.get(team, 0)
+    if running >= account_places(agreed, team):
+        return agreed, Verdict.CEILING_REACHED
+    job_ids = agreed.job_ids_by_worker.get(body.worker, ())
+    changed = replace(
+        _leave_waiting(agreed, status),
+        running_jobs_by_team=add_count(agreed.running_jobs_by_team, team, 1),
+        job_ids_by_worker=agreed.job_ids_by_worker.set(
+            body.worker, job_ids + (body.job_id,)
+        ),
+    )
+    placed = replace(
+        status, phase=JobPhase.RUNNING, worker=body.worker, boot=body.boot
+    )
+    return _record_job(changed, placed)
+
+
+def end_job(agreed: Agreed, body: JobEnded) -> Judged:
+    """Judge the end of a job.
+
+    Args:
+      agreed: State before the record.
+      body: The record, its epoch already checked.
+    Returns:
+      The state after it and the verdict.
+    """
+    status = agreed.jobs_by_id.get(body.job_id)
+    if status is None:
+        return agreed, Verdict.UNKNOWN_NAME
+    if status.phase in TERMINAL_PHASES:
+        return agreed, Verdict.ALREADY_DONE
+    ended = replace(status, phase=body.phase, detail=body.detail)
+    if status.phase is JobPhase.WAITING:
+        return _record_job(_leave_waiting(agreed, status), ended)
+    return _record_job(_leave_worker(agreed, status), ended)
+
+
+def cancel_job(agreed: Agreed, body: JobCancelled) -> Judged:
+    """Judge a team's wish to stop a job.
+
+    Args:
+      agreed: State before the record.
+      body: The record.
+    Returns:
+      The state after it and the verdict.
+    """
+    status = agreed.jobs_by_id.get(body.job_id)
+    if status is None:
+        return agreed, Verdict.UNKNOWN_NAME
+    if status.phase in TERMINAL_PHASES:
+        return agreed, Verdict.ALREADY_DONE
+    if status.phase is JobPhase.WAITING:
+        ended = replace(status, phase=JobPhase.CANCELLED, cancel_asked=True)
+        return _record_job(_leave_waiting(agreed, status), ended)
+    return _record_job(agreed, replace(status, cancel_asked=True))
+
+
+def _place(agreed, placement):
+    placements = agreed.placements_by_instance.set(
+        placement.instance.name, placement
+    )
+    changed = replace(agreed, placements_by_instance=placements)
+    return changed, Verdict.ACCEPTED
+
+
+def _leave_waiting(agreed, status):
+    """Take a job off those that wait."""
+    job = status.job
+    return replace(
+        agreed,
+        waiting_job_ids=agreed.waiting_job_ids.delete(job.job_id),
+        waiting_jobs_by_team=add_count(
+            agreed.waiting_jobs_by_team, job.team, -1
+        ),
+    )
+
+
+def _leave_worker(agreed, status):
+    """Take a job off its worker and its team's count."""
+    job = status.job
+    left = tuple(
+        job_id
+        for job_id in agreed.job_ids_by_worker[status.worker]
+        if job_id != job.job_id
+    )
+    if left:
+        job_ids = agreed.job_ids_by_worker.set(status.worker, left)
+    else:
+        job_ids = agreed.job_ids_by_worker.delete(status.worker)
+    counts = add_count(agreed.running_jobs_by_team, job.team, -1)
+    return replace(
+        agreed, job_ids_by_worker=job_ids, running_jobs_by_team=counts
+    )
+
+
+def _record_job(agreed, status):
+    jobs = agreed.jobs_by_id.set(status.job.job_id, status)
+    return replace(agreed, jobs_by_id=jobs), Verdict.ACCEPTED
--- /dev/null
+++ b/sesamehall/reducer/placing.py
@@ -0,0 +1,304 @@
+"""Placing: which worker runs which job, and the watch over its task."""
+
+from dataclasses import dataclass
+from dataclasses import replace
+from fractions import Fraction
+
+from sesamehall.core.agreement import Agreed
+from sesamehall.core.agreement import Placement
+from sesamehall.core.data import Job
+from sesamehall.core.data import JobPhase
+from sesamehall.core.data import JobStatus
+from sesamehall.core.data import NodeKind
+from sesamehall.core.data import TargetKind
+from sesamehall.core.effects import log
+from sesamehall.core.effects import RunTask
+from sesamehall.core.effects import Send
+from sesamehall.core.effects import SetTimer
+from sesamehall.core.effects import StopTask
+from sesamehall.core.events import TaskEnded
+from sesamehall.core.events import TaskRunning
+from sesamehall.core.events import TaskSilent
+from sesamehall.core.events import TaskUnknown
+from sesamehall.core.events import WorkerAnswered
+from sesamehall.core.limits import CLOCK_DRIFT_PERCENT
+from sesamehall.core.limits import TASK_LEASE_MS
+from sesamehall.core.limits import TASK_RENEWAL_MS
+from sesamehall.core.logevents import JOB_ENDED
+from sesamehall.core.logevents import JOB_HELD
+from sesamehall.core.logevents import JOB_PLACED
+from sesamehall.core.messages import UnitsAsked
+from sesamehall.core.records import JobEnded
+from sesamehall.core.records import JobPlaced
+from sesamehall.core.state import State
+from sesamehall.core.state import TaskWatch
+from sesamehall.core.step import Step
+from sesamehall.core.step import then
+from sesamehall.core.timers import TaskTimer
+from sesamehall.reducer.accounts import account_places
+from sesamehall.reducer.accounts import account_units
+from sesamehall.reducer.counts import drop_key
+from sesamehall.reducer.jobcalls import find_misfit
+from sesamehall.reducer.role import holds_role
+from sesamehall.reducer.role import propose_fenced
+from sesamehall.reducer.units import units_for
+
+TASK_LAPSE_MS = TASK_LEASE_MS * (100 + CLOCK_DRIFT_PERCENT) // 100
+
+
+@dataclass(frozen=True, slots=True)
+class Room:
+    """What a worker has left.
+
+    Attributes:
+      processors: Processor cores not declared by a job on it.
+      memory_mb: MiB of memory not declared by a job on it.
+      accelerators: Accelerators not declared by a job on it.
+    """
+
+    processors: int
+    memory_mb: int
+    accelerators: int
+
+
+def place_jobs(state: State, at_ms: int) -> Step:
+    """Propose a worker for every waiting job that fits somewhere.
+
+    Args:
+      state: State of the steward that holds the role.
+      at_ms: The node's clock.
+    Returns:
+      A Step with placements, ends of jobs that can never run, and
+      questions to entries for units that a team lacks.
+    """
+    step = Step(state)
+    for status in _by_share(state.agreed):
+        step = then(step, _place_or_hold, status, at_ms)
+    return step
+
+
+def watch_tasks(state: State, at_ms: int) -> Step:
+    """Begin to watch the placed jobs that are not watched yet.
+
+    Args:
+      state: State of the steward that holds the role.
+      at_ms: The node's clock.
+    Returns:
+      A Step with the first call to each worker.
+    """
+    step = Step(state)
+    for job_ids in state.agreed.job_ids_by_worker.values():
+        for job_id in job_ids:
+            if job_id not in state.steward.tasks_by_job_id:
+                step = then(step, _renew_task, job_id, at_ms, at_ms)
+    return step
+
+
+def renew_task(state: State, job_id: str, at_ms: int) -> Step:
+    """Renew a task's lease, or give the task up when its worker is silent.
+
+    Args:
+      state: State of the steward.
+      job_id: Identifier of the job.
+      at_ms: The node's clock.
+    Returns:
+      A Step with a call to the worker or the end of the job.
+    """
+    watch = state.steward.tasks_by_job_id.get(job_id)
+    if watch is None:
+        return Step(state)
+    status = state.agreed.jobs_by_id.get(job_id)
+    running = status is not None and status.phase is JobPhase.RUNNING
+    if not holds_role(state) or not running:
+        return Step(_unwatch(state, job_id))
+    if at_ms - watch.answered_ms < TASK_LEASE_MS:
+        return _renew_task(state, job_id, watch.answered_ms, at_ms)
+    lapses_ms = watch.renewed_ms + TASK_LAPSE_MS
+    if at_ms < lapses_ms:
+        return Step(state, (SetTimer(TaskTimer(job_id), lapses_ms),))
+    return _end_job(state, status, JobPhase.FAILED, "worker silent", at_ms)
+
+
+def take_worker_answer(state: State, event: WorkerAnswered) -> Step:
+    """Decide what follows from a worker's answer about a task.
+
+    Args:
+      state: State of the steward.
+      event: The answer.
+    Returns:
+      A Step with the end of the job or the timer of the next renewal.
+    """
+    watch = state.steward.tasks_by_job_id.get(event.job_id)
+    status = state.agreed.jobs_by_id.get(event.job_id)
+    if watch is None or status is None:
+        return Step(state)
+    at_ms = event.at_ms
+    timer = SetTimer(TaskTimer(event.job_id), at_ms + TASK_RENEWAL_MS)
+    match event.outcome:
+        case TaskRunning():
+            watch = replace(watch, answered_ms=at_ms)
+            return Step(_watch(state, event.job_id, watch), (timer,))
+        case TaskSilent():
+            return Step(state, (timer,))
+        case TaskEnded(succeeded, detail):
+            phase = JobPhase.DONE if succeeded else JobPhase.FAILED
+            if status.cancel_asked and not succeeded:
+                phase = JobPhase.CANCELLED
+            return _end_job(state, status, phase, detail, at_ms)
+        case TaskUnknown():
+            return _end_job(
+                state, status, JobPhase.FAILED, "worker restarted", at_ms
+            )
+
+
+def _by_share(agreed: Agreed) -> list[JobStatus]:
+    """Order the waiting jobs: urgent first, then by use per share."""
+
+    def rank(status):
+        job = status.job
+        limit = agreed.limits_by_team.get(job.team)
+        share = 1 if limit is None else limit.share
+        running = agreed.running_jobs_by_team.get(job.team, 0)
+        return (not job.urgent, Fraction(running, share), job.job_id)
+
+    waiting = (agreed.jobs_by_id[name] for name in agreed.waiting_job_ids)
+    return sorted(waiting, key=rank)
+
+
+def _place_or_hold(state: State, status: JobStatus, at_ms: int) -> Step:
+    """Place one job, end it when it can never run, or let it wait."""
+    job = status.job
+    misfit = find_misfit(state.agreed, job)
+    if misfit is not None:
+        return _end_job(state, status, JobPhase.IMPOSSIBLE, misfit, at_ms)
+    running = state.agreed.running_jobs_by_team.get(job.team, 0)
+    if running >= account_places(state.agreed, job.team):
+        return _ask_units(state, job.team, running)
+    placement = _choose_worker(state, job)
+    if placement is None:
+        line = log(JOB_HELD, job=job.job_id, reason="no worker has room")
+        return Step(state, (line,))
+    instance = placement.instance
+    body = JobPlaced(
+        epoch=state.agreed.role.epoch,
+        job_id=job.job_id,
+        worker=instance.name,
+        boot=instance.boot,
+    )
+    purpose = f"place/{job.job_id}/{state.agreed.next_offset}"
+    if _has_open_placement(state, job.job_id):
+        return Step(state)
+    line = log(JOB_PLACED, job=job.job_id, team=job.team, worker=instance.name)
+    step = propose_fenced(state, purpose, body, at_ms)
+    return Step(step.state, step.effects + (line,))
+
+
+def _has_open_placement(state, job_id):
+    return any(
+        isinstance(record.body, JobPlaced) and record.body.job_id == job_id
+        for record in state.proposals_by_record_id.values()
+    )
+
+
+def _choose_worker(state: State, job: Job) -> Placement | None:
+    """Choose the worker with the most processors left, by name if equal."""
+    best = None
+    best_rank = None
+    listed = {instance.name: instance for instance in state.steward.instances}
+    for name, placement in state.agreed.placements_by_instance.items():
+        instance = listed.get(name)
+        if instance is None or instance.leaving or placement.move:
+            continue
+        if placement.pool != job.pool or instance.kind != TargetKind.WORKER:
+            continue
+        room = _room(state, placement)
+        if not _fits(job, room):
+            continue
+        rank = (-room.processors, name)
+        if best_rank is None or rank < best_rank:
+            best = replace(placement, instance=instance)
+            best_rank = rank
+    return best
+
+
+def _room(state: State, placement: Placement) -> Room:
+    """Compute what the jobs placed or proposed on a worker leave of it."""
+    instance = placement.instance
+    job_ids = state.agreed.job_ids_by_worker.get(instance.name, ())
+    jobs = [state.agreed.jobs_by_id[job_id].job for job_id in job_ids]
+    for record in state.proposals_by_record_id.values():
+        body = record.body
+        if isinstance(body, JobPlaced) and body.worker == instance.name:
+            jobs.append(state.agreed.jobs_by_id[body.job_id].job)
+    return Room(
+        instance.processors - sum(job.processors for job in jobs),
+        instance.memory_mb - sum(job.memory_mb for job in jobs),
+        instance.accelerators - sum(job.accelerators for job in jobs),
+    )
+
+
+def _fits(job: Job, room: Room) -> bool:
+    return (
+        job.processors <= room.processors
+        and job.memory_mb <= room.memory_mb
+        and job.accelerators <= room.accelerators
+    )
+
+
+def _ask_units(state: State, team: str, running: int) -> Step:
+    """Ask the entries to deposit units for one more job of a team."""
+    limit = state.agreed.limits_by_team.get(team)
+    if limit is None or running >= limit.ceiling:
+        return Step(state)
+    held = account_units(state.agreed, team)
+    units = units_for(running + 1, limit.ceiling) - held
+    question = UnitsAsked(team, units, held, for_account=True)
+    peers_by_name = state.identity.peers_by_name
+    sends = tuple(
+        Send(name, question)
+        for name in state.peers_by_name
+        if peers_by_name[name].kind is NodeKind.ENTRY
+    )
+    return Step(state, sends)
+
+
+def _renew_task(state, job_id, answered_ms, at_ms):
+    """Call a worker to start, renew or stop a task."""
+    status = state.agreed.jobs_by_id[job_id]
+    placement = state.agreed.placements_by_instance[status.worker]
+    address = placement.instance.address
+    epoch = state.agreed.role.epoch
+    watched = _watch(state, job_id, TaskWatch(answered_ms, at_ms))
+    if status.cancel_asked:
+        return Step(watched, (StopTask(job_id, address, epoch),))
+    effect = RunTask(
+        job_id=job_id,
+        address=address,
+        epoch=epoch,
+        lease_ms=TASK_LEASE_MS,
+        boot=status.boot,
+        command=status.job.command,
+    )
+    return Step(watched, (effect,))
+
+
+def _end_job(state, status, phase, detail, at_ms):
+    """Propose the end of a job and stop watching its task."""
+    job = status.job
+    body = JobEnded(state.agreed.role.epoch, job.job_id, phase, detail)
+    line = log(JOB_ENDED, job=job.job_id, phase=phase.value, detail=detail)
+    purpose = f"end/{job.job_id}"
+    step = propose_fenced(state, purpose, body, at_ms)
+    return Step(step.state, step.effects + (line,))
+
+
+def _watch(state, job_id, watch):
+    tasks = state.steward.tasks_by_job_id.set(job_id, watch)
+    steward = replace(state.steward, tasks_by_job_id=tasks)
+    return replace(state, steward=steward)
+
+
+def _unwatch(state, job_id):
+    tasks = drop_key(state.steward.tasks_by_job_id, job_id)
+    steward = replace(state.steward, tasks_by_job_id=tasks)
+    return replace(state, steward=steward)
--- /dev/null
+++ b/sesamehall/reducer/queues.py
@@ -0,0 +1,183 @@
+"""Queues of waiting requests, one line for each service and team."""
+
+from dataclasses import replace
+
+from immutables import Map
+
+from sesamehall.core.state import EntryState
+from sesamehall.core.state import Line
+from sesamehall.core.state import State
+from sesamehall.core.state import Ticket
+from sesamehall.reducer.counts import add_count
+from sesamehall.reducer.counts import drop_key
+
+EMPTY_LINES: Map[str, Line] = Map()
+
+
+def caller_name(team: str, caller_id: str) -> str:
+    """Name a caller's own request id among those of all teams.
+
+    Args:
+      team: Team that the request is charged to.
+      caller_id: The caller's identifier.
+    Returns:
+      The name under which the id is remembered.
+    """
+    return f"{team}/{caller_id}"
+
+
+def enqueue(state: State, ticket: Ticket) -> State:
+    """Put a new request at the end of its line.
+
+    Args:
+      state: State of the entry.
+      ticket: The admitted request.
+    Returns:
+      The state with the request waiting.
+    """
+    request = ticket.request
+    ids = state.entry.request_id_by_caller_id
+    if request.caller_id is not None:
+        name = caller_name(ticket.team, request.caller_id)
+        ids = ids.set(name, request.request_id)
+    entry = replace(state.entry, request_id_by_caller_id=ids)
+    return replace(state, entry=_wait(entry, ticket, first=False))
+
+
+def requeue(entry: EntryState, ticket: Ticket) -> EntryState:
+    """Put a request that no target ran back to the head of its line.
+
+    Args:
+      entry: The entry's part of the state.
+      ticket: The request, its target already cleared.
+    Returns:
+      The entry's part with the request waiting.
+    """
+    return _wait(entry, ticket, first=True)
+
+
+def first_waiting(entry: EntryState, line: Line) -> Ticket | None:
+    """Find the request of a line that is next.
+
+    Args:
+      entry: The entry's part of the state.
+      line: A line whose head was trimmed.
+    Returns:
+      The ticket, or None when the line is empty.
+    """
+    for request_id in line.urgent or line.normal:
+        return entry.tickets_by_request_id.get(request_id)
+    return None
+
+
+def take_first(entry: EntryState, ticket: Ticket) -> EntryState:
+    """Take the first request out of its line, which it must head.
+
+    Args:
+      entry: The entry's part of the state.
+      ticket: The first request of its line.
+    Returns:
+      The entry's part with a shorter line.
+    """
+    service = ticket.request.service
+    lines = entry.lines_by_service.get(service, EMPTY_LINES)
+    line = lines[ticket.team]
+    if line.urgent:
+        shorter = replace(line, urgent=line.urgent[1:])
+    else:
+        shorter = replace(line, normal=line.normal[1:])
+    return replace(
+        entry,
+        lines_by_service=_with_line(
+            entry, service, ticket.team, _trim(entry, shorter)
+        ),
+        waiting_by_team=add_count(entry.waiting_by_team, ticket.team, -1),
+    )
+
+
+def forget(entry: EntryState, ticket: Ticket) -> EntryState:
+    """Forget a request that was answered; a waiting one leaves its line.
+
+    The identifier stays in the middle of a line until it becomes the head,
+    so that a wave of cancellations costs no search.
+
+    Args:
+      entry: The entry's part of the state.
+      ticket: The request.
+    Returns:
+      The entry's part without the request.
+    """
+    request = ticket.request
+    tickets = drop_key(entry.tickets_by_request_id, request.request_id)
+    ids = entry.request_id_by_caller_id
+    if request.caller_id is not None:
+        ids = drop_key(ids, caller_name(ticket.team, request.caller_id))
+    changed = replace(
+        entry, tickets_by_request_id=tickets, request_id_by_caller_id=ids
+    )
+    if ticket.target:
+        return changed
+    lines = changed.lines_by_service.get(request.service, EMPTY_LINES)
+    line = _trim(changed, lines.get(ticket.team, Line()))
+    return replace(
+        changed,
+        lines_by_service=_with_line(
+            changed, request.service, ticket.team, line
+        ),
+        waiting_by_team=add_count(changed.waiting_by_team, ticket.team, -1),
+    )
+
+
+def _wait(entry, ticket, first):
+    """Add a request to its line and to the counts."""
+    request = ticket.request
+    lines = entry.lines_by_service.get(request.service, EMPTY_LINES)
+    line = _insert(lines.get(ticket.team, Line()), request, first)
+    tickets = entry.tickets_by_request_id.set(request.request_id, ticket)
+    return replace(
+        entry,
+        tickets_by_request_id=tickets,
+        lines_by_service=_with_line(entry, request.service, ticket.team, line),
+        waiting_by_team=add_count(entry.waiting_by_team, ticket.team, 1),
+    )
+
+
+def _insert(line, request, first):
+    ids = (request.request_id,)
+    match (request.urgent, first):
+        case (True, True):
+            return replace(line, urgent=ids + line.urgent)
+        case (True, False):
+            return replace(line, urgent=line.urgent + ids)
+        case (False, True):
+            return replace(line, normal=ids + line.normal)
+        case _:
+            return replace(line, normal=line.normal + ids)
+
+
+def _trim(entry, line):
+    """Drop identifiers of answered requests from the heads of a line."""
+    return Line(
+        urgent=_trim_ids(entry, line.urgent),
+        normal=_trim_ids(entry, line.normal),
+    )
+
+
+def _trim_ids(entry, request_ids):
+    tickets = entry.tickets_by_request_id
+    for index, request_id in enumerate(request_ids):
+        if request_id in tickets:
+            return request_ids[index:] if index else request_ids
+    return ()
+
+
+def _with_line(entry, service, team, line):
+    """Store a line; empty lines and empty services are taken out."""
+    lines = entry.lines_by_service.get(service, EMPTY_LINES)
+    if line.urgent or line.normal:
+        lines = lines.set(team, line)
+    else:
+        lines = drop_key(lines, team)
+    if lines:
+        return entry.lines_by_service.set(service, lines)
+    return drop_key(entry.lines_by_service, service)
--- /dev/null
+++ b/sesamehall/reducer/reduce.py
@@ -0,0 +1,171 @@
+"""The one reducer: every event of every program comes through here."""
+
+from sesamehall.core.data import NodeKind
+from sesamehall.core.events import AppendEnded
+from sesamehall.core.events import AskCalled
+from sesamehall.core.events import CallerGone
+from sesamehall.core.events import CancelCalled
+from sesamehall.core.events import DeadlinePassed
+from sesamehall.core.events import Event
+from sesamehall.core.events import InstanceRebooted
+from sesamehall.core.events import InstancesListed
+from sesamehall.core.events import InstancesNotListed
+from sesamehall.core.events import LogRead
+from sesamehall.core.events import LogReadFailed
+from sesamehall.core.events import MessageReceived
+from sesamehall.core.events import PeerConnected
+from sesamehall.core.events import PeerDisconnected
+from sesamehall.core.events import RequestReceived
+from sesamehall.core.events import Started
+from sesamehall.core.events import StopRequested
+from sesamehall.core.events import SubmitCalled
+from sesamehall.core.events import TargetAnswered
+from sesamehall.core.events import TimerFired
+from sesamehall.core.events import WorkerAnswered
+from sesamehall.core.state import State
+from sesamehall.core.step import Step
+from sesamehall.core.step import then
+from sesamehall.core.timers import AppendTimer
+from sesamehall.core.timers import BeatTimer
+from sesamehall.core.timers import LingerTimer
+from sesamehall.core.timers import ListTimer
+from sesamehall.core.timers import LoadTimer
+from sesamehall.core.timers import ProbeTimer
+from sesamehall.core.timers import ReadLogTimer
+from sesamehall.core.timers import TaskTimer
+from sesamehall.core.timers import UnitsTimer
+from sesamehall.reducer.admission import receive_request
+from sesamehall.reducer.allotments import review_question
+from sesamehall.reducer.answers import drop_gone
+from sesamehall.reducer.answers import end_linger
+from sesamehall.reducer.answers import finish_attempt
+from sesamehall.reducer.answers import pass_deadline
+from sesamehall.reducer.dispatching import dispatch_waiting
+from sesamehall.reducer.health import allow_probe
+from sesamehall.reducer.jobcalls import ask_job
+from sesamehall.reducer.jobcalls import cancel_job
+from sesamehall.reducer.jobcalls import pass_call_deadline
+from sesamehall.reducer.jobcalls import submit_job
+from sesamehall.reducer.lifecycle import act_as_holder
+from sesamehall.reducer.lifecycle import beat
+from sesamehall.reducer.lifecycle import pursue_stop
+from sesamehall.reducer.lifecycle import start_node
+from sesamehall.reducer.lifecycle import stop_node
+from sesamehall.reducer.load import report_changes
+from sesamehall.reducer.moving import take_reboot
+from sesamehall.reducer.peers import connect_peer
+from sesamehall.reducer.peers import disconnect_peer
+from sesamehall.reducer.peers import take_message
+from sesamehall.reducer.placing import renew_task
+from sesamehall.reducer.placing import take_worker_answer
+from sesamehall.reducer.proposals import repeat_proposal
+from sesamehall.reducer.stewardship import bear_failed_read
+from sesamehall.reducer.stewardship import bear_unlisted
+from sesamehall.reducer.stewardship import list_instances
+from sesamehall.reducer.stewardship import note_append
+from sesamehall.reducer.stewardship import read_log
+from sesamehall.reducer.stewardship import take_list
+from sesamehall.reducer.stewardship import take_log
+
+
+def reduce(state: State, event: Event) -> Step:
+    """Map a state and an event to the next state and the effects.
+
+    The result depends on the arguments alone: clock, random numbers and
+    everything else from outside are fields of events.
+
+    Args:
+      state: State of the node.
+      event: What has happened.
+    Returns:
+      A Step with the new state and what the runtime shall do.
+    """
+    match event:
+        case RequestReceived():
+            return receive_request(state, event)
+        case TargetAnswered():
+            step = finish_attempt(state, event)
+            return then(step, pursue_stop, event.at_ms)
+        case MessageReceived():
+            step = take_message(state, event)
+            return then(step, _after_news, event.at_ms)
+        case LogRead():
+            step = take_log(state, event)
+            return then(step, _after_news, event.at_ms)
+        case TimerFired():
+            return _fire(state, event)
+        case DeadlinePassed() if event.request_id.startswith("call-"):
+            return pass_call_deadline(state, event)
+        case DeadlinePassed():
+            step = pass_deadline(state, event)
+            return then(step, pursue_stop, event.at_ms)
+        case CallerGone():
+            return drop_gone(state, event)
+        case _:
+            return _reduce_rare(state, event)
+
+
+def _reduce_rare(state: State, event: Event) -> Step:
+    """Reduce the events that come seldom."""
+    match event:
+        case SubmitCalled():
+            return submit_job(state, event)
+        case AskCalled():
+            return ask_job(state, event)
+        case CancelCalled():
+            return cancel_job(state, event)
+        case PeerConnected():
+            return connect_peer(state, event)
+        case PeerDisconnected():
+            return disconnect_peer(state, event)
+        case LogReadFailed():
+            return bear_failed_read(state, event)
+        case AppendEnded():
+            return note_append(state, event)
+        case InstancesListed():
+            return take_list(state, event)
+        case InstancesNotListed():
+            return bear_unlisted(state, event)
+        case InstanceRebooted():
+            return take_reboot(state, event)
+        case WorkerAnswered():
+            return take_worker_answer(state, event)
+        case Started():
+            return start_node(state, event)
+        case StopRequested():
+            return stop_node(state, event)
+    raise TypeError(f"no decision for {type(event).__name__}")
+
+
+def _fire(state: State, event: TimerFired) -> Step:
+    """Reduce the firing of a timer."""
+    at_ms = event.at_ms
+    match event.timer:
+        case BeatTimer():
+            return beat(state, at_ms)
+        case LoadTimer():
+            return report_changes(state)
+        case LingerTimer(attempt):
+            step = end_linger(state, attempt, at_ms)
+            return then(step, pursue_stop, at_ms)
+        case UnitsTimer(team):
+            return review_question(state, team, at_ms)
+        case ProbeTimer(target):
+            step = allow_probe(state, target)
+            return then(step, dispatch_waiting, at_ms)
+        case ReadLogTimer():
+            return read_log(state)
+        case ListTimer():
+            return list_instances(state)
+        case AppendTimer(record_id):
+            return repeat_proposal(state, record_id, at_ms)
+        case TaskTimer(job_id):
+            return renew_task(state, job_id, at_ms)
+    raise TypeError(f"no decision for {type(event.timer).__name__}")
+
+
+def _after_news(state: State, at_ms: int) -> Step:
+    """Act on what a message or a piece of the log may have changed."""
+    if state.identity.node.kind is NodeKind.STEWARD:
+        return act_as_holder(state, at_ms)
+    return pursue_stop(state, at_ms)
--- /dev/null
+++ b/sesamehall/reducer/routing.py
@@ -0,0 +1,69 @@
+"""Routing: which target of a pool runs a request."""
+
+from sesamehall.core.state import EntryState
+from sesamehall.core.state import State
+from sesamehall.core.state import Target
+
+
+def choose_target(
+    state: State, pool: str, tried: tuple[str, ...]
+) -> Target | None:
+    """Choose the target with the most free slots.
+
+    Targets of the entry's own data centre go first; others serve only when
+    none of them has a free slot.
+
+    Args:
+      state: State of the entry.
+      pool: Name of the pool of executors.
+      tried: Names of targets that have not run the request already.
+    Returns:
+      The target, or None when no slot is free.
+    """
+    entry = state.entry
+    home = state.identity.node.data_centre
+    best = None
+    best_rank = None
+    for name in entry.targets_by_pool.get(pool, ()):
+        target = entry.targets_by_name[name]
+        free = free_slots(entry, target)
+        if free <= 0 or name in tried or not is_usable(state, target):
+            continue
+        rank = (target.instance.data_centre != home, -free, name)
+        if best_rank is None or rank < best_rank:
+            best = target
+            best_rank = rank
+    return best
+
+
+def free_slots(entry: EntryState, target: Target) -> int:
+    """Count the slots that no entry is known to use.
+
+    Args:
+      entry: The entry's part of the state.
+      target: The target.
+    Returns:
+      The number of free slots; 1 for a probe of a target set aside.
+    """
+    name = target.instance.name
+    used = entry.running_by_target.get(name, 0)
+    used += entry.elsewhere_by_target.get(name, 0)
+    free = target.instance.slots - used
+    if target.probing:
+        return min(free, 1 - entry.running_by_target.get(name, 0))
+    return free
+
+
+def is_usable(state: State, target: Target) -> bool:
+    """Tell whether new requests may go to a target.
+
+    Args:
+      state: State of the entry.
+      target: The target.
+    Returns:
+      False for one that is set aside, leaving or on the move.
+    """
+    if target.aside or target.instance.leaving:
+        return False
+    placement = state.agreed.placements_by_instance.get(target.instance.name)
+    return placement is not None and placement.move is None
--- /dev/null
+++ b/sesamehall/reducer/stewardship.py
@@ -0,0 +1,257 @@
+"""A steward's link to the platform and to those who follow it."""
+
+from dataclasses import replace
+
+from sesamehall.core.data import Instance
+from sesamehall.core.data import NodeKind
+from sesamehall.core.effects import ListInstances
+from sesamehall.core.effects import log
+from sesamehall.core.effects import ReadLog
+from sesamehall.core.effects import Send
+from sesamehall.core.effects import SetTimer
+from sesamehall.core.events import AppendEnded
+from sesamehall.core.events import InstancesListed
+from sesamehall.core.events import InstancesNotListed
+from sesamehall.core.events import LogRead
+from sesamehall.core.events import LogReadFailed
+from sesamehall.core.limits import LIST_PERIOD_MS
+from sesamehall.core.limits import READ_RETRY_MOST_MS
+from sesamehall.core.limits import READ_RETRY_MS
+from sesamehall.core.limits import RECENT_ENTRIES
+from sesamehall.core.logevents import INSTANCES_UNLISTED
+from sesamehall.core.logevents import LOG_BACK
+from sesamehall.core.logevents import LOG_GAP
+from sesamehall.core.logevents import LOG_UNREACHABLE
+from sesamehall.core.messages import AgreedForwarded
+from sesamehall.core.messages import InstancesForwarded
+from sesamehall.core.messages import Message
+from sesamehall.core.messages import RecordsForwarded
+from sesamehall.core.records import LogEntry
+from sesamehall.core.state import State
+from sesamehall.core.step import Step
+from sesamehall.core.step import then
+from sesamehall.core.timers import ListTimer
+from sesamehall.core.timers import ReadLogTimer
+from sesamehall.reducer.following import adopt_agreed
+from sesamehall.reducer.following import apply_entries
+
+
+def read_log(state: State) -> Step:
+    """Read the log on from the first offset not applied.
+
+    Args:
+      state: State of the steward.
+    Returns:
+      A Step with the read, or none while one is under way.
+    """
+    if state.steward.reading:
+        return Step(state)
+    steward = replace(state.steward, reading=True)
+    effect = ReadLog(state.agreed.next_offset)
+    return Step(replace(state, steward=steward), (effect,))
+
+
+def take_log(state: State, event: LogRead) -> Step:
+    """Apply what was read, pass it on and read further.
+
+    Args:
+      state: State of the steward.
+      event: A piece of the log.
+    Returns:
+      A Step with the next read.
+    """
+    steward = replace(state.steward, reading=False, log_failures=0)
+    effects = ()
+    if state.steward.log_failures:
+        effects += (log(LOG_BACK, offset=state.agreed.next_offset),)
+    state = replace(state, steward=steward)
+    if event.earliest > state.agreed.next_offset:
+        return _wait_for_peer(state, event, effects)
+    step = take_entries(state, event.entries, event.at_ms)
+    step = Step(step.state, effects + step.effects)
+    return then(step, read_log)
+
+
+def take_entries(
+    state: State, entries: tuple[LogEntry, ...], at_ms: int
+) -> Step:
+    """Apply a piece of the log, wherever it came from, and pass it on.
+
+    Args:
+      state: State of the steward.
+      entries: Entries in order.
+      at_ms: The node's clock.
+    Returns:
+      A Step with the messages to followers.
+    """
+    before = state.agreed.next_offset
+    step = apply_entries(state, entries, at_ms)
+    after = step.state.agreed.next_offset
+    news = tuple(e for e in entries if before <= e.offset < after)
+    if not news:
+        return step
+    recent = (step.state.steward.recent_entries + news)[-RECENT_ENTRIES:]
+    steward = replace(step.state.steward, recent_entries=recent)
+    step = Step(replace(step.state, steward=steward), step.effects)
+    return then(step, feed_followers)
+
+
+def take_agreed(state: State, message: AgreedForwarded, at_ms: int) -> Step:
+    """Take over the whole agreed state from another steward.
+
+    Args:
+      state: State of the steward.
+      message: The other steward's agreed state.
+      at_ms: The node's clock.
+    Returns:
+      A Step with the messages to followers.
+    """
+    if message.agreed.next_offset <= state.agreed.next_offset:
+        return Step(state)
+    step = adopt_agreed(state, message.agreed, at_ms)
+    steward = replace(step.state.steward, recent_entries=())
+    step = Step(replace(step.state, steward=steward), step.effects)
+    return then(step, feed_followers)
+
+
+def feed_followers(state: State) -> Step:
+    """Send every follower what it has not been sent yet.
+
+    Args:
+      state: State of the steward.
+    Returns:
+      A Step with the messages.
+    """
+    effects = ()
+    followers = state.steward.followers_by_peer
+    for peer, offset in state.steward.followers_by_peer.items():
+        if offset >= state.agreed.next_offset:
+            continue
+        effects += (Send(peer, _news_since(state, offset)),)
+        followers = followers.set(peer, state.agreed.next_offset)
+    steward = replace(state.steward, followers_by_peer=followers)
+    return Step(replace(state, steward=steward), effects)
+
+
+def add_follower(state: State, peer: str, from_offset: int) -> Step:
+    """Note that a peer follows this steward from an offset on.
+
+    Args:
+      state: State of the steward.
+      peer: Name of the peer.
+      from_offset: First offset that the peer has not applied.
+    Returns:
+      A Step with what the peer lacks, and the list of instances.
+    """
+    followers = state.steward.followers_by_peer.set(peer, from_offset)
+    steward = replace(state.steward, followers_by_peer=followers)
+    step = feed_followers(replace(state, steward=steward))
+    if not state.steward.listed:
+        return step
+    send = Send(peer, InstancesForwarded(state.steward.instances))
+    return Step(step.state, step.effects + (send,))
+
+
+def bear_failed_read(state: State, event: LogReadFailed) -> Step:
+    """Read again later; the pause doubles up to its bound.
+
+    Args:
+      state: State of the steward.
+      event: The failure.
+    Returns:
+      A Step with the timer of the next read.
+    """
+    failures = state.steward.log_failures
+    pause_ms = min(READ_RETRY_MS << min(failures, 10), READ_RETRY_MOST_MS)
+    steward = replace(state.steward, reading=False, log_failures=failures + 1)
+    timer = SetTimer(ReadLogTimer(), event.at_ms + pause_ms)
+    effects = (timer,)
+    if failures == 0:
+        effects += (log(LOG_UNREACHABLE, reason=event.reason),)
+    return Step(replace(state, steward=steward), effects)
+
+
+def note_append(state: State, event: AppendEnded) -> Step:
+    """Note the end of an append; only reading the record back counts.
+
+    Args:
+      state: State of the steward.
+      event: The end of the append.
+    Returns:
+      A Step without effects.
+    """
+    return Step(state)
+
+
+def list_instances(state: State) -> Step:
+    """Ask the platform for its list.
+
+    Args:
+      state: State of the steward.
+    Returns:
+      A Step with the question.
+    """
+    return Step(state, (ListInstances(),))
+
+
+def take_list(state: State, event: InstancesListed) -> Step:
+    """Take in the platform's list, and pass a changed one on.
+
+    Args:
+      state: State of the steward.
+      event: The list.
+    Returns:
+      A Step with messages to the followers and the next timer.
+    """
+    timer = SetTimer(ListTimer(), event.at_ms + LIST_PERIOD_MS)
+    instances = tuple(sorted(event.instances, key=_by_name))
+    if state.steward.listed and instances == state.steward.instances:
+        return Step(state, (timer,))
+    steward = replace(state.steward, instances=instances, listed=True)
+    message = InstancesForwarded(instances)
+    sends = _send_followers(state, message)
+    return Step(replace(state, steward=steward), sends + (timer,))
+
+
+def bear_unlisted(state: State, event: InstancesNotListed) -> Step:
+    """Keep the last list, and ask again later.
+
+    Args:
+      state: State of the steward.
+      event: The failure.
+    Returns:
+      A Step with the next timer.
+    """
+    timer = SetTimer(ListTimer(), event.at_ms + LIST_PERIOD_MS)
+    return Step(state, (timer, log(INSTANCES_UNLISTED, reason=event.reason)))
+
+
+def _by_name(instance: Instance) -> str:
+    return instance.name
+
+
+def _news_since(state: State, offset: int) -> Message:
+    """Choose between the entries a follower lacks and the whole state."""
+    recent = state.steward.recent_entries
+    if recent and recent[0].offset <= offset:
+        lacking = tuple(entry for entry in recent if entry.offset >= offset)
+        return RecordsForwarded(lacking)
+    return AgreedForwarded(state.agreed)
+
+
+def _send_followers(state, message):
+    peers_by_name = state.identity.peers_by_name
+    return tuple(
+        Send(peer, message)
+        for peer in state.steward.followers_by_peer
+        if peers_by_name[peer].kind is NodeKind.ENTRY
+    )
+
+
+def _wait_for_peer(state, event, effects):
+    """Leave it to a peer to bridge records that the log has forgotten."""
+    pause = SetTimer(ReadLogTimer(), event.at_ms + READ_RETRY_MOST_MS)
+    line = log(
+        LOG_GAP, earliest=event.earliest, wanted=state.agreed.next_offset
+    )
+    return Step(state, effects + (pause, line))
