--- a/sesamehall/core/events.py
+++ b/sesamehall/core/events.py
@@ -111,6 +111,11 @@
     reason: str
 
 
+@dataclass(frozen=True, slots=True)
+class TooLate:
+    """The time to send it was over before a byte left; nobody's fault."""
+
+
 @dataclass(frozen=True, slots=True)
 class Declined:
     """The target said that it did not run the request."""
@@ -129,7 +134,7 @@
     timed_out: bool
 
 
-TargetOutcome = Completed | NotSent | Declined | Broken
+TargetOutcome = Completed | NotSent | TooLate | Declined | Broken
 
 
 @dataclass(frozen=True, slots=True)
--- a/sesamehall/reducer/answers.py
+++ b/sesamehall/reducer/answers.py
@@ -18,6 +18,7 @@
 from sesamehall.core.events import Declined
 from sesamehall.core.events import NotSent
 from sesamehall.core.events import TargetAnswered
+from sesamehall.core.events import TooLate
 from sesamehall.core.limits import LINGER_MS
 from sesamehall.core.limits import MOST_ATTEMPTS
 from sesamehall.core.limits import RETRY_COST_MILLI
@@ -63,6 +64,8 @@
     match event.outcome:
         case Completed(status):
             step = _complete(state, ticket, status, event.at_ms)
+        case TooLate():
+            step = _put_back(state, ticket, (), event.at_ms)
         case Declined():
             step = note_full(state, ticket.target, event.at_ms)
             step = then(step, _put_back, ticket, (), event.at_ms)
--- /dev/null
+++ b/sesamehall/runtime/desk.py
@@ -0,0 +1,232 @@
+"""The operators' desk: reads the log, proposes, and tells what is true."""
+
+from collections.abc import Callable
+from hashlib import sha256
+import json
+import os
+import secrets
+import sys
+import time
+
+from urllib3 import PoolManager
+from urllib3 import Timeout
+from urllib3.exceptions import HTTPError
+
+from sesamehall.core.agreement import Agreed
+from sesamehall.core.agreement import Verdict
+from sesamehall.core.codes import PlatformError
+from sesamehall.core.data import Key
+from sesamehall.core.data import LimitsList
+from sesamehall.core.data import PlansList
+from sesamehall.core.records import KeyGiven
+from sesamehall.core.records import KeyWithdrawn
+from sesamehall.core.records import LimitsPublished
+from sesamehall.core.records import PlansPublished
+from sesamehall.core.records import Record
+from sesamehall.core.records import RecordBody
+from sesamehall.core.settings import OperatorSettings
+from sesamehall.reducer.agreement import apply_entry
+from sesamehall.runtime.platform import LogClient
+
+EXIT_REFUSED = 1
+EXIT_UNKNOWN = 3
+PAUSE_S = 0.2  # between two looks at the entries or two tries to append
+READ_WAIT_MS = 200
+ENTRY_TIMEOUT = Timeout(connect=1, read=2)
+SECRET_BYTES = 24
+
+
+class Desk:
+    """One operator's session with the log.
+
+    Attributes:
+      agreed: The agreed state as far as the log was read.
+    """
+
+    def __init__(self, settings: OperatorSettings):
+        """Read the log to its end.
+
+        Args:
+          settings: Settings of the command line.
+        """
+        self._settings = settings
+        self._log = LogClient(settings.platform, settings.log_stream)
+        self.agreed = Agreed()
+        try:
+            while self._read_on(wait_ms=0):
+                pass
+        except PlatformError as error:
+            _fail(EXIT_UNKNOWN, f"the log cannot be read: {error}")
+
+    def publish_plans(self, plans: PlansList, based_on: int) -> None:
+        """Publish the plans and tell what became of them.
+
+        Args:
+          plans: The whole new list.
+          based_on: Version that the edit was made from, -1 for the newest.
+        """
+        version = self.agreed.plans_version if based_on < 0 else based_on
+        self._propose(PlansPublished(version, plans))
+        print(f"accepted: plans version {self.agreed.plans_version}")
+
+    def publish_limits(self, limits: LimitsList, based_on: int) -> None:
+        """Publish the limits and tell what became of them.
+
+        Args:
+          limits: The whole new list.
+          based_on: Version that the edit was made from, -1 for the newest.
+        """
+        version = self.agreed.limits_version if based_on < 0 else based_on
+        self._propose(LimitsPublished(version, limits))
+        print(f"accepted: limits version {self.agreed.limits_version}")
+
+    def give_key(self, team: str) -> None:
+        """Give a team a new key and show it this once.
+
+        Args:
+          team: Name of the team.
+        """
+        key_id = f"key-{secrets.token_hex(6)}"
+        secret = secrets.token_urlsafe(SECRET_BYTES)
+        digest = sha256(secret.encode()).digest()
+        self._propose(KeyGiven(Key(key_id, team, digest)))
+        print(f"{key_id}.{secret}")
+
+    def withdraw_key(self, key_id: str) -> None:
+        """Withdraw a key for ever.
+
+        Args:
+          key_id: Part of the key before the dot.
+        """
+        self._propose(KeyWithdrawn(key_id))
+        print(f"accepted: {key_id} is withdrawn")
+
+    def show(self) -> None:
+        """Print the newest state of the log."""
+        agreed = self.agreed
+        print(f"log read up to offset {agreed.next_offset}")
+        print(f"plans version {agreed.plans_version}")
+        for team, plan in sorted(agreed.plans_by_team.items()):
+            print(
+                f"  {team}: services {', '.join(plan.services) or '-'};"
+                f" pools {', '.join(plan.pools) or '-'}"
+            )
+        print(f"limits version {agreed.limits_version}")
+        for team, limit in sorted(agreed.limits_by_team.items()):
+            running = agreed.running_jobs_by_team.get(team, 0)
+            print(
+                f"  {team}: share {limit.share}, ceiling {limit.ceiling},"
+                f" jobs running {running}"
+            )
+        print(f"keys in force {len(agreed.keys_by_id)}")
+        for key_id, key in sorted(agreed.keys_by_id.items()):
+            print(f"  {key_id}: {key.team}")
+        self._show_pools()
+        self._show_jobs()
+
+    def show_in_force(self, wait_s: int) -> None:
+        """Print the versions in force at each entry.
+
+        Args:
+          wait_s: How long to wait for the newest to be in force everywhere.
+        """
+        ends_at = time.monotonic() + wait_s
+        lines, behind = self._look_at_entries()
+        while behind and time.monotonic() < ends_at:
+            time.sleep(PAUSE_S)
+            lines, behind = self._look_at_entries()
+        for line in lines:
+            print(line)
+        if behind:
+            _fail(EXIT_REFUSED, "not in force everywhere")
+
+    def _show_pools(self):
+        agreed = self.agreed
+        print("pools")
+        for name, pool in sorted(agreed.pools_by_name.items()):
+            members = sorted(
+                instance if placement.move is None else f"{instance} (leaving)"
+                for instance, placement in agreed.placements_by_instance.items()
+                if placement.pool == name
+            )
+            print(
+                f"  {name}: {pool.kind.value}s, minimum {pool.minimum},"
+                f" has {', '.join(members) or 'none'}"
+            )
+
+    def _show_jobs(self):
+        print("jobs")
+        for job_id, status in sorted(self.agreed.jobs_by_id.items()):
+            print(
+                f"  {job_id}: {status.job.team}, {status.phase.value}"
+                f" {status.worker} {status.detail}".rstrip()
+            )
+
+    def _look_at_entries(self):
+        """Ask each entry for its versions; tell if one is behind."""
+        pool = PoolManager(retries=False, timeout=ENTRY_TIMEOUT)
+        lines = []
+        behind = False
+        for address in self._settings.entries:
+            url = f"http://{address}/sesamehall/v1/status"
+            try:
+                status = json.loads(pool.request("GET", url).data)
+                late = (
+                    status["plans_version"] < self.agreed.plans_version
+                    or status["limits_version"] < self.agreed.limits_version
+                    or status["next_offset"] < self.agreed.next_offset
+                )
+                lines.append(
+                    f"{status['name']} in {status['data_centre']}:"
+                    f" plans {status['plans_version']},"
+                    f" limits {status['limits_version']},"
+                    f" keys {status['keys']}{' behind' if late else ''}"
+                )
+            except (HTTPError, OSError, ValueError, KeyError):
+                late = True
+                lines.append(f"{address}: no answer")
+            behind = behind or late
+        return lines, behind
+
+    def _propose(self, body: RecordBody) -> None:
+        """Append a record and read it back, or end with what is true."""
+        record = Record(f"operator/{os.urandom(8).hex()}", body)
+        ends_at = time.monotonic() + self._settings.timeout_s
+        verdict = None
+        appended = False
+        while verdict is None and time.monotonic() < ends_at:
+            if not appended:
+                appended = self._try(lambda: self._log.append(record))
+            self._try(lambda: self._read_on(READ_WAIT_MS))
+            verdict = self.agreed.verdicts_by_record_id.get(record.record_id)
+        if verdict is None:
+            _fail(
+                EXIT_UNKNOWN,
+                "unknown: the log did not show the edit in time; it may still"
+                " take effect, look with `sesamehall show`",
+            )
+        if verdict is not Verdict.ACCEPTED:
+            _fail(EXIT_REFUSED, f"refused: {verdict.value}")
+
+    def _try(self, call: Callable) -> bool:
+        """Call the platform; after a failure pause, so as not to hammer."""
+        try:
+            call()
+        except PlatformError:
+            time.sleep(PAUSE_S)
+            return False
+        return True
+
+    def _read_on(self, wait_ms: int) -> bool:
+        """Read and apply the next entries; tell if there were any."""
+        earliest, entries = self._log.read(self.agreed.next_offset, wait_ms)
+        if earliest > self.agreed.next_offset:
+            raise PlatformError("the log has forgotten its beginning")
+        for entry in entries:
+            self.agreed, _ = apply_entry(self.agreed, entry)
+        return bool(entries)
+
+
+def _fail(code: int, message: str) -> None:
+    print(message, file=sys.stderr)
+    raise SystemExit(code)
--- /dev/null
+++ b/sesamehall/runtime/interpreter.py
@@ -0,0 +1,125 @@
+"""The interpreter: reduces events one by one and has effects carried out."""
+
+from collections.abc import Callable
+import heapq
+import logging
+from queue import Empty
+from queue import SimpleQueue
+import time
+
+from sesamehall.core.effects import Effect
+from sesamehall.core.effects import Exit
+from sesamehall.core.effects import log
+from sesamehall.core.effects import Log
+from sesamehall.core.effects import SetTimer
+from sesamehall.core.events import Event
+from sesamehall.core.events import TimerFired
+from sesamehall.core.logevents import INTERNAL_ERROR
+from sesamehall.core.state import State
+from sesamehall.core.timers import Timer
+from sesamehall.reducer.reduce import reduce
+
+LOGGER = logging.getLogger("sesamehall")
+
+
+def now_ms() -> int:
+    """Read the node's monotonic clock.
+
+    Returns:
+      Milliseconds since an arbitrary point.
+    """
+    return time.monotonic_ns() // 1_000_000
+
+
+class Interpreter:
+    """Owns a node's state and its timers.
+
+    Attributes:
+      state: The state after the latest event.
+    """
+
+    def __init__(
+        self,
+        state: State,
+        perform: Callable[[Effect], None],
+        record: Callable[[Event], None] | None = None,
+    ):
+        """Take over a state.
+
+        Args:
+          state: State of a node that has not done anything.
+          perform: Carries out an effect; it must not block.
+          record: Takes every event before it is reduced, or None.
+        """
+        self.state = state
+        self._perform = perform
+        self._record = record
+        self._events: SimpleQueue[Event] = SimpleQueue()
+        self._due: list[tuple[int, int, Timer]] = []
+        self._times_by_timer: dict[Timer, int] = {}
+        self._serial = 0
+        self._running = True
+
+    def post(self, event: Event) -> None:
+        """Hand in an event from any thread.
+
+        Args:
+          event: What has happened.
+        """
+        self._events.put(event)
+
+    def run(self) -> None:
+        """Reduce events until a decision ends the process."""
+        while self._running:
+            event = self._next_event()
+            if event is not None:
+                self._reduce(event)
+
+    def _next_event(self) -> Event | None:
+        """Wait for an event, but no longer than the next timer."""
+        timer_event = self._pop_due()
+        if timer_event is not None:
+            return timer_event
+        timeout_s = None
+        if self._due:
+            timeout_s = max(self._due[0][0] - now_ms(), 0) / 1000 + 0.0005
+        try:
+            return self._events.get(timeout=timeout_s)
+        except Empty:
+            return None
+
+    def _pop_due(self) -> Event | None:
+        """Take a timer that is due, skipping those set anew since."""
+        while self._due and self._due[0][0] <= now_ms():
+            at_ms, _, timer = heapq.heappop(self._due)
+            if self._times_by_timer.get(timer) == at_ms:
+                del self._times_by_timer[timer]
+                return TimerFired(now_ms(), timer)
+        return None
+
+    def _reduce(self, event: Event) -> None:
+        if self._record is not None:
+            self._record(event)
+        try:
+            step = reduce(self.state, event)
+        except Exception:
+            LOGGER.exception("reducing %s", type(event).__name__)
+            self._perform(log(INTERNAL_ERROR, event=type(event).__name__))
+            return
+        self.state = step.state
+        for effect in step.effects:
+            self._carry_out(effect)
+
+    def _carry_out(self, effect: Effect) -> None:
+        match effect:
+            case SetTimer(timer, at_ms):
+                self._times_by_timer[timer] = at_ms
+                self._serial += 1
+                heapq.heappush(self._due, (at_ms, self._serial, timer))
+            case Exit():
+                self._running = False
+                self._perform(effect)
+            case Log() if not LOGGER.isEnabledFor(effect.event.level):
+                pass
+            case _:
+                self._perform(effect)
--- /dev/null
+++ b/sesamehall/runtime/steward.py
@@ -0,0 +1,58 @@
+"""The steward: decides in the main thread until it is told to stop."""
+
+import signal
+
+from sesamehall.core.data import NodeKind
+from sesamehall.core.effects import Append
+from sesamehall.core.effects import Effect
+from sesamehall.core.effects import Exit
+from sesamehall.core.effects import ListInstances
+from sesamehall.core.effects import ReadLog
+from sesamehall.core.effects import RebootInstance
+from sesamehall.core.effects import RunTask
+from sesamehall.core.effects import StopTask
+from sesamehall.core.settings import StewardSettings
+from sesamehall.runtime.application import Application
+from sesamehall.runtime.platform import PlatformLink
+from sesamehall.runtime.workers import WorkerLink
+
+
+class StewardApplication:
+    """The steward: decides in the main thread until it is told to stop."""
+
+    def __init__(self, settings: StewardSettings):
+        """Put the parts together.
+
+        Args:
+          settings: Settings of the steward.
+        """
+        self._application = Application(
+            settings, NodeKind.STEWARD, self._perform
+        )
+        post = self._application.interpreter.post
+        self._platform = PlatformLink(
+            settings.platform, settings.log_stream, post
+        )
+        self._workers = WorkerLink(post)
+
+    def serve(self) -> None:
+        """Work until a signal asks for a stop."""
+        for number in (signal.SIGTERM, signal.SIGINT):
+            signal.signal(number, self._on_signal)
+        self._platform.start()
+        self._application.start()
+        self._application.run()
+        self._workers.stop()
+        self._application.stop()
+
+    def _on_signal(self, number, frame) -> None:
+        self._application.request_stop()
+
+    def _perform(self, effect: Effect) -> None:
+        match effect:
+            case ReadLog() | Append() | ListInstances() | RebootInstance():
+                self._platform.perform(effect)
+            case RunTask() | StopTask():
+                self._workers.perform(effect)
+            case Exit():
+                pass
--- /dev/null
+++ b/sesamehall/scripts/common.py
@@ -0,0 +1,42 @@
+"""What the entry points share: settings or a list of their problems."""
+
+from collections.abc import Callable
+import sys
+from typing import Any
+
+from sesamehall.codecs.yamlfile import load_yaml
+from sesamehall.core.codes import SettingsError
+from sesamehall.core.data import Problem
+
+EXIT_BAD_INPUT = 2
+
+
+def describe(problem: Problem) -> str:
+    """Write a problem as one line.
+
+    Args:
+      problem: The problem.
+    Returns:
+      "file:line: field message".
+    """
+    source = problem.source
+    name = f"{problem.field} " if problem.field else ""
+    return f"{source.file}:{source.line}: {name}{problem.message}"
+
+
+def load_or_exit(path: str, cls: type, check: Callable) -> Any:
+    """Read a file, or list its problems and end with code 2.
+
+    Args:
+      path: Name of the file.
+      cls: Data class of its content.
+      check: Reports problems beyond the types.
+    Returns:
+      The value.
+    """
+    try:
+        return load_yaml(path, cls, check)
+    except SettingsError as error:
+        for problem in error.problems:
+            print(describe(problem), file=sys.stderr)
+        raise SystemExit(EXIT_BAD_INPUT) from error
--- /dev/null
+++ b/sesamehall/scripts/entry.py
@@ -0,0 +1,34 @@
+"""The entry: takes callers' requests and jobs, and routes them."""
+
+from sesamehall.codecs.checks import check_settings
+from sesamehall.core.settings import EntrySettings
+from sesamehall.runtime.logbook import set_up_logging
+from sesamehall.scripts.common import load_or_exit
+
+
+def run_entry(*, settings: str) -> None:
+    """Serve callers until SIGTERM, then stop without cutting off any.
+
+    Settings that are not valid are listed with file, line and field, and
+    the exit code is 2.
+
+    Args:
+      settings: YAML file with the entry's settings; docs/OPERATORS.md
+        describes its fields.
+    """
+    loaded = load_or_exit(settings, EntrySettings, check_settings)
+    set_up_logging()
+    from sesamehall.runtime.entry import EntryApplication
+
+    EntryApplication(loaded).serve()
+
+
+def main() -> None:
+    """Run the program."""
+    from defopt import run
+
+    run(run_entry)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/sesamehall/scripts/steward.py
@@ -0,0 +1,33 @@
+"""The steward: follows the log, and places, moves and maintains."""
+
+from sesamehall.codecs.checks import check_settings
+from sesamehall.core.settings import StewardSettings
+from sesamehall.runtime.logbook import set_up_logging
+from sesamehall.runtime.steward import StewardApplication
+from sesamehall.scripts.common import load_or_exit
+
+
+def run_steward(*, settings: str) -> None:
+    """Steer the fleet until SIGTERM.
+
+    Settings that are not valid are listed with file, line and field, and
+    the exit code is 2.
+
+    Args:
+      settings: YAML file with the steward's settings; docs/OPERATORS.md
+        describes its fields.
+    """
+    loaded = load_or_exit(settings, StewardSettings, check_settings)
+    set_up_logging()
+    StewardApplication(loaded).serve()
+
+
+def main() -> None:
+    """Run the program."""
+    from defopt import run
+
+    run(run_steward)
+
+
+if __name__ == "__main__":
+    main()
