Measure ceilings over seeded histories; end requests that are too late

Cause: a history of seed 0 never ended: a request past its deadline was dispatched, found too late to send and put back at the head of its line, in an endless loop; the real entry would have spun the same way.

--- /dev/null
+++ b/bench/ceiling_histories.py
@@ -0,0 +1,249 @@
+"""Seeded histories of ceilings under faults: counts the violations.
+
+Nine entries in four data centres serve six teams while messages are lost,
+late, doubled and out of order, nodes are paused, killed and replaced, data
+centres are cut off, the platform is down and operators change ceilings.  A
+violation is a start that puts more requests of a team in flight than any
+ceiling that an entry with one of them in flight had in force.
+
+`--broken NAME` takes a guard out, to show that the checker finds it.
+"""
+
+from collections import Counter
+from concurrent.futures import ProcessPoolExecutor
+from dataclasses import dataclass
+from dataclasses import replace
+import os
+
+from bench.driver import Run
+from bench.driver import Weather
+from bench.driver import World
+from bench.worlds import build_limits
+from bench.worlds import build_world
+from bench.worlds import make_request
+from bench.worlds import service_name
+from bench.worlds import Sizes
+from bench.worlds import team_name
+from sesamehall.core.records import LimitsPublished
+from sesamehall.core.records import Record
+from sesamehall.reducer import allotments
+from sesamehall.reducer import dispatching
+from sesamehall.reducer import role
+from sesamehall.reducer.units import WHOLE
+
+SIZES = Sizes(9, 4, 3, 4, (24, 16, 12, 8, 5, 3), (4, 4, 3, 2, 1, 1))
+TRAFFIC_MS = 12_000
+QUIET_MS = 1_320_000  # long enough for a dead entry's lease to run out
+LONG_EVERY = 20  # every so many histories go through a quiet time
+REQUESTS_PER_S = 150
+FAULTS = 10
+
+
+@dataclass(frozen=True, slots=True)
+class Found:
+    """What one history came to.
+
+    Attributes:
+      seed: Seed of the history.
+      violations: Starts beyond the ceiling.
+      starts: Starts in all.
+      detail: The first violation, for a person to read.
+    """
+
+    seed: int
+    violations: int
+    starts: int
+    detail: str
+
+
+class CeilingChecker:
+    """Watches the starts and ends of requests at the targets."""
+
+    def __init__(self, world: World):
+        """Begin to watch.
+
+        Args:
+          world: The world; its callbacks are taken over.
+        """
+        self._world = world
+        self._running_by_team: Counter[str] = Counter()
+        self.violations = 0
+        self.starts = 0
+        self.detail = ""
+        world.on_start = self._start
+        world.on_end = self._end
+
+    def _start(self, run: Run) -> None:
+        self.starts += 1
+        self._running_by_team[run.team] += 1
+        running = self._running_by_team[run.team]
+        bound = max(
+            other.ceiling
+            for other in self._world.runs.values()
+            if other.team == run.team
+        )
+        if running > bound:
+            self.violations += 1
+            self.detail = self.detail or (
+                f"{self._world.now_ms} ms: {running} of {run.team} run,"
+                f" ceiling {bound}, last start at {run.host}"
+            )
+
+    def _end(self, run: Run) -> None:
+        self._running_by_team[run.team] -= 1
+
+
+def run_history(seed: int, broken: str = "") -> Found:
+    """Run one history.
+
+    Args:
+      seed: Same seeds give the same history.
+      broken: Guard to take out, "" for none.
+    Returns:
+      What was found.
+    """
+    take_guard_out(broken)
+    world = build_world(seed, SIZES, Weather())
+    checker = CeilingChecker(world)
+    plan_traffic(world)
+    plan_faults(world)
+    world.run(TRAFFIC_MS)
+    if seed % LONG_EVERY == 0:
+        world.weather = replace(world.weather, late=0.0)
+        world.run(QUIET_MS)
+        plan_traffic(world)
+        world.run(TRAFFIC_MS)
+    return Found(seed, checker.violations, checker.starts, checker.detail)
+
+
+def plan_traffic(world: World) -> None:
+    """Plan requests of all teams, mostly of one team at a time.
+
+    Args:
+      world: The world.
+    """
+    count = TRAFFIC_MS * REQUESTS_PER_S // 1000
+    teams = len(SIZES.ceilings)
+    for index in range(count):
+        at_ms = index * TRAFFIC_MS // count
+        surging = at_ms * teams // TRAFFIC_MS
+        team = surging
+        if world.random.random() < 0.4:
+            team = world.random.randrange(teams)
+        name = f"entry-{world.random.randrange(SIZES.entries)}"
+        service = service_name(world.random.randrange(SIZES.services))
+        request = make_request(
+            f"{world.now_ms}-{index}", team_name(team), service, 3_000
+        )
+        world.at(at_ms, world.hand_in, name, request)
+
+
+def plan_faults(world: World) -> None:
+    """Plan pauses, deaths, cuts, outages, stops and changed ceilings.
+
+    Args:
+      world: The world.
+    """
+    random = world.random
+    names = list(world.hosts_by_name)
+    entries = [name for name in names if name.startswith("entry")]
+    for index in range(FAULTS):
+        at_ms = random.randrange(TRAFFIC_MS)
+        lasts_ms = random.randrange(100, 8_000)
+        match random.randrange(6):
+            case 0:
+                world.at(at_ms, world.pause, random.choice(names), lasts_ms)
+            case 1:
+                after_ms = random.choice((None, 300, 3_000))
+                world.at(at_ms, world.kill, random.choice(names), after_ms)
+            case 2:
+                centre = f"dc-{random.randrange(SIZES.data_centres)}"
+                world.at(at_ms, world.cut, centre, lasts_ms)
+            case 3:
+                world.at(at_ms, world.take_platform_down, lasts_ms)
+            case 4:
+                world.at(at_ms, world.stop, random.choice(entries), 500)
+            case 5:
+                world.at(at_ms, change_ceilings, world, index)
+
+
+def change_ceilings(world: World, index: int) -> None:
+    """Publish other ceilings, as an operator would.
+
+    Args:
+      world: The world.
+      index: Makes the record's id unique.
+    """
+    ceilings = tuple(
+        max(1, ceiling * world.random.choice((1, 2, 4, 8)) // 4)
+        for ceiling in SIZES.ceilings
+    )
+    versions = [
+        host.state.agreed.limits_version
+        for host in world.hosts_by_name.values()
+    ]
+    limits = build_limits(ceilings, SIZES.shares)
+    body = LimitsPublished(max(versions), limits)
+    world.append(Record(f"limits-{world.now_ms}-{index}", body))
+
+
+def take_guard_out(name: str) -> None:
+    """Replace a guard by its absence, in this process.
+
+    Args:
+      name: Name of the guard, "" to leave all of them.
+    """
+    match name:
+        case "":
+            pass
+        case "units":
+            dispatching.has_place = lambda state, team, at_ms: True
+        case "totals":
+            allotments._add = _add_blindly
+        case "expiry":
+            role.GONE_AFTER_MS = 2_000
+        case "subtraction":
+            allotments.add_count = lambda counts, team, change: counts
+        case _:
+            raise SystemExit(f"no guard {name}")
+
+
+def _add_blindly(totals, gained):
+    """Count a tenth of a ceiling for every message, new or repeated."""
+    return totals.update(
+        {team: totals.get(team, 0) + WHOLE // 10 for team in gained}
+    )
+
+
+def run_all(
+    *, histories: int = 1000, first_seed: int = 0, broken: str = ""
+) -> int:
+    """Run the histories and print the number of violations.
+
+    Args:
+      histories: Number of histories.
+      first_seed: Seed of the first one; the others follow.
+      broken: Guard to take out: units, totals, expiry or subtraction.
+    Returns:
+      The number of violations.
+    """
+    seeds = range(first_seed, first_seed + histories)
+    arguments = [broken] * histories
+    with ProcessPoolExecutor(os.cpu_count()) as processes:
+        founds = list(
+            processes.map(run_history, seeds, arguments, chunksize=4)
+        )
+    bad = [found for found in founds if found.violations]
+    for found in bad[:5]:
+        print(f"seed {found.seed}: {found.violations}, {found.detail}")
+    starts = sum(found.starts for found in founds)
+    print(f"{histories} histories, {starts} starts, {len(bad)} bad")
+    violations = sum(found.violations for found in founds)
+    print(f"ceiling_histories={violations}")
+    return violations
+
+
+if __name__ == "__main__":
+    from defopt import run
+
+    run(run_all)
--- a/sesamehall/reducer/answers.py
+++ b/sesamehall/reducer/answers.py
@@ -66,6 +66,8 @@
             step = _complete(state, ticket, status, event.at_ms)
         case TooLate():
             step = _put_back(state, ticket, (), event.at_ms)
+            if event.at_ms >= ticket.request.deadline_ms:
+                step = then(step, _give_up, ticket, event.at_ms)
         case Declined():
             step = note_full(state, ticket.target, event.at_ms)
             step = then(step, _put_back, ticket, (), event.at_ms)
@@ -93,14 +95,7 @@
     ticket = state.entry.tickets_by_request_id.get(event.request_id)
     if ticket is None or ticket.target:
         return Step(state)
-    entry = forget(state.entry, ticket)
-    waited_ms = event.at_ms - ticket.received_ms
-    return refuse(
-        replace(state, entry=entry),
-        event.request_id,
-        DEADLINE_PASSED,
-        f"waited {waited_ms} ms",
-    )
+    return _give_up(state, ticket, event.at_ms)
 
 
 def drop_gone(state: State, event: CallerGone) -> Step:
@@ -136,6 +131,17 @@
     return then(step, dispatch_waiting, at_ms)
 
 
+def _give_up(state, ticket, at_ms):
+    """Refuse a request that waited until its caller's time was over."""
+    request_id = ticket.request.request_id
+    waiting = state.entry.tickets_by_request_id[request_id]
+    entry = forget(state.entry, waiting)
+    detail = f"waited {at_ms - ticket.received_ms} ms"
+    return refuse(
+        replace(state, entry=entry), request_id, DEADLINE_PASSED, detail
+    )
+
+
 def _complete(state, ticket, status, at_ms):
     """Forward a whole answer."""
     step = _release(state, ticket, at_ms)
--- a/sesamehall/reducer/membership.py
+++ b/sesamehall/reducer/membership.py
@@ -19,6 +19,7 @@
 from sesamehall.core.records import UnitsSettled
 from sesamehall.core.state import Allotments
 from sesamehall.core.state import Identity
+from sesamehall.core.state import Phase
 from sesamehall.core.state import State
 from sesamehall.core.step import chain
 from sesamehall.core.step import Step
@@ -147,7 +148,8 @@
 
 def _notice_gone(state):
     """Begin a new incarnation when the old one was declared gone."""
-    if state.allotments.lease_end_ms == 0:
+    leaving = state.phase is not Phase.SERVING
+    if leaving or state.allotments.lease_end_ms == 0:
         return Step(state)
     line = log(LEASE_OVER, incarnation=state.identity.incarnation)
     identity = replace(
