--- a/bench/ceiling_histories.py
+++ b/bench/ceiling_histories.py
@@ -12,7 +12,6 @@
 from collections import Counter
 from concurrent.futures import ProcessPoolExecutor
 from dataclasses import dataclass
-from dataclasses import replace
 import os
 
 from bench.driver import Run
@@ -26,8 +25,8 @@
 from bench.worlds import team_name
 from sesamehall.core.records import LimitsPublished
 from sesamehall.core.records import Record
+from sesamehall.core.replacing import replace
 from sesamehall.reducer import allotments
-from sesamehall.reducer import dispatching
 from sesamehall.reducer import role
 from sesamehall.reducer.units import WHOLE
 
@@ -197,13 +196,13 @@
         case "":
             pass
         case "units":
-            dispatching.has_place = lambda state, team, at_ms: True
+            allotments.places = lambda units, ceiling: ceiling
         case "totals":
             allotments._add = _add_blindly
         case "expiry":
             role.GONE_AFTER_MS = 2_000
-        case "subtraction":
-            allotments.add_count = lambda counts, team, change: counts
+        case "spare":
+            allotments.spare_units = allotments.held_units
         case _:
             raise SystemExit(f"no guard {name}")
 
@@ -223,7 +222,7 @@
     Args:
       histories: Number of histories.
       first_seed: Seed of the first one; the others follow.
-      broken: Guard to take out: units, totals, expiry or subtraction.
+      broken: Guard to take out: units, totals, expiry or spare.
     Returns:
       The number of violations.
     """
--- /dev/null
+++ b/sesamehall/core/replacing.py
@@ -0,0 +1,38 @@
+"""Copies of frozen data classes with some fields changed.
+
+The same as the standard library's `replace` for classes without init-only
+fields, in about half its time: decisions spend most of theirs on copies.
+"""
+
+from dataclasses import fields
+from functools import cache
+from operator import attrgetter
+from typing import TypeVar
+
+Value = TypeVar("Value")
+
+
+def replace(value: Value, **changes) -> Value:
+    """Copy a data class with some fields changed.
+
+    Args:
+      value: A data class with at least two fields.
+      **changes: New values by field name.
+    Returns:
+      The copy.
+    Raises:
+      KeyError: A name is not a field of the class.
+    """
+    cls = type(value)
+    read_all, places_by_name = _layout(cls)
+    values = list(read_all(value))
+    for name, changed in changes.items():
+        values[places_by_name[name]] = changed
+    return cls(*values)
+
+
+@cache
+def _layout(cls):
+    names = tuple(field.name for field in fields(cls))
+    places_by_name = {name: place for place, name in enumerate(names)}
+    return attrgetter(*names), places_by_name
--- a/sesamehall/reducer/accounts.py
+++ b/sesamehall/reducer/accounts.py
@@ -5,8 +5,6 @@
 back once every remaining member has settled its totals with it.
 """
 
-from dataclasses import replace
-
 from immutables import Map
 
 from sesamehall.core.agreement import Agreed
@@ -20,6 +18,7 @@
 from sesamehall.core.records import UnitsDeposited
 from sesamehall.core.records import UnitsSettled
 from sesamehall.core.records import UnitsWithdrawn
+from sesamehall.core.replacing import replace
 from sesamehall.reducer.units import places
 from sesamehall.reducer.units import units_for
 from sesamehall.reducer.units import WHOLE
--- a/sesamehall/reducer/admission.py
+++ b/sesamehall/reducer/admission.py
@@ -1,7 +1,6 @@
 """Admission: whose work a request is, and whether it may wait here."""
 
 from dataclasses import dataclass
-from dataclasses import replace
 from hmac import compare_digest
 
 from sesamehall.core.codes import KEY_MISSING
@@ -21,6 +20,7 @@
 from sesamehall.core.events import RequestReceived
 from sesamehall.core.limits import LONGEST_REQUEST_MS
 from sesamehall.core.logevents import REQUEST_REFUSED
+from sesamehall.core.replacing import replace
 from sesamehall.core.state import Phase
 from sesamehall.core.state import State
 from sesamehall.core.state import Ticket
--- a/sesamehall/reducer/agreement.py
+++ b/sesamehall/reducer/agreement.py
@@ -1,7 +1,5 @@
 """The fold over the log: every node derives the agreed state with it."""
 
-from dataclasses import replace
-
 from sesamehall.core.agreement import Agreed
 from sesamehall.core.agreement import Verdict
 from sesamehall.core.records import EntryExpired
@@ -26,6 +24,7 @@
 from sesamehall.core.records import UnitsDeposited
 from sesamehall.core.records import UnitsSettled
 from sesamehall.core.records import UnitsWithdrawn
+from sesamehall.core.replacing import replace
 from sesamehall.reducer.accounts import deposit_units
 from sesamehall.reducer.accounts import expire_entry
 from sesamehall.reducer.accounts import join_entry
--- a/sesamehall/reducer/allotments.py
+++ b/sesamehall/reducer/allotments.py
@@ -7,8 +7,6 @@
 lets the units of an incarnation that is gone be found again.
 """
 
-from dataclasses import replace
-
 from immutables import Map
 
 from sesamehall.core.data import EMPTY_MAP
@@ -24,6 +22,7 @@
 from sesamehall.core.messages import UnitsSent
 from sesamehall.core.records import UnitsDeposited
 from sesamehall.core.records import UnitsWithdrawn
+from sesamehall.core.replacing import replace
 from sesamehall.core.state import Peer
 from sesamehall.core.state import State
 from sesamehall.core.state import Want
--- a/sesamehall/reducer/answers.py
+++ b/sesamehall/reducer/answers.py
@@ -1,7 +1,5 @@
 """Answers: what a finished attempt means for caller, team and target."""
 
-from dataclasses import replace
-
 from sesamehall.core.codes import DEADLINE_PASSED
 from sesamehall.core.codes import LOST
 from sesamehall.core.codes import ResultCode
@@ -27,6 +25,7 @@
 from sesamehall.core.logevents import REQUEST_ANSWERED
 from sesamehall.core.logevents import REQUEST_RETRIED
 from sesamehall.core.logevents import REQUEST_UNKNOWN
+from sesamehall.core.replacing import replace
 from sesamehall.core.state import EntryState
 from sesamehall.core.state import State
 from sesamehall.core.state import Ticket
--- a/sesamehall/reducer/dispatching.py
+++ b/sesamehall/reducer/dispatching.py
@@ -1,10 +1,9 @@
 """Dispatching: brings waiting requests and free slots together."""
 
-from dataclasses import replace
-
 from sesamehall.core.effects import Dispatch
 from sesamehall.core.effects import log
 from sesamehall.core.logevents import REQUEST_ROUTED
+from sesamehall.core.replacing import replace
 from sesamehall.core.state import EntryState
 from sesamehall.core.state import State
 from sesamehall.core.state import Target
--- a/sesamehall/reducer/fleet.py
+++ b/sesamehall/reducer/fleet.py
@@ -1,11 +1,10 @@
 """The fleet as an entry routes to it: listed, placed and live instances."""
 
-from dataclasses import replace
-
 from immutables import Map
 
 from sesamehall.core.data import Instance
 from sesamehall.core.data import TargetKind
+from sesamehall.core.replacing import replace
 from sesamehall.core.state import State
 from sesamehall.core.state import Target
 
--- a/sesamehall/reducer/following.py
+++ b/sesamehall/reducer/following.py
@@ -1,7 +1,5 @@
 """Following the log: from the platform, or from a steward's stream."""
 
-from dataclasses import replace
-
 from sesamehall.core.agreement import Agreed
 from sesamehall.core.agreement import Verdict
 from sesamehall.core.data import NodeKind
@@ -13,6 +11,7 @@
 from sesamehall.core.records import EntryRenewed
 from sesamehall.core.records import LogEntry
 from sesamehall.core.records import RoleRenewed
+from sesamehall.core.replacing import replace
 from sesamehall.core.state import State
 from sesamehall.core.step import Step
 from sesamehall.core.step import then
--- a/sesamehall/reducer/health.py
+++ b/sesamehall/reducer/health.py
@@ -1,7 +1,5 @@
 """Health of targets: those that fail are set aside and probed."""
 
-from dataclasses import replace
-
 from sesamehall.core.effects import log
 from sesamehall.core.effects import SetTimer
 from sesamehall.core.limits import ASIDE_MOST_MS
@@ -10,6 +8,7 @@
 from sesamehall.core.limits import FAILURES_TO_ASIDE
 from sesamehall.core.logevents import TARGET_BACK
 from sesamehall.core.logevents import TARGET_SET_ASIDE
+from sesamehall.core.replacing import replace
 from sesamehall.core.state import State
 from sesamehall.core.state import Target
 from sesamehall.core.step import Step
--- a/sesamehall/reducer/jobcalls.py
+++ b/sesamehall/reducer/jobcalls.py
@@ -4,8 +4,6 @@
 one becomes a record, and is answered once the record was read back.
 """
 
-from dataclasses import replace
-
 from sesamehall.core.agreement import Agreed
 from sesamehall.core.agreement import Verdict
 from sesamehall.core.codes import CANCEL_ACCEPTED
@@ -30,6 +28,7 @@
 from sesamehall.core.records import JobCancelled
 from sesamehall.core.records import JobSubmitted
 from sesamehall.core.records import RecordBody
+from sesamehall.core.replacing import replace
 from sesamehall.core.state import Phase
 from sesamehall.core.state import State
 from sesamehall.core.step import Step
--- a/sesamehall/reducer/lifecycle.py
+++ b/sesamehall/reducer/lifecycle.py
@@ -1,7 +1,5 @@
 """Start, regular beat and graceful stop of a node."""
 
-from dataclasses import replace
-
 from sesamehall.core.data import NodeKind
 from sesamehall.core.effects import Exit
 from sesamehall.core.effects import log
@@ -14,6 +12,7 @@
 from sesamehall.core.logevents import NODE_STOPPED
 from sesamehall.core.logevents import NODE_STOPPING
 from sesamehall.core.records import EntryLeft
+from sesamehall.core.replacing import replace
 from sesamehall.core.state import Phase
 from sesamehall.core.state import State
 from sesamehall.core.step import Step
--- a/sesamehall/reducer/lists.py
+++ b/sesamehall/reducer/lists.py
@@ -1,7 +1,5 @@
 """Acceptance of operators' edits of the two lists and of keys."""
 
-from dataclasses import replace
-
 from immutables import Map
 
 from sesamehall.core.agreement import Agreed
@@ -10,6 +8,7 @@
 from sesamehall.core.records import KeyWithdrawn
 from sesamehall.core.records import LimitsPublished
 from sesamehall.core.records import PlansPublished
+from sesamehall.core.replacing import replace
 
 Judged = tuple[Agreed, Verdict]
 
--- a/sesamehall/reducer/load.py
+++ b/sesamehall/reducer/load.py
@@ -5,8 +5,6 @@
 travel together.
 """
 
-from dataclasses import replace
-
 from immutables import Map
 
 from sesamehall.core.data import NodeKind
@@ -14,6 +12,7 @@
 from sesamehall.core.effects import SetTimer
 from sesamehall.core.limits import LOAD_REPORT_MS
 from sesamehall.core.messages import LoadReported
+from sesamehall.core.replacing import replace
 from sesamehall.core.state import EntryState
 from sesamehall.core.state import Peer
 from sesamehall.core.state import State
--- a/sesamehall/reducer/membership.py
+++ b/sesamehall/reducer/membership.py
@@ -1,7 +1,5 @@
 """An entry's part in the ceilings: joining, renewing, settling, leaving."""
 
-from dataclasses import replace
-
 from immutables import Map
 
 from sesamehall.core.data import EMPTY_MAP
@@ -17,6 +15,7 @@
 from sesamehall.core.records import EntryJoined
 from sesamehall.core.records import EntryRenewed
 from sesamehall.core.records import UnitsSettled
+from sesamehall.core.replacing import replace
 from sesamehall.core.state import Allotments
 from sesamehall.core.state import Identity
 from sesamehall.core.state import Phase
--- a/sesamehall/reducer/moving.py
+++ b/sesamehall/reducer/moving.py
@@ -5,8 +5,6 @@
 and its tasks have ended, the instance is rebooted and joins its new pool.
 """
 
-from dataclasses import replace
-
 from immutables import Map
 
 from sesamehall.core.agreement import Agreed
@@ -25,6 +23,7 @@
 from sesamehall.core.records import InstanceJoined
 from sesamehall.core.records import MoveFinished
 from sesamehall.core.records import MoveStarted
+from sesamehall.core.replacing import replace
 from sesamehall.core.state import State
 from sesamehall.core.step import Step
 from sesamehall.core.step import then
--- a/sesamehall/reducer/peers.py
+++ b/sesamehall/reducer/peers.py
@@ -1,7 +1,5 @@
 """Streams between nodes: greetings, heartbeats and what messages mean."""
 
-from dataclasses import replace
-
 from sesamehall.core.data import NodeKind
 from sesamehall.core.effects import Append
 from sesamehall.core.effects import Disconnect
@@ -28,6 +26,7 @@
 from sesamehall.core.messages import UnitsAsked
 from sesamehall.core.messages import UnitsReceived
 from sesamehall.core.messages import UnitsSent
+from sesamehall.core.replacing import replace
 from sesamehall.core.state import Peer
 from sesamehall.core.state import State
 from sesamehall.core.step import Step
--- a/sesamehall/reducer/placements.py
+++ b/sesamehall/reducer/placements.py
@@ -1,7 +1,5 @@
 """Acceptance of records about the role, instances, moves and jobs."""
 
-from dataclasses import replace
-
 from sesamehall.core.agreement import Agreed
 from sesamehall.core.agreement import Placement
 from sesamehall.core.agreement import Role
@@ -18,6 +16,7 @@
 from sesamehall.core.records import MoveFinished
 from sesamehall.core.records import MoveStarted
 from sesamehall.core.records import RoleClaimed
+from sesamehall.core.replacing import replace
 from sesamehall.reducer.accounts import account_places
 from sesamehall.reducer.counts import add_count
 
--- a/sesamehall/reducer/placing.py
+++ b/sesamehall/reducer/placing.py
@@ -1,7 +1,6 @@
 """Placing: which worker runs which job, and the watch over its task."""
 
 from dataclasses import dataclass
-from dataclasses import replace
 from fractions import Fraction
 
 from sesamehall.core.agreement import Agreed
@@ -30,6 +29,7 @@
 from sesamehall.core.messages import UnitsAsked
 from sesamehall.core.records import JobEnded
 from sesamehall.core.records import JobPlaced
+from sesamehall.core.replacing import replace
 from sesamehall.core.state import State
 from sesamehall.core.state import TaskWatch
 from sesamehall.core.step import Step
--- a/sesamehall/reducer/proposals.py
+++ b/sesamehall/reducer/proposals.py
@@ -4,8 +4,6 @@
 though its answer was lost is repeated with the same id, and counts once.
 """
 
-from dataclasses import replace
-
 from immutables import Map
 
 from sesamehall.core.data import NodeKind
@@ -17,6 +15,7 @@
 from sesamehall.core.messages import AppendRequested
 from sesamehall.core.records import Record
 from sesamehall.core.records import RecordBody
+from sesamehall.core.replacing import replace
 from sesamehall.core.state import State
 from sesamehall.core.step import Step
 from sesamehall.core.timers import AppendTimer
--- a/sesamehall/reducer/queues.py
+++ b/sesamehall/reducer/queues.py
@@ -1,9 +1,8 @@
 """Queues of waiting requests, one line for each service and team."""
 
-from dataclasses import replace
-
 from immutables import Map
 
+from sesamehall.core.replacing import replace
 from sesamehall.core.state import EntryState
 from sesamehall.core.state import Line
 from sesamehall.core.state import State
--- a/sesamehall/reducer/role.py
+++ b/sesamehall/reducer/role.py
@@ -5,8 +5,6 @@
 the log was readable claims the role; of racing claims the first one wins.
 """
 
-from dataclasses import replace
-
 from immutables import Map
 
 from sesamehall.core.data import EMPTY_MAP
@@ -22,6 +20,7 @@
 from sesamehall.core.records import RecordBody
 from sesamehall.core.records import RoleClaimed
 from sesamehall.core.records import RoleRenewed
+from sesamehall.core.replacing import replace
 from sesamehall.core.state import State
 from sesamehall.core.step import Step
 from sesamehall.core.step import then
--- a/sesamehall/reducer/stewardship.py
+++ b/sesamehall/reducer/stewardship.py
@@ -1,7 +1,5 @@
 """A steward's link to the platform and to those who follow it."""
 
-from dataclasses import replace
-
 from sesamehall.core.data import Instance
 from sesamehall.core.data import NodeKind
 from sesamehall.core.effects import ListInstances
@@ -27,6 +25,7 @@
 from sesamehall.core.messages import Message
 from sesamehall.core.messages import RecordsForwarded
 from sesamehall.core.records import LogEntry
+from sesamehall.core.replacing import replace
 from sesamehall.core.state import State
 from sesamehall.core.step import Step
 from sesamehall.core.step import then
--- a/sesamehall/runtime/desk.py
+++ b/sesamehall/runtime/desk.py
@@ -13,6 +13,7 @@
 from urllib3.exceptions import HTTPError
 
 from sesamehall.core.agreement import Agreed
+from sesamehall.core.agreement import Placement
 from sesamehall.core.agreement import Verdict
 from sesamehall.core.codes import PlatformError
 from sesamehall.core.data import Key
@@ -145,8 +146,8 @@
         print("pools")
         for name, pool in sorted(agreed.pools_by_name.items()):
             members = sorted(
-                instance if placement.move is None else f"{instance} (leaving)"
-                for instance, placement in agreed.placements_by_instance.items()
+                _describe_member(placement)
+                for placement in agreed.placements_by_instance.values()
                 if placement.pool == name
             )
             print(
@@ -227,6 +228,11 @@
         return bool(entries)
 
 
+def _describe_member(placement: Placement) -> str:
+    name = placement.instance.name
+    return name if placement.move is None else f"{name} (leaving)"
+
+
 def _fail(code: int, message: str) -> None:
     print(message, file=sys.stderr)
     raise SystemExit(code)
