--- /dev/null
+++ b/sesamehall/reducer/requests_test.py
@@ -0,0 +1,314 @@
+"""Tables of what becomes of requests: admission, routing, answers."""
+
+from immutables import Map
+import pytest
+
+from sesamehall.core.agreement import Placement
+from sesamehall.core.data import Move
+from sesamehall.core.data import PresentedKey
+from sesamehall.core.effects import Dispatch
+from sesamehall.core.effects import Forward
+from sesamehall.core.effects import Reply
+from sesamehall.core.events import Broken
+from sesamehall.core.events import CallerGone
+from sesamehall.core.events import Completed
+from sesamehall.core.events import DeadlinePassed
+from sesamehall.core.events import Declined
+from sesamehall.core.events import NotSent
+from sesamehall.core.events import RequestReceived
+from sesamehall.core.events import StopRequested
+from sesamehall.core.events import TargetAnswered
+from sesamehall.core.events import TimerFired
+from sesamehall.core.events import TooLate
+from sesamehall.core.replacing import replace
+from sesamehall.core.timers import LingerTimer
+from sesamehall.core.timers import ProbeTimer
+from sesamehall.reducer.testing import build_entry
+from sesamehall.reducer.testing import build_request
+from sesamehall.reducer.testing import CEILING
+from sesamehall.reducer.testing import DIGEST
+from sesamehall.reducer.testing import INSTANCES
+from sesamehall.reducer.testing import reduce_all
+
+LEAVING = Move("m", "ex-1", "pool", "other")
+
+
+def receive(request_id, team="red", at_ms=0, **changes):
+    return RequestReceived(at_ms, build_request(request_id, team, **changes))
+
+
+def answer(request_id, outcome, attempt=1, at_ms=5):
+    return TargetAnswered(at_ms, request_id, attempt, outcome)
+
+
+def tell(effects):
+    """Write effects as short words."""
+    words = []
+    for effect in effects:
+        match effect:
+            case Dispatch():
+                words.append(f"{effect.request_id}>{effect.target}")
+            case Forward(request_id):
+                words.append(f"{request_id}:1000")
+            case Reply(request_id, code):
+                words.append(f"{request_id}:{code.number}")
+    return words
+
+
+@pytest.mark.parametrize(
+    ("changes", "code"),
+    [
+        ({"key": None}, 2001),
+        ({"key": PresentedKey("key-red", bytes(32))}, 2002),
+        ({"key": PresentedKey("key-nobody", DIGEST)}, 2002),
+        ({"key": PresentedKey("key-nobody", bytes(32))}, 2002),
+        ({"service": "forms"}, 2003),
+        ({"service": "nothing"}, 2004),
+    ],
+)
+def test_refused_at_once(changes, code):
+    _, effects = reduce_all(build_entry(), receive("r", **changes))
+    assert tell(effects) == [f"r:{code}"]
+
+
+@pytest.mark.parametrize(
+    ("change", "code"),
+    [
+        (lambda a: replace(a, next_offset=0), 2010),
+        (lambda a: replace(a, limits_by_team=Map()), 2012),
+        (lambda a: replace(a, keys_by_id=Map()), 2002),
+        (lambda a: replace(a, plans_by_team=Map()), 2003),
+    ],
+)
+def test_refused_by_agreed_state(change, code):
+    state = build_entry()
+    state = replace(state, agreed=change(state.agreed))
+    _, effects = reduce_all(state, receive("r"))
+    assert tell(effects) == [f"r:{code}"]
+
+
+def test_open_service_charges_its_team():
+    event = receive("r", service="forms", key=None)
+    state, effects = reduce_all(build_entry(), event)
+    assert tell(effects) == ["r>ex-1"]
+    assert state.entry.running_by_team == Map(blue=1)
+
+
+@pytest.mark.parametrize(
+    ("events", "words"),
+    [
+        ([receive("r"), answer("r", Completed(200))], ["r>ex-1", "r:1000"]),
+        (
+            [receive("r"), answer("r", Completed(200), attempt=2)],
+            ["r>ex-1"],
+        ),
+        (
+            [receive("r"), answer("r", NotSent("x"))],
+            ["r>ex-1", "r>ex-2"],
+        ),
+        (
+            [
+                receive("r"),
+                answer("r", NotSent("x")),
+                answer("r", NotSent("x"), attempt=2),
+                DeadlinePassed(30_000, "r"),
+            ],
+            ["r>ex-1", "r>ex-2", "r:2008"],
+        ),
+        (
+            [receive("r"), answer("r", Broken("x", False))],
+            ["r>ex-1", "r>ex-2"],
+        ),
+        (
+            [receive("r"), answer("r", Broken("x", True))],
+            ["r>ex-1", "r:3002"],
+        ),
+        (
+            [
+                receive("r", idempotent=False),
+                answer("r", Broken("x", False)),
+                answer("r", Completed(200)),
+            ],
+            ["r>ex-1", "r:3001"],
+        ),
+        (
+            [receive("r", idempotent=False), answer("r", NotSent("x"))],
+            ["r>ex-1", "r>ex-2"],
+        ),
+        (
+            [receive("r", idempotent=False), answer("r", Declined())],
+            ["r>ex-1", "r>ex-2"],
+        ),
+        (
+            [receive("r"), answer("r", TooLate(), at_ms=40_000)],
+            ["r>ex-1", "r:2008"],
+        ),
+        (
+            [receive("r"), DeadlinePassed(30_000, "r")],
+            ["r>ex-1"],
+        ),
+        (
+            [receive("r"), StopRequested(1), receive("s")],
+            ["r>ex-1", "s:2009"],
+        ),
+        (
+            [
+                receive("r", caller_id="c"),
+                receive("s", caller_id="c"),
+                receive("t", "blue", caller_id="c"),
+                answer("r", Completed(200)),
+                receive("u", caller_id="c"),
+            ],
+            ["r>ex-1", "s:2017", "t>ex-2", "r:1000", "u>ex-1"],
+        ),
+    ],
+)
+def test_course_of_a_request(events, words):
+    _, effects = reduce_all(build_entry(), *events)
+    assert tell(effects) == words
+
+
+@pytest.mark.parametrize(
+    ("waiting", "gone", "served"),
+    [
+        (["s", "t", "u"], [], ["s", "t", "u"]),
+        (["s", "t", "u"], ["s"], ["t", "u"]),
+        (["s", "t", "u"], ["t"], ["s", "u"]),
+        (["s", "t", "u"], ["u", "s", "t"], []),
+        (["s", "!t", "u", "!v"], ["!t"], ["!v", "s", "u"]),
+    ],
+)
+def test_queue_order_without_the_gone(waiting, gone, served):
+    """One place: the others wait for it; a "!" marks an urgent one."""
+    events = [receive("r")]
+    events += [receive(name, urgent=name[0] == "!") for name in waiting]
+    events += [CallerGone(1, name) for name in gone]
+    running = "r"
+    words = []
+    state, _ = reduce_all(build_entry(places=1), *events)
+    for _ in range(len(served)):
+        state, effects = reduce_all(state, answer(running, Completed(200)))
+        running = tell(effects)[1].partition(">")[0]
+        words.append(running)
+    assert words == served
+    state, effects = reduce_all(state, answer(running, Completed(200)))
+    assert tell(effects) == [f"{running}:1000"]
+    assert state.entry == replace(
+        build_entry().entry,
+        retry_budget_milli=state.entry.retry_budget_milli,
+        changed_teams=state.entry.changed_teams,
+        changed_targets=state.entry.changed_targets,
+    )
+
+
+@pytest.mark.parametrize(
+    ("places", "count", "started"),
+    [(0, 3, 0), (1, 3, 1), (3, 8, 3), (CEILING, 8, CEILING)],
+)
+def test_starts_stay_within_places(places, count, started):
+    events = [receive(f"r{index}") for index in range(count)]
+    state, _ = reduce_all(build_entry(places), *events)
+    assert state.entry.running_by_team.get("red", 0) == started
+
+
+def test_queue_is_bounded():
+    events = [receive(f"r{index}") for index in range(9)]
+    _, effects = reduce_all(build_entry(places=0), *events)
+    assert tell(effects) == ["r8:2007"]
+
+
+@pytest.mark.parametrize(
+    ("lease_end_ms", "started"), [(0, 0), (9, 0), (10, 0), (11, 1)]
+)
+def test_nothing_starts_after_the_lease(lease_end_ms, started):
+    state = build_entry()
+    allotments = replace(state.allotments, lease_end_ms=lease_end_ms)
+    state = replace(state, allotments=allotments)
+    state, _ = reduce_all(state, receive("r", at_ms=10))
+    assert len(state.entry.running_by_team) == started
+
+
+@pytest.mark.parametrize(
+    ("instance", "placement", "target"),
+    [
+        (INSTANCES[0], Placement(INSTANCES[0], "pool"), "ex-1"),
+        (INSTANCES[0], Placement(INSTANCES[0], "pool", LEAVING), "ex-2"),
+        (
+            replace(INSTANCES[0], leaving=True),
+            Placement(INSTANCES[0], "pool"),
+            "ex-2",
+        ),
+        (
+            replace(INSTANCES[0], data_centre="south"),
+            Placement(INSTANCES[0], "pool"),
+            "ex-2",
+        ),
+    ],
+)
+def test_leaving_and_distant_targets_are_avoided(instance, placement, target):
+    state = build_entry()
+    known = state.entry.targets_by_name["ex-1"]
+    targets = state.entry.targets_by_name.set(
+        "ex-1", replace(known, instance=instance)
+    )
+    placements = state.agreed.placements_by_instance.set("ex-1", placement)
+    state = replace(
+        state,
+        entry=replace(state.entry, targets_by_name=targets),
+        agreed=replace(state.agreed, placements_by_instance=placements),
+    )
+    _, effects = reduce_all(state, receive("r"))
+    assert tell(effects) == [f"r>{target}"]
+
+
+def test_sick_target_is_set_aside_and_probed():
+    state = build_entry()
+    for index in range(3):
+        name = f"r{index}"
+        state, _ = reduce_all(
+            state,
+            receive(name),
+            answer(name, NotSent("down")),
+            answer(name, Completed(200), attempt=2),
+        )
+    state, effects = reduce_all(state, receive("s"), receive("t"))
+    assert tell(effects) == ["s>ex-2", "t>ex-2"]
+    state, effects = reduce_all(
+        state,
+        TimerFired(2_000, ProbeTimer("ex-1")),
+        receive("u"),
+        receive("v"),
+    )
+    assert tell(effects) == ["u>ex-1"]
+    state, effects = reduce_all(state, answer("u", Completed(200)))
+    assert tell(effects) == ["u:1000", "v>ex-1"]
+
+
+@pytest.mark.parametrize(("idempotent", "running"), [(False, 1), (True, 2)])
+def test_unknown_outcome_stays_charged(idempotent, running):
+    event = receive("r", idempotent=idempotent)
+    state, _ = reduce_all(
+        build_entry(), event, answer("r", Broken("x", False))
+    )
+    assert state.entry.running_by_team["red"] == running
+    state, _ = reduce_all(state, TimerFired(32_000, LingerTimer("r#1")))
+    assert state.entry.running_by_team.get("red", 0) == running - 1
+
+
+@pytest.mark.parametrize(
+    ("red", "blue", "first"),
+    [(0, 0, "blue"), (0, 2, "blue"), (0, 3, "red"), (1, 3, "blue")],
+)
+def test_free_slot_goes_to_fewest_per_share(red, blue, first):
+    """Red has share 1 and blue share 3; running is told as elsewhere."""
+    state = build_entry()
+    state, _ = reduce_all(
+        state, *[receive(f"x{i}", ("red", "blue")[i % 2]) for i in range(4)]
+    )
+    state, _ = reduce_all(state, receive("r"), receive("b", "blue"))
+    elsewhere = Map(red=red - 1, blue=blue - 2)
+    entry = replace(state.entry, elsewhere_by_team=elsewhere)
+    state = replace(state, entry=entry)
+    _, effects = reduce_all(state, answer("x0", Completed(200)))
+    started = tell(effects)[1]
+    assert started[0] == first[0]
--- /dev/null
+++ b/sesamehall/reducer/testing.py
@@ -0,0 +1,175 @@
+"""Small states and helpers that the tables of tests begin from."""
+
+from immutables import Map
+
+from sesamehall.core.agreement import Agreed
+from sesamehall.core.agreement import EntryMember
+from sesamehall.core.agreement import Placement
+from sesamehall.core.agreement import Role
+from sesamehall.core.data import Instance
+from sesamehall.core.data import Key
+from sesamehall.core.data import Limit
+from sesamehall.core.data import Node
+from sesamehall.core.data import NodeKind
+from sesamehall.core.data import Plan
+from sesamehall.core.data import Pool
+from sesamehall.core.data import PresentedKey
+from sesamehall.core.data import Request
+from sesamehall.core.data import Service
+from sesamehall.core.data import TargetKind
+from sesamehall.core.effects import Log
+from sesamehall.core.effects import SetTimer
+from sesamehall.core.replacing import replace
+from sesamehall.core.state import Allotments
+from sesamehall.core.state import EntryState
+from sesamehall.core.state import Identity
+from sesamehall.core.state import Peer
+from sesamehall.core.state import State
+from sesamehall.core.state import Target
+from sesamehall.reducer.reduce import reduce
+from sesamehall.reducer.units import units_for
+
+DIGEST = bytes(range(32))
+CEILING = 4
+ME = "entry-b:1"
+OTHER = "entry-a:1"
+KEYS = {name: Key(f"key-{name}", name, DIGEST) for name in ("red", "blue")}
+SERVICES = (Service("quotes", "pool"), Service("forms", "pool", "blue"))
+INSTANCES = tuple(
+    Instance(name, TargetKind.EXECUTOR, "north", "r", "h:1", "pool", slots=2)
+    for name in ("ex-1", "ex-2")
+)
+WORKERS = tuple(
+    Instance(name, TargetKind.WORKER, "north", name, "h:1", "batch")
+    for name in ("wk-1", "wk-2")
+)
+PEERS = Map(
+    {
+        "entry-a": Node("entry-a", NodeKind.ENTRY, "north", ""),
+        "steward-a": Node("steward-a", NodeKind.STEWARD, "north", ""),
+    }
+)
+
+
+def build_agreed(places: int = CEILING) -> Agreed:
+    """Build an agreed state with two teams and two members.
+
+    Args:
+      places: Places that this entry has withdrawn of each ceiling.
+    Returns:
+      The state; the other member has withdrawn nothing.
+    """
+    units = Map((team, units_for(places, CEILING)) for team in KEYS)
+    taken = Map((team, -units) for team, units in units.items())
+    members = {
+        ME: EntryMember("entry-b", ME, 1, units),
+        OTHER: EntryMember("entry-a", OTHER, 2),
+    }
+    placed = INSTANCES + WORKERS
+    return Agreed(
+        next_offset=10,
+        plans_version=1,
+        limits_version=1,
+        plans_by_team=Map(
+            red=Plan("red", ("quotes",), ("batch",)),
+            blue=Plan("blue", ("quotes",), ("batch",)),
+        ),
+        services_by_name=Map((s.name, s) for s in SERVICES),
+        pools_by_name=Map(
+            pool=Pool("pool", TargetKind.EXECUTOR),
+            batch=Pool("batch", TargetKind.WORKER),
+        ),
+        limits_by_team=Map(
+            red=Limit("red", 1, CEILING), blue=Limit("blue", 3, CEILING)
+        ),
+        keys_by_id=Map((key.key_id, key) for key in KEYS.values()),
+        role=Role("steward-b/steward-b:1", 5, 5),
+        members_by_incarnation=Map(members),
+        account_by_team=taken,
+        placements_by_instance=Map(
+            (i.name, Placement(i, i.pool)) for i in placed
+        ),
+    )
+
+
+def build_entry(places: int = CEILING) -> State:
+    """Build an entry that serves two teams on two executors.
+
+    Args:
+      places: Places that it holds of each team's ceiling.
+    Returns:
+      The state; one entry and one steward are connected.
+    """
+    node = Node("entry-b", NodeKind.ENTRY, "north", "")
+    peers = Map((name, Peer(name, f"{name}:1", 0)) for name in PEERS)
+    return State(
+        identity=Identity(node, ME, PEERS, queue_limit=8),
+        agreed=build_agreed(places),
+        peers_by_name=peers,
+        entry=EntryState(
+            targets_by_name=Map((i.name, Target(i)) for i in INSTANCES),
+            targets_by_pool=Map(pool=("ex-1", "ex-2")),
+            instances=INSTANCES,
+        ),
+        allotments=Allotments(lease_end_ms=1_000_000),
+    )
+
+
+def build_steward() -> State:
+    """Build a steward that holds the role.
+
+    Returns:
+      The state; one entry and one steward are connected.
+    """
+    entry = build_entry()
+    node = Node("steward-b", NodeKind.STEWARD, "north", "")
+    identity = Identity(node, "steward-b:1", PEERS)
+    steward = replace(
+        entry.steward, instances=INSTANCES + WORKERS, listed=True
+    )
+    return State(
+        identity=identity,
+        agreed=entry.agreed,
+        peers_by_name=entry.peers_by_name,
+        steward=steward,
+    )
+
+
+def build_request(request_id: str, team: str = "red", **changes) -> Request:
+    """Build a request of a team to the service "quotes".
+
+    Args:
+      request_id: Identifier of the request.
+      team: Team whose key it shows.
+      **changes: Fields that differ.
+    Returns:
+      The request.
+    """
+    request = Request(
+        request_id=request_id,
+        caller_id=None,
+        service="quotes",
+        key=PresentedKey(f"key-{team}", DIGEST),
+        idempotent=True,
+        urgent=False,
+        deadline_ms=30_000,
+    )
+    return replace(request, **changes)
+
+
+def reduce_all(state: State, *events) -> tuple[State, list]:
+    """Reduce several events.
+
+    Args:
+      state: State before the first.
+      *events: The events.
+    Returns:
+      The last state, and the effects but for log lines and timers.
+    """
+    effects = []
+    for event in events:
+        step = reduce(state, event)
+        state = step.state
+        effects += step.effects
+    shown = [e for e in effects if not isinstance(e, Log | SetTimer)]
+    return state, shown
