--- a/bench/driver.py
+++ b/bench/driver.py
@@ -116,12 +116,14 @@
 
     Attributes:
       team: Team that it is charged to.
+      service: Service that it was handed in to.
       caller_id: The caller's id, or the request's own.
       host: Entry that sent it.
       ceiling: Team's ceiling as that entry knew it.
     """
 
     team: str
+    service: str
     caller_id: str
     host: str
     ceiling: int
@@ -488,7 +490,13 @@
         ticket = host.state.entry.tickets_by_request_id[dispatch.request_id]
         limit = host.state.agreed.limits_by_team[ticket.team]
         caller_id = ticket.request.caller_id or dispatch.request_id
-        run = Run(ticket.team, caller_id, host.node.name, limit.ceiling)
+        run = Run(
+            ticket.team,
+            ticket.request.service,
+            caller_id,
+            host.node.name,
+            limit.ceiling,
+        )
         key = (dispatch.request_id, dispatch.attempt)
         self.runs[key] = run
         slots = self._slots_by_target.get(dispatch.target, 0)
--- /dev/null
+++ b/bench/share_error.py
@@ -0,0 +1,76 @@
+"""How near each team comes to its share while queues surge by turns.
+
+The value is the mean distance of received from due over windows of 1 s in
+which the surging queue was full, in per cent of due; the worse of the two
+users' sizes.  Beside it: a fixed division of ceilings between the entries,
+and one entry that knows everything.
+"""
+
+from bench.demand import Figures
+from bench.demand import run_demand
+from bench.driver import CALM
+from bench.worlds import AGUAS
+from bench.worlds import build_world
+from bench.worlds import GUILD
+from bench.worlds import Sizes
+from sesamehall.core.replacing import replace
+from sesamehall.core.step import Step
+from sesamehall.reducer import allotments
+from sesamehall.reducer import membership
+from sesamehall.reducer.units import WHOLE
+
+
+def measure(sizes: Sizes, seed: int = 1) -> Figures:
+    """Run the demand on a world as it is built.
+
+    Args:
+      sizes: How large it is.
+      seed: Seed of the history.
+    Returns:
+      The figures.
+    """
+    return run_demand(build_world(seed, sizes, CALM), sizes)
+
+
+def measure_divided(sizes: Sizes) -> Figures:
+    """Run the demand with a fixed division of the ceilings.
+
+    Args:
+      sizes: How large it is.
+    Returns:
+      The figures.
+    """
+    kept = allotments.seek_units, allotments.first_part
+    from sesamehall.reducer import dispatching
+
+    part = WHOLE // sizes.entries
+    dispatching.seek_units = lambda state, team, at_ms: Step(state)
+    allotments.first_part = membership.first_part = lambda state: part
+    try:
+        return measure(sizes)
+    finally:
+        dispatching.seek_units, allotments.first_part = kept
+        membership.first_part = kept[1]
+
+
+def run_both() -> None:
+    """Measure both users' sizes and print the figures."""
+    values = []
+    for name, sizes in (("guild", GUILD), ("aguas", AGUAS)):
+        ours = measure(sizes)
+        divided = measure_divided(sizes)
+        single = measure(replace(sizes, entries=1))
+        values.append(ours)
+        print(
+            f"{name}: share error {ours.share_error:.2f} %, divided"
+            f" {divided.share_error:.2f} %, one entry"
+            f" {single.share_error:.2f} %; slots used"
+            f" {ours.slots_used:.2f} %, divided {divided.slots_used:.2f} %,"
+            f" one entry {single.slots_used:.2f} %; {ours.answered} ran"
+        )
+    print(f"slots_used={min(value.slots_used for value in values):.2f}")
+    print(f"share_error={max(value.share_error for value in values):.2f}")
+
+
+if __name__ == "__main__":
+    run_both()
--- a/bench/worlds.py
+++ b/bench/worlds.py
@@ -22,6 +22,7 @@
 from sesamehall.core.records import Record
 
 DIGEST = bytes(range(32))
+WAIT_MS = 10_000  # time that callers give their requests
 
 
 @dataclass(frozen=True, slots=True)
@@ -128,7 +129,7 @@
     request_id: str,
     team: str,
     service: str,
-    wait_ms: int = 10_000,
+    wait_ms: int = WAIT_MS,
     idempotent: bool = True,
     caller_id: str | None = None,
 ):
