--- a/bench/demand.py
+++ b/bench/demand.py
@@ -20,9 +20,10 @@
 WORK_MS = (60, 140)  # shortest and longest run of a request
 SURGE_LOAD = 1.6  # demand of a surging queue over what its pool holds
 QUIET_LOAD = SURGE_LOAD / 100  # a twentieth of the mean, a surge being five
-SAMPLE_MS = 10
+SAMPLE_MS = 25
 WINDOW_MS = 1_000
 SLOTS = 8
+STEP = 0.5  # slots given at once by the plain division
 
 
 @dataclass(frozen=True, slots=True)
@@ -40,31 +41,42 @@
     answered: int
 
 
-def water_fill(
-    capacity: float, shares: list[float], caps: list[float]
-) -> list[float]:
-    """Divide a capacity by weighted max-min with caps; the plain way.
+def fill_evenly(
+    capacities: dict[str, float],
+    shares: dict[str, int],
+    ceilings: dict[str, int],
+    wanted: Counter[tuple[str, str]],
+) -> Counter[str]:
+    """Divide pools by weighted max-min over the fleet; the plain way.
+
+    Gives small steps, each to the team that has least per share of all that
+    could use one somewhere.
 
     Args:
-      capacity: What is to be divided.
-      shares: Weight of each part, above zero.
-      caps: Most that each part can take.
+      capacities: Slots of each service's pool that can be divided.
+      shares: Weight of each team.
+      ceilings: Most that each team may have over all services.
+      wanted: Most that a team can use of a service, by team and service.
     Returns:
-      What is due to each part.
+      What is due to each team over all services.
     """
-    due = [0.0] * len(shares)
-    hungry = {i for i, cap in enumerate(caps) if cap > 0}
-    while hungry and capacity > 1e-9:
-        level = capacity / sum(shares[i] for i in hungry)
-        full = {i for i in hungry if caps[i] - due[i] <= level * shares[i]}
-        for i in full or hungry:
-            gain = min(caps[i] - due[i], level * shares[i])
-            due[i] += gain
-            capacity -= gain
-        if not full:
-            break
-        hungry -= full
-    return due
+    due: Counter[str] = Counter()
+    free = dict(capacities)
+    open_wants = dict(wanted)
+    while True:
+        choices = [
+            (due[team] / shares[team], team, service)
+            for (team, service), want in open_wants.items()
+            if want > STEP / 2
+            and free[service] > STEP / 2
+            and due[team] < ceilings[team]
+        ]
+        if not choices:
+            return due
+        _, team, service = min(choices)
+        due[team] += STEP
+        free[service] -= STEP
+        open_wants[team, service] -= STEP
 
 
 class Sampler:
@@ -79,9 +91,12 @@
         """
         self._world = world
         self._sizes = sizes
+        teams = [team_name(i) for i in range(len(sizes.ceilings))]
+        self._ceilings = dict(zip(teams, sizes.ceilings, strict=True))
+        self._shares = dict(zip(teams, sizes.shares, strict=True))
         self._running: Counter[tuple[str, str]] = Counter()
         self._received: Counter[str] = Counter()
-        self._wanted: Counter[str] = Counter()
+        self._due: Counter[str] = Counter()
         self._full_samples = 0
         self._samples = 0
         self._errors: list[float] = []
@@ -99,48 +114,54 @@
         self._running[run.team, run.service] -= 1
 
     def sample(self, surging: str) -> None:
-        """Look at the surging queue once.
+        """Look at all queues once.
 
         Args:
-          surging: Name of its service.
+          surging: Name of the service whose queue surges.
         """
-        waiting = self._count_waiting(surging)
+        waiting = self._count_waiting()
         total: Counter[str] = Counter()
         for (team, _), running in self._running.items():
             total[team] += running
-        slots = self._sizes.executors * SLOTS
-        busy = 0
-        eligible = False
-        for index, ceiling in enumerate(self._sizes.ceilings):
-            team = team_name(index)
-            running = self._running[team, surging]
-            busy += running
-            self._received[team] += running
-            self._wanted[team] += min(running + waiting[team], ceiling)
-            eligible |= waiting[team] > 0 and total[team] < ceiling
+        self._received.update(total)
+        self._due.update(self._divide(waiting))
         self._samples += 1
+        eligible = any(
+            waiting[team, surging] and total[team] < ceiling
+            for team, ceiling in self._ceilings.items()
+        )
         if eligible:
             self._full_samples += 1
-            self._busy += busy
-            self._capacity += slots
+            self._busy += sum(
+                self._running[team, surging] for team in self._ceilings
+            )
+            self._capacity += self._sizes.executors * SLOTS
 
     def close_window(self) -> None:
         """Compare received with due over the window, if it was full."""
-        teams = [team_name(i) for i in range(len(self._sizes.ceilings))]
         if self._samples and self._full_samples > 0.9 * self._samples:
-            capacity = sum(self._received.values())
-            shares = [float(share) for share in self._sizes.shares]
-            caps = [float(self._wanted[team]) for team in teams]
-            due = water_fill(capacity, shares, caps)
-            distance = sum(
-                abs(self._received[team] - due[i])
-                for i, team in enumerate(teams)
-            )
-            self._errors.append(100 * distance / 2 / capacity)
+            self._errors.append(self._window_error())
         self._received.clear()
-        self._wanted.clear()
+        self._due.clear()
         self._samples = self._full_samples = 0
 
+    def _divide(self, waiting: Counter[tuple[str, str]]) -> Counter[str]:
+        """Divide what runs at the moment by weighted max-min."""
+        capacities: Counter[str] = Counter()
+        wanted = Counter(waiting)
+        for key, running in self._running.items():
+            capacities[key[1]] += running
+            wanted[key] += running
+        return fill_evenly(capacities, self._shares, self._ceilings, wanted)
+
+    def _window_error(self) -> float:
+        """Compute the distance of received from due, in per cent."""
+        distance = sum(
+            abs(self._received[team] - self._due[team])
+            for team in self._shares
+        )
+        return 100 * distance / 2 / sum(self._due.values())
+
     def figures(self) -> Figures:
         """Sum up.
 
@@ -154,12 +175,13 @@
             answered=self.started,
         )
 
-    def _count_waiting(self, service: str) -> Counter:
-        waiting: Counter[str] = Counter()
+    def _count_waiting(self) -> Counter[tuple[str, str]]:
+        waiting: Counter[tuple[str, str]] = Counter()
         for host in self._world.hosts_by_name.values():
-            lines = host.state.entry.lines_by_service.get(service, {})
-            for team, line in lines.items():
-                waiting[team] += len(line.urgent) + len(line.normal)
+            for service, lines in host.state.entry.lines_by_service.items():
+                for team, line in lines.items():
+                    count = len(line.urgent) + len(line.normal)
+                    waiting[team, service] += count
         return waiting
 
 
--- a/sesamehall/core/limits.py
+++ b/sesamehall/core/limits.py
@@ -9,6 +9,7 @@
 ENTRY_RENEWAL_MS = 10_000  # shorter periods cost appends of the shared log
 CLOCK_DRIFT_PERCENT = 1  # lease holders and judges may differ by this much
 UNITS_ASK_MS = 20  # least time between two questions for one team's units
+PLACES_AHEAD = 2  # places asked for while no slot is free; slots turn over
 ROLE_RENEWAL_MS = 2_000  # the role's holder writes at least this often
 ROLE_SILENT_MS = 6_000  # a role not renewed this long may be claimed
 TASK_LEASE_MS = 10_000  # a worker stops a task not renewed this long
--- a/sesamehall/reducer/allotments.py
+++ b/sesamehall/reducer/allotments.py
@@ -14,6 +14,7 @@
 from sesamehall.core.effects import log
 from sesamehall.core.effects import Send
 from sesamehall.core.effects import SetTimer
+from sesamehall.core.limits import PLACES_AHEAD
 from sesamehall.core.limits import UNITS_ASK_MS
 from sesamehall.core.logevents import UNITS_GIVEN
 from sesamehall.core.logevents import UNITS_TAKEN
@@ -33,6 +34,7 @@
 from sesamehall.reducer.counts import add_count
 from sesamehall.reducer.counts import drop_key
 from sesamehall.reducer.proposals import propose
+from sesamehall.reducer.routing import count_free_slots
 from sesamehall.reducer.units import places
 from sesamehall.reducer.units import units_for
 from sesamehall.reducer.units import WHOLE
@@ -78,22 +80,39 @@
 
 
 def missing_units(state: State, team: str) -> int:
-    """Compute the units that would let all waiting requests start.
+    """Compute the units that would let waiting requests start at once.
 
     Args:
       state: State of the entry.
       team: Name of the team.
     Returns:
-      The units beyond those held, never below zero.
+      The units beyond those held, never below zero; 0 while the entry has
+      a place left, since then slots are what the requests wait for.
     """
     limit = state.agreed.limits_by_team.get(team)
     if limit is None:
         return 0
     running = state.entry.running_by_team.get(team, 0)
-    waiting = state.entry.waiting_by_team.get(team, 0)
-    wanted = min(running + waiting, limit.ceiling)
-    needed = units_for(wanted, limit.ceiling)
-    return max(needed - held_units(state, team), 0)
+    held = held_units(state, team)
+    if running < places(held, limit.ceiling):
+        return 0
+    wanted = running + _startable(state, team)
+    needed = units_for(min(wanted, limit.ceiling), limit.ceiling)
+    return max(needed - held, 0)
+
+
+def _startable(state: State, team: str) -> int:
+    """Count a team's waiting requests that slots would take soon."""
+    count = 0
+    for service, lines in state.entry.lines_by_service.items():
+        line = lines.get(team)
+        known = state.agreed.services_by_name.get(service)
+        if line is None or known is None:
+            continue
+        waiting = len(line.urgent) + len(line.normal)
+        slots = max(count_free_slots(state, known.pool), PLACES_AHEAD)
+        count += min(waiting, slots)
+    return count
 
 
 def spare_units(state: State, team: str) -> int:
@@ -214,13 +233,39 @@
     return give_wanted(changed, question.team, at_ms)
 
 
+def even_out(state: State, team: str, at_ms: int) -> Step:
+    """Share a place that became free with entries that hold fewer.
+
+    Called before the entry uses the place itself; it gives one only to a
+    peer that holds two places less, so that places do not go round.
+
+    Args:
+      state: State of the entry.
+      team: Name of the team.
+      at_ms: The node's clock.
+    Returns:
+      A Step with the units given.
+    """
+    wants = state.allotments.wants_by_team.get(team)
+    limit = state.agreed.limits_by_team.get(team)
+    if not wants or limit is None:
+        return Step(state)
+    name = _neediest(wants)
+    place = units_for(1, limit.ceiling)
+    ahead = held_units(state, team) - wants[name].holding
+    if ahead < 2 * place or not _is_taker(state, name):
+        return Step(state)
+    half = max(place, ahead // 2 // place * place)
+    units = min(spare_units(state, team), wants[name].units, half)
+    return _give(state, team, name, units) if units > 0 else Step(state)
+
+
 def give_wanted(state: State, team: str, at_ms: int) -> Step:
     """Give spare units of a team to the peers that asked for them.
 
-    An entry with waiting requests of its own gives a whole place only to a
-    peer that holds two places less, and otherwise at most the fraction of a
-    place that it cannot use itself, to a peer whose name sorts first; so
-    fractions gather and places even out instead of going round.
+    Called after the entry has used what it can.  If it lacks units itself,
+    only the fraction of a place is left, which goes to a peer whose name
+    sorts first; so fractions gather instead of going round.
 
     Args:
       state: State of the entry.
@@ -230,15 +275,17 @@
       A Step with the units given.
     """
     step = Step(state)
-    while True:
+    lacking = missing_units(state, team) > 0
+    for _ in range(len(state.allotments.wants_by_team.get(team, ()))):
         wants = step.state.allotments.wants_by_team.get(team)
-        if not wants:
-            return step
         name = _neediest(wants)
-        units = _units_to_give(step.state, team, name, wants[name])
-        if units <= 0:
+        units = min(spare_units(step.state, team), wants[name].units)
+        if lacking and name > state.identity.node.name:
+            return step
+        if units <= 0 or not _is_taker(step.state, name):
             return step
         step = then(step, _give, team, name, units)
+    return step
 
 
 def take_units(state: State, peer: Peer, message: UnitsSent) -> Step:
@@ -351,32 +398,11 @@
     return min(wants, key=lambda name: (wants[name].holding, name))
 
 
-def _units_to_give(state, team, name, want):
-    """Decide how many units a peer gets now; 0 for none."""
+def _is_taker(state, name):
+    """Tell whether a peer may be given units."""
     peer = state.peers_by_name.get(name)
-    if peer is None:
-        return 0
-    if peer.incarnation not in state.agreed.members_by_incarnation:
-        return 0
-    spare = min(spare_units(state, team), want.units)
-    if state.entry.waiting_by_team.get(team, 0) == 0:
-        return spare
-    return _units_beside_own(state, team, name, want, spare)
-
-
-def _units_beside_own(state, team, name, want, spare):
-    """Decide what an entry that could use the units itself gives away."""
-    limit = state.agreed.limits_by_team.get(team)
-    if limit is None:
-        return spare
-    place = units_for(1, limit.ceiling)
-    ahead = held_units(state, team) - want.holding
-    if ahead >= 2 * place:
-        return min(spare, max(place, ahead // 2 // place * place))
-    fraction = spare_units(state, team) % place
-    if name < state.identity.node.name:
-        return min(fraction, want.units)
-    return 0
+    members = state.agreed.members_by_incarnation
+    return peer is not None and peer.incarnation in members
 
 
 def _give(state, team, name, units):
--- a/sesamehall/reducer/allotments_test.py
+++ b/sesamehall/reducer/allotments_test.py
@@ -5,10 +5,11 @@
 
 from sesamehall.core.agreement import EntryMember
 from sesamehall.core.agreement import Verdict
-from sesamehall.core.data import Limit
 from sesamehall.core.effects import Send
+from sesamehall.core.events import Completed
 from sesamehall.core.events import MessageReceived
 from sesamehall.core.events import RequestReceived
+from sesamehall.core.events import TargetAnswered
 from sesamehall.core.messages import RecordsForwarded
 from sesamehall.core.messages import UnitsAsked
 from sesamehall.core.messages import UnitsSent
@@ -113,19 +114,34 @@
 
 
 @pytest.mark.parametrize(
-    ("holding", "given"), [(0, 4), (4, 2), (6, 1), (7, 0), (8, 0)]
+    ("holding", "given"), [(0, 1), (2, 1), (3, 0), (4, 0)]
 )
 def test_a_busy_entry_evens_out(holding, given):
-    """It holds eight places, runs four and has one request waiting."""
+    """It holds four places, runs four, has one waiting; then one ends."""
     events = [RequestReceived(0, build_request(f"r{i}")) for i in range(5)]
     state, _ = reduce_all(build_entry(4), *events)
-    limits = state.agreed.limits_by_team.set("red", Limit("red", 1, 8))
-    raised = replace(state.agreed, limits_by_team=limits)
-    place = units_for(1, 8)
-    question = UnitsAsked("red", 8 * place, holding * place)
-    state, _ = reduce_all(replace(state, agreed=raised), message(question))
+    question = UnitsAsked("red", 4 * PLACE, holding * PLACE)
+    state, _ = reduce_all(state, message(question))
+    assert OTHER not in state.allotments.sent
+    ended = TargetAnswered(1, "r0", 1, Completed(200))
+    state, _ = reduce_all(state, ended)
+    total = state.allotments.sent.get(OTHER, Map()).get("red", 0)
+    assert total == given * PLACE
+
+
+@pytest.mark.parametrize(("places_held", "given"), [(3, 1), (4, 2)])
+def test_places_without_slots_are_lent(places_held, given):
+    """Two of the four slots are used elsewhere; waiting does not help."""
+    state = build_entry(places_held)
+    elsewhere = Map({"ex-1": 1, "ex-2": 1})
+    entry = replace(state.entry, elsewhere_by_target=elsewhere)
+    state = replace(state, entry=entry)
+    events = [RequestReceived(0, build_request(f"r{i}")) for i in range(5)]
+    state, _ = reduce_all(state, *events)
+    question = UnitsAsked("red", 4 * PLACE, 0)
+    state, _ = reduce_all(state, message(question))
     total = state.allotments.sent.get(OTHER, Map()).get("red", 0)
-    assert total == given * place
+    assert total == given * PLACE
 
 
 def judge(*bodies):
--- a/sesamehall/reducer/answers.py
+++ b/sesamehall/reducer/answers.py
@@ -33,6 +33,7 @@
 from sesamehall.core.step import then
 from sesamehall.core.timers import LingerTimer
 from sesamehall.reducer.admission import refuse
+from sesamehall.reducer.allotments import even_out
 from sesamehall.reducer.allotments import give_wanted
 from sesamehall.reducer.counts import add_count
 from sesamehall.reducer.dispatching import dispatch_waiting
@@ -76,8 +77,7 @@
         case Broken(reason, timed_out):
             step = note_failure(state, ticket.target, reason, event.at_ms)
             step = then(step, _break_off, ticket, timed_out, event.at_ms)
-    step = then(step, give_wanted, ticket.team, event.at_ms)
-    return then(step, dispatch_waiting, event.at_ms)
+    return then(step, _use_place, ticket.team, event.at_ms)
 
 
 def pass_deadline(state: State, event: DeadlinePassed) -> Step:
@@ -126,8 +126,14 @@
     lingering = state.entry.lingering_by_attempt.delete(attempt)
     entry = replace(state.entry, lingering_by_attempt=lingering)
     step = _release(replace(state, entry=entry), ticket, at_ms)
-    step = then(step, give_wanted, ticket.team, at_ms)
-    return then(step, dispatch_waiting, at_ms)
+    return then(step, _use_place, ticket.team, at_ms)
+
+
+def _use_place(state, team, at_ms):
+    """Use a slot and a place that may have become free."""
+    step = even_out(state, team, at_ms)
+    step = then(step, dispatch_waiting, at_ms)
+    return then(step, give_wanted, team, at_ms)
 
 
 def _give_up(state, ticket, at_ms):
--- a/sesamehall/reducer/peers.py
+++ b/sesamehall/reducer/peers.py
@@ -32,6 +32,7 @@
 from sesamehall.core.step import Step
 from sesamehall.core.step import then
 from sesamehall.reducer.allotments import forget_wants
+from sesamehall.reducer.allotments import give_wanted
 from sesamehall.reducer.allotments import resend_units
 from sesamehall.reducer.allotments import take_confirmation
 from sesamehall.reducer.allotments import take_question
@@ -159,7 +160,10 @@
             return take_question(state, peer, message, at_ms)
         case UnitsSent():
             step = take_units(state, peer, message)
-            return then(step, dispatch_waiting, at_ms)
+            step = then(step, dispatch_waiting, at_ms)
+            for team in message.total_by_team:
+                step = then(step, give_wanted, team, at_ms)
+            return step
         case UnitsReceived():
             return take_confirmation(state, message)
     return _refuse_peer(state, peer.name, type(message).__name__)
--- a/sesamehall/reducer/requests_test.py
+++ b/sesamehall/reducer/requests_test.py
@@ -297,7 +297,7 @@
 
 @pytest.mark.parametrize(
     ("red", "blue", "first"),
-    [(0, 0, "blue"), (0, 2, "blue"), (0, 3, "red"), (1, 3, "blue")],
+    [(0, 0, "blue"), (0, 1, "blue"), (0, 3, "red"), (1, 3, "blue")],
 )
 def test_free_slot_goes_to_fewest_per_share(red, blue, first):
     """Red has share 1 and blue share 3; running is told as elsewhere."""
--- a/sesamehall/reducer/routing.py
+++ b/sesamehall/reducer/routing.py
@@ -67,3 +67,21 @@
         return False
     placement = state.agreed.placements_by_instance.get(target.instance.name)
     return placement is not None and placement.move is None
+
+
+def count_free_slots(state: State, pool: str) -> int:
+    """Count the slots of a pool that a request could take now.
+
+    Args:
+      state: State of the entry.
+      pool: Name of the pool of executors.
+    Returns:
+      The number of slots, never below zero.
+    """
+    entry = state.entry
+    count = 0
+    for name in entry.targets_by_pool.get(pool, ()):
+        target = entry.targets_by_name[name]
+        if is_usable(state, target):
+            count += max(free_slots(entry, target), 0)
+    return count
