Leave a free slot to another entry's team that is much worse off

Change: entries report which lines only lack a slot; one leaves a slot when a reported team would still have less per share with it, says so at once, and uses it itself after 10 ms if nobody did.

--- a/sesamehall/core/limits.py
+++ b/sesamehall/core/limits.py
@@ -3,6 +3,8 @@
 BEAT_MS = 1_000  # longer beats find silent streams and lost messages later
 SILENT_AFTER_MS = 4_000  # a stream without a message this long is replaced
 LOAD_REPORT_MS = 5  # longer batches make entries overfill executors
+YIELD_MS = 10  # a slot left to another entry is used after this at the latest
+LINE_REPORT_MOST = 4  # longer lines are reported alike, to save messages
 LONGEST_REQUEST_MS = 60_000  # a later deadline is cut to this
 LINGER_MS = 2_000  # time a target may take to stop a request past its deadline
 ENTRY_LEASE_MS = 1_200_000  # log outages longer than this stop keyed work
--- a/sesamehall/core/messages.py
+++ b/sesamehall/core/messages.py
@@ -9,6 +9,7 @@
 from immutables import Map
 
 from sesamehall.core.agreement import Agreed
+from sesamehall.core.data import EMPTY_MAP
 from sesamehall.core.data import Instance
 from sesamehall.core.data import NodeKind
 from sesamehall.core.records import LogEntry
@@ -148,10 +149,13 @@
     Attributes:
       running_by_team: Requests in flight for each team that changed.
       running_by_target: Requests in flight on each target that changed.
+      waiting_by_line: Requests that only lack a slot, counted up to a few,
+        for each line "service/team" that changed.
     """
 
     running_by_team: Map[str, int]
     running_by_target: Map[str, int]
+    waiting_by_line: Map[str, int] = EMPTY_MAP
 
 
 @dataclass(frozen=True, slots=True)
--- a/sesamehall/core/state.py
+++ b/sesamehall/core/state.py
@@ -50,6 +50,7 @@
       next_offset: First offset of the log that it has not applied.
       running_by_team: Requests that it said it has in flight.
       running_by_target: The same for each target.
+      waiting_by_line: Requests that it said wait for a slot alone.
     """
 
     name: str
@@ -58,6 +59,7 @@
     next_offset: int = 0
     running_by_team: Map[str, int] = EMPTY_MAP
     running_by_target: Map[str, int] = EMPTY_MAP
+    waiting_by_line: Map[str, int] = EMPTY_MAP
 
 
 @dataclass(frozen=True, slots=True)
@@ -130,7 +132,10 @@
       retry_budget_milli: Retries that may be spent, in thousandths.
       elsewhere_by_team: Requests that other entries have in flight.
       elsewhere_by_target: The same for each target.
+      elsewhere_by_line: Requests that wait for a slot at other entries.
+      reported_by_line: What was last reported of the own lines.
       instances: The platform's list, as a steward forwarded it.
+      report_due: Whether the timer of the next report is set.
       changed_teams: Teams whose load is not yet reported, mapped to True.
       changed_targets: The same for targets.
       calls_by_record_id: Job calls that wait for their record.
@@ -148,7 +153,10 @@
     retry_budget_milli: int = 10_000
     elsewhere_by_team: Map[str, int] = EMPTY_MAP
     elsewhere_by_target: Map[str, int] = EMPTY_MAP
+    elsewhere_by_line: Map[str, int] = EMPTY_MAP
+    reported_by_line: Map[str, int] = EMPTY_MAP
     instances: tuple[Instance, ...] = ()
+    report_due: bool = False
     changed_teams: Map[str, bool] = EMPTY_MAP
     changed_targets: Map[str, bool] = EMPTY_MAP
     calls_by_record_id: Map[str, str] = EMPTY_MAP
--- a/sesamehall/core/timers.py
+++ b/sesamehall/core/timers.py
@@ -13,6 +13,11 @@
     """Batches changes of the load before they are reported to peers."""
 
 
+@dataclass(frozen=True, slots=True)
+class YieldTimer:
+    """Slots left to other entries were not taken in time."""
+
+
 @dataclass(frozen=True, slots=True)
 class LingerTimer:
     """An attempt of unknown outcome can no longer be running.
@@ -81,6 +86,7 @@
 Timer = (
     BeatTimer
     | LoadTimer
+    | YieldTimer
     | LingerTimer
     | UnitsTimer
     | ProbeTimer
--- a/sesamehall/reducer/dispatching.py
+++ b/sesamehall/reducer/dispatching.py
@@ -2,6 +2,8 @@
 
 from sesamehall.core.effects import Dispatch
 from sesamehall.core.effects import log
+from sesamehall.core.effects import SetTimer
+from sesamehall.core.limits import YIELD_MS
 from sesamehall.core.logevents import REQUEST_ROUTED
 from sesamehall.core.replacing import replace
 from sesamehall.core.state import EntryState
@@ -10,55 +12,84 @@
 from sesamehall.core.state import Ticket
 from sesamehall.core.step import Step
 from sesamehall.core.step import then
+from sesamehall.core.timers import YieldTimer
 from sesamehall.reducer.allotments import has_place
 from sesamehall.reducer.allotments import seek_units
 from sesamehall.reducer.counts import add_count
+from sesamehall.reducer.load import line_name
 from sesamehall.reducer.load import note_load
+from sesamehall.reducer.load import plan_report
+from sesamehall.reducer.load import report_changes
 from sesamehall.reducer.queues import first_waiting
 from sesamehall.reducer.queues import take_first
 from sesamehall.reducer.routing import choose_target
 from sesamehall.reducer.shares import rank_team
 
 
-def dispatch_waiting(state: State, at_ms: int) -> Step:
+def dispatch_waiting(state: State, at_ms: int, patient: bool = True) -> Step:
     """Dispatch every waiting request for which there is room.
 
     Args:
       state: State of the entry.
       at_ms: The node's clock.
+      patient: Whether slots may be left to requests of other entries.
     Returns:
       A Step with the dispatches, and questions for units that are missing.
     """
     step = Step(state)
     for service in state.entry.lines_by_service:
-        step = then(step, _dispatch_service, service, at_ms)
+        step = then(step, _dispatch_service, service, at_ms, patient)
     for team in step.state.entry.waiting_by_team:
         step = then(step, seek_units, team, at_ms)
+    if step.state.entry.waiting_by_team:
+        step = then(step, plan_report, at_ms)
     return step
 
 
-def _dispatch_service(state, service, at_ms):
+def _dispatch_service(state, service, at_ms, patient):
     """Dispatch one service's requests until slots or places run out."""
     step = Step(state)
-    while True:
+    known = state.agreed.services_by_name.get(service)
+    while known is not None:
         ticket = _next_ticket(step.state, service, at_ms)
         if ticket is None:
             return step
-        pool = step.state.agreed.services_by_name[service].pool
-        target = choose_target(step.state, pool, ticket.tried)
+        target = choose_target(step.state, known.pool, ticket.tried)
         if target is None:
             return step
+        if patient and _is_outranked(step.state, service, ticket.team):
+            return then(step, _leave_slot, at_ms)
         step = then(step, _dispatch, ticket, target, at_ms)
+    return step
+
+
+def _is_outranked(state: State, service: str, team: str) -> bool:
+    """Tell whether another entry's request should have the slot.
+
+    That is one of a team so much worse off that it would still be so with
+    the slot; smaller differences are not worth the time.
+    """
+    rank = rank_team(state, team)
+    lines = state.entry.elsewhere_by_line
+    for other, limit in state.agreed.limits_by_team.items():
+        if other == team or line_name(service, other) not in lines:
+            continue
+        if rank_team(state, other) + 1 / limit.share < rank:
+            return True
+    return False
+
+
+def _leave_slot(state: State, at_ms: int) -> Step:
+    """Tell the others at once of a free slot, and look again soon."""
+    timer = SetTimer(YieldTimer(), at_ms + YIELD_MS)
+    return then(Step(state, (timer,)), report_changes, at_ms)
 
 
 def _next_ticket(state: State, service: str, at_ms: int) -> Ticket | None:
     """Choose the next request of a service by the teams' shares."""
     best = None
     best_rank = None
-    lines = state.entry.lines_by_service.get(service, {})
-    if service not in state.agreed.services_by_name:
-        return None
-    for team, line in lines.items():
+    for team, line in state.entry.lines_by_service.get(service, {}).items():
         if not has_place(state, team, at_ms):
             continue
         ticket = first_waiting(state.entry, line)
--- a/sesamehall/reducer/lifecycle.py
+++ b/sesamehall/reducer/lifecycle.py
@@ -152,7 +152,7 @@
     step = then(step, repeat_questions)
     for peer in state.peers_by_name.values():
         step = then(step, resend_units, peer)
-    step = then(step, report_changes)
+    step = then(step, report_changes, at_ms)
     step = then(step, report_drained)
     return then(step, pursue_stop, at_ms)
 
--- a/sesamehall/reducer/load.py
+++ b/sesamehall/reducer/load.py
@@ -10,6 +10,7 @@
 from sesamehall.core.data import NodeKind
 from sesamehall.core.effects import Send
 from sesamehall.core.effects import SetTimer
+from sesamehall.core.limits import LINE_REPORT_MOST
 from sesamehall.core.limits import LOAD_REPORT_MS
 from sesamehall.core.messages import LoadReported
 from sesamehall.core.replacing import replace
@@ -18,6 +19,7 @@
 from sesamehall.core.state import State
 from sesamehall.core.step import Step
 from sesamehall.core.timers import LoadTimer
+from sesamehall.reducer.allotments import has_place
 from sesamehall.reducer.counts import shift_counts
 
 
@@ -33,33 +35,63 @@
       A Step; it sets the timer of the report if none is set.
     """
     entry = state.entry
-    pending = bool(entry.changed_teams)
     changed = replace(
         entry,
         changed_teams=entry.changed_teams.set(team, True),
         changed_targets=entry.changed_targets.set(target, True),
     )
-    effects = ()
-    if not pending:
-        effects = (SetTimer(LoadTimer(), at_ms + LOAD_REPORT_MS),)
-    return Step(replace(state, entry=changed), effects)
+    return plan_report(replace(state, entry=changed), at_ms)
 
 
-def report_changes(state: State) -> Step:
+def plan_report(state: State, at_ms: int) -> Step:
+    """Set the timer of the next report, unless it is set.
+
+    Args:
+      state: State of the entry.
+      at_ms: The node's clock.
+    Returns:
+      A Step with the timer, or none.
+    """
+    if state.entry.report_due:
+        return Step(state)
+    timer = SetTimer(LoadTimer(), at_ms + LOAD_REPORT_MS)
+    entry = replace(state.entry, report_due=True)
+    return Step(replace(state, entry=entry), (timer,))
+
+
+def report_changes(state: State, at_ms: int) -> Step:
     """Report the load that has changed since the last report.
 
     Args:
       state: State of the entry.
+      at_ms: The node's clock.
     Returns:
-      A Step with a message to every entry.
+      A Step with a message to every entry, or none without a change.
     """
     entry = state.entry
+    lines = _count_lines(state, at_ms)
+    gone = Map((line, 0) for line in entry.reported_by_line)
+    changed_lines = Map(
+        (line, count)
+        for line, count in gone.update(lines).items()
+        if count != entry.reported_by_line.get(line, 0)
+    )
     report = LoadReported(
         _pick(entry.running_by_team, entry.changed_teams),
         _pick(entry.running_by_target, entry.changed_targets),
+        changed_lines,
+    )
+    cleared = replace(
+        entry,
+        report_due=False,
+        changed_teams=Map(),
+        changed_targets=Map(),
+        reported_by_line=lines,
     )
-    cleared = replace(entry, changed_teams=Map(), changed_targets=Map())
-    return _send_all(replace(state, entry=cleared), report)
+    state = replace(state, entry=cleared)
+    if not (report.running_by_team or report.waiting_by_line):
+        return Step(state)
+    return _send_all(state, report)
 
 
 def report_whole(state: State, peer: str) -> Step:
@@ -72,7 +104,11 @@
       A Step with one message.
     """
     entry = state.entry
-    report = LoadReported(entry.running_by_team, entry.running_by_target)
+    report = LoadReported(
+        entry.running_by_team,
+        entry.running_by_target,
+        entry.reported_by_line,
+    )
     return Step(state, (Send(peer, report),))
 
 
@@ -92,6 +128,7 @@
         running_by_target=peer.running_by_target.update(
             report.running_by_target
         ),
+        waiting_by_line=peer.waiting_by_line.update(report.waiting_by_line),
     )
     entry = _shift(state.entry, peer, report)
     peers = state.peers_by_name.set(peer.name, changed)
@@ -110,6 +147,7 @@
     nothing = LoadReported(
         Map((team, 0) for team in peer.running_by_team),
         Map((target, 0) for target in peer.running_by_target),
+        Map((line, 0) for line in peer.waiting_by_line),
     )
     return _shift(entry, peer, nothing)
 
@@ -127,9 +165,38 @@
             peer.running_by_target,
             report.running_by_target,
         ),
+        elsewhere_by_line=shift_counts(
+            entry.elsewhere_by_line,
+            peer.waiting_by_line,
+            report.waiting_by_line,
+        ),
     )
 
 
+def line_name(service: str, team: str) -> str:
+    """Name a line among those of all services.
+
+    Args:
+      service: Name of the service.
+      team: Name of the team.
+    Returns:
+      The name, as reports carry it.
+    """
+    return f"{service}/{team}"
+
+
+def _count_lines(state: State, at_ms: int) -> Map[str, int]:
+    """Count the requests that only lack a slot, up to a few a line."""
+    counts = {}
+    for service, lines in state.entry.lines_by_service.items():
+        for team, line in lines.items():
+            if has_place(state, team, at_ms):
+                waiting = len(line.urgent) + len(line.normal)
+                name = line_name(service, team)
+                counts[name] = min(waiting, LINE_REPORT_MOST)
+    return Map(counts)
+
+
 def _pick(counts, names):
     return Map((name, counts.get(name, 0)) for name in names)
 
--- a/sesamehall/reducer/reduce.py
+++ b/sesamehall/reducer/reduce.py
@@ -34,6 +34,7 @@
 from sesamehall.core.timers import ReadLogTimer
 from sesamehall.core.timers import TaskTimer
 from sesamehall.core.timers import UnitsTimer
+from sesamehall.core.timers import YieldTimer
 from sesamehall.reducer.admission import receive_request
 from sesamehall.reducer.allotments import review_question
 from sesamehall.reducer.answers import drop_gone
@@ -144,7 +145,9 @@
         case BeatTimer():
             return beat(state, at_ms)
         case LoadTimer():
-            return report_changes(state)
+            return report_changes(state, at_ms)
+        case YieldTimer():
+            return dispatch_waiting(state, at_ms, patient=False)
         case LingerTimer(attempt):
             step = end_linger(state, attempt, at_ms)
             return then(step, pursue_stop, at_ms)
--- a/sesamehall/reducer/requests_test.py
+++ b/sesamehall/reducer/requests_test.py
@@ -198,6 +198,7 @@
         retry_budget_milli=state.entry.retry_budget_milli,
         changed_teams=state.entry.changed_teams,
         changed_targets=state.entry.changed_targets,
+        report_due=state.entry.report_due,
     )
 
 
