Run a caller's request id at most once, whichever entry receives it

Change: three entries chosen by the id vote, two must grant; a restarted holder is blind until every other entry has told it what it should remember; what cannot be shown safe is refused with 2017, a known repeat with 3004. Ruled out: one owner and a second memory (an owner's death refuses a ninth of all ids until its lease is over); the log (several hundred appends a second are fewer than the requests at today's size).

--- a/bench/driver.py
+++ b/bench/driver.py
@@ -117,6 +117,7 @@
     Attributes:
       team: Team that it is charged to.
       service: Service that it was handed in to.
+      request_id: Identifier of the request.
       caller_id: The caller's id, or the request's own.
       host: Entry that sent it.
       ceiling: Team's ceiling as that entry knew it.
@@ -124,6 +125,7 @@
 
     team: str
     service: str
+    request_id: str
     caller_id: str
     host: str
     ceiling: int
@@ -493,6 +495,7 @@
         run = Run(
             ticket.team,
             ticket.request.service,
+            dispatch.request_id,
             caller_id,
             host.node.name,
             limit.ceiling,
--- a/sesamehall/core/agreement.py
+++ b/sesamehall/core/agreement.py
@@ -111,6 +111,7 @@
       withdrawn_key_ids: Keys that must never work again, mapped to True.
       role: Who places, moves and maintains.
       members_by_incarnation: Entries that take part in the ceilings.
+      first_incarnation_by_name: The first incarnation of each entry's name.
       account_by_team: Units in the log's own account, less the whole
         ceiling that every account begins with.
       settlement: Units of gone incarnations that are being collected.
@@ -136,6 +137,7 @@
     withdrawn_key_ids: Map[str, bool] = EMPTY_MAP
     role: Role = Role()
     members_by_incarnation: Map[str, EntryMember] = EMPTY_MAP
+    first_incarnation_by_name: Map[str, str] = EMPTY_MAP
     account_by_team: Map[str, int] = EMPTY_MAP
     settlement: Settlement = Settlement()
     placements_by_instance: Map[str, Placement] = EMPTY_MAP
--- a/sesamehall/core/codes.py
+++ b/sesamehall/core/codes.py
@@ -98,11 +98,11 @@
 JOB_IMPOSSIBLE = _not_run(
     2016, "job can never run", 422, "Declare a size that a worker has."
 )
-REPEATED = _not_run(
+NOT_SAFE = _not_run(
     2017,
-    "caller id in use",
-    409,
-    "Await the first request with this id, or choose a new id.",
+    "single run not assured",
+    503,
+    "Send it again after a pause, with the same id.",
 )
 
 LOST = _unknown(
@@ -117,6 +117,12 @@
     504,
     "The request may still run; check before sending it again.",
 )
+REPEATED = _unknown(
+    3004,
+    "caller id used before",
+    409,
+    "This repeat did not run; what became of the first is not known here.",
+)
 JOB_UNKNOWN = _unknown(
     3003,
     "job record unconfirmed",
@@ -145,10 +151,11 @@
     LOG_UNREACHABLE,
     NO_SUCH_JOB,
     JOB_IMPOSSIBLE,
-    REPEATED,
+    NOT_SAFE,
     LOST,
     TIMED_OUT,
     JOB_UNKNOWN,
+    REPEATED,
 )
 
 RESULT_CODES_BY_NUMBER = {code.number: code for code in RESULT_CODES}
--- a/sesamehall/core/limits.py
+++ b/sesamehall/core/limits.py
@@ -30,3 +30,6 @@
 ASIDE_MOST_MS = 16_000  # a sick target is probed at least this often
 BUSY_MS = 20  # pause for a target that declined because it was full
 LEAVE_WAIT_MS = 4_000  # a stopping entry waits this long for the log at most
+CLAIM_MEMORY_MS = 600_000  # a caller's id handed in again later may run again
+CLAIM_WAIT_MS = 1_000  # an id without enough votes by then is not run
+CLAIM_HOLDERS = 3  # entries that remember an id; two of them must grant it
--- a/sesamehall/core/messages.py
+++ b/sesamehall/core/messages.py
@@ -5,6 +5,7 @@
 """
 
 from dataclasses import dataclass
+from enum import Enum
 
 from immutables import Map
 
@@ -158,6 +159,74 @@
     waiting_by_line: Map[str, int] = EMPTY_MAP
 
 
+class Vote(Enum):
+    """A holder's answer to a claim of a caller's request id."""
+
+    GRANTED = "granted"
+    TAKEN = "taken"
+    BLIND = "blind"
+
+
+@dataclass(frozen=True, slots=True)
+class ClaimAsked:
+    """Asks a holder to reserve a caller's request id.
+
+    Attributes:
+      name: The id among those of all teams.
+      owner: Request that claims it; asking again is harmless.
+    """
+
+    name: str
+    owner: str
+
+
+@dataclass(frozen=True, slots=True)
+class ClaimAnswered:
+    """A holder's vote.
+
+    Attributes:
+      name: The id among those of all teams.
+      owner: Request that claims it.
+      vote: Granted, taken by another request, or blind: the holder cannot
+        know whether it has granted it to another.
+    """
+
+    name: str
+    owner: str
+    vote: Vote
+
+
+@dataclass(frozen=True, slots=True)
+class ClaimReleased:
+    """The request that holds an id will certainly never run.
+
+    Attributes:
+      name: The id among those of all teams.
+      owner: Request that claimed it.
+    """
+
+    name: str
+    owner: str
+
+
+@dataclass(frozen=True, slots=True)
+class ClaimsAsked:
+    """A restarted holder asks for the claims that it should remember."""
+
+
+@dataclass(frozen=True, slots=True)
+class ClaimsTold:
+    """What a peer remembers of the receiver's claims.
+
+    Attributes:
+      owner_by_name: Claims that the receiver is a holder of.
+      blind: Whether the sender itself does not remember all of them.
+    """
+
+    owner_by_name: Map[str, str]
+    blind: bool
+
+
 @dataclass(frozen=True, slots=True)
 class DrainReported:
     """The sender has nothing in flight on an instance and sends no more.
@@ -193,6 +262,11 @@
     | UnitsSent
     | UnitsReceived
     | LoadReported
+    | ClaimAsked
+    | ClaimAnswered
+    | ClaimReleased
+    | ClaimsAsked
+    | ClaimsTold
     | DrainReported
     | AppendRequested
 )
--- a/sesamehall/core/state.py
+++ b/sesamehall/core/state.py
@@ -126,7 +126,6 @@
       running_by_team: Requests in flight, lingering ones included.
       running_by_target: The same for each target.
       lingering_by_attempt: Broken attempts that may still be running.
-      request_id_by_caller_id: Callers' ids in use, as "team/id".
       targets_by_name: Instances that requests may go to.
       targets_by_pool: Their names for each pool, sorted.
       retry_budget_milli: Retries that may be spent, in thousandths.
@@ -147,7 +146,6 @@
     running_by_team: Map[str, int] = EMPTY_MAP
     running_by_target: Map[str, int] = EMPTY_MAP
     lingering_by_attempt: Map[str, Ticket] = EMPTY_MAP
-    request_id_by_caller_id: Map[str, str] = EMPTY_MAP
     targets_by_name: Map[str, Target] = EMPTY_MAP
     targets_by_pool: Map[str, tuple[str, ...]] = EMPTY_MAP
     retry_budget_milli: int = 10_000
@@ -162,6 +160,61 @@
     calls_by_record_id: Map[str, str] = EMPTY_MAP
 
 
+@dataclass(frozen=True, slots=True)
+class Claim:
+    """A caller's request id that this holder has granted.
+
+    Attributes:
+      owner: Request that it was granted to.
+      holders: Names of the entries that may grant it.
+    """
+
+    owner: str
+    holders: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Ballot:
+    """A request that waits for its caller's id to be granted.
+
+    Attributes:
+      ticket: The request.
+      holders: Names of the entries that may grant the id.
+      granted: Those that have.
+      denied: Those that could not.
+      taken: Whether one said that another request has the id.
+    """
+
+    ticket: Ticket
+    holders: tuple[str, ...]
+    granted: tuple[str, ...] = ()
+    denied: tuple[str, ...] = ()
+    taken: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Claims:
+    """What an entry knows of callers' request ids that must run once.
+
+    Attributes:
+      newer_by_name: Claims granted in this period.
+      older_by_name: Claims granted in the period before.
+      period_ms: Clock at which this period began.
+      began_ms: Clock at which the process began.
+      sighted: Whether all claims of the last period are remembered.
+      told: Peers that have told what they remember, mapped to True.
+      ballots_by_request_id: Requests that wait for votes.
+    """
+
+    newer_by_name: Map[str, Claim] = EMPTY_MAP
+    older_by_name: Map[str, Claim] = EMPTY_MAP
+    period_ms: int = 0
+    began_ms: int = 0
+    sighted: bool = False
+    told: Map[str, bool] = EMPTY_MAP
+    ballots_by_request_id: Map[str, Ballot] = EMPTY_MAP
+
+
 @dataclass(frozen=True, slots=True)
 class Want:
     """Units of a team's ceiling that a peer asked for.
@@ -265,6 +318,7 @@
       proposals_by_record_id: Records not read back yet.
       entry: An entry's part; stays empty in a steward.
       allotments: An entry's part of the ceilings.
+      claims: Callers' request ids that an entry remembers.
       steward: A steward's part; stays empty in an entry.
     """
 
@@ -277,4 +331,5 @@
     proposals_by_record_id: Map[str, Record] = EMPTY_MAP
     entry: EntryState = EntryState()
     allotments: Allotments = Allotments()
+    claims: Claims = Claims()
     steward: StewardState = StewardState()
--- a/sesamehall/core/timers.py
+++ b/sesamehall/core/timers.py
@@ -18,6 +18,17 @@
     """Slots left to other entries were not taken in time."""
 
 
+@dataclass(frozen=True, slots=True)
+class ClaimTimer:
+    """Votes for a caller's request id are overdue.
+
+    Attributes:
+      request_id: Identifier of the request.
+    """
+
+    request_id: str
+
+
 @dataclass(frozen=True, slots=True)
 class LingerTimer:
     """An attempt of unknown outcome can no longer be running.
@@ -87,6 +98,7 @@
     BeatTimer
     | LoadTimer
     | YieldTimer
+    | ClaimTimer
     | LingerTimer
     | UnitsTimer
     | ProbeTimer
--- a/sesamehall/reducer/accounts.py
+++ b/sesamehall/reducer/accounts.py
@@ -101,7 +101,11 @@
     if known or body.incarnation in agreed.settlement.gone:
         return agreed, Verdict.ALREADY_DONE
     member = EntryMember(body.name, body.incarnation, offset)
-    return _with_member(agreed, member), Verdict.ACCEPTED
+    firsts = agreed.first_incarnation_by_name
+    if body.name not in firsts:
+        firsts = firsts.set(body.name, body.incarnation)
+    changed = replace(agreed, first_incarnation_by_name=firsts)
+    return _with_member(changed, member), Verdict.ACCEPTED
 
 
 def renew_entry(agreed: Agreed, body: EntryRenewed, offset: int) -> Judged:
--- a/sesamehall/reducer/admission.py
+++ b/sesamehall/reducer/admission.py
@@ -10,24 +10,22 @@
 from sesamehall.core.codes import NOT_ADMITTED
 from sesamehall.core.codes import NOT_READY
 from sesamehall.core.codes import QUEUE_FULL
-from sesamehall.core.codes import REPEATED
 from sesamehall.core.codes import ResultCode
 from sesamehall.core.codes import STOPPING
 from sesamehall.core.data import PresentedKey
 from sesamehall.core.data import Request
-from sesamehall.core.effects import log
-from sesamehall.core.effects import Reply
 from sesamehall.core.events import RequestReceived
 from sesamehall.core.limits import LONGEST_REQUEST_MS
-from sesamehall.core.logevents import REQUEST_REFUSED
 from sesamehall.core.replacing import replace
 from sesamehall.core.state import Phase
 from sesamehall.core.state import State
 from sesamehall.core.state import Ticket
 from sesamehall.core.step import Step
+from sesamehall.reducer.claims import needs_claim
+from sesamehall.reducer.claims import seek_claim
 from sesamehall.reducer.dispatching import dispatch_waiting
-from sesamehall.reducer.queues import caller_name
 from sesamehall.reducer.queues import enqueue
+from sesamehall.reducer.refusals import refuse
 
 ABSENT_DIGEST = bytes(32)  # compared for unknown keys, to take equal time
 
@@ -74,29 +72,12 @@
             return refuse(state, request.request_id, code, detail)
         case Admitted(team):
             ticket = Ticket(request, team, event.at_ms)
+            if needs_claim(request):
+                return seek_claim(state, ticket, event.at_ms)
             queued = enqueue(state, ticket)
             return dispatch_waiting(queued, event.at_ms)
 
 
-def refuse(
-    state: State, request_id: str, code: ResultCode, detail: str
-) -> Step:
-    """Refuse a request or a job call.
-
-    Args:
-      state: State of the entry, returned unchanged.
-      request_id: Identifier of the request or call.
-      code: The result code.
-      detail: What exactly, for a person to read.
-    Returns:
-      A Step with the reply and its log line.
-    """
-    line = log(
-        REQUEST_REFUSED, request=request_id, code=code.number, detail=detail
-    )
-    return Step(state, (Reply(request_id, code, detail), line))
-
-
 def admit(state: State, request: Request) -> Admission:
     """Decide whether a request may be taken, and for which team.
 
@@ -160,10 +141,6 @@
     waiting = state.entry.waiting_by_team.get(team, 0)
     if waiting >= state.identity.queue_limit:
         return Refused(QUEUE_FULL, f"{waiting} of {team} are waiting")
-    if request.caller_id is not None:
-        name = caller_name(team, request.caller_id)
-        if name in state.entry.request_id_by_caller_id:
-            return Refused(REPEATED, request.caller_id)
     return Admitted(team)
 
 
--- a/sesamehall/reducer/answers.py
+++ b/sesamehall/reducer/answers.py
@@ -32,9 +32,10 @@
 from sesamehall.core.step import Step
 from sesamehall.core.step import then
 from sesamehall.core.timers import LingerTimer
-from sesamehall.reducer.admission import refuse
 from sesamehall.reducer.allotments import even_out
 from sesamehall.reducer.allotments import give_wanted
+from sesamehall.reducer.claims import pass_ballot_deadline
+from sesamehall.reducer.claims import release_claim
 from sesamehall.reducer.counts import add_count
 from sesamehall.reducer.dispatching import dispatch_waiting
 from sesamehall.reducer.health import note_failure
@@ -43,6 +44,7 @@
 from sesamehall.reducer.load import note_load
 from sesamehall.reducer.queues import forget
 from sesamehall.reducer.queues import requeue
+from sesamehall.reducer.refusals import refuse
 
 
 def finish_attempt(state: State, event: TargetAnswered) -> Step:
@@ -92,7 +94,9 @@
       A Step with the refusal, or none.
     """
     ticket = state.entry.tickets_by_request_id.get(event.request_id)
-    if ticket is None or ticket.target:
+    if ticket is None:
+        return pass_ballot_deadline(state, event.request_id)
+    if ticket.target:
         return Step(state)
     return _give_up(state, ticket, event.at_ms)
 
@@ -142,9 +146,17 @@
     waiting = state.entry.tickets_by_request_id[request_id]
     entry = forget(state.entry, waiting)
     detail = f"waited {at_ms - ticket.received_ms} ms"
-    return refuse(
-        replace(state, entry=entry), request_id, DEADLINE_PASSED, detail
-    )
+    step = _release_unless_begun(replace(state, entry=entry), waiting)
+    return then(step, refuse, request_id, DEADLINE_PASSED, detail)
+
+
+def _release_unless_begun(state, ticket):
+    """Give a caller's id back when no attempt can have run."""
+    prefix = f"{ticket.request.request_id}#"
+    for attempt in state.entry.lingering_by_attempt:
+        if attempt.startswith(prefix):
+            return Step(state)
+    return release_claim(state, ticket)
 
 
 def _complete(state, ticket, status, at_ms):
@@ -190,14 +202,11 @@
         return _put_back(state, ticket, (ticket.target,), at_ms)
     step = _release(state, ticket, at_ms)
     entry = forget(step.state.entry, ticket)
-    state = replace(step.state, entry=entry)
-    refusal = refuse(
-        state,
-        ticket.request.request_id,
-        TARGETS_UNREACHABLE,
-        f"{ticket.attempt} attempts",
-    )
-    return Step(refusal.state, step.effects + refusal.effects)
+    step = Step(replace(step.state, entry=entry), step.effects)
+    step = then(step, _release_unless_begun, ticket)
+    detail = f"{ticket.attempt} attempts"
+    request_id = ticket.request.request_id
+    return then(step, refuse, request_id, TARGETS_UNREACHABLE, detail)
 
 
 def _break_off(state, ticket, timed_out, at_ms):
--- /dev/null
+++ b/sesamehall/reducer/claims.py
@@ -0,0 +1,396 @@
+"""Claims: a caller's request id that must not run twice runs at most once.
+
+Three entries chosen by the id remember it, in different data centres where
+there are some; a request may run only when two of them have granted its id.
+Any two such majorities share an entry, so two requests with one id never both
+get one, whichever entries received them and however the network is cut.  A
+holder that was restarted says that it is blind until it has learnt from
+every other entry what it should remember, or until all of that is too old to
+matter.
+"""
+
+from hashlib import blake2b
+
+from immutables import Map
+
+from sesamehall.core.codes import DEADLINE_PASSED
+from sesamehall.core.codes import NOT_SAFE
+from sesamehall.core.codes import REPEATED
+from sesamehall.core.codes import ResultCode
+from sesamehall.core.data import Node
+from sesamehall.core.data import NodeKind
+from sesamehall.core.data import Request
+from sesamehall.core.effects import Send
+from sesamehall.core.effects import SetTimer
+from sesamehall.core.limits import CLAIM_HOLDERS
+from sesamehall.core.limits import CLAIM_MEMORY_MS
+from sesamehall.core.limits import CLAIM_WAIT_MS
+from sesamehall.core.messages import ClaimAnswered
+from sesamehall.core.messages import ClaimAsked
+from sesamehall.core.messages import ClaimReleased
+from sesamehall.core.messages import ClaimsAsked
+from sesamehall.core.messages import ClaimsTold
+from sesamehall.core.messages import Vote
+from sesamehall.core.replacing import replace
+from sesamehall.core.state import Ballot
+from sesamehall.core.state import Claim
+from sesamehall.core.state import Claims
+from sesamehall.core.state import Peer
+from sesamehall.core.state import State
+from sesamehall.core.state import Ticket
+from sesamehall.core.step import Step
+from sesamehall.core.step import then
+from sesamehall.core.timers import ClaimTimer
+from sesamehall.reducer.counts import drop_key
+from sesamehall.reducer.dispatching import dispatch_waiting
+from sesamehall.reducer.queues import enqueue
+from sesamehall.reducer.refusals import refuse
+
+
+def needs_claim(request: Request) -> bool:
+    """Tell whether a request's id must be claimed before it may run.
+
+    Args:
+      request: The request.
+    Returns:
+      True for a request with a caller's id that must not run twice.
+    """
+    return request.caller_id is not None and not request.idempotent
+
+
+def claim_name(ticket: Ticket) -> str:
+    """Name a caller's own request id among those of all teams.
+
+    Args:
+      ticket: The request, with the team that it is charged to.
+    Returns:
+      The name under which the id is remembered.
+    """
+    return f"{ticket.team}/{ticket.request.caller_id}"
+
+
+def seek_claim(state: State, ticket: Ticket, at_ms: int) -> Step:
+    """Ask the holders of a request's id for their votes.
+
+    Args:
+      state: State of the entry.
+      ticket: The admitted request.
+      at_ms: The node's clock.
+    Returns:
+      A Step with the questions; the entry itself may be a holder.
+    """
+    name = claim_name(ticket)
+    request_id = ticket.request.request_id
+    holders = choose_holders(state, name)
+    own = state.identity.node.name
+    question = ClaimAsked(name, request_id)
+    sends = tuple(Send(h, question) for h in holders if h != own)
+    timer = SetTimer(ClaimTimer(request_id), at_ms + CLAIM_WAIT_MS)
+    ballot = Ballot(ticket, holders)
+    step = Step(_with_ballot(state, ballot), sends + (timer,))
+    if own not in holders:
+        return step
+    granted, vote = _vote(step.state, name, request_id, holders)
+    step = Step(granted, step.effects)
+    answer = ClaimAnswered(name, request_id, vote)
+    return then(step, take_vote, own, answer, at_ms)
+
+
+def choose_holders(state: State, name: str) -> tuple[str, ...]:
+    """Choose the entries that remember an id, the same on every entry.
+
+    Args:
+      state: State of any entry; only names and data centres count.
+      name: The id among those of all teams.
+    Returns:
+      Up to three names, of as many data centres as there are.
+    """
+    nodes = [state.identity.node]
+    nodes += state.identity.peers_by_name.values()
+    entries = [node for node in nodes if node.kind is NodeKind.ENTRY]
+    ranked = sorted(entries, key=lambda node: _weigh(node, name))
+    first_by_centre: dict[str, Node] = {}
+    for node in ranked:
+        first_by_centre.setdefault(node.data_centre, node)
+    spread = list(first_by_centre.values())
+    rest = [node for node in ranked if node not in spread]
+    return tuple(node.name for node in (spread + rest)[:CLAIM_HOLDERS])
+
+
+def answer_claim(state: State, peer: Peer, question: ClaimAsked) -> Step:
+    """Vote on a claim of another entry's request.
+
+    Args:
+      state: State of the entry.
+      peer: The entry that asks.
+      question: The claim.
+    Returns:
+      A Step with the vote.
+    """
+    holders = choose_holders(state, question.name)
+    state, vote = _vote(state, question.name, question.owner, holders)
+    answer = ClaimAnswered(question.name, question.owner, vote)
+    return Step(state, (Send(peer.name, answer),))
+
+
+def take_vote(
+    state: State, holder: str, answer: ClaimAnswered, at_ms: int
+) -> Step:
+    """Count a holder's vote.
+
+    Args:
+      state: State of the entry.
+      holder: Name of the entry that voted.
+      answer: Its vote.
+      at_ms: The node's clock.
+    Returns:
+      A Step that lets the request wait for a slot, refuses it, or waits for
+      more votes.
+    """
+    ballot = state.claims.ballots_by_request_id.get(answer.owner)
+    if ballot is None or holder in ballot.granted + ballot.denied:
+        return Step(state)
+    if answer.vote is Vote.GRANTED:
+        ballot = replace(ballot, granted=ballot.granted + (holder,))
+    else:
+        taken = ballot.taken or answer.vote is Vote.TAKEN
+        denied = ballot.denied + (holder,)
+        ballot = replace(ballot, denied=denied, taken=taken)
+    needed = len(ballot.holders) // 2 + 1
+    if len(ballot.granted) >= needed:
+        state = _without_ballot(state, answer.owner)
+        return dispatch_waiting(enqueue(state, ballot.ticket), at_ms)
+    if len(ballot.holders) - len(ballot.denied) < needed:
+        return _refuse_ballot(state, ballot, _why(ballot))
+    return Step(_with_ballot(state, ballot))
+
+
+def end_ballot(state: State, request_id: str) -> Step:
+    """Refuse a request whose votes are overdue.
+
+    Args:
+      state: State of the entry.
+      request_id: Identifier of the request.
+    Returns:
+      A Step with the refusal, or none for one that was decided.
+    """
+    ballot = state.claims.ballots_by_request_id.get(request_id)
+    if ballot is None:
+        return Step(state)
+    return _refuse_ballot(state, ballot, _why(ballot))
+
+
+def pass_ballot_deadline(state: State, request_id: str) -> Step:
+    """Refuse a request whose caller's time is over before its votes came.
+
+    Args:
+      state: State of the entry.
+      request_id: Identifier of the request.
+    Returns:
+      A Step with the refusal, or none for one without a ballot.
+    """
+    ballot = state.claims.ballots_by_request_id.get(request_id)
+    if ballot is None:
+        return Step(state)
+    return _refuse_ballot(state, ballot, DEADLINE_PASSED)
+
+
+def release_claim(state: State, ticket: Ticket) -> Step:
+    """Give an id back when its request has certainly not run.
+
+    Args:
+      state: State of the entry.
+      ticket: The request, refused before any byte of it left.
+    Returns:
+      A Step with messages to the holders; one that is lost leaves the id
+      in use, which is safe.
+    """
+    if not needs_claim(ticket.request):
+        return Step(state)
+    name = claim_name(ticket)
+    owner = ticket.request.request_id
+    message = ClaimReleased(name, owner)
+    own = state.identity.node.name
+    holders = choose_holders(state, name)
+    sends = tuple(Send(h, message) for h in holders if h != own)
+    return Step(take_release(state, message), sends)
+
+
+def take_release(state: State, message: ClaimReleased) -> State:
+    """Forget a claim that its owner has given back.
+
+    Args:
+      state: State of the entry.
+      message: The claim.
+    Returns:
+      The state without it; another owner's claim stays.
+    """
+    claims = state.claims
+    newer = _drop_owned(claims.newer_by_name, message)
+    older = _drop_owned(claims.older_by_name, message)
+    claims = replace(claims, newer_by_name=newer, older_by_name=older)
+    return replace(state, claims=claims)
+
+
+def begin_memory(state: State, at_ms: int) -> State:
+    """Begin to remember, at the start of the process.
+
+    Args:
+      state: State of the entry.
+      at_ms: The node's clock.
+    Returns:
+      The state, blind unless no other entry exists.
+    """
+    claims = Claims(period_ms=at_ms, began_ms=at_ms)
+    return replace(state, claims=claims)
+
+
+def turn_memory(state: State, at_ms: int) -> State:
+    """Drop what is too old to matter, and notice that sight has come.
+
+    Args:
+      state: State of the entry.
+      at_ms: The node's clock.
+    Returns:
+      The state.
+    """
+    claims = state.claims
+    if at_ms - claims.period_ms >= CLAIM_MEMORY_MS:
+        claims = replace(
+            claims,
+            older_by_name=claims.newer_by_name,
+            newer_by_name=Map(),
+            period_ms=at_ms,
+        )
+    if not claims.sighted and _can_see(state, at_ms):
+        claims = replace(claims, sighted=True)
+    if claims is state.claims:
+        return state
+    return replace(state, claims=claims)
+
+
+def ask_memory(state: State, peer: Peer) -> Step:
+    """Ask a peer for the claims that this entry should remember.
+
+    Args:
+      state: State of the entry.
+      peer: The peer, whose stream is new.
+    Returns:
+      A Step with the question, or none for an entry with its memory.
+    """
+    if state.claims.sighted or peer.name in state.claims.told:
+        return Step(state)
+    return Step(state, (Send(peer.name, ClaimsAsked()),))
+
+
+def tell_memory(state: State, peer: Peer) -> Step:
+    """Tell a peer which claims it should remember.
+
+    Args:
+      state: State of the entry.
+      peer: The peer.
+    Returns:
+      A Step with one message.
+    """
+    owners = {}
+    claims = state.claims
+    for claims_by_name in (claims.older_by_name, claims.newer_by_name):
+        for name, claim in claims_by_name.items():
+            if peer.name in claim.holders:
+                owners[name] = claim.owner
+    told = ClaimsTold(Map(owners), blind=not claims.sighted)
+    return Step(state, (Send(peer.name, told),))
+
+
+def take_memory(
+    state: State, peer: Peer, message: ClaimsTold, at_ms: int
+) -> State:
+    """Take in what a peer remembers.
+
+    Args:
+      state: State of the entry.
+      peer: The peer.
+      message: Its claims that this entry is a holder of.
+      at_ms: The node's clock.
+    Returns:
+      The state, sighted once every peer with its memory has told.
+    """
+    newer = state.claims.newer_by_name
+    for name, owner in message.owner_by_name.items():
+        if _find(state.claims, name) is None:
+            newer = newer.set(name, Claim(owner, choose_holders(state, name)))
+    claims = replace(state.claims, newer_by_name=newer)
+    if not message.blind:
+        claims = replace(claims, told=claims.told.set(peer.name, True))
+    return turn_memory(replace(state, claims=claims), at_ms)
+
+
+def _weigh(node: Node, name: str) -> bytes:
+    """Give an entry its weight for an id: the smallest is first."""
+    return blake2b(f"{node.name}/{name}".encode(), digest_size=8).digest()
+
+
+def _vote(state: State, name: str, owner: str, holders: tuple[str, ...]):
+    """Grant an id unless another request has it, or may have it."""
+    known = _find(state.claims, name)
+    if known is not None:
+        granted = known.owner == owner
+        return state, Vote.GRANTED if granted else Vote.TAKEN
+    if not state.claims.sighted:
+        return state, Vote.BLIND
+    newer = state.claims.newer_by_name.set(name, Claim(owner, holders))
+    claims = replace(state.claims, newer_by_name=newer)
+    return replace(state, claims=claims), Vote.GRANTED
+
+
+def _find(claims: Claims, name: str) -> Claim | None:
+    return claims.newer_by_name.get(name) or claims.older_by_name.get(name)
+
+
+def _can_see(state: State, at_ms: int) -> bool:
+    """Tell whether this entry remembers all that it may have granted."""
+    identity = state.identity
+    first = state.agreed.first_incarnation_by_name.get(identity.node.name)
+    if first == identity.incarnation:
+        return True
+    if at_ms - state.claims.began_ms >= CLAIM_MEMORY_MS:
+        return True
+    peers = identity.peers_by_name.values()
+    return all(
+        node.name in state.claims.told
+        for node in peers
+        if node.kind is NodeKind.ENTRY
+    )
+
+
+def _why(ballot: Ballot) -> ResultCode:
+    return REPEATED if ballot.taken else NOT_SAFE
+
+
+def _refuse_ballot(state: State, ballot: Ballot, code: ResultCode) -> Step:
+    """Refuse a request without a majority, and give back its grants."""
+    request_id = ballot.ticket.request.request_id
+    state = _without_ballot(state, request_id)
+    step = release_claim(state, ballot.ticket)
+    detail = f"{len(ballot.granted)} of {len(ballot.holders)} votes"
+    return then(step, refuse, request_id, code, detail)
+
+
+def _drop_owned(claims_by_name, message):
+    claim = claims_by_name.get(message.name)
+    if claim is None or claim.owner != message.owner:
+        return claims_by_name
+    return claims_by_name.delete(message.name)
+
+
+def _with_ballot(state, ballot):
+    request_id = ballot.ticket.request.request_id
+    ballots = state.claims.ballots_by_request_id.set(request_id, ballot)
+    claims = replace(state.claims, ballots_by_request_id=ballots)
+    return replace(state, claims=claims)
+
+
+def _without_ballot(state, request_id):
+    ballots = drop_key(state.claims.ballots_by_request_id, request_id)
+    claims = replace(state.claims, ballots_by_request_id=ballots)
+    return replace(state, claims=claims)
--- /dev/null
+++ b/sesamehall/reducer/claims_test.py
@@ -0,0 +1,213 @@
+"""Tables of what becomes of callers' ids that must run at most once."""
+
+from immutables import Map
+import pytest
+
+from sesamehall.core.data import Node
+from sesamehall.core.data import NodeKind
+from sesamehall.core.effects import Dispatch
+from sesamehall.core.effects import Reply
+from sesamehall.core.effects import Send
+from sesamehall.core.events import DeadlinePassed
+from sesamehall.core.events import MessageReceived
+from sesamehall.core.events import NotSent
+from sesamehall.core.events import RequestReceived
+from sesamehall.core.events import TargetAnswered
+from sesamehall.core.events import TimerFired
+from sesamehall.core.limits import CLAIM_MEMORY_MS
+from sesamehall.core.messages import ClaimAnswered
+from sesamehall.core.messages import ClaimAsked
+from sesamehall.core.messages import ClaimReleased
+from sesamehall.core.messages import ClaimsAsked
+from sesamehall.core.messages import ClaimsTold
+from sesamehall.core.messages import Vote
+from sesamehall.core.replacing import replace
+from sesamehall.core.state import Claims
+from sesamehall.core.timers import BeatTimer
+from sesamehall.core.timers import ClaimTimer
+from sesamehall.reducer.claims import choose_holders
+from sesamehall.reducer.testing import build_entry
+from sesamehall.reducer.testing import build_request
+from sesamehall.reducer.testing import reduce_all
+
+NAME = "red/c"
+SEEING = Claims(sighted=True)
+
+
+def receive(request_id, at_ms=0):
+    request = build_request(request_id, idempotent=False, caller_id="c")
+    return RequestReceived(at_ms, request)
+
+
+def hear(message, at_ms=0):
+    return MessageReceived(at_ms, "entry-a", message)
+
+
+def vote(request_id, answer):
+    return hear(ClaimAnswered(NAME, request_id, answer))
+
+
+def tell(effects):
+    words = []
+    for effect in effects:
+        match effect:
+            case Dispatch(request_id):
+                words.append(f"{request_id} runs")
+            case Reply(request_id, code):
+                words.append(f"{request_id} {code.number}")
+            case Send(_, ClaimAsked(_, owner)):
+                words.append(f"{owner}?")
+            case Send(_, ClaimReleased(_, owner)):
+                words.append(f"{owner} released")
+            case Send(_, ClaimAnswered(_, owner, answer)):
+                words.append(f"{owner} {answer.value}")
+    return words
+
+
+@pytest.mark.parametrize(
+    ("events", "words"),
+    [
+        ([receive("r"), vote("r", Vote.GRANTED)], ["r?", "r runs"]),
+        (
+            [receive("r"), vote("r", Vote.TAKEN)],
+            ["r?", "r released", "r 3004"],
+        ),
+        (
+            [receive("r"), vote("r", Vote.BLIND)],
+            ["r?", "r released", "r 2017"],
+        ),
+        (
+            [receive("r"), TimerFired(1_000, ClaimTimer("r"))],
+            ["r?", "r released", "r 2017"],
+        ),
+        (
+            [receive("r"), DeadlinePassed(9, "r"), vote("r", Vote.GRANTED)],
+            ["r?", "r released", "r 2008"],
+        ),
+        (
+            [
+                receive("r"),
+                vote("r", Vote.GRANTED),
+                vote("r", Vote.GRANTED),
+                TimerFired(1_000, ClaimTimer("r")),
+            ],
+            ["r?", "r runs"],
+        ),
+        (
+            [receive("r"), receive("s"), vote("r", Vote.GRANTED)],
+            ["r?", "s?", "s released", "s 3004", "r runs"],
+        ),
+        (
+            [
+                receive("r"),
+                vote("r", Vote.TAKEN),
+                receive("s"),
+                vote("s", Vote.GRANTED),
+            ],
+            ["r?", "r released", "r 3004", "s?", "s runs"],
+        ),
+        ([hear(ClaimAsked(NAME, "x"))], ["x granted"]),
+        (
+            [hear(ClaimAsked(NAME, "x")), hear(ClaimAsked(NAME, "x"))],
+            ["x granted", "x granted"],
+        ),
+        (
+            [hear(ClaimAsked(NAME, "x")), hear(ClaimAsked(NAME, "y"))],
+            ["x granted", "y taken"],
+        ),
+        (
+            [
+                hear(ClaimAsked(NAME, "x")),
+                hear(ClaimReleased(NAME, "y")),
+                hear(ClaimAsked(NAME, "y")),
+                hear(ClaimReleased(NAME, "x")),
+                hear(ClaimAsked(NAME, "y")),
+            ],
+            ["x granted", "y taken", "y granted"],
+        ),
+    ],
+)
+def test_votes(events, words):
+    state = replace(build_entry(), claims=SEEING)
+    _, effects = reduce_all(state, *events)
+    assert tell(effects) == words
+
+
+@pytest.mark.parametrize(
+    ("outcomes", "released"),
+    [([NotSent("x")] * 2, True), ([], False)],
+)
+def test_claim_is_released_only_if_nothing_ran(outcomes, released):
+    state = replace(build_entry(), claims=SEEING)
+    events = [receive("r"), vote("r", Vote.GRANTED)]
+    events += [
+        TargetAnswered(1, "r", attempt, outcome)
+        for attempt, outcome in enumerate(outcomes, 1)
+    ]
+    events += [DeadlinePassed(30_000, "r")]
+    _, effects = reduce_all(state, *events)
+    assert ("r released" in tell(effects)) == released
+
+
+BEAT = TimerFired(5, BeatTimer())
+LATE = TimerFired(CLAIM_MEMORY_MS, BeatTimer())
+ASK = hear(ClaimAsked(NAME, "x"), CLAIM_MEMORY_MS)
+
+
+@pytest.mark.parametrize(
+    ("events", "words"),
+    [
+        ([ASK], ["x blind"]),
+        ([BEAT, ASK], ["x blind"]),
+        ([LATE, ASK], ["x granted"]),
+        ([hear(ClaimsTold(Map(), True)), BEAT, ASK], ["x blind"]),
+        ([hear(ClaimsTold(Map(), False)), ASK], ["x granted"]),
+        (
+            [hear(ClaimsTold(Map({NAME: "y"}), False)), ASK],
+            ["x taken"],
+        ),
+        (
+            [hear(ClaimsTold(Map({NAME: "y"}), True)), ASK],
+            ["x taken"],
+        ),
+    ],
+)
+def test_restarted_holder_is_blind_until_told(events, words):
+    _, effects = reduce_all(build_entry(), *events)
+    assert tell(effects) == words
+
+
+def test_memory_is_told_and_forgotten_after_two_periods():
+    state = replace(build_entry(), claims=SEEING)
+    state, effects = reduce_all(
+        state, hear(ClaimAsked(NAME, "x")), hear(ClaimsAsked())
+    )
+    assert effects[-1].message == ClaimsTold(Map({NAME: "x"}), False)
+    for period, votes in ((1, ["y taken"]), (2, ["y granted"])):
+        at_ms = period * CLAIM_MEMORY_MS
+        state, _ = reduce_all(state, TimerFired(at_ms, BeatTimer()))
+        assert (
+            tell(reduce_all(state, hear(ClaimAsked(NAME, "y"), at_ms))[1])
+            == votes
+        )
+
+
+@pytest.mark.parametrize(
+    ("centres", "spread"), [("aabbcc", 3), ("aaabbb", 2), ("aaaaaa", 1)]
+)
+def test_holders_are_spread_and_the_same_everywhere(centres, spread):
+    nodes = [
+        Node(f"e{index}", NodeKind.ENTRY, centre, "")
+        for index, centre in enumerate(centres)
+    ]
+    found = set()
+    for node in nodes:
+        peers = Map((n.name, n) for n in nodes if n is not node)
+        identity = replace(
+            build_entry().identity, node=node, peers_by_name=peers
+        )
+        state = replace(build_entry(), identity=identity)
+        found.add(choose_holders(state, NAME))
+    (holders,) = found
+    assert len({centres[int(name[1])] for name in holders}) == spread
+    assert len(set(holders)) == 3
--- a/sesamehall/reducer/jobcalls.py
+++ b/sesamehall/reducer/jobcalls.py
@@ -33,10 +33,10 @@
 from sesamehall.core.state import State
 from sesamehall.core.step import Step
 from sesamehall.reducer.admission import identify_team
-from sesamehall.reducer.admission import refuse
 from sesamehall.reducer.admission import Refused
 from sesamehall.reducer.proposals import nearest_steward
 from sesamehall.reducer.proposals import propose
+from sesamehall.reducer.refusals import refuse
 
 
 def submit_job(state: State, event: SubmitCalled) -> Step:
--- a/sesamehall/reducer/lifecycle.py
+++ b/sesamehall/reducer/lifecycle.py
@@ -20,6 +20,9 @@
 from sesamehall.core.timers import BeatTimer
 from sesamehall.reducer.allotments import repeat_questions
 from sesamehall.reducer.allotments import resend_units
+from sesamehall.reducer.claims import ask_memory
+from sesamehall.reducer.claims import begin_memory
+from sesamehall.reducer.claims import turn_memory
 from sesamehall.reducer.load import report_changes
 from sesamehall.reducer.membership import is_member
 from sesamehall.reducer.membership import keep_reserve
@@ -59,7 +62,8 @@
     if node.kind is NodeKind.STEWARD:
         step = then(step, read_log)
         step = then(step, list_instances)
-    return step
+        return step
+    return Step(begin_memory(state, event.at_ms), step.effects)
 
 
 def stop_node(state: State, event: StopRequested) -> Step:
@@ -99,7 +103,7 @@
     entry = state.entry
     if entry.tickets_by_request_id or entry.calls_by_record_id:
         return Step(replace(state, stopping_ms=at_ms))
-    if entry.lingering_by_attempt:
+    if entry.lingering_by_attempt or state.claims.ballots_by_request_id:
         return Step(replace(state, stopping_ms=at_ms))
     late = at_ms - state.stopping_ms >= LEAVE_WAIT_MS
     if not is_member(state) or late:
@@ -147,11 +151,12 @@
 
 
 def _beat_entry(state, at_ms):
-    step = pursue_lease(state, at_ms)
+    step = pursue_lease(turn_memory(state, at_ms), at_ms)
     step = then(step, keep_reserve, at_ms)
     step = then(step, repeat_questions)
     for peer in state.peers_by_name.values():
         step = then(step, resend_units, peer)
+        step = then(step, ask_memory, peer)
     step = then(step, report_changes, at_ms)
     step = then(step, report_drained)
     return then(step, pursue_stop, at_ms)
--- a/sesamehall/reducer/peers.py
+++ b/sesamehall/reducer/peers.py
@@ -14,6 +14,11 @@
 from sesamehall.core.logevents import PEER_REFUSED
 from sesamehall.core.messages import AgreedForwarded
 from sesamehall.core.messages import AppendRequested
+from sesamehall.core.messages import ClaimAnswered
+from sesamehall.core.messages import ClaimAsked
+from sesamehall.core.messages import ClaimReleased
+from sesamehall.core.messages import ClaimsAsked
+from sesamehall.core.messages import ClaimsTold
 from sesamehall.core.messages import DrainReported
 from sesamehall.core.messages import Follow
 from sesamehall.core.messages import Heartbeat
@@ -37,6 +42,12 @@
 from sesamehall.reducer.allotments import take_confirmation
 from sesamehall.reducer.allotments import take_question
 from sesamehall.reducer.allotments import take_units
+from sesamehall.reducer.claims import answer_claim
+from sesamehall.reducer.claims import ask_memory
+from sesamehall.reducer.claims import take_memory
+from sesamehall.reducer.claims import take_release
+from sesamehall.reducer.claims import take_vote
+from sesamehall.reducer.claims import tell_memory
 from sesamehall.reducer.counts import drop_key
 from sesamehall.reducer.dispatching import dispatch_waiting
 from sesamehall.reducer.fleet import take_instances
@@ -166,6 +177,16 @@
             return step
         case UnitsReceived():
             return take_confirmation(state, message)
+        case ClaimAsked():
+            return answer_claim(state, peer, message)
+        case ClaimAnswered():
+            return take_vote(state, peer.name, message, at_ms)
+        case ClaimReleased():
+            return Step(take_release(state, message))
+        case ClaimsAsked():
+            return tell_memory(state, peer)
+        case ClaimsTold():
+            return Step(take_memory(state, peer, message, at_ms))
     return _refuse_peer(state, peer.name, type(message).__name__)
 
 
@@ -205,7 +226,8 @@
         return then(step, _follow_at_home, known)
     if state.identity.node.kind is NodeKind.ENTRY:
         step = then(step, report_whole, peer.name)
-        return then(step, resend_units, known)
+        step = then(step, resend_units, known)
+        return then(step, ask_memory, known)
     return step
 
 
--- a/sesamehall/reducer/purity_test.py
+++ b/sesamehall/reducer/purity_test.py
@@ -12,6 +12,7 @@
     "enum",
     "fractions",
     "functools",
+    "hashlib",
     "hmac",
     "immutables",
     "operator",
--- a/sesamehall/reducer/queues.py
+++ b/sesamehall/reducer/queues.py
@@ -13,18 +13,6 @@
 EMPTY_LINES: Map[str, Line] = Map()
 
 
-def caller_name(team: str, caller_id: str) -> str:
-    """Name a caller's own request id among those of all teams.
-
-    Args:
-      team: Team that the request is charged to.
-      caller_id: The caller's identifier.
-    Returns:
-      The name under which the id is remembered.
-    """
-    return f"{team}/{caller_id}"
-
-
 def enqueue(state: State, ticket: Ticket) -> State:
     """Put a new request at the end of its line.
 
@@ -34,13 +22,7 @@
     Returns:
       The state with the request waiting.
     """
-    request = ticket.request
-    ids = state.entry.request_id_by_caller_id
-    if request.caller_id is not None:
-        name = caller_name(ticket.team, request.caller_id)
-        ids = ids.set(name, request.request_id)
-    entry = replace(state.entry, request_id_by_caller_id=ids)
-    return replace(state, entry=_wait(entry, ticket, first=False))
+    return replace(state, entry=_wait(state.entry, ticket, first=False))
 
 
 def requeue(entry: EntryState, ticket: Ticket) -> EntryState:
@@ -108,12 +90,7 @@
     """
     request = ticket.request
     tickets = drop_key(entry.tickets_by_request_id, request.request_id)
-    ids = entry.request_id_by_caller_id
-    if request.caller_id is not None:
-        ids = drop_key(ids, caller_name(ticket.team, request.caller_id))
-    changed = replace(
-        entry, tickets_by_request_id=tickets, request_id_by_caller_id=ids
-    )
+    changed = replace(entry, tickets_by_request_id=tickets)
     if ticket.target:
         return changed
     lines = changed.lines_by_service.get(request.service, EMPTY_LINES)
--- a/sesamehall/reducer/reduce.py
+++ b/sesamehall/reducer/reduce.py
@@ -27,6 +27,7 @@
 from sesamehall.core.step import then
 from sesamehall.core.timers import AppendTimer
 from sesamehall.core.timers import BeatTimer
+from sesamehall.core.timers import ClaimTimer
 from sesamehall.core.timers import LingerTimer
 from sesamehall.core.timers import ListTimer
 from sesamehall.core.timers import LoadTimer
@@ -41,6 +42,7 @@
 from sesamehall.reducer.answers import end_linger
 from sesamehall.reducer.answers import finish_attempt
 from sesamehall.reducer.answers import pass_deadline
+from sesamehall.reducer.claims import end_ballot
 from sesamehall.reducer.dispatching import dispatch_waiting
 from sesamehall.reducer.health import allow_probe
 from sesamehall.reducer.jobcalls import ask_job
@@ -148,6 +150,9 @@
             return report_changes(state, at_ms)
         case YieldTimer():
             return dispatch_waiting(state, at_ms, patient=False)
+        case ClaimTimer(request_id):
+            step = end_ballot(state, request_id)
+            return then(step, pursue_stop, at_ms)
         case LingerTimer(attempt):
             step = end_linger(state, attempt, at_ms)
             return then(step, pursue_stop, at_ms)
