Dispatch only the services that an event can concern

Change: services are indexed by pool; a finished request concerns its pool and its team's services, a report the pools it names. The driver says that a list was not given instead of giving an empty one.

--- a/bench/driver.py
+++ b/bench/driver.py
@@ -36,6 +36,7 @@
 from sesamehall.core.events import Event
 from sesamehall.core.events import InstanceRebooted
 from sesamehall.core.events import InstancesListed
+from sesamehall.core.events import InstancesNotListed
 from sesamehall.core.events import LogRead
 from sesamehall.core.events import LogReadFailed
 from sesamehall.core.events import MessageReceived
@@ -475,7 +476,9 @@
             listed = self.instances
             self._later(host, 5, lambda at_ms: InstancesListed(at_ms, listed))
         else:
-            self._later(host, 5, lambda at_ms: InstancesListed(at_ms, ()))
+            self._later(
+                host, 5, lambda at_ms: InstancesNotListed(at_ms, "cut")
+            )
 
     def _dispatch(self, host: Host, dispatch: Dispatch) -> None:
         """Let a target run a request, as the weather has it."""
--- a/sesamehall/core/agreement.py
+++ b/sesamehall/core/agreement.py
@@ -105,6 +105,7 @@
       limits_version: Number of accepted edits of the limits.
       plans_by_team: The teams' plans.
       services_by_name: All services.
+      service_names_by_pool: Names of each pool's services, sorted.
       pools_by_name: All pools.
       limits_by_team: The teams' limits.
       keys_by_id: Keys in force.
@@ -131,6 +132,7 @@
     limits_version: int = 0
     plans_by_team: Map[str, Plan] = EMPTY_MAP
     services_by_name: Map[str, Service] = EMPTY_MAP
+    service_names_by_pool: Map[str, tuple[str, ...]] = EMPTY_MAP
     pools_by_name: Map[str, Pool] = EMPTY_MAP
     limits_by_team: Map[str, Limit] = EMPTY_MAP
     keys_by_id: Map[str, Key] = EMPTY_MAP
--- a/sesamehall/core/timers.py
+++ b/sesamehall/core/timers.py
@@ -15,7 +15,13 @@
 
 @dataclass(frozen=True, slots=True)
 class YieldTimer:
-    """Slots left to other entries were not taken in time."""
+    """Slots left to other entries were not taken in time.
+
+    Attributes:
+      service: Service whose requests waited.
+    """
+
+    service: str
 
 
 @dataclass(frozen=True, slots=True)
--- a/sesamehall/reducer/admission.py
+++ b/sesamehall/reducer/admission.py
@@ -23,7 +23,7 @@
 from sesamehall.core.step import Step
 from sesamehall.reducer.claims import needs_claim
 from sesamehall.reducer.claims import seek_claim
-from sesamehall.reducer.dispatching import dispatch_waiting
+from sesamehall.reducer.dispatching import dispatch_services
 from sesamehall.reducer.queues import enqueue
 from sesamehall.reducer.refusals import refuse
 
@@ -75,7 +75,7 @@
             if needs_claim(request):
                 return seek_claim(state, ticket, event.at_ms)
             queued = enqueue(state, ticket)
-            return dispatch_waiting(queued, event.at_ms)
+            return dispatch_services(queued, (request.service,), event.at_ms)
 
 
 def admit(state: State, request: Request) -> Admission:
--- a/sesamehall/reducer/answers.py
+++ b/sesamehall/reducer/answers.py
@@ -37,7 +37,7 @@
 from sesamehall.reducer.claims import pass_ballot_deadline
 from sesamehall.reducer.claims import release_claim
 from sesamehall.reducer.counts import add_count
-from sesamehall.reducer.dispatching import dispatch_waiting
+from sesamehall.reducer.dispatching import dispatch_freed
 from sesamehall.reducer.health import note_failure
 from sesamehall.reducer.health import note_full
 from sesamehall.reducer.health import note_success
@@ -79,7 +79,7 @@
         case Broken(reason, timed_out):
             step = note_failure(state, ticket.target, reason, event.at_ms)
             step = then(step, _break_off, ticket, timed_out, event.at_ms)
-    return then(step, _use_place, ticket.team, event.at_ms)
+    return then(step, _use_place, ticket, event.at_ms)
 
 
 def pass_deadline(state: State, event: DeadlinePassed) -> Step:
@@ -130,13 +130,14 @@
     lingering = state.entry.lingering_by_attempt.delete(attempt)
     entry = replace(state.entry, lingering_by_attempt=lingering)
     step = _release(replace(state, entry=entry), ticket, at_ms)
-    return then(step, _use_place, ticket.team, at_ms)
+    return then(step, _use_place, ticket, at_ms)
 
 
-def _use_place(state, team, at_ms):
+def _use_place(state, ticket, at_ms):
     """Use a slot and a place that may have become free."""
+    team = ticket.team
     step = even_out(state, team, at_ms)
-    step = then(step, dispatch_waiting, at_ms)
+    step = then(step, dispatch_freed, team, ticket.target, at_ms)
     return then(step, give_wanted, team, at_ms)
 
 
--- a/sesamehall/reducer/claims.py
+++ b/sesamehall/reducer/claims.py
@@ -42,7 +42,7 @@
 from sesamehall.core.step import then
 from sesamehall.core.timers import ClaimTimer
 from sesamehall.reducer.counts import drop_key
-from sesamehall.reducer.dispatching import dispatch_waiting
+from sesamehall.reducer.dispatching import dispatch_services
 from sesamehall.reducer.queues import enqueue
 from sesamehall.reducer.refusals import refuse
 
@@ -159,7 +159,9 @@
     needed = len(ballot.holders) // 2 + 1
     if len(ballot.granted) >= needed:
         state = _without_ballot(state, answer.owner)
-        return dispatch_waiting(enqueue(state, ballot.ticket), at_ms)
+        queued = enqueue(state, ballot.ticket)
+        service = ballot.ticket.request.service
+        return dispatch_services(queued, (service,), at_ms)
     if len(ballot.holders) - len(ballot.denied) < needed:
         return _refuse_ballot(state, ballot, _why(ballot))
     return Step(_with_ballot(state, ballot))
--- a/sesamehall/reducer/dispatching.py
+++ b/sesamehall/reducer/dispatching.py
@@ -1,5 +1,7 @@
 """Dispatching: brings waiting requests and free slots together."""
 
+from collections.abc import Iterable
+
 from sesamehall.core.effects import Dispatch
 from sesamehall.core.effects import log
 from sesamehall.core.effects import SetTimer
@@ -26,26 +28,83 @@
 from sesamehall.reducer.shares import rank_team
 
 
-def dispatch_waiting(state: State, at_ms: int, patient: bool = True) -> Step:
+def dispatch_waiting(state: State, at_ms: int) -> Step:
     """Dispatch every waiting request for which there is room.
 
     Args:
       state: State of the entry.
       at_ms: The node's clock.
+    Returns:
+      A Step with the dispatches, and questions for units that are missing.
+    """
+    return dispatch_services(state, state.entry.lines_by_service, at_ms)
+
+
+def dispatch_services(
+    state: State, services: Iterable[str], at_ms: int, patient: bool = True
+) -> Step:
+    """Dispatch the waiting requests of some services.
+
+    Args:
+      state: State of the entry.
+      services: Names of the services, without repeats.
+      at_ms: The node's clock.
       patient: Whether slots may be left to requests of other entries.
     Returns:
       A Step with the dispatches, and questions for units that are missing.
     """
     step = Step(state)
-    for service in state.entry.lines_by_service:
-        step = then(step, _dispatch_service, service, at_ms, patient)
-    for team in step.state.entry.waiting_by_team:
-        step = then(step, seek_units, team, at_ms)
-    if step.state.entry.waiting_by_team:
-        step = then(step, plan_report, at_ms)
+    for service in services:
+        if service in step.state.entry.lines_by_service:
+            step = then(step, _dispatch_service, service, at_ms, patient)
+            step = then(step, _seek_for_lines, service, at_ms)
     return step
 
 
+def dispatch_pools(state: State, pools: Iterable[str], at_ms: int) -> Step:
+    """Dispatch the waiting requests that some pools may run.
+
+    Args:
+      state: State of the entry.
+      pools: Names of pools of executors.
+      at_ms: The node's clock.
+    Returns:
+      A Step with the dispatches.
+    """
+    by_pool = state.agreed.service_names_by_pool
+    services = [name for pool in pools for name in by_pool.get(pool, ())]
+    return dispatch_services(state, services, at_ms)
+
+
+def dispatch_freed(state: State, team: str, target: str, at_ms: int) -> Step:
+    """Dispatch what a freed slot, or a freed place of a team, lets run.
+
+    Args:
+      state: State of the entry.
+      team: Name of the team.
+      target: Name of the target.
+      at_ms: The node's clock.
+    Returns:
+      A Step with the dispatches.
+    """
+    placement = state.agreed.placements_by_instance.get(target)
+    plan = state.agreed.plans_by_team.get(team)
+    by_pool = state.agreed.service_names_by_pool
+    services = by_pool.get(placement.pool, ()) if placement else ()
+    others = plan.services if plan else ()
+    rest = tuple(name for name in others if name not in services)
+    return dispatch_services(state, services + rest, at_ms)
+
+
+def _seek_for_lines(state, service, at_ms):
+    """Ask for units that a service's lines lack, and plan a report."""
+    step = Step(state)
+    lines = state.entry.lines_by_service.get(service, {})
+    for team in lines:
+        step = then(step, seek_units, team, at_ms)
+    return then(step, plan_report, at_ms) if lines else step
+
+
 def _dispatch_service(state, service, at_ms, patient):
     """Dispatch one service's requests until slots or places run out."""
     step = Step(state)
@@ -58,7 +117,7 @@
         if target is None:
             return step
         if patient and _is_outranked(step.state, service, ticket.team):
-            return then(step, _leave_slot, at_ms)
+            return then(step, _leave_slot, service, at_ms)
         step = then(step, _dispatch, ticket, target, at_ms)
     return step
 
@@ -79,9 +138,9 @@
     return False
 
 
-def _leave_slot(state: State, at_ms: int) -> Step:
+def _leave_slot(state: State, service: str, at_ms: int) -> Step:
     """Tell the others at once of a free slot, and look again soon."""
-    timer = SetTimer(YieldTimer(), at_ms + YIELD_MS)
+    timer = SetTimer(YieldTimer(service), at_ms + YIELD_MS)
     return then(Step(state, (timer,)), report_changes, at_ms)
 
 
--- a/sesamehall/reducer/fleet.py
+++ b/sesamehall/reducer/fleet.py
@@ -1,5 +1,7 @@
 """The fleet as an entry routes to it: listed, placed and live instances."""
 
+from collections.abc import Iterable
+
 from immutables import Map
 
 from sesamehall.core.data import Instance
@@ -51,6 +53,21 @@
     return replace(state, entry=entry)
 
 
+def pools_of(state: State, targets: Iterable[str]) -> list[str]:
+    """Find the pools that some targets belong to.
+
+    Args:
+      state: State of the entry.
+      targets: Names of targets; unknown ones are passed over.
+    Returns:
+      Names of the pools, sorted, without repeats.
+    """
+    placements = state.agreed.placements_by_instance
+    return sorted(
+        {placements[name].pool for name in targets if name in placements}
+    )
+
+
 def _renew(known, instance):
     if known is None or known.instance.address != instance.address:
         return Target(instance)
--- a/sesamehall/reducer/lists.py
+++ b/sesamehall/reducer/lists.py
@@ -4,6 +4,7 @@
 
 from sesamehall.core.agreement import Agreed
 from sesamehall.core.agreement import Verdict
+from sesamehall.core.data import Service
 from sesamehall.core.records import KeyGiven
 from sesamehall.core.records import KeyWithdrawn
 from sesamehall.core.records import LimitsPublished
@@ -35,11 +36,29 @@
         plans_version=agreed.plans_version + 1,
         plans_by_team=Map((plan.team, plan) for plan in body.plans.plans),
         services_by_name=Map((s.name, s) for s in body.plans.services),
+        service_names_by_pool=index_services(body.plans.services),
         pools_by_name=Map((pool.name, pool) for pool in body.plans.pools),
     )
     return changed, Verdict.ACCEPTED
 
 
+def index_services(
+    services: tuple[Service, ...],
+) -> Map[str, tuple[str, ...]]:
+    """Index services by their pool.
+
+    Args:
+      services: All services.
+    Returns:
+      Names of each pool's services, sorted.
+    """
+    names_by_pool: dict[str, tuple[str, ...]] = {}
+    for service in sorted(services, key=lambda service: service.name):
+        names = names_by_pool.get(service.pool, ())
+        names_by_pool[service.pool] = names + (service.name,)
+    return Map(names_by_pool)
+
+
 def publish_limits(agreed: Agreed, body: LimitsPublished) -> Judged:
     """Judge an edit of the limits.
 
--- a/sesamehall/reducer/peers.py
+++ b/sesamehall/reducer/peers.py
@@ -49,7 +49,9 @@
 from sesamehall.reducer.claims import take_vote
 from sesamehall.reducer.claims import tell_memory
 from sesamehall.reducer.counts import drop_key
+from sesamehall.reducer.dispatching import dispatch_pools
 from sesamehall.reducer.dispatching import dispatch_waiting
+from sesamehall.reducer.fleet import pools_of
 from sesamehall.reducer.fleet import take_instances
 from sesamehall.reducer.following import adopt_agreed
 from sesamehall.reducer.following import apply_entries
@@ -166,7 +168,8 @@
             return dispatch_waiting(listed, at_ms)
         case LoadReported():
             step = take_report(state, peer, message)
-            return then(step, dispatch_waiting, at_ms)
+            pools = pools_of(state, message.running_by_target)
+            return then(step, dispatch_pools, pools, at_ms)
         case UnitsAsked():
             return take_question(state, peer, message, at_ms)
         case UnitsSent():
--- a/sesamehall/reducer/reduce.py
+++ b/sesamehall/reducer/reduce.py
@@ -43,6 +43,7 @@
 from sesamehall.reducer.answers import finish_attempt
 from sesamehall.reducer.answers import pass_deadline
 from sesamehall.reducer.claims import end_ballot
+from sesamehall.reducer.dispatching import dispatch_services
 from sesamehall.reducer.dispatching import dispatch_waiting
 from sesamehall.reducer.health import allow_probe
 from sesamehall.reducer.jobcalls import ask_job
@@ -148,8 +149,8 @@
             return beat(state, at_ms)
         case LoadTimer():
             return report_changes(state, at_ms)
-        case YieldTimer():
-            return dispatch_waiting(state, at_ms, patient=False)
+        case YieldTimer(service):
+            return dispatch_services(state, (service,), at_ms, False)
         case ClaimTimer(request_id):
             step = end_ballot(state, request_id)
             return then(step, pursue_stop, at_ms)
--- a/sesamehall/reducer/testing.py
+++ b/sesamehall/reducer/testing.py
@@ -26,6 +26,7 @@
 from sesamehall.core.state import Peer
 from sesamehall.core.state import State
 from sesamehall.core.state import Target
+from sesamehall.reducer.lists import index_services
 from sesamehall.reducer.reduce import reduce
 from sesamehall.reducer.units import units_for
 
@@ -75,6 +76,7 @@
             blue=Plan("blue", ("quotes",), ("batch",)),
         ),
         services_by_name=Map((s.name, s) for s in SERVICES),
+        service_names_by_pool=index_services(SERVICES),
         pools_by_name=Map(
             pool=Pool("pool", TargetKind.EXECUTOR),
             batch=Pool("batch", TargetKind.WORKER),
