Skip lines whose pool has no free slot; measure decisions and an entry

Cause: 300 us of a request went into questions for units of lines that no slot could serve. Change: a line is looked at only when a slot of its pool is free.

--- /dev/null
+++ b/bench/decision_cost.py
@@ -0,0 +1,175 @@
+"""Reducer time per request at the target's size against today's.
+
+Both sizes run the same requests through one entry, with a queue that never
+empties: 6 teams and 5 services today; 250 teams, 323 pools and 640 instances
+at the target.  The value is the ratio of the two times, at most 1.3.  Beside
+it: every team waiting for the same service, the worst case.
+"""
+
+import time
+
+from immutables import Map
+
+from sesamehall.core.agreement import Agreed
+from sesamehall.core.agreement import EntryMember
+from sesamehall.core.agreement import Placement
+from sesamehall.core.data import Instance
+from sesamehall.core.data import Key
+from sesamehall.core.data import Limit
+from sesamehall.core.data import Node
+from sesamehall.core.data import NodeKind
+from sesamehall.core.data import Plan
+from sesamehall.core.data import Pool
+from sesamehall.core.data import PresentedKey
+from sesamehall.core.data import Request
+from sesamehall.core.data import Service
+from sesamehall.core.data import TargetKind
+from sesamehall.core.effects import Dispatch
+from sesamehall.core.events import Completed
+from sesamehall.core.events import RequestReceived
+from sesamehall.core.events import TargetAnswered
+from sesamehall.core.replacing import replace
+from sesamehall.core.state import Allotments
+from sesamehall.core.state import Identity
+from sesamehall.core.state import State
+from sesamehall.reducer.fleet import take_instances
+from sesamehall.reducer.lists import index_services
+from sesamehall.reducer.reduce import reduce
+from sesamehall.reducer.units import WHOLE
+
+REQUESTS = 4_000
+WAITING = 60  # requests that wait all the time
+ROUNDS = 5
+DIGEST = bytes(32)
+
+
+def build_state(teams: int, pools: int, instances: int) -> State:
+    """Build an entry that holds the whole of every ceiling.
+
+    Args:
+      teams: Number of teams; each may use five services.
+      pools: Number of pools, each with one service.
+      instances: Number of executors.
+    Returns:
+      The state.
+    """
+    plans = {}
+    for index in range(teams):
+        names = tuple(f"s{(index * 7 + i) % pools}" for i in range(5))
+        plans[f"t{index}"] = Plan(f"t{index}", names)
+    executors = tuple(
+        Instance(
+            f"e{i}", TargetKind.EXECUTOR, "dc", "r", "h:1", f"p{i % pools}"
+        )
+        for i in range(instances)
+    )
+    services = tuple(Service(f"s{i}", f"p{i}") for i in range(pools))
+    units = Map((team, WHOLE) for team in plans)
+    agreed = Agreed(
+        next_offset=1,
+        plans_by_team=Map(plans),
+        services_by_name=Map((s.name, s) for s in services),
+        service_names_by_pool=index_services(services),
+        pools_by_name=Map(
+            (f"p{i}", Pool(f"p{i}", TargetKind.EXECUTOR)) for i in range(pools)
+        ),
+        limits_by_team=Map(
+            (team, Limit(team, 1 + index % 4, 64))
+            for index, team in enumerate(plans)
+        ),
+        keys_by_id=Map((f"k-{t}", Key(f"k-{t}", t, DIGEST)) for t in plans),
+        members_by_incarnation=Map(e=EntryMember("e", "e", 0, units)),
+        placements_by_instance=Map(
+            (i.name, Placement(i, i.pool)) for i in executors
+        ),
+    )
+    state = State(
+        Identity(Node("e", NodeKind.ENTRY, "dc", ""), "e"),
+        agreed=agreed,
+        allotments=Allotments(lease_end_ms=1 << 60),
+    )
+    return take_instances(state, executors)
+
+
+def time_request(state: State, teams: int, pools: int) -> float:
+    """Time the decisions of one request while others wait.
+
+    Args:
+      state: State to begin from.
+      teams: Number of teams that hand in requests.
+      pools: Number of services that they are handed in to.
+    Returns:
+      Microseconds per request: received, dispatched and answered.
+    """
+    running = []
+
+    def step(event):
+        nonlocal state
+        result = reduce(state, event)
+        state = result.state
+        for effect in result.effects:
+            if isinstance(effect, Dispatch):
+                running.append((effect.request_id, effect.attempt))
+
+    def receive(index):
+        team = f"t{index % teams}"
+        service = state.agreed.plans_by_team[team].services[index % 5]
+        if pools == 1:
+            service = "s0"
+        key = PresentedKey(f"k-{team}", DIGEST)
+        request = Request(
+            f"r{index}", None, service, key, True, False, 1 << 40
+        )
+        step(RequestReceived(index, request))
+
+    filled = 0
+    while sum(state.entry.waiting_by_team.values()) < WAITING:
+        receive(filled)
+        filled += 1
+    began = time.perf_counter()
+    for index in range(filled, filled + REQUESTS):
+        receive(index)
+        request_id, attempt = running.pop(0)
+        answer = TargetAnswered(index, request_id, attempt, Completed(200))
+        step(answer)
+    return (time.perf_counter() - began) * 1e6 / REQUESTS
+
+
+def measure(teams: int, pools: int, instances: int, shared: bool) -> float:
+    """Time a size several times and take the best.
+
+    Args:
+      teams: Number of teams.
+      pools: Number of pools.
+      instances: Number of executors.
+      shared: Whether all teams may use the first service alone.
+    Returns:
+      Microseconds per request.
+    """
+    state = build_state(teams, pools, instances)
+    used = pools
+    if shared:
+        used = 1
+        plans = Map(
+            (team, Plan(team, ("s0",) * 5))
+            for team in state.agreed.plans_by_team
+        )
+        agreed = state.agreed
+        state = replace(state, agreed=replace(agreed, plans_by_team=plans))
+    return min(time_request(state, teams, used) for _ in range(ROUNDS))
+
+
+def run_all() -> None:
+    """Measure and print the ratio."""
+    today = measure(6, 5, 40, False)
+    target = measure(250, 323, 640, False)
+    worst = measure(250, 323, 640, True)
+    print(
+        f"today {today:.0f} us, target {target:.0f} us a request; all 250"
+        f" teams waiting for one service {worst:.0f} us"
+    )
+    print(f"decision_cost={target / today:.2f}")
+
+
+if __name__ == "__main__":
+    run_all()
--- a/sesamehall/reducer/allotments.py
+++ b/sesamehall/reducer/allotments.py
@@ -145,11 +145,10 @@
     Returns:
       A Step with questions to peers, a withdrawal, or nothing.
     """
-    missing = missing_units(state, team)
-    asked = state.allotments.asked_by_team.get(team)
-    if asked is None and missing == 0:
+    if team in state.allotments.asked_by_team:
         return Step(state)
-    if asked is not None:
+    missing = missing_units(state, team)
+    if missing == 0:
         return Step(state)
     allotments = replace(
         state.allotments,
--- a/sesamehall/reducer/dispatching.py
+++ b/sesamehall/reducer/dispatching.py
@@ -56,8 +56,7 @@
     step = Step(state)
     for service in services:
         if service in step.state.entry.lines_by_service:
-            step = then(step, _dispatch_service, service, at_ms, patient)
-            step = then(step, _seek_for_lines, service, at_ms)
+            step = then(step, _serve_lines, service, at_ms, patient)
     return step
 
 
@@ -96,30 +95,32 @@
     return dispatch_services(state, services + rest, at_ms)
 
 
-def _seek_for_lines(state, service, at_ms):
-    """Ask for units that a service's lines lack, and plan a report."""
-    step = Step(state)
-    lines = state.entry.lines_by_service.get(service, {})
-    for team in lines:
+def _serve_lines(state, service, at_ms, patient):
+    """Dispatch one service's requests, unless no slot is free."""
+    step = plan_report(state, at_ms)
+    known = state.agreed.services_by_name.get(service)
+    if known is None or choose_target(state, known.pool, ()) is None:
+        return step
+    step = then(step, _dispatch_service, service, at_ms, patient)
+    for team in step.state.entry.lines_by_service.get(service, ()):
         step = then(step, seek_units, team, at_ms)
-    return then(step, plan_report, at_ms) if lines else step
+    return step
 
 
 def _dispatch_service(state, service, at_ms, patient):
     """Dispatch one service's requests until slots or places run out."""
     step = Step(state)
-    known = state.agreed.services_by_name.get(service)
-    while known is not None:
+    pool = state.agreed.services_by_name[service].pool
+    while True:
         ticket = _next_ticket(step.state, service, at_ms)
         if ticket is None:
             return step
-        target = choose_target(step.state, known.pool, ticket.tried)
+        target = choose_target(step.state, pool, ticket.tried)
         if target is None:
             return step
         if patient and _is_outranked(step.state, service, ticket.team):
             return then(step, _leave_slot, service, at_ms)
         step = then(step, _dispatch, ticket, target, at_ms)
-    return step
 
 
 def _is_outranked(state: State, service: str, team: str) -> bool:
