--- a/sesamehall/core/agreement.py
+++ b/sesamehall/core/agreement.py
@@ -101,6 +101,7 @@
 
     Attributes:
       next_offset: First offset not applied yet.
+      snapshot_offset: Offset of the latest snapshot, -1 before the first.
       plans_version: Number of accepted edits of the plans.
       limits_version: Number of accepted edits of the limits.
       plans_by_team: The teams' plans.
@@ -129,6 +130,7 @@
     """
 
     next_offset: int = 0
+    snapshot_offset: int = -1
     plans_version: int = 0
     limits_version: int = 0
     plans_by_team: Map[str, Plan] = EMPTY_MAP
--- a/sesamehall/core/limits.py
+++ b/sesamehall/core/limits.py
@@ -33,3 +33,4 @@
 CLAIM_MEMORY_MS = 600_000  # a caller's id handed in again later may run again
 CLAIM_WAIT_MS = 1_000  # an id without enough votes by then is not run
 CLAIM_HOLDERS = 3  # entries that remember an id; two of them must grant it
+SNAPSHOT_MS = 600_000  # the log must keep records at least twice this long
--- a/sesamehall/core/logevents.py
+++ b/sesamehall/core/logevents.py
@@ -79,6 +79,8 @@
     306, "instances not listed", "Look at the platform; the last list stays."
 )
 
+SNAPSHOT_TAKEN = _info(307, "snapshot taken over")
+
 PEER_CONNECTED = _info(400, "peer connected")
 PEER_LOST = _warning(
     401, "peer lost", "If many at once, look at the network between them."
--- a/sesamehall/core/records.py
+++ b/sesamehall/core/records.py
@@ -8,6 +8,7 @@
 
 from immutables import Map
 
+from sesamehall.core.agreement import Agreed
 from sesamehall.core.data import Instance
 from sesamehall.core.data import Job
 from sesamehall.core.data import JobPhase
@@ -282,6 +283,20 @@
     job_id: str
 
 
+@dataclass(frozen=True, slots=True)
+class SnapshotWritten:
+    """The agreed state, for readers whose records the log has forgotten.
+
+    Attributes:
+      epoch: Epoch of the writer.
+      agreed: State below its next offset; None where it was left out, since
+        whoever applies the record in order has the state already.
+    """
+
+    epoch: int
+    agreed: Agreed | None
+
+
 RecordBody = (
     PlansPublished
     | LimitsPublished
@@ -303,6 +318,7 @@
     | JobPlaced
     | JobEnded
     | JobCancelled
+    | SnapshotWritten
 )
 
 
--- a/sesamehall/core/state.py
+++ b/sesamehall/core/state.py
@@ -278,6 +278,9 @@
 
     Attributes:
       reading: Whether a read of the log is under way.
+      seeking_offset: Where a snapshot is looked for, -1 for no search.
+      snapshot_seen_ms: Clock at which the latest snapshot was first known.
+      snapshot_seen_offset: Offset of that snapshot.
       log_failures: Reads of the log that failed since the last success.
       recent_entries: The newest entries of the log, without gaps.
       instances: The platform's list as last seen, sorted by name.
@@ -293,6 +296,9 @@
     """
 
     reading: bool = False
+    seeking_offset: int = -1
+    snapshot_seen_ms: int = 0
+    snapshot_seen_offset: int = -2
     log_failures: int = 0
     recent_entries: tuple[LogEntry, ...] = ()
     instances: tuple[Instance, ...] = ()
--- a/sesamehall/reducer/agreement.py
+++ b/sesamehall/reducer/agreement.py
@@ -21,6 +21,7 @@
 from sesamehall.core.records import RecordBody
 from sesamehall.core.records import RoleClaimed
 from sesamehall.core.records import RoleRenewed
+from sesamehall.core.records import SnapshotWritten
 from sesamehall.core.records import UnitsDeposited
 from sesamehall.core.records import UnitsSettled
 from sesamehall.core.records import UnitsWithdrawn
@@ -70,6 +71,28 @@
     return _remember(changed, record_id, verdict), verdict
 
 
+def find_snapshot(
+    entries: tuple[LogEntry, ...], earliest: int
+) -> Agreed | None:
+    """Find the newest snapshot from which the log can be read on.
+
+    Args:
+      entries: A piece of the log.
+      earliest: Oldest offset that the log still holds.
+    Returns:
+      The agreed state in it, or None.  Any snapshot will do, also one of a
+      holder that had lost the role: the state below an offset is a fact.
+    """
+    for entry in reversed(entries):
+        record = entry.record
+        if record is None or not isinstance(record.body, SnapshotWritten):
+            continue
+        agreed = record.body.agreed
+        if agreed is not None and agreed.next_offset >= earliest:
+            return agreed
+    return None
+
+
 def _judge(agreed: Agreed, body: RecordBody, offset: int) -> Judged:
     """Judge a record that was not seen before."""
     match body:
@@ -110,6 +133,8 @@
     match body:
         case RoleRenewed():
             return fenced, verdict
+        case SnapshotWritten():
+            return replace(fenced, snapshot_offset=offset), verdict
         case EntryExpired():
             return expire_entry(fenced, body)
         case InstanceJoined():
--- a/sesamehall/reducer/lifecycle.py
+++ b/sesamehall/reducer/lifecycle.py
@@ -40,6 +40,7 @@
 from sesamehall.reducer.role import expire_entries
 from sesamehall.reducer.role import holds_role
 from sesamehall.reducer.role import watch_role
+from sesamehall.reducer.role import write_snapshot
 from sesamehall.reducer.stewardship import list_instances
 from sesamehall.reducer.stewardship import read_log
 
@@ -188,6 +189,7 @@
     if not holds_role(state):
         return step
     step = then(step, expire_entries, at_ms)
+    step = then(step, write_snapshot, at_ms)
     return then(step, _act_as_holder, at_ms)
 
 
--- a/sesamehall/reducer/role.py
+++ b/sesamehall/reducer/role.py
@@ -15,11 +15,13 @@
 from sesamehall.core.limits import LONGEST_REQUEST_MS
 from sesamehall.core.limits import ROLE_RENEWAL_MS
 from sesamehall.core.limits import ROLE_SILENT_MS
+from sesamehall.core.limits import SNAPSHOT_MS
 from sesamehall.core.logevents import ENTRY_GONE
 from sesamehall.core.records import EntryExpired
 from sesamehall.core.records import RecordBody
 from sesamehall.core.records import RoleClaimed
 from sesamehall.core.records import RoleRenewed
+from sesamehall.core.records import SnapshotWritten
 from sesamehall.core.replacing import replace
 from sesamehall.core.state import State
 from sesamehall.core.step import Step
@@ -129,6 +131,28 @@
     return step
 
 
+def write_snapshot(state: State, at_ms: int) -> Step:
+    """Write the agreed state again, well before its records expire.
+
+    Args:
+      state: State of the steward that holds the role.
+      at_ms: The node's clock.
+    Returns:
+      A Step with the proposal when the latest snapshot is old enough.
+    """
+    steward = state.steward
+    offset = state.agreed.snapshot_offset
+    if steward.snapshot_seen_offset != offset:
+        seen = replace(
+            steward, snapshot_seen_ms=at_ms, snapshot_seen_offset=offset
+        )
+        return Step(replace(state, steward=seen))
+    if at_ms - steward.snapshot_seen_ms < SNAPSHOT_MS:
+        return Step(state)
+    body = SnapshotWritten(state.agreed.role.epoch, state.agreed)
+    return propose_fenced(state, f"snapshot/{offset}", body, at_ms)
+
+
 def _note_renewals(state, at_ms):
     """Note when each member's latest renewal was first known here.
 
--- a/sesamehall/reducer/steward_test.py
+++ b/sesamehall/reducer/steward_test.py
@@ -16,8 +16,10 @@
 from sesamehall.core.data import Pool
 from sesamehall.core.data import TargetKind
 from sesamehall.core.effects import Append
+from sesamehall.core.effects import ReadLog
 from sesamehall.core.effects import RebootInstance
 from sesamehall.core.effects import RunTask
+from sesamehall.core.effects import Send
 from sesamehall.core.effects import StopTask
 from sesamehall.core.events import InstanceRebooted
 from sesamehall.core.events import LogRead
@@ -29,7 +31,10 @@
 from sesamehall.core.events import TaskUnknown
 from sesamehall.core.events import TimerFired
 from sesamehall.core.events import WorkerAnswered
+from sesamehall.core.limits import SNAPSHOT_MS
 from sesamehall.core.messages import DrainReported
+from sesamehall.core.messages import Follow
+from sesamehall.core.messages import RecordsForwarded
 from sesamehall.core.records import InstanceJoined
 from sesamehall.core.records import JobCancelled
 from sesamehall.core.records import JobEnded
@@ -45,6 +50,7 @@
 from sesamehall.core.records import Record
 from sesamehall.core.records import RoleClaimed
 from sesamehall.core.records import RoleRenewed
+from sesamehall.core.records import SnapshotWritten
 from sesamehall.core.replacing import replace
 from sesamehall.core.timers import BeatTimer
 from sesamehall.core.timers import TaskTimer
@@ -391,3 +397,56 @@
     state = replace(state, steward=steward)
     step = reduce(state, LogReadFailed(1_000, "down"))
     assert step.effects[0].at_ms == 1_000 + pause_ms
+
+
+def snapshot(offset, state_offset):
+    agreed = replace(build_agreed(), next_offset=state_offset)
+    record = Record(f"snapshot-{offset}", SnapshotWritten(5, agreed))
+    return LogEntry(offset, record)
+
+
+def other(offset):
+    return LogEntry(offset, Record(f"other-{offset}", RoleRenewed(0)))
+
+
+@pytest.mark.parametrize(
+    ("entries", "earliest", "next_offset", "read_from"),
+    [
+        ([other(10)], 0, 11, 11),
+        ([other(50)], 50, 10, 51),
+        ([], 50, 10, None),
+        ([other(50), snapshot(51, 50)], 50, 50, 50),
+        ([snapshot(50, 49), other(51)], 50, 10, 52),
+        ([snapshot(50, 50), snapshot(51, 51)], 50, 51, 51),
+        ([snapshot(10, 10)], 0, 11, 11),
+    ],
+)
+def test_snapshot_bridges_what_the_log_forgot(
+    entries, earliest, next_offset, read_from
+):
+    state, effects = reduce_all(
+        build_steward(), LogRead(0, tuple(entries), earliest)
+    )
+    assert state.agreed.next_offset == next_offset
+    reads = [e.from_offset for e in effects if isinstance(e, ReadLog)]
+    assert reads == ([] if read_from is None else [read_from])
+
+
+def test_holder_writes_snapshots_that_followers_get_without_state():
+    state, _ = reduce_all(build_steward(), TimerFired(0, BeatTimer()))
+    _, effects = reduce_all(state, TimerFired(SNAPSHOT_MS - 1, BeatTimer()))
+    early = [b for b in appended(effects) if isinstance(b, SnapshotWritten)]
+    _, effects = reduce_all(state, TimerFired(SNAPSHOT_MS, BeatTimer()))
+    (body,) = [b for b in appended(effects) if isinstance(b, SnapshotWritten)]
+    assert early == [] and body.agreed == state.agreed
+    follow = MessageReceived(0, "entry-a", Follow(10))
+    _, effects = reduce_all(
+        state, follow, LogRead(0, (LogEntry(10, Record("s", body)),), 0)
+    )
+    (sent,) = [
+        effect.message.entries[0].record.body
+        for effect in effects
+        if isinstance(effect, Send)
+        and isinstance(effect.message, RecordsForwarded)
+    ]
+    assert sent == SnapshotWritten(5, None)
--- a/sesamehall/reducer/stewardship.py
+++ b/sesamehall/reducer/stewardship.py
@@ -22,17 +22,21 @@
 from sesamehall.core.logevents import LOG_BACK
 from sesamehall.core.logevents import LOG_GAP
 from sesamehall.core.logevents import LOG_UNREACHABLE
+from sesamehall.core.logevents import SNAPSHOT_TAKEN
 from sesamehall.core.messages import AgreedForwarded
 from sesamehall.core.messages import InstancesForwarded
 from sesamehall.core.messages import Message
 from sesamehall.core.messages import RecordsForwarded
 from sesamehall.core.records import LogEntry
+from sesamehall.core.records import Record
+from sesamehall.core.records import SnapshotWritten
 from sesamehall.core.replacing import replace
 from sesamehall.core.state import State
 from sesamehall.core.step import Step
 from sesamehall.core.step import then
 from sesamehall.core.timers import ListTimer
 from sesamehall.core.timers import ReadLogTimer
+from sesamehall.reducer.agreement import find_snapshot
 from sesamehall.reducer.following import adopt_agreed
 from sesamehall.reducer.following import apply_entries
 
@@ -48,7 +52,8 @@
     if state.steward.reading:
         return Step(state)
     steward = replace(state.steward, reading=True)
-    effect = ReadLog(state.agreed.next_offset)
+    seeking = state.steward.seeking_offset
+    effect = ReadLog(state.agreed.next_offset if seeking < 0 else seeking)
     return Step(replace(state, steward=steward), (effect,))
 
 
@@ -67,12 +72,40 @@
         effects += (log(LOG_BACK, offset=state.agreed.next_offset),)
     state = replace(state, steward=steward)
     if event.earliest > state.agreed.next_offset:
-        return _wait_for_peer(state, event, effects)
+        step = _seek_snapshot(state, event)
+        return Step(step.state, effects + step.effects)
+    state = _end_search(state)
     step = take_entries(state, event.entries, event.at_ms)
     step = Step(step.state, effects + step.effects)
     return then(step, read_log)
 
 
+def _seek_snapshot(state: State, event: LogRead) -> Step:
+    """Bridge records that the log has forgotten, by a snapshot or a peer."""
+    agreed = find_snapshot(event.entries, event.earliest)
+    if agreed is not None and agreed.next_offset > state.agreed.next_offset:
+        line = log(SNAPSHOT_TAKEN, offset=agreed.next_offset)
+        message = AgreedForwarded(agreed)
+        step = take_agreed(_end_search(state), message, event.at_ms)
+        step = Step(step.state, (line,) + step.effects)
+        return then(step, read_log)
+    if event.entries:
+        further = event.entries[-1].offset + 1
+        steward = replace(state.steward, seeking_offset=further)
+        return read_log(replace(state, steward=steward))
+    pause = SetTimer(ReadLogTimer(), event.at_ms + READ_RETRY_MOST_MS)
+    line = log(
+        LOG_GAP, earliest=event.earliest, wanted=state.agreed.next_offset
+    )
+    return Step(_end_search(state), (pause, line))
+
+
+def _end_search(state):
+    if state.steward.seeking_offset < 0:
+        return state
+    return replace(state, steward=replace(state.steward, seeking_offset=-1))
+
+
 def take_entries(
     state: State, entries: tuple[LogEntry, ...], at_ms: int
 ) -> Step:
@@ -88,7 +121,7 @@
     before = state.agreed.next_offset
     step = apply_entries(state, entries, at_ms)
     after = step.state.agreed.next_offset
-    news = tuple(e for e in entries if before <= e.offset < after)
+    news = tuple(_strip(e) for e in entries if before <= e.offset < after)
     if not news:
         return step
     recent = (step.state.steward.recent_entries + news)[-RECENT_ENTRIES:]
@@ -232,6 +265,15 @@
     return Step(state, (timer, log(INSTANCES_UNLISTED, reason=event.reason)))
 
 
+def _strip(entry: LogEntry) -> LogEntry:
+    """Leave the state out of a snapshot: followers in order have it."""
+    record = entry.record
+    if record is None or not isinstance(record.body, SnapshotWritten):
+        return entry
+    body = SnapshotWritten(record.body.epoch, None)
+    return LogEntry(entry.offset, Record(record.record_id, body))
+
+
 def _by_name(instance: Instance) -> str:
     return instance.name
 
@@ -251,12 +293,3 @@
         for peer in state.steward.followers_by_peer
         if peers_by_name[peer].kind is NodeKind.ENTRY
     )
-
-
-def _wait_for_peer(state, event, effects):
-    """Leave it to a peer to bridge records that the log has forgotten."""
-    pause = SetTimer(ReadLogTimer(), event.at_ms + READ_RETRY_MOST_MS)
-    line = log(
-        LOG_GAP, earliest=event.earliest, wanted=state.agreed.next_offset
-    )
-    return Step(state, effects + (pause, line))
--- a/sesamehall/runtime/desk.py
+++ b/sesamehall/runtime/desk.py
@@ -22,11 +22,13 @@
 from sesamehall.core.records import KeyGiven
 from sesamehall.core.records import KeyWithdrawn
 from sesamehall.core.records import LimitsPublished
+from sesamehall.core.records import LogEntry
 from sesamehall.core.records import PlansPublished
 from sesamehall.core.records import Record
 from sesamehall.core.records import RecordBody
 from sesamehall.core.settings import OperatorSettings
 from sesamehall.reducer.agreement import apply_entry
+from sesamehall.reducer.agreement import find_snapshot
 from sesamehall.runtime.platform import LogClient
 
 EXIT_REFUSED = 1
@@ -222,11 +224,25 @@
         """Read and apply the next entries; tell if there were any."""
         earliest, entries = self._log.read(self.agreed.next_offset, wait_ms)
         if earliest > self.agreed.next_offset:
-            raise PlatformError("the log has forgotten its beginning")
+            self._take_snapshot(earliest, entries)
+            return True
         for entry in entries:
             self.agreed, _ = apply_entry(self.agreed, entry)
         return bool(entries)
 
+    def _take_snapshot(
+        self, earliest: int, entries: tuple[LogEntry, ...]
+    ) -> None:
+        """Begin at a snapshot, when the log has forgotten its beginning."""
+        while entries:
+            agreed = find_snapshot(entries, earliest)
+            if agreed is not None:
+                self.agreed = agreed
+                return
+            further = entries[-1].offset + 1
+            earliest, entries = self._log.read(further, wait_ms=0)
+        raise PlatformError("the log holds no snapshot")
+
 
 def _describe_member(placement: Placement) -> str:
     name = placement.instance.name
