--- a/demo/main.py
+++ b/demo/main.py
@@ -6,6 +6,7 @@
 """
 
 from collections import Counter
+from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
 import json
 from pathlib import Path
@@ -125,7 +126,7 @@
         guild_key = fleet.operate("give-key", "--team", "guild")
         rutas_key = fleet.operate("give-key", "--team", "rutas")
         fleet.operate("in-force", "--wait-s", str(WAIT_S))
-        self._await(self._pools_filled, "instances in their pools")
+        await_condition(self._pools_filled, "instances in their pools")
         return guild_key, rutas_key
 
     def _pools_filled(self) -> bool:
@@ -195,13 +196,13 @@
             body=json.dumps(long_job).encode(),
             headers={"Sesamehall-Request-Id": "endless"},
         )
-        self._await(
+        await_condition(
             lambda: self._phase(guild, "endless") == "running", "job running"
         )
         guild.send(
             self._entries[0], "/sesamehall/v1/jobs/endless", method="DELETE"
         )
-        self._await(
+        await_condition(
             lambda: self._phase(guild, "endless") == "cancelled", "cancelled"
         )
         self._note("job cancelled while it ran", "endless", True)
@@ -210,7 +211,7 @@
             phases = [self._phase(guild, job_id) for job_id in job_ids]
             return phases.count("done") == JOBS
 
-        self._await(all_done, "jobs done")
+        await_condition(all_done, "jobs done")
         self._note("jobs that ran to their end", JOBS, True)
 
     def _phase(self, caller: Caller, job_id: str) -> str:
@@ -256,7 +257,7 @@
             line = next(x for x in shown.splitlines() if "quotes: ex" in x)
             return line.endswith("has ex-1, ex-2, ex-3")
 
-        self._await(moved, "instance moved")
+        await_condition(moved, "instance moved")
         self._codes.update(codes)
         self._note("instance moved", "ex-3 from admin to quotes", True)
         only_ran = set(codes) == {1000}
@@ -284,14 +285,6 @@
         good = all(code == 0 for code in codes)
         self._note("processes stopped gracefully", len(codes), good)
 
-    def _await(self, condition, name: str) -> None:
-        """Wait for a condition; without it there is no use in going on."""
-        ends_at = time.monotonic() + WAIT_S
-        while not condition():
-            if time.monotonic() > ends_at:
-                raise RuntimeError(f"waited {WAIT_S} s in vain: {name}")
-            time.sleep(POLL_S)
-
     def print_table(self) -> None:
         """Print what was found, a line each."""
         for name, value, good in self.rows:
@@ -303,6 +296,22 @@
         print(f"    answers by result code           {counts}")
 
 
+def await_condition(condition: Callable[[], bool], name: str) -> None:
+    """Wait for a condition; without it there is no use in going on.
+
+    Args:
+      condition: Tells whether it holds.
+      name: What is waited for.
+    Raises:
+      RuntimeError: It did not come about in time.
+    """
+    ends_at = time.monotonic() + WAIT_S
+    while not condition():
+        if time.monotonic() > ends_at:
+            raise RuntimeError(f"waited {WAIT_S} s in vain: {name}")
+        time.sleep(POLL_S)
+
+
 def main() -> int:
     """Run the demo.
 
--- a/sesamehall/runtime/entry.py
+++ b/sesamehall/runtime/entry.py
@@ -1,10 +1,13 @@
 """The entry: callers on cherrypy's server, decisions in a thread beside."""
 
-from cheroot.server import DropUnderscoreHeaderReader
+from cheroot.server import HeaderReader
+from cheroot.server import HTTPConnection
 from cheroot.server import HTTPRequest
 from cheroot.wsgi import Gateway_10
+from cheroot.wsgi import Server
 import cherrypy
 from cherrypy.process.plugins import SimplePlugin
+from cherrypy.process.servers import ServerAdapter
 
 from sesamehall.core.data import NodeKind
 from sesamehall.core.effects import Dispatch
@@ -37,10 +40,69 @@
         return environ
 
 
-class StrictRequest(HTTPRequest):
-    """Reads requests; header names with underscores are dropped."""
+class StrictHeaderReader(HeaderReader):
+    """Reads one request's headers.
 
-    header_reader = DropUnderscoreHeaderReader()
+    Names with an underscore are dropped, since WSGI takes it for a dash; a
+    second length is an error, since two readers could differ over it.
+    """
+
+    def __init__(self):
+        """Begin with no header read."""
+        super().__init__()
+        self._has_length = False
+
+    def _allow_header(self, key_name):
+        if key_name.strip().lower() == b"content-length":
+            if self._has_length:
+                raise ValueError("more than one Content-Length")
+            self._has_length = True
+        return b"_" not in key_name
+
+
+class EntryRequest(HTTPRequest):
+    """A request whose URI is kept as it arrived."""
+
+    def __init__(self, server, conn):
+        """Take over a connection.
+
+        Args:
+          server: The server.
+          conn: The connection.
+        """
+        super().__init__(server, conn, proxy_mode=True)
+        self.header_reader = StrictHeaderReader()
+
+
+class EntryConnection(HTTPConnection):
+    """A connection that reads requests of our kind."""
+
+    RequestHandlerClass = EntryRequest
+
+
+class EntryServer(Server):
+    """The HTTP server of an entry."""
+
+    ConnectionClass = EntryConnection
+
+    def __init__(self, settings: EntrySettings, front: CallerFront):
+        """Prepare the server.
+
+        Args:
+          settings: Settings of the entry.
+          front: Serves the requests.
+        """
+        host, _, port = settings.http.rpartition(":")
+        super().__init__(
+            (host, int(port)),
+            front,
+            numthreads=settings.threads,
+            request_queue_size=LISTEN_BACKLOG,
+            timeout=settings.sender_timeout_s,
+            shutdown_timeout=SHUTDOWN_TIMEOUT_S,
+        )
+        self.gateway = RequestGateway
+        self.max_request_header_size = settings.header_limit_bytes
 
 
 class EntryApplication(SimplePlugin):
@@ -67,8 +129,10 @@
 
     def serve(self) -> None:
         """Work until a signal asks for a stop."""
-        _configure_server(self._settings)
-        cherrypy.tree.graft(self._front, "/")
+        cherrypy.server.unsubscribe()
+        cherrypy.config.update({"engine.autoreload.on": False})
+        server = EntryServer(self._settings, self._front)
+        ServerAdapter(self.bus, server, server.bind_addr).subscribe()
         self.subscribe()
         handler = cherrypy.engine.signal_handler
         handler.handlers["SIGTERM"] = self._application.request_stop
@@ -96,29 +160,3 @@
                 self._front.deliver(effect)
             case Exit():
                 run_thread(cherrypy.engine.exit, "exit")
-
-
-def _configure_server(settings: EntrySettings) -> None:
-    """Set up cherrypy's server; its own pages and reloader stay off."""
-    from cheroot import server as cheroot_server
-    from cherrypy._cpwsgi_server import CPWSGIServer
-
-    host, _, port = settings.http.rpartition(":")
-    cheroot_server.HTTPConnection.RequestHandlerClass = StrictRequest
-    CPWSGIServer.wsgi_gateways = {(1, 0): RequestGateway}
-    cherrypy.config.update(
-        {
-            "environment": "production",
-            "engine.autoreload.on": False,
-            "log.screen": False,
-            "server.socket_host": host,
-            "server.socket_port": int(port),
-            "server.thread_pool": settings.threads,
-            "server.socket_queue_size": LISTEN_BACKLOG,
-            "server.socket_timeout": settings.sender_timeout_s,
-            "server.shutdown_timeout": SHUTDOWN_TIMEOUT_S,
-            "server.max_request_header_size": settings.header_limit_bytes,
-            "server.max_request_body_size": 0,
-            "server.wsgi_version": (1, 0),
-        }
-    )
