Refuse keyed work where withdrawals cannot be known; bound ended jobs

Cause: an entry cut off from the log took withdrawn keys for ever; ended jobs made the agreed state grow without bound. The newest 4,000 ended jobs are kept. Weighed: going on with the last keys (breaks the promise that a withdrawn key stops within seconds), refusing in every outage (stops the fleet when the platform is down for all).

--- a/bench/decision_cost.py
+++ b/bench/decision_cost.py
@@ -31,6 +31,7 @@
 from sesamehall.core.replacing import replace
 from sesamehall.core.state import Allotments
 from sesamehall.core.state import Identity
+from sesamehall.core.state import Peer
 from sesamehall.core.state import State
 from sesamehall.reducer.fleet import take_instances
 from sesamehall.reducer.lists import index_services
@@ -41,6 +42,7 @@
 WAITING = 60  # requests that wait all the time
 ROUNDS = 5
 DIGEST = bytes(32)
+STEWARD = Node("s", NodeKind.STEWARD, "dc", "")
 
 
 def build_state(teams: int, pools: int, instances: int) -> State:
@@ -84,8 +86,9 @@
         ),
     )
     state = State(
-        Identity(Node("e", NodeKind.ENTRY, "dc", ""), "e"),
+        Identity(Node("e", NodeKind.ENTRY, "dc", ""), "e", Map(s=STEWARD)),
         agreed=agreed,
+        peers_by_name=Map(s=Peer("s", "s", 0, log_known_ms=1 << 60)),
         allotments=Allotments(lease_end_ms=1 << 60),
     )
     return take_instances(state, executors)
--- a/sesamehall/core/agreement.py
+++ b/sesamehall/core/agreement.py
@@ -121,6 +121,7 @@
       instance_names_by_pool: Names of each pool's instances, sorted.
       moves_by_operation: Moves that are not finished.
       jobs_by_id: Jobs and what has become of them.
+      ended_job_ids: Ended jobs that are kept, oldest first.
       waiting_job_ids: Jobs not placed yet, mapped to True.
       waiting_jobs_by_team: Number of them.
       job_ids_by_worker: Jobs placed on each worker that have not ended.
@@ -149,6 +150,7 @@
     instance_names_by_pool: Map[str, tuple[str, ...]] = EMPTY_MAP
     moves_by_operation: Map[str, Move] = EMPTY_MAP
     jobs_by_id: Map[str, JobStatus] = EMPTY_MAP
+    ended_job_ids: tuple[str, ...] = ()
     waiting_job_ids: Map[str, bool] = EMPTY_MAP
     waiting_jobs_by_team: Map[str, int] = EMPTY_MAP
     job_ids_by_worker: Map[str, tuple[str, ...]] = EMPTY_MAP
--- a/sesamehall/core/codes.py
+++ b/sesamehall/core/codes.py
@@ -104,6 +104,12 @@
     503,
     "Send it again after a pause, with the same id.",
 )
+KEYS_UNKNOWN = _not_run(
+    2018,
+    "keys cannot be checked",
+    503,
+    "Send it to an entry of another data centre, or again after a pause.",
+)
 
 LOST = _unknown(
     3001,
@@ -152,6 +158,7 @@
     NO_SUCH_JOB,
     JOB_IMPOSSIBLE,
     NOT_SAFE,
+    KEYS_UNKNOWN,
     LOST,
     TIMED_OUT,
     JOB_UNKNOWN,
--- a/sesamehall/core/limits.py
+++ b/sesamehall/core/limits.py
@@ -34,3 +34,5 @@
 CLAIM_WAIT_MS = 1_000  # an id without enough votes by then is not run
 CLAIM_HOLDERS = 3  # entries that remember an id; two of them must grant it
 SNAPSHOT_MS = 600_000  # the log must keep records at least twice this long
+KEYS_KNOWN_MS = 4_000  # a cut-off entry takes withdrawn keys this long
+ENDED_JOBS_KEPT = 4_000  # callers can ask for this many ended jobs
--- a/sesamehall/core/messages.py
+++ b/sesamehall/core/messages.py
@@ -45,9 +45,12 @@
 
     Attributes:
       next_offset: First offset of the log that the sender has not applied.
+      log_age_ms: How long ago the sender knew that this was the log's end;
+        -1 for an entry, and for a steward that never did.
     """
 
     next_offset: int
+    log_age_ms: int = -1
 
 
 @dataclass(frozen=True, slots=True)
--- a/sesamehall/core/state.py
+++ b/sesamehall/core/state.py
@@ -48,6 +48,7 @@
       incarnation: Identifier of its process, "" before its Hello.
       heard_ms: Clock at which its latest message arrived.
       next_offset: First offset of the log that it has not applied.
+      log_known_ms: Clock at which that was the end of the log, by its word.
       running_by_team: Requests that it said it has in flight.
       running_by_target: The same for each target.
       waiting_by_line: Requests that it said wait for a slot alone.
@@ -57,6 +58,7 @@
     incarnation: str
     heard_ms: int
     next_offset: int = 0
+    log_known_ms: int = -1
     running_by_team: Map[str, int] = EMPTY_MAP
     running_by_target: Map[str, int] = EMPTY_MAP
     waiting_by_line: Map[str, int] = EMPTY_MAP
@@ -278,6 +280,7 @@
 
     Attributes:
       reading: Whether a read of the log is under way.
+      read_ms: Clock of the latest answer to a read of the log, or -1.
       seeking_offset: Where a snapshot is looked for, -1 for no search.
       snapshot_seen_ms: Clock at which the latest snapshot was first known.
       snapshot_seen_offset: Offset of that snapshot.
@@ -296,6 +299,7 @@
     """
 
     reading: bool = False
+    read_ms: int = -1
     seeking_offset: int = -1
     snapshot_seen_ms: int = 0
     snapshot_seen_offset: int = -2
--- a/sesamehall/reducer/admission.py
+++ b/sesamehall/reducer/admission.py
@@ -5,6 +5,7 @@
 
 from sesamehall.core.codes import KEY_MISSING
 from sesamehall.core.codes import KEY_REFUSED
+from sesamehall.core.codes import KEYS_UNKNOWN
 from sesamehall.core.codes import NO_LIMIT
 from sesamehall.core.codes import NO_SUCH_SERVICE
 from sesamehall.core.codes import NOT_ADMITTED
@@ -24,6 +25,7 @@
 from sesamehall.reducer.claims import needs_claim
 from sesamehall.reducer.claims import seek_claim
 from sesamehall.reducer.dispatching import dispatch_services
+from sesamehall.reducer.freshness import knows_keys
 from sesamehall.reducer.queues import enqueue
 from sesamehall.reducer.refusals import refuse
 
@@ -67,7 +69,7 @@
       A Step that dispatches, queues or refuses the request.
     """
     request = _bound_deadline(event.request, event.at_ms)
-    match admit(state, request):
+    match admit(state, request, event.at_ms):
         case Refused(code, detail):
             return refuse(state, request.request_id, code, detail)
         case Admitted(team):
@@ -78,12 +80,13 @@
             return dispatch_services(queued, (request.service,), event.at_ms)
 
 
-def admit(state: State, request: Request) -> Admission:
+def admit(state: State, request: Request, at_ms: int) -> Admission:
     """Decide whether a request may be taken, and for which team.
 
     Args:
       state: State of the entry.
       request: The request.
+      at_ms: The node's clock.
     Returns:
       Admitted with the team, or Refused with the code.
     """
@@ -95,7 +98,7 @@
         return Refused(NO_SUCH_SERVICE, request.service)
     if request.key is None and service.open_to is not None:
         return _check_room(state, request, service.open_to)
-    owner = identify_team(state, request.key)
+    owner = identify_team(state, request.key, at_ms)
     match owner:
         case Refused():
             return owner
@@ -106,12 +109,15 @@
             return _check_room(state, request, team)
 
 
-def identify_team(state: State, key: PresentedKey | None) -> Admission:
+def identify_team(
+    state: State, key: PresentedKey | None, at_ms: int
+) -> Admission:
     """Find the team that a key belongs to.
 
     Args:
       state: State of the entry.
       key: The key shown, or None.
+      at_ms: The node's clock.
     Returns:
       Admitted with the team, or Refused with the code.
     """
@@ -122,6 +128,8 @@
     matches = compare_digest(digest, key.digest)
     if known is None or not matches:
         return Refused(KEY_REFUSED, "not in force")
+    if not knows_keys(state, at_ms):
+        return Refused(KEYS_UNKNOWN, "the log's end is not known")
     return Admitted(known.team)
 
 
--- a/sesamehall/reducer/jobcalls.py
+++ b/sesamehall/reducer/jobcalls.py
@@ -48,7 +48,7 @@
     Returns:
       A Step that proposes the job or refuses it.
     """
-    owner = _identify(state, event.key)
+    owner = _identify(state, event.key, event.at_ms)
     if isinstance(owner, Refused):
         return refuse(state, event.call_id, owner.code, owner.detail)
     job = replace(event.job, team=owner.team)
@@ -73,7 +73,7 @@
     Returns:
       A Step with the answer.
     """
-    status = _find_job(state, event.key, event.job_id)
+    status = _find_job(state, event)
     if isinstance(status, Refused):
         return refuse(state, event.call_id, status.code, status.detail)
     return Step(state, (Reply(event.call_id, JOB_STATE, status=status),))
@@ -88,7 +88,7 @@
     Returns:
       A Step that proposes the cancellation or refuses it.
     """
-    status = _find_job(state, event.key, event.job_id)
+    status = _find_job(state, event)
     if isinstance(status, Refused):
         return refuse(state, event.call_id, status.code, status.detail)
     body = JobCancelled(event.job_id)
@@ -164,13 +164,13 @@
     return f"no instance of {job.pool} is large enough"
 
 
-def _identify(state, key: PresentedKey | None):
+def _identify(state, key: PresentedKey | None, at_ms: int):
     """Find the team of a call, or why it is refused."""
     if state.phase is not Phase.SERVING:
         return Refused(STOPPING, state.identity.node.name)
     if state.agreed.next_offset == 0:
         return Refused(NOT_READY, "nothing of the log is known yet")
-    return identify_team(state, key)
+    return identify_team(state, key, at_ms)
 
 
 def _check_job(state: State, job: Job) -> Refused | None:
@@ -188,9 +188,12 @@
     return None
 
 
-def _find_job(state, key, job_id) -> JobStatus | Refused:
+def _find_job(
+    state: State, event: AskCalled | CancelCalled
+) -> JobStatus | Refused:
     """Find a job of the caller's own team."""
-    owner = _identify(state, key)
+    job_id = event.job_id
+    owner = _identify(state, event.key, event.at_ms)
     if isinstance(owner, Refused):
         return owner
     status = state.agreed.jobs_by_id.get(job_id)
--- a/sesamehall/reducer/lifecycle.py
+++ b/sesamehall/reducer/lifecycle.py
@@ -126,7 +126,7 @@
     timer = SetTimer(BeatTimer(), at_ms + BEAT_MS)
     step = Step(state, (timer,))
     step = then(step, drop_silent_peers, at_ms)
-    step = then(step, beat_peers)
+    step = then(step, beat_peers, at_ms)
     if state.identity.node.kind is NodeKind.ENTRY:
         return then(step, _beat_entry, at_ms)
     return then(step, _beat_steward, at_ms)
--- a/sesamehall/reducer/peers.py
+++ b/sesamehall/reducer/peers.py
@@ -55,6 +55,8 @@
 from sesamehall.reducer.fleet import take_instances
 from sesamehall.reducer.following import adopt_agreed
 from sesamehall.reducer.following import apply_entries
+from sesamehall.reducer.freshness import log_age_ms
+from sesamehall.reducer.freshness import note_log_age
 from sesamehall.reducer.load import forget_reports
 from sesamehall.reducer.load import report_whole
 from sesamehall.reducer.load import take_report
@@ -117,15 +119,16 @@
     return Step(state, effects)
 
 
-def beat_peers(state: State) -> Step:
+def beat_peers(state: State, at_ms: int) -> Step:
     """Tell every peer that this node is alive and how far it has read.
 
     Args:
       state: State of the node.
+      at_ms: The node's clock.
     Returns:
       A Step with the heartbeats.
     """
-    beat = Heartbeat(state.agreed.next_offset)
+    beat = Heartbeat(state.agreed.next_offset, log_age_ms(state, at_ms))
     return Step(state, tuple(Send(name, beat) for name in state.peers_by_name))
 
 
@@ -145,7 +148,7 @@
     peers = state.peers_by_name.set(event.peer, peer)
     state = replace(state, peers_by_name=peers)
     if isinstance(event.message, Hello):
-        return _take_greeting(state, peer, event.message)
+        return _take_greeting(state, peer, event.message, event.at_ms)
     if not peer.incarnation:
         return _refuse_peer(state, event.peer, "no greeting")
     if state.identity.node.kind is NodeKind.ENTRY:
@@ -157,8 +160,8 @@
     at_ms = event.at_ms
     message = event.message
     match message:
-        case Heartbeat(next_offset):
-            return _pull(state, peer, next_offset)
+        case Heartbeat():
+            return _pull(state, note_log_age(peer, message, at_ms))
         case RecordsForwarded(entries):
             return apply_entries(state, entries, at_ms)
         case AgreedForwarded(agreed):
@@ -197,8 +200,8 @@
     at_ms = event.at_ms
     message = event.message
     match message:
-        case Heartbeat(next_offset):
-            return _pull(state, peer, next_offset)
+        case Heartbeat():
+            return _pull(state, note_log_age(peer, message, at_ms))
         case Follow(from_offset):
             return add_follower(state, peer.name, from_offset)
         case RecordsForwarded(entries):
@@ -214,7 +217,7 @@
     return _refuse_peer(state, peer.name, type(message).__name__)
 
 
-def _take_greeting(state: State, peer: Peer, hello: Hello) -> Step:
+def _take_greeting(state: State, peer: Peer, hello: Hello, at_ms: int) -> Step:
     """Accept a peer that is who the settings say and speaks our format."""
     node = state.identity.peers_by_name.get(hello.name)
     if node is None or node.kind is not hello.kind:
@@ -224,7 +227,9 @@
     known = replace(peer, incarnation=hello.incarnation)
     peers = state.peers_by_name.set(peer.name, known)
     line = log(PEER_CONNECTED, peer=peer.name, incarnation=hello.incarnation)
-    step = Step(replace(state, peers_by_name=peers), (line,))
+    beat = Heartbeat(state.agreed.next_offset, log_age_ms(state, at_ms))
+    effects = (Send(peer.name, beat), line)
+    step = Step(replace(state, peers_by_name=peers), effects)
     if hello.kind is NodeKind.STEWARD:
         return then(step, _follow_at_home, known)
     if state.identity.node.kind is NodeKind.ENTRY:
@@ -243,15 +248,14 @@
     return Step(state, (Send(peer.name, Follow(state.agreed.next_offset)),))
 
 
-def _pull(state: State, peer: Peer, next_offset: int) -> Step:
+def _pull(state: State, peer: Peer) -> Step:
     """Follow a steward that has read further than this node."""
-    known = replace(peer, next_offset=next_offset)
-    peers = state.peers_by_name.set(peer.name, known)
+    peers = state.peers_by_name.set(peer.name, peer)
     state = replace(state, peers_by_name=peers)
     node = state.identity.peers_by_name[peer.name]
     if node.kind is not NodeKind.STEWARD:
         return Step(state)
-    if next_offset <= state.agreed.next_offset:
+    if peer.next_offset <= state.agreed.next_offset:
         return Step(state)
     return Step(state, (Send(peer.name, Follow(state.agreed.next_offset)),))
 
--- a/sesamehall/reducer/placements.py
+++ b/sesamehall/reducer/placements.py
@@ -8,6 +8,7 @@
 from sesamehall.core.data import JobStatus
 from sesamehall.core.data import Move
 from sesamehall.core.data import TERMINAL_PHASES
+from sesamehall.core.limits import ENDED_JOBS_KEPT
 from sesamehall.core.records import InstanceJoined
 from sesamehall.core.records import JobCancelled
 from sesamehall.core.records import JobEnded
@@ -262,5 +263,14 @@
 
 
 def _record_job(agreed, status):
-    jobs = agreed.jobs_by_id.set(status.job.job_id, status)
-    return replace(agreed, jobs_by_id=jobs), Verdict.ACCEPTED
+    """Store a job's state; of the ended ones only the newest are kept."""
+    job_id = status.job.job_id
+    jobs = agreed.jobs_by_id.set(job_id, status)
+    if status.phase not in TERMINAL_PHASES:
+        return replace(agreed, jobs_by_id=jobs), Verdict.ACCEPTED
+    ended = agreed.ended_job_ids + (job_id,)
+    if len(ended) > ENDED_JOBS_KEPT:
+        jobs = jobs.delete(ended[0])
+        ended = ended[1:]
+    changed = replace(agreed, jobs_by_id=jobs, ended_job_ids=ended)
+    return changed, Verdict.ACCEPTED
--- a/sesamehall/reducer/stewardship.py
+++ b/sesamehall/reducer/stewardship.py
@@ -66,7 +66,9 @@
     Returns:
       A Step with the next read.
     """
-    steward = replace(state.steward, reading=False, log_failures=0)
+    steward = replace(
+        state.steward, reading=False, log_failures=0, read_ms=event.at_ms
+    )
     effects = ()
     if state.steward.log_failures:
         effects += (log(LOG_BACK, offset=state.agreed.next_offset),)
--- a/sesamehall/reducer/testing.py
+++ b/sesamehall/reducer/testing.py
@@ -32,6 +32,7 @@
 
 DIGEST = bytes(range(32))
 CEILING = 4
+FAR_MS = 1_000_000
 ME = "entry-b:1"
 OTHER = "entry-a:1"
 KEYS = {name: Key(f"key-{name}", name, DIGEST) for name in ("red", "blue")}
@@ -106,7 +107,10 @@
       The state; one entry and one steward are connected.
     """
     node = Node("entry-b", NodeKind.ENTRY, "north", "")
-    peers = Map((name, Peer(name, f"{name}:1", 0)) for name in PEERS)
+    peers = Map(
+        (name, Peer(name, f"{name}:1", 0, log_known_ms=FAR_MS))
+        for name in PEERS
+    )
     return State(
         identity=Identity(node, ME, PEERS, queue_limit=8),
         agreed=build_agreed(places),
@@ -116,7 +120,7 @@
             targets_by_pool=Map(pool=("ex-1", "ex-2")),
             instances=INSTANCES,
         ),
-        allotments=Allotments(lease_end_ms=1_000_000),
+        allotments=Allotments(lease_end_ms=FAR_MS),
     )
 
 
