--- /dev/null
+++ b/bench/live.py
@@ -0,0 +1,103 @@
+"""A fleet of real processes for the measurements of agreement."""
+
+from pathlib import Path
+import tempfile
+import time
+
+from demo.fleet import Fleet
+from sesamehall.codecs.checks import check_limits
+from sesamehall.codecs.checks import check_plans
+from sesamehall.codecs.yamlfile import load_yaml
+from sesamehall.core.data import LimitsList
+from sesamehall.core.data import PlansList
+from sesamehall.core.records import LimitsPublished
+from sesamehall.core.records import PlansPublished
+from sesamehall.core.records import Record
+from sesamehall.runtime.platform import LogClient
+
+NODES = {
+    "entry-a": "north",
+    "entry-b": "south",
+    "steward-a": "north",
+    "steward-b": "south",
+}
+TEAMS = 250
+POOLS = 323
+WAIT_S = 30
+
+
+def start_fleet() -> tuple[Fleet, LogClient]:
+    """Start two data centres with lists of the target's size.
+
+    Returns:
+      The fleet, and a client of its log.
+    """
+    fleet = Fleet(Path(tempfile.mkdtemp()))
+    fleet.start_platform()
+    fleet.start_instance("ex-1", "executor", "north", "r1", "pool-0")
+    fleet.start_instance("ex-2", "executor", "south", "r2", "pool-0")
+    fleet.list_instances()
+    fleet.start_nodes(NODES)
+    log = LogClient(fleet.address("platform"), "sesamehall")
+    plans = load_yaml(fleet.write("plans", _plans()), PlansList, check_plans)
+    log.append(Record("plans-0", PlansPublished(0, plans)))
+    log.append(Record("limits-0", LimitsPublished(0, build_limits(0))))
+    await_status(fleet, "limits_version", 1)
+    return fleet, log
+
+
+def build_limits(edit: int) -> LimitsList:
+    """Build limits that differ from edit to edit.
+
+    Args:
+      edit: Number of the edit.
+    Returns:
+      The list.
+    """
+    path = Path(tempfile.mkdtemp()) / "limits.yaml"
+    rows = [
+        f"- {{team: team-{i}, share: 1, ceiling: {100 + edit}}}"
+        for i in range(TEAMS)
+    ]
+    path.write_text("limits:\n" + "\n".join(rows) + "\n")
+    return load_yaml(str(path), LimitsList, check_limits)
+
+
+def await_status(fleet: Fleet, field: str, value: int) -> list[float]:
+    """Wait until every entry shows a value, and time each.
+
+    Args:
+      fleet: The fleet.
+      field: Field of the entries' status pages.
+      value: Least value that will do.
+    Returns:
+      Seconds from now for each entry.
+    """
+    began = time.monotonic()
+    waiting = {fleet.address(name) for name in NODES if "entry" in name}
+    times = []
+    while waiting:
+        for address in sorted(waiting):
+            url = f"http://{address}/sesamehall/v1/status"
+            if fleet.http.request("GET", url).json()[field] >= value:
+                times.append(time.monotonic() - began)
+                waiting.discard(address)
+        if time.monotonic() - began > WAIT_S:
+            raise RuntimeError(f"{field} not {value} in {WAIT_S} s")
+        time.sleep(0.005)
+    return times
+
+
+def _plans() -> dict:
+    return {
+        "plans": [
+            {"team": f"team-{i}", "services": [f"service-{i % POOLS}"]}
+            for i in range(TEAMS)
+        ],
+        "services": [
+            {"name": f"service-{i}", "pool": f"pool-{i}"} for i in range(POOLS)
+        ],
+        "pools": [
+            {"name": f"pool-{i}", "kind": "executor"} for i in range(POOLS)
+        ],
+    }
