Never reuse a connection on which more than the answer came; drop the gone

Cause: surplus bytes after an answer were swallowed by the library's buffer and the connection looked clean, so the rest of a crossed answer could have been taken for the next one; a gone caller's request waited on. Change: connections count what arrived and what was read; a waiting thread looks every 500 ms whether its caller is still there.

--- a/demo/callers_test.py
+++ b/demo/callers_test.py
@@ -1,5 +1,6 @@
 """Tests on real processes: what callers see at the edge of an entry."""
 
+from concurrent.futures import ThreadPoolExecutor
 import json
 import socket
 
@@ -143,6 +144,28 @@
     assert result.code == 3001
 
 
+def test_waiting_request_of_a_gone_caller_is_dropped(fleet, caller):
+    """Eight requests use all slots; the ninth waits, and its caller goes."""
+    address = fleet.address("entry-a")
+
+    def status():
+        url = f"http://{address}/sesamehall/v1/status"
+        return fleet.http.request("GET", url).json()
+
+    head = HEAD + b"Authorization: Bearer " + caller.key.encode()
+    host, _, port = address.partition(":")
+    with ThreadPoolExecutor(8) as threads:
+        for _ in range(8):
+            uri = "/?work_ms=3000"
+            threads.submit(caller.send, address, uri, "quotes")
+        await_condition(lambda: status()["running"] == 8, "all slots in use")
+        with socket.create_connection((host, int(port))) as sock:
+            sock.sendall(head + b"\r\n\r\n")
+            await_condition(lambda: status()["waiting"] == 1, "waiting")
+        await_condition(lambda: status()["waiting"] == 0, "dropped")
+        assert status()["running"] == 8
+
+
 def test_keys_never_reach_the_logs(fleet, caller):
     secret = caller.key.partition(".")[2]
     logs = "".join(path.read_text() for path in fleet.folder.glob("*.log"))
--- a/sesamehall/runtime/front.py
+++ b/sesamehall/runtime/front.py
@@ -14,6 +14,10 @@
 import json
 from queue import Empty
 from queue import SimpleQueue
+from socket import MSG_PEEK
+from socket import socket
+
+from urllib3.util.wait import wait_for_read
 
 from sesamehall.core.codes import ANSWERED
 from sesamehall.core.codes import MALFORMED
@@ -28,6 +32,7 @@
 from sesamehall.core.effects import Forward
 from sesamehall.core.effects import Reply
 from sesamehall.core.events import AskCalled
+from sesamehall.core.events import CallerGone
 from sesamehall.core.events import CancelCalled
 from sesamehall.core.events import DeadlinePassed
 from sesamehall.core.events import Event
@@ -66,6 +71,7 @@
 CONSUMED = frozenset(("authorization", "content-length", "expect"))
 JOB_BODY_LIMIT_BYTES = 64 << 10
 CALLER_ID_LIMIT = 128
+GONE_CHECK_MS = 500  # a caller that has gone is noticed this late
 CALL_TIMEOUT_MS = 10_000  # job calls are answered within this
 
 
@@ -172,7 +178,8 @@
             environ["REQUEST_METHOD"], uri, _headers_of(environ), body
         )
         request = self._read_request(environ)
-        return self._carry(request, message)
+        sock = environ[REQUEST_KEY].conn.socket
+        return self._carry(request, message, sock)
 
     def _serve_api(self, environ, uri) -> Response:
         """Serve a job call or the status page."""
@@ -231,7 +238,9 @@
     def _new_id(self, kind: str) -> str:
         return f"{kind}-{self._incarnation}-{next(self._serials)}"
 
-    def _carry(self, request: Request, message: Message) -> Response:
+    def _carry(
+        self, request: Request, message: Message, sock: socket
+    ) -> Response:
         """Do what the decisions say until there is an answer."""
         request_id = request.request_id
         mailbox: SimpleQueue = SimpleQueue()
@@ -240,7 +249,7 @@
         try:
             self._post(RequestReceived(now_ms(), request))
             while True:
-                match self._next_instruction(mailbox, request):
+                match self._next_instruction(mailbox, request, sock):
                     case Dispatch() as dispatch:
                         answer = self._attempt(dispatch, message)
                     case Forward():
@@ -263,14 +272,24 @@
         )
         return exchange.answer
 
-    def _next_instruction(self, mailbox: SimpleQueue, request: Request):
-        """Wait for an instruction; say so when the deadline has passed."""
-        remaining_ms = request.deadline_ms - now_ms()
-        try:
-            return mailbox.get(timeout=max(remaining_ms, 0) / 1000)
-        except Empty:
-            self._post(DeadlinePassed(now_ms(), request.request_id))
-            return mailbox.get()
+    def _next_instruction(
+        self, mailbox: SimpleQueue, request: Request, sock: socket
+    ):
+        """Wait for an instruction; tell of a deadline or a caller gone."""
+        while True:
+            remaining_ms = max(request.deadline_ms - now_ms(), 0)
+            timeout_ms = min(remaining_ms, GONE_CHECK_MS)
+            try:
+                return mailbox.get(timeout=timeout_ms / 1000)
+            except Empty:
+                if now_ms() >= request.deadline_ms:
+                    event = DeadlinePassed(now_ms(), request.request_id)
+                elif _is_gone(sock):
+                    event = CallerGone(now_ms(), request.request_id)
+                else:
+                    continue
+                self._post(event)
+                return mailbox.get()
 
     def _call(self, event: SubmitCalled | AskCalled | CancelCalled):
         """Post a job call and wait for its answer."""
@@ -306,6 +325,16 @@
         return _json_response(200, body, ())
 
 
+def _is_gone(sock: socket) -> bool:
+    """Tell whether a caller has closed its end of the connection."""
+    if not wait_for_read(sock, timeout=0):
+        return False
+    try:
+        return sock.recv(1, MSG_PEEK) == b""
+    except OSError:
+        return True
+
+
 def _forward(answer: Answer) -> Response:
     """Give the target's answer on, without its hop-by-hop headers."""
     listed = _connection_names(answer.headers)
--- a/sesamehall/runtime/targets.py
+++ b/sesamehall/runtime/targets.py
@@ -9,10 +9,8 @@
 from http.client import HTTPException
 import threading
 
-from urllib3.connection import HTTPConnection
 from urllib3.exceptions import HTTPError
 from urllib3.util import SKIP_HEADER
-from urllib3.util.wait import wait_for_read
 
 from sesamehall.core.effects import Dispatch
 from sesamehall.core.events import Broken
@@ -21,6 +19,7 @@
 from sesamehall.core.events import NotSent
 from sesamehall.core.events import TargetOutcome
 from sesamehall.core.events import TooLate
+from sesamehall.runtime.connections import TargetConnection
 from sesamehall.runtime.interpreter import now_ms
 
 CONNECT_TIMEOUT_MS = 1_000  # a target that accepts later counts as down
@@ -90,7 +89,7 @@
       since_ms: Clock at which it became idle.
     """
 
-    connection: HTTPConnection
+    connection: TargetConnection
     since_ms: int
 
 
@@ -152,7 +151,7 @@
             for idle in idle_list:
                 idle.connection.close()
 
-    def _connect(self, dispatch: Dispatch) -> HTTPConnection:
+    def _connect(self, dispatch: Dispatch) -> TargetConnection:
         """Take an idle connection, or open one.
 
         What must not run twice goes only over a connection that was heard
@@ -165,11 +164,15 @@
         remaining_ms = dispatch.not_after_ms - now_ms()
         timeout_ms = max(min(remaining_ms, CONNECT_TIMEOUT_MS), 1)
         host, _, port = dispatch.address.rpartition(":")
-        connection = HTTPConnection(host, int(port), timeout=timeout_ms / 1000)
+        connection = TargetConnection(
+            host, int(port), timeout=timeout_ms / 1000
+        )
         connection.connect()
         return connection
 
-    def _take_idle(self, address: str, idle_ms: int) -> HTTPConnection | None:
+    def _take_idle(
+        self, address: str, idle_ms: int
+    ) -> TargetConnection | None:
         """Take the connection that was used last, if it is recent enough."""
         while True:
             with self._lock:
@@ -179,12 +182,12 @@
                 idle = idle_list.pop()
             if now_ms() - idle.since_ms > idle_ms:
                 idle.connection.close()
-            elif _is_quiet(idle.connection):
+            elif idle.connection.is_quiet():
                 return idle.connection
             else:
                 idle.connection.close()
 
-    def _keep(self, address: str, connection: HTTPConnection) -> None:
+    def _keep(self, address: str, connection: TargetConnection) -> None:
         with self._lock:
             idle_list = self._idle_by_address.setdefault(address, deque())
             idle_list.append(IdleConnection(connection, now_ms()))
@@ -196,7 +199,7 @@
 
     def _converse(
         self,
-        connection: HTTPConnection,
+        connection: TargetConnection,
         dispatch: Dispatch,
         message: Message,
     ) -> tuple[Answer, bool]:
@@ -254,7 +257,7 @@
     return headers
 
 
-def _limit_wait(connection: HTTPConnection, dispatch: Dispatch) -> None:
+def _limit_wait(connection: TargetConnection, dispatch: Dispatch) -> None:
     """Make the next wait for the target end with the deadline."""
     remaining_ms = dispatch.deadline_ms - now_ms()
     if remaining_ms <= 0:
@@ -263,13 +266,6 @@
         connection.sock.settimeout(remaining_ms / 1000)
 
 
-def _is_quiet(connection: HTTPConnection) -> bool:
-    """Tell whether a connection is open and carries nothing unread."""
-    if connection.sock is None:
-        return False
-    return not wait_for_read(connection.sock, timeout=0)
-
-
 def _is_declined(answer: Answer) -> bool:
     """Tell whether the target said that it did not run the request."""
     if answer.status != 503:
