Let a target take as long as the deadline allows

Cause: the library sets the socket's timeout back to that of connecting, so every request that took more than a second was broken off as lost. Change: the connection's own timeout follows the deadline too.

--- a/sesamehall/runtime/targets.py
+++ b/sesamehall/runtime/targets.py
@@ -262,8 +262,9 @@
     remaining_ms = dispatch.deadline_ms - now_ms()
     if remaining_ms <= 0:
         raise BadAnswer("deadline passed")
+    connection.timeout = remaining_ms / 1000
     if connection.sock is not None:
-        connection.sock.settimeout(remaining_ms / 1000)
+        connection.sock.settimeout(connection.timeout)
 
 
 def _is_declined(answer: Answer) -> bool:
--- a/sesamehall/runtime/targets_test.py
+++ b/sesamehall/runtime/targets_test.py
@@ -48,7 +48,10 @@
                     if not received:
                         break
                     requests.append((number, received))
-                    if answer is HELD_OPEN:
+                    if isinstance(answer, threading.Event):
+                        answer.wait(10)
+                        sock.sendall(GOOD)
+                    elif answer is HELD_OPEN:
                         done.wait(10)
                     else:
                         sock.sendall(answer)
@@ -114,6 +117,18 @@
     assert (exchange.answer is not None) == (outcome is Completed)
 
 
+def test_slow_answer_is_awaited_beyond_the_connecting_time(monkeypatch):
+    monkeypatch.setattr("sesamehall.runtime.targets.CONNECT_TIMEOUT_MS", 50)
+    late = threading.Event()
+    timer = threading.Timer(0.3, late.set)
+    with fake_target([[late]]) as (address, _):
+        timer.start()
+        exchange = TargetClient(LIMIT_BYTES).exchange(
+            build_dispatch(address), MESSAGE
+        )
+    assert isinstance(exchange.outcome, Completed)
+
+
 def test_silent_target_times_out_at_the_deadline():
     with fake_target([[HELD_OPEN]]) as (address, _):
         exchange = TargetClient(LIMIT_BYTES).exchange(
