Split the large files on ceilings and on the callers' front

Change: holding, lending and seeking units stand apart; so do serving, reading and responding. Two exceptions join the tree.

--- a/bench/ceiling_histories.py
+++ b/bench/ceiling_histories.py
@@ -27,6 +27,7 @@
 from sesamehall.core.records import Record
 from sesamehall.core.replacing import replace
 from sesamehall.reducer import allotments
+from sesamehall.reducer import lending
 from sesamehall.reducer import role
 from sesamehall.reducer.units import WHOLE
 
@@ -198,11 +199,11 @@
         case "units":
             allotments.places = lambda units, ceiling: ceiling
         case "totals":
-            allotments._add = _add_blindly
+            lending._add = _add_blindly
         case "expiry":
             role.GONE_AFTER_MS = 2_000
         case "spare":
-            allotments.spare_units = allotments.held_units
+            lending.spare_units = allotments.held_units
         case _:
             raise SystemExit(f"no guard {name}")
 
--- a/bench/share_error.py
+++ b/bench/share_error.py
@@ -6,6 +6,8 @@
 and one entry that knows everything.
 """
 
+from unittest.mock import patch
+
 from bench.demand import Figures
 from bench.demand import run_demand
 from bench.driver import CALM
@@ -13,9 +15,11 @@
 from bench.worlds import build_world
 from bench.worlds import GUILD
 from bench.worlds import Sizes
+from sesamehall.core.agreement import Agreed
 from sesamehall.core.replacing import replace
+from sesamehall.core.state import State
 from sesamehall.core.step import Step
-from sesamehall.reducer import allotments
+from sesamehall.reducer import dispatching
 from sesamehall.reducer import membership
 from sesamehall.reducer.units import WHOLE
 
@@ -40,17 +44,22 @@
     Returns:
       The figures.
     """
-    kept = allotments.seek_units, allotments.first_part
-    from sesamehall.reducer import dispatching
-
     part = WHOLE // sizes.entries
-    dispatching.seek_units = lambda state, team, at_ms: Step(state)
-    allotments.first_part = membership.first_part = lambda state: part
-    try:
+    with (
+        patch.object(dispatching, "seek_units", _seek_nothing),
+        patch.object(membership, "first_part", lambda state: part),
+        patch.object(membership, "free_account_units", _all_free),
+    ):
         return measure(sizes)
-    finally:
-        dispatching.seek_units, allotments.first_part = kept
-        membership.first_part = kept[1]
+
+
+def _seek_nothing(state: State, team: str, at_ms: int) -> Step:
+    return Step(state)
+
+
+def _all_free(agreed: Agreed, team: str) -> int:
+    """Let every entry take its part, also the last one."""
+    return WHOLE
 
 
 def run_both() -> None:
--- a/sesamehall/reducer/answers.py
+++ b/sesamehall/reducer/answers.py
@@ -32,8 +32,6 @@
 from sesamehall.core.step import Step
 from sesamehall.core.step import then
 from sesamehall.core.timers import LingerTimer
-from sesamehall.reducer.allotments import even_out
-from sesamehall.reducer.allotments import give_wanted
 from sesamehall.reducer.claims import pass_ballot_deadline
 from sesamehall.reducer.claims import release_claim
 from sesamehall.reducer.counts import add_count
@@ -41,6 +39,8 @@
 from sesamehall.reducer.health import note_failure
 from sesamehall.reducer.health import note_full
 from sesamehall.reducer.health import note_success
+from sesamehall.reducer.lending import even_out
+from sesamehall.reducer.lending import give_wanted
 from sesamehall.reducer.load import note_load
 from sesamehall.reducer.queues import forget
 from sesamehall.reducer.queues import requeue
--- a/sesamehall/reducer/dispatching.py
+++ b/sesamehall/reducer/dispatching.py
@@ -16,7 +16,6 @@
 from sesamehall.core.step import then
 from sesamehall.core.timers import YieldTimer
 from sesamehall.reducer.allotments import has_place
-from sesamehall.reducer.allotments import seek_units
 from sesamehall.reducer.counts import add_count
 from sesamehall.reducer.load import line_name
 from sesamehall.reducer.load import note_load
@@ -25,6 +24,7 @@
 from sesamehall.reducer.queues import first_waiting
 from sesamehall.reducer.queues import take_first
 from sesamehall.reducer.routing import choose_target
+from sesamehall.reducer.seeking import seek_units
 from sesamehall.reducer.shares import rank_team
 
 
--- /dev/null
+++ b/sesamehall/reducer/lending.py
@@ -0,0 +1,288 @@
+"""Lending units of ceilings between entries.
+
+A giver subtracts units before it sends them, as a running total of which the
+largest wins; so a message that is lost, late or repeated can delay units but
+never count them twice.  Only members known from the log are given any, which
+lets the units of an incarnation that is gone be found again.
+"""
+
+from immutables import Map
+
+from sesamehall.core.data import EMPTY_MAP
+from sesamehall.core.effects import log
+from sesamehall.core.effects import Send
+from sesamehall.core.logevents import UNITS_GIVEN
+from sesamehall.core.logevents import UNITS_TAKEN
+from sesamehall.core.messages import UnitsAsked
+from sesamehall.core.messages import UnitsReceived
+from sesamehall.core.messages import UnitsSent
+from sesamehall.core.replacing import replace
+from sesamehall.core.state import Peer
+from sesamehall.core.state import State
+from sesamehall.core.state import Want
+from sesamehall.core.step import Step
+from sesamehall.core.step import then
+from sesamehall.reducer.allotments import held_units
+from sesamehall.reducer.allotments import missing_units
+from sesamehall.reducer.allotments import spare_units
+from sesamehall.reducer.counts import add_count
+from sesamehall.reducer.counts import drop_key
+from sesamehall.reducer.seeking import deposit
+from sesamehall.reducer.units import units_for
+
+
+def take_question(
+    state: State, peer: Peer, question: UnitsAsked, at_ms: int
+) -> Step:
+    """Note what a peer asks for, and give what can be spared at once.
+
+    Args:
+      state: State of the entry.
+      peer: The peer.
+      question: Its question; it replaces an earlier one.
+      at_ms: The node's clock.
+    Returns:
+      A Step with the units given.
+    """
+    if question.for_account:
+        return deposit(state, question.team, question.units, at_ms)
+    wants = state.allotments.wants_by_team.get(question.team, EMPTY_MAP)
+    if question.units > 0:
+        want = Want(question.units, question.holding)
+        wants = wants.set(peer.name, want)
+    else:
+        wants = drop_key(wants, peer.name)
+    changed = _with_wants(state, question.team, wants)
+    return give_wanted(changed, question.team, at_ms)
+
+
+def even_out(state: State, team: str, at_ms: int) -> Step:
+    """Share a place that became free with entries that hold fewer.
+
+    Called before the entry uses the place itself; it gives one only to a
+    peer that holds two places less, so that places do not go round.
+
+    Args:
+      state: State of the entry.
+      team: Name of the team.
+      at_ms: The node's clock.
+    Returns:
+      A Step with the units given.
+    """
+    wants = state.allotments.wants_by_team.get(team)
+    limit = state.agreed.limits_by_team.get(team)
+    if not wants or limit is None:
+        return Step(state)
+    name = _neediest(wants)
+    place = units_for(1, limit.ceiling)
+    ahead = held_units(state, team) - wants[name].holding
+    if ahead < 2 * place or not _is_taker(state, name):
+        return Step(state)
+    half = max(place, ahead // 2 // place * place)
+    units = min(spare_units(state, team), wants[name].units, half)
+    return _give(state, team, name, units) if units > 0 else Step(state)
+
+
+def give_wanted(state: State, team: str, at_ms: int) -> Step:
+    """Give spare units of a team to the peers that asked for them.
+
+    Called after the entry has used what it can.  If it lacks units itself,
+    only the fraction of a place is left, which goes to a peer whose name
+    sorts first; so fractions gather instead of going round.
+
+    Args:
+      state: State of the entry.
+      team: Name of the team.
+      at_ms: The node's clock, for the timers of later questions.
+    Returns:
+      A Step with the units given.
+    """
+    step = Step(state)
+    lacking = missing_units(state, team) > 0
+    for _ in range(len(state.allotments.wants_by_team.get(team, ()))):
+        wants = step.state.allotments.wants_by_team.get(team)
+        name = _neediest(wants)
+        units = min(spare_units(step.state, team), wants[name].units)
+        if lacking and name > state.identity.node.name:
+            return step
+        if units <= 0 or not _is_taker(step.state, name):
+            return step
+        step = then(step, _give, team, name, units)
+    return step
+
+
+def hand_over(state: State) -> Step:
+    """Give all spare units to a peer, when the log cannot take them back.
+
+    Args:
+      state: State of an entry that stops.
+    Returns:
+      A Step with the units given; none without a member to give them to.
+    """
+    takers = [name for name in state.peers_by_name if _is_taker(state, name)]
+    step = Step(state)
+    if not takers:
+        return step
+    for team in state.agreed.limits_by_team:
+        units = spare_units(step.state, team)
+        if units > 0:
+            step = then(step, _give, team, min(takers), units)
+    return step
+
+
+def take_units(state: State, peer: Peer, message: UnitsSent) -> Step:
+    """Take units that a peer has given.
+
+    Args:
+      state: State of the entry.
+      peer: The sender.
+      message: Running totals; the largest of each team wins.
+    Returns:
+      A Step that confirms the totals, or none for one not addressed to
+      this incarnation or from an incarnation that is not a member.
+    """
+    if message.taker != state.identity.incarnation:
+        return Step(state)
+    if message.giver not in state.agreed.members_by_incarnation:
+        return Step(state)
+    known = state.allotments.received.get(message.giver, EMPTY_MAP)
+    gained = Map(
+        (team, total - known.get(team, 0))
+        for team, total in message.total_by_team.items()
+        if total > known.get(team, 0)
+    )
+    totals = _add(known, gained)
+    allotments = replace(
+        state.allotments,
+        received=state.allotments.received.set(message.giver, totals),
+        net_by_team=_add(state.allotments.net_by_team, gained),
+    )
+    confirmation = UnitsReceived(
+        message.giver,
+        message.taker,
+        Map((team, totals[team]) for team in message.total_by_team),
+    )
+    lines = tuple(
+        log(UNITS_TAKEN, team=team, units=units, giver=peer.name)
+        for team, units in gained.items()
+    )
+    return Step(
+        replace(state, allotments=allotments),
+        (Send(peer.name, confirmation),) + lines,
+    )
+
+
+def take_confirmation(state: State, message: UnitsReceived) -> Step:
+    """Note which totals a peer has taken.
+
+    Args:
+      state: State of the entry.
+      message: Totals that the peer has taken.
+    Returns:
+      A Step; confirmed totals are not sent again.
+    """
+    if message.giver != state.identity.incarnation:
+        return Step(state)
+    known = state.allotments.confirmed.get(message.taker, EMPTY_MAP)
+    newer = Map(
+        (team, total)
+        for team, total in message.total_by_team.items()
+        if total > known.get(team, 0)
+    )
+    confirmed = state.allotments.confirmed.set(
+        message.taker, known.update(newer)
+    )
+    allotments = replace(state.allotments, confirmed=confirmed)
+    return Step(replace(state, allotments=allotments))
+
+
+def resend_units(state: State, peer: Peer) -> Step:
+    """Send the totals again that a peer has not confirmed.
+
+    Args:
+      state: State of the entry.
+      peer: The peer.
+    Returns:
+      A Step with one message, or none.
+    """
+    sent = state.allotments.sent.get(peer.incarnation, EMPTY_MAP)
+    confirmed = state.allotments.confirmed.get(peer.incarnation, EMPTY_MAP)
+    open_totals = Map(
+        (team, total)
+        for team, total in sent.items()
+        if total > confirmed.get(team, 0)
+    )
+    if not open_totals:
+        return Step(state)
+    message = UnitsSent(
+        state.identity.incarnation, peer.incarnation, open_totals
+    )
+    return Step(state, (Send(peer.name, message),))
+
+
+def forget_wants(state: State, peer_name: str) -> State:
+    """Forget what a peer asked for, when its stream ends.
+
+    Args:
+      state: State of the entry.
+      peer_name: Name of the peer.
+    Returns:
+      The state without the peer's questions.
+    """
+    for team, wants in state.allotments.wants_by_team.items():
+        if peer_name in wants:
+            state = _with_wants(state, team, wants.delete(peer_name))
+    return state
+
+
+def _neediest(wants):
+    """Choose the peer that holds least, by name among equals."""
+    return min(wants, key=lambda name: (wants[name].holding, name))
+
+
+def _is_taker(state, name):
+    """Tell whether a peer may be given units."""
+    peer = state.peers_by_name.get(name)
+    members = state.agreed.members_by_incarnation
+    return peer is not None and peer.incarnation in members
+
+
+def _give(state, team, name, units):
+    """Subtract units and send the new total to a peer."""
+    incarnation = state.peers_by_name[name].incarnation
+    sent = state.allotments.sent.get(incarnation, EMPTY_MAP)
+    total = sent.get(team, 0) + units
+    allotments = replace(
+        state.allotments,
+        sent=state.allotments.sent.set(incarnation, sent.set(team, total)),
+        net_by_team=add_count(state.allotments.net_by_team, team, -units),
+    )
+    wants = allotments.wants_by_team.get(team, EMPTY_MAP)
+    want = wants.get(name)
+    if want is not None and want.units > units:
+        left = Want(want.units - units, want.holding + units)
+        wants = wants.set(name, left)
+    else:
+        wants = drop_key(wants, name)
+    changed = _with_wants(replace(state, allotments=allotments), team, wants)
+    message = UnitsSent(
+        state.identity.incarnation, incarnation, Map({team: total})
+    )
+    line = log(UNITS_GIVEN, team=team, units=units, taker=name)
+    return Step(changed, (Send(name, message), line))
+
+
+def _with_wants(state, team, wants):
+    wants_by_team = state.allotments.wants_by_team
+    if wants:
+        wants_by_team = wants_by_team.set(team, wants)
+    else:
+        wants_by_team = drop_key(wants_by_team, team)
+    allotments = replace(state.allotments, wants_by_team=wants_by_team)
+    return replace(state, allotments=allotments)
+
+
+def _add(totals, gained):
+    return totals.update(
+        {team: totals.get(team, 0) + units for team, units in gained.items()}
+    )
--- a/sesamehall/reducer/lifecycle.py
+++ b/sesamehall/reducer/lifecycle.py
@@ -18,12 +18,11 @@
 from sesamehall.core.step import Step
 from sesamehall.core.step import then
 from sesamehall.core.timers import BeatTimer
-from sesamehall.reducer.allotments import hand_over
-from sesamehall.reducer.allotments import repeat_questions
-from sesamehall.reducer.allotments import resend_units
 from sesamehall.reducer.claims import ask_memory
 from sesamehall.reducer.claims import begin_memory
 from sesamehall.reducer.claims import turn_memory
+from sesamehall.reducer.lending import hand_over
+from sesamehall.reducer.lending import resend_units
 from sesamehall.reducer.load import report_changes
 from sesamehall.reducer.membership import is_member
 from sesamehall.reducer.membership import keep_reserve
@@ -42,6 +41,7 @@
 from sesamehall.reducer.role import holds_role
 from sesamehall.reducer.role import watch_role
 from sesamehall.reducer.role import write_snapshot
+from sesamehall.reducer.seeking import repeat_questions
 from sesamehall.reducer.stewardship import list_instances
 from sesamehall.reducer.stewardship import read_log
 
--- a/sesamehall/reducer/membership.py
+++ b/sesamehall/reducer/membership.py
@@ -28,9 +28,9 @@
 from sesamehall.reducer.accounts import settlement_pair
 from sesamehall.reducer.allotments import first_part
 from sesamehall.reducer.allotments import held_units
-from sesamehall.reducer.allotments import withdraw_units
 from sesamehall.reducer.counts import drop_key
 from sesamehall.reducer.proposals import propose
+from sesamehall.reducer.seeking import withdraw_units
 
 
 def is_member(state: State) -> bool:
--- a/sesamehall/reducer/peers.py
+++ b/sesamehall/reducer/peers.py
@@ -36,12 +36,6 @@
 from sesamehall.core.state import State
 from sesamehall.core.step import Step
 from sesamehall.core.step import then
-from sesamehall.reducer.allotments import forget_wants
-from sesamehall.reducer.allotments import give_wanted
-from sesamehall.reducer.allotments import resend_units
-from sesamehall.reducer.allotments import take_confirmation
-from sesamehall.reducer.allotments import take_question
-from sesamehall.reducer.allotments import take_units
 from sesamehall.reducer.claims import answer_claim
 from sesamehall.reducer.claims import ask_memory
 from sesamehall.reducer.claims import take_memory
@@ -57,6 +51,12 @@
 from sesamehall.reducer.following import apply_entries
 from sesamehall.reducer.freshness import log_age_ms
 from sesamehall.reducer.freshness import note_log_age
+from sesamehall.reducer.lending import forget_wants
+from sesamehall.reducer.lending import give_wanted
+from sesamehall.reducer.lending import resend_units
+from sesamehall.reducer.lending import take_confirmation
+from sesamehall.reducer.lending import take_question
+from sesamehall.reducer.lending import take_units
 from sesamehall.reducer.load import forget_reports
 from sesamehall.reducer.load import report_whole
 from sesamehall.reducer.load import take_report
--- a/sesamehall/reducer/reduce.py
+++ b/sesamehall/reducer/reduce.py
@@ -37,7 +37,6 @@
 from sesamehall.core.timers import UnitsTimer
 from sesamehall.core.timers import YieldTimer
 from sesamehall.reducer.admission import receive_request
-from sesamehall.reducer.allotments import review_question
 from sesamehall.reducer.answers import drop_gone
 from sesamehall.reducer.answers import end_linger
 from sesamehall.reducer.answers import finish_attempt
@@ -63,6 +62,7 @@
 from sesamehall.reducer.placing import renew_task
 from sesamehall.reducer.placing import take_worker_answer
 from sesamehall.reducer.proposals import repeat_proposal
+from sesamehall.reducer.seeking import review_question
 from sesamehall.reducer.stewardship import bear_failed_read
 from sesamehall.reducer.stewardship import bear_unlisted
 from sesamehall.reducer.stewardship import list_instances
--- a/sesamehall/runtime/front.py
+++ b/sesamehall/runtime/front.py
@@ -7,11 +7,7 @@
 
 from collections.abc import Callable
 from collections.abc import Iterable
-from dataclasses import dataclass
-from hashlib import sha256
-from http import HTTPStatus
 from itertools import count
-import json
 from queue import Empty
 from queue import SimpleQueue
 from socket import MSG_PEEK
@@ -19,14 +15,8 @@
 
 from urllib3.util.wait import wait_for_read
 
-from sesamehall.core.codes import ANSWERED
 from sesamehall.core.codes import MALFORMED
-from sesamehall.core.codes import ResultCode
 from sesamehall.core.codes import STOPPING
-from sesamehall.core.codes import TOO_LARGE
-from sesamehall.core.data import Job
-from sesamehall.core.data import JobStatus
-from sesamehall.core.data import PresentedKey
 from sesamehall.core.data import Request
 from sesamehall.core.effects import Dispatch
 from sesamehall.core.effects import Forward
@@ -42,6 +32,19 @@
 from sesamehall.core.settings import EntrySettings
 from sesamehall.core.state import State
 from sesamehall.runtime.interpreter import now_ms
+from sesamehall.runtime.reading import BadRequest
+from sesamehall.runtime.reading import headers_of
+from sesamehall.runtime.reading import JOB_BODY_LIMIT_BYTES
+from sesamehall.runtime.reading import read_body
+from sesamehall.runtime.reading import read_flag
+from sesamehall.runtime.reading import read_job
+from sesamehall.runtime.reading import read_key
+from sesamehall.runtime.reading import read_number
+from sesamehall.runtime.reading import refuse_ambiguous
+from sesamehall.runtime.responses import forward
+from sesamehall.runtime.responses import json_response
+from sesamehall.runtime.responses import own_response
+from sesamehall.runtime.responses import Response
 from sesamehall.runtime.targets import Answer
 from sesamehall.runtime.targets import Message
 from sesamehall.runtime.targets import TargetClient
@@ -52,62 +55,13 @@
 DEADLINE_HEADER = "HTTP_SESAMEHALL_DEADLINE_MS"
 IDEMPOTENT_HEADER = "HTTP_SESAMEHALL_IDEMPOTENT"
 URGENT_HEADER = "HTTP_SESAMEHALL_URGENT"
-RESULT_HEADER = "Sesamehall-Result"
 REQUEST_KEY = "sesamehall.request"  # where the server puts its own request
 IDEMPOTENT_METHODS = ("GET", "HEAD", "OPTIONS", "PUT", "DELETE", "TRACE")
-HOP_BY_HOP = frozenset(
-    (
-        "connection",
-        "keep-alive",
-        "proxy-authenticate",
-        "proxy-authorization",
-        "proxy-connection",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-    )
-)
-CONSUMED = frozenset(("authorization", "content-length", "expect"))
-JOB_BODY_LIMIT_BYTES = 64 << 10
 CALLER_ID_LIMIT = 128
 GONE_CHECK_MS = 500  # a caller that has gone is noticed this late
 CALL_TIMEOUT_MS = 10_000  # job calls are answered within this
 
 
-class BadRequest(Exception):
-    """A request that is refused before any decision.
-
-    Attributes:
-      code: The result code.
-      detail: What exactly, for a person to read.
-    """
-
-    def __init__(self, code: ResultCode, detail: str):
-        super().__init__(detail)
-        self.code = code
-        self.detail = detail
-
-
-@dataclass(frozen=True, slots=True)
-class Response:
-    """What goes back to the caller.
-
-    Attributes:
-      status: HTTP status.
-      reason: HTTP reason phrase.
-      headers: Names and values.
-      body: The whole body.
-      close: Whether the connection must not be used again.
-    """
-
-    status: int
-    reason: str
-    headers: tuple[tuple[str, str], ...]
-    body: bytes
-    close: bool = False
-
-
 class CallerFront:
     """Serves callers; one instance for all server threads."""
 
@@ -146,7 +100,7 @@
         try:
             response = self._serve(environ)
         except BadRequest as error:
-            response = _own_response(error.code, error.detail, close=True)
+            response = own_response(error.code, error.detail, close=True)
         if response.close:
             environ[REQUEST_KEY].close_connection = True
         status = f"{response.status} {response.reason}"
@@ -169,13 +123,13 @@
         self._targets.close()
 
     def _serve(self, environ) -> Response:
-        _refuse_ambiguous(environ)
+        refuse_ambiguous(environ)
         uri = environ["REQUEST_URI"]
         if uri.startswith(API_PREFIX):
             return self._serve_api(environ, uri)
-        body = _read_body(environ, self._settings.body_limit_bytes)
+        body = read_body(environ, self._settings.body_limit_bytes)
         message = Message(
-            environ["REQUEST_METHOD"], uri, _headers_of(environ), body
+            environ["REQUEST_METHOD"], uri, headers_of(environ), body
         )
         request = self._read_request(environ)
         sock = environ[REQUEST_KEY].conn.socket
@@ -192,12 +146,12 @@
             case ("POST", "jobs", ""):
                 return self._call(self._submission(environ))
             case ("GET", "jobs", _) if name:
-                key = _read_key(environ)
+                key = read_key(environ)
                 return self._call(
                     AskCalled(now_ms(), self._new_id("call"), key, name)
                 )
             case ("DELETE", "jobs", _) if name:
-                key = _read_key(environ)
+                key = read_key(environ)
                 return self._call(
                     CancelCalled(now_ms(), self._new_id("call"), key, name)
                 )
@@ -212,28 +166,28 @@
         if caller_id is not None and len(caller_id) > CALLER_ID_LIMIT:
             raise BadRequest(MALFORMED, "Sesamehall-Request-Id too long")
         default = environ["REQUEST_METHOD"] in IDEMPOTENT_METHODS
-        deadline_ms = _read_number(
+        deadline_ms = read_number(
             environ, DEADLINE_HEADER, self._settings.default_deadline_ms
         )
         return Request(
             request_id=self._new_id("request"),
             caller_id=caller_id,
             service=service,
-            key=_read_key(environ),
-            idempotent=_read_flag(environ, IDEMPOTENT_HEADER, default),
-            urgent=_read_flag(environ, URGENT_HEADER, False),
+            key=read_key(environ),
+            idempotent=read_flag(environ, IDEMPOTENT_HEADER, default),
+            urgent=read_flag(environ, URGENT_HEADER, False),
             deadline_ms=now_ms() + deadline_ms,
         )
 
     def _submission(self, environ) -> SubmitCalled:
         """Build the event of a job handed in."""
-        body = _read_body(environ, JOB_BODY_LIMIT_BYTES)
+        body = read_body(environ, JOB_BODY_LIMIT_BYTES)
         call_id = self._new_id("call")
         job_id = environ.get(CALLER_ID_HEADER) or call_id
         if "/" in job_id or len(job_id) > CALLER_ID_LIMIT:
             raise BadRequest(MALFORMED, "Sesamehall-Request-Id not usable")
-        job = _read_job(body, job_id)
-        return SubmitCalled(now_ms(), call_id, _read_key(environ), job)
+        job = read_job(body, job_id)
+        return SubmitCalled(now_ms(), call_id, read_key(environ), job)
 
     def _new_id(self, kind: str) -> str:
         return f"{kind}-{self._incarnation}-{next(self._serials)}"
@@ -253,10 +207,10 @@
                     case Dispatch() as dispatch:
                         answer = self._attempt(dispatch, message)
                     case Forward():
-                        return _forward(answer)
+                        return forward(answer)
                     case Reply(_, code, detail):
                         close = code is STOPPING
-                        return _own_response(code, detail, close=close)
+                        return own_response(code, detail, close=close)
         finally:
             del self._mailboxes_by_id[request_id]
 
@@ -304,7 +258,7 @@
                 reply = mailbox.get()
         finally:
             del self._mailboxes_by_id[event.call_id]
-        return _own_response(reply.code, reply.detail, reply.status)
+        return own_response(reply.code, reply.detail, reply.status)
 
     def _show_status(self) -> Response:
         """Show which versions are in force here."""
@@ -322,7 +276,7 @@
             "running": running,
             "waiting": sum(state.entry.waiting_by_team.values()),
         }
-        return _json_response(200, body, ())
+        return json_response(200, body, ())
 
 
 def _is_gone(sock: socket) -> bool:
@@ -333,164 +287,3 @@
         return sock.recv(1, MSG_PEEK) == b""
     except OSError:
         return True
-
-
-def _forward(answer: Answer) -> Response:
-    """Give the target's answer on, without its hop-by-hop headers."""
-    listed = _connection_names(answer.headers)
-    headers = tuple(
-        (name, value)
-        for name, value in answer.headers
-        if name.lower() not in HOP_BY_HOP
-        and name.lower() not in listed
-        and name.lower() not in ("content-length", "sesamehall-result")
-    )
-    headers += ((RESULT_HEADER, str(ANSWERED.number)),)
-    return Response(answer.status, answer.reason, headers, answer.body)
-
-
-def _own_response(
-    code: ResultCode,
-    detail: str,
-    status: JobStatus | None = None,
-    close: bool = False,
-) -> Response:
-    """Build an answer of our own: number in a header and in the body."""
-    body = {
-        "code": code.number,
-        "name": code.name,
-        "outcome": code.outcome.value,
-        "detail": detail,
-        "advice": code.advice,
-    }
-    if status is not None:
-        body["job"] = {
-            "id": status.job.job_id,
-            "team": status.job.team,
-            "pool": status.job.pool,
-            "phase": status.phase.value,
-            "worker": status.worker,
-            "detail": status.detail,
-        }
-    headers = ((RESULT_HEADER, str(code.number)),)
-    if code.http_status == 401:
-        headers += (("WWW-Authenticate", "Bearer"),)
-    return _json_response(code.http_status, body, headers, close)
-
-
-def _json_response(status, body, headers, close=False) -> Response:
-    return Response(
-        status,
-        HTTPStatus(status).phrase,
-        headers + (("Content-Type", "application/json"),),
-        json.dumps(body).encode() + b"\n",
-        close,
-    )
-
-
-def _refuse_ambiguous(environ) -> None:
-    """Refuse requests whose end two readers could see differently."""
-    encoding = environ.get("HTTP_TRANSFER_ENCODING")
-    if encoding is None:
-        return
-    if environ.get("CONTENT_LENGTH"):
-        raise BadRequest(MALFORMED, "both a length and a transfer encoding")
-    if encoding.lower() != "chunked":
-        raise BadRequest(MALFORMED, f"transfer encoding {encoding!r}")
-
-
-def _read_body(environ, limit_bytes: int) -> bytes:
-    """Read the whole body within its limit."""
-    length = environ.get("CONTENT_LENGTH")
-    if length and int(length) > limit_bytes:
-        raise BadRequest(TOO_LARGE, f"{length} bytes, {limit_bytes} allowed")
-    try:
-        body = environ["wsgi.input"].read(limit_bytes + 1)
-    except (OSError, ValueError) as error:
-        raise BadRequest(MALFORMED, f"body unreadable: {error}") from error
-    if len(body) > limit_bytes:
-        raise BadRequest(TOO_LARGE, f"more than {limit_bytes} bytes")
-    if length and len(body) < int(length):
-        raise BadRequest(MALFORMED, "body shorter than its length")
-    return body
-
-
-def _headers_of(environ) -> tuple[tuple[str, str], ...]:
-    """Collect the headers that go on to the target."""
-    headers = []
-    for name, value in environ.items():
-        if name.startswith("HTTP_"):
-            headers.append((name[5:].replace("_", "-").title(), value))
-    if environ.get("CONTENT_TYPE"):
-        headers.append(("Content-Type", environ["CONTENT_TYPE"]))
-    listed = _connection_names(headers)
-    return tuple(
-        (name, value)
-        for name, value in headers
-        if name.lower() not in HOP_BY_HOP
-        and name.lower() not in CONSUMED
-        and name.lower() not in listed
-    )
-
-
-def _connection_names(headers) -> set[str]:
-    """List the headers that Connection names as hop-by-hop."""
-    names = set()
-    for name, value in headers:
-        if name.lower() == "connection":
-            names.update(item.strip().lower() for item in value.split(","))
-    return names
-
-
-def _read_key(environ) -> PresentedKey | None:
-    """Read the bearer key; its secret part is digested at once."""
-    header = environ.get("HTTP_AUTHORIZATION")
-    if header is None:
-        return None
-    scheme, _, credential = header.partition(" ")
-    if scheme.lower() != "bearer":
-        raise BadRequest(MALFORMED, "Authorization must be Bearer")
-    key_id, _, secret = credential.strip().partition(".")
-    return PresentedKey(key_id, sha256(secret.encode()).digest())
-
-
-def _read_flag(environ, name: str, default: bool) -> bool:
-    value = environ.get(name, "").lower()
-    if value in ("", "true", "false"):
-        return default if not value else value == "true"
-    raise BadRequest(MALFORMED, f"{name[5:]} must be true or false")
-
-
-def _read_number(environ, name: str, default: int) -> int:
-    value = environ.get(name)
-    if value is None:
-        return default
-    if not value.isdecimal() or len(value) > 9 or int(value) < 1:
-        raise BadRequest(MALFORMED, f"{name[5:]} must be a positive number")
-    return int(value)
-
-
-def _read_job(body: bytes, job_id: str) -> Job:
-    """Read a job from its JSON body."""
-    try:
-        fields = json.loads(body)
-    except (ValueError, RecursionError) as error:
-        raise BadRequest(MALFORMED, "body is not JSON") from error
-    if not isinstance(fields, dict):
-        raise BadRequest(MALFORMED, "body must be a JSON object")
-    kinds = {
-        "pool": str,
-        "command": str,
-        "processors": int,
-        "memory_mb": int,
-        "accelerators": int,
-        "urgent": bool,
-    }
-    for name, value in fields.items():
-        if name not in kinds or type(value) is not kinds[name]:
-            raise BadRequest(MALFORMED, f"job field {name} is not valid")
-        if kinds[name] is int and not 0 <= value <= 1 << 31:
-            raise BadRequest(MALFORMED, f"job field {name} is out of range")
-    if "pool" not in fields or "command" not in fields:
-        raise BadRequest(MALFORMED, "a job needs a pool and a command")
-    return Job(job_id=job_id, team="", **fields)
--- a/sesamehall/runtime/targets.py
+++ b/sesamehall/runtime/targets.py
@@ -12,6 +12,7 @@
 from urllib3.exceptions import HTTPError
 from urllib3.util import SKIP_HEADER
 
+from sesamehall.core.codes import SesamehallError
 from sesamehall.core.effects import Dispatch
 from sesamehall.core.events import Broken
 from sesamehall.core.events import Completed
@@ -93,7 +94,7 @@
     since_ms: int
 
 
-class BadAnswer(Exception):
+class BadAnswer(SesamehallError):
     """A target's answer that must not reach a caller."""
 
 
