--- a/bench/demand.py
+++ b/bench/demand.py
@@ -50,7 +50,7 @@
     """Divide pools by weighted max-min over the fleet; the plain way.
 
     Gives small steps, each to the team that has least per share of all that
-    could use one somewhere.
+    could use one somewhere, out of the pool that is wanted least.
 
     Args:
       capacities: Slots of each service's pool that can be divided.
@@ -63,20 +63,29 @@
     due: Counter[str] = Counter()
     free = dict(capacities)
     open_wants = dict(wanted)
+    wants_by_service: Counter[str] = Counter()
+    for (_, service), want in wanted.items():
+        wants_by_service[service] += want
     while True:
         choices = [
-            (due[team] / shares[team], team, service)
+            (
+                due[team] / shares[team],
+                team,
+                wants_by_service[service] / free[service],
+                service,
+            )
             for (team, service), want in open_wants.items()
             if want > STEP / 2
-            and free[service] > STEP / 2
+            and free.get(service, 0) > STEP / 2
             and due[team] < ceilings[team]
         ]
         if not choices:
             return due
-        _, team, service = min(choices)
+        _, team, _, service = min(choices)
         due[team] += STEP
         free[service] -= STEP
         open_wants[team, service] -= STEP
+        wants_by_service[service] -= STEP
 
 
 class Sampler:
--- a/bench/live.py
+++ b/bench/live.py
@@ -5,8 +5,8 @@
 import time
 
 from demo.fleet import Fleet
-from sesamehall.codecs.checks import check_limits
-from sesamehall.codecs.checks import check_plans
+from sesamehall.codecs.checks import LIMITS_CHECKS
+from sesamehall.codecs.checks import PLANS_CHECKS
 from sesamehall.codecs.yamlfile import load_yaml
 from sesamehall.core.data import LimitsList
 from sesamehall.core.data import PlansList
@@ -39,7 +39,7 @@
     fleet.list_instances()
     fleet.start_nodes(NODES)
     log = LogClient(fleet.address("platform"), "sesamehall")
-    plans = load_yaml(fleet.write("plans", _plans()), PlansList, check_plans)
+    plans = load_yaml(fleet.write("plans", _plans()), PlansList, PLANS_CHECKS)
     log.append(Record("plans-0", PlansPublished(0, plans)))
     log.append(Record("limits-0", LimitsPublished(0, build_limits(0))))
     await_status(fleet, "limits_version", 1)
@@ -60,7 +60,7 @@
         for i in range(TEAMS)
     ]
     path.write_text("limits:\n" + "\n".join(rows) + "\n")
-    return load_yaml(str(path), LimitsList, check_limits)
+    return load_yaml(str(path), LimitsList, LIMITS_CHECKS)
 
 
 def await_status(fleet: Fleet, field: str, value: int) -> list[float]:
--- a/sesamehall/codecs/checks.py
+++ b/sesamehall/codecs/checks.py
@@ -2,14 +2,15 @@
 
 from collections.abc import Iterable
 import re
+from types import SimpleNamespace
 
+from sesamehall.codecs.yamlfile import Checks
 from sesamehall.codecs.yamlfile import Reading
+from sesamehall.core.data import Limit
 from sesamehall.core.data import LimitsList
 from sesamehall.core.data import PlansList
+from sesamehall.core.data import Pool
 from sesamehall.core.data import TargetKind
-from sesamehall.core.settings import EntrySettings
-from sesamehall.core.settings import OperatorSettings
-from sesamehall.core.settings import StewardSettings
 
 NAME = re.compile(r"[a-z0-9][a-z0-9._-]{0,62}")
 SHARE_MOST = 1_000
@@ -27,15 +28,10 @@
 OPTIONAL_FIELDS = ("statsd",)
 
 
-def check_settings(
-    settings: EntrySettings | StewardSettings | OperatorSettings,
-    reading: Reading,
-) -> None:
+def _check_settings(settings: SimpleNamespace, reading: Reading) -> None:
     """Report bad names, addresses, numbers and doubled peers.
 
-    Args:
-      settings: Settings of any program.
-      reading: Takes the problems.
+    Fields that are wrong already are missing from the settings.
     """
     for name in ("name", "data_centre"):
         if hasattr(settings, name):
@@ -52,13 +48,8 @@
     _check_peers(settings, reading)
 
 
-def check_plans(plans: PlansList, reading: Reading) -> None:
-    """Report doubled names and references to what is not there.
-
-    Args:
-      plans: The operators' first list.
-      reading: Takes the problems.
-    """
+def _check_plans(plans: PlansList, reading: Reading) -> None:
+    """Report doubled names and references to what is not there."""
     _check_unique(reading, "plans", "team", (p.team for p in plans.plans))
     _check_unique(
         reading, "services", "name", (s.name for s in plans.services)
@@ -84,25 +75,25 @@
         )
         if service.open_to is not None and service.open_to not in teams:
             reading.report(f"{where}.open_to", "names no team of the plans")
-    for index, pool in enumerate(plans.pools):
-        if pool.minimum < 0:
-            reading.report(f"pools.{index}.minimum", "must be at least 0")
-
 
-def check_limits(limits: LimitsList, reading: Reading) -> None:
-    """Report doubled teams, and shares and ceilings out of range.
 
-    Args:
-      limits: The operators' second list.
-      reading: Takes the problems.
-    """
+def _check_limits(limits: LimitsList, reading: Reading) -> None:
+    """Report doubled teams."""
     _check_unique(reading, "limits", "team", (x.team for x in limits.limits))
-    for index, limit in enumerate(limits.limits):
-        where = f"limits.{index}"
-        if not 1 <= limit.share <= SHARE_MOST:
-            reading.report(f"{where}.share", f"must be 1 to {SHARE_MOST}")
-        if not 1 <= limit.ceiling <= CEILING_MOST:
-            reading.report(f"{where}.ceiling", f"must be 1 to {CEILING_MOST}")
+
+
+def _check_limit(limit: Limit, name: str, reading: Reading) -> None:
+    """Report a share or a ceiling out of range."""
+    if not 1 <= limit.share <= SHARE_MOST:
+        reading.report(f"{name}.share", f"must be 1 to {SHARE_MOST}")
+    if not 1 <= limit.ceiling <= CEILING_MOST:
+        reading.report(f"{name}.ceiling", f"must be 1 to {CEILING_MOST}")
+
+
+def _check_pool_size(pool: Pool, name: str, reading: Reading) -> None:
+    """Report a minimum below zero."""
+    if pool.minimum < 0:
+        reading.report(f"{name}.minimum", "must be at least 0")
 
 
 def _check_peers(settings, reading):
@@ -110,7 +101,7 @@
     _check_unique(reading, "peers", "name", (peer.name for peer in peers))
     for index, peer in enumerate(peers):
         _check_address(reading, f"peers.{index}.address", peer.address)
-        if peer.name == settings.name:
+        if peer.name == getattr(settings, "name", ""):
             reading.report(f"peers.{index}.name", "is this node itself")
 
 
@@ -147,3 +138,8 @@
         reading.report(name, f"{pool} is not declared")
     elif kinds_by_pool[pool] is not kind:
         reading.report(name, f"{pool} is not a pool of {kind.value}s")
+
+
+SETTINGS_CHECKS = Checks({}, fields=_check_settings)
+PLANS_CHECKS = Checks({Pool: _check_pool_size}, whole=_check_plans)
+LIMITS_CHECKS = Checks({Limit: _check_limit}, whole=_check_limits)
--- a/sesamehall/codecs/yamlfile.py
+++ b/sesamehall/codecs/yamlfile.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Callable
+from collections.abc import Mapping
 from dataclasses import dataclass
 from dataclasses import field
 from dataclasses import fields
@@ -12,6 +13,7 @@
 from dataclasses import MISSING
 from enum import Enum
 from types import NoneType
+from types import SimpleNamespace
 from typing import Any
 from typing import get_args
 from typing import get_origin
@@ -41,11 +43,13 @@
       file: Name of the file.
       lines_by_field: Line of every field, counted from 1.
       problems: Problems found so far.
+      checks_by_class: Checks of single values, as soon as they are whole.
     """
 
     file: str
     lines_by_field: dict[str, int] = field(default_factory=dict)
     problems: list[Problem] = field(default_factory=list)
+    checks_by_class: dict[type, Callable] = field(default_factory=dict)
 
     def report(self, name: str, message: str, line: int = 0) -> Any:
         """Note a problem.
@@ -75,15 +79,36 @@
         return self.lines_by_field.get(name, 1)
 
 
-def load_yaml(
-    path: str, cls: type, check: Callable[[Any, Reading], None] | None = None
-) -> Any:
+Check = Callable[[Any, Reading], None]
+
+
+@dataclass(frozen=True, slots=True)
+class Checks:
+    """What is checked of a file beyond the types of its values.
+
+    Attributes:
+      by_class: Checks of single values: function of the value, the dotted
+        name of its field, and the reading.
+      whole: Check of the whole value, when all its types are right.
+      fields: Check of the top level's fields; those that are wrong are
+        missing from the value it gets.
+    """
+
+    by_class: Mapping[type, Callable[[Any, str, Reading], None]]
+    whole: Check | None = None
+    fields: Check | None = None
+
+
+NO_CHECKS = Checks({})
+
+
+def load_yaml(path: str, cls: type, checks: Checks = NO_CHECKS) -> Any:
     """Read a YAML file into a data class.
 
     Args:
       path: Name of the file.
       cls: The data class.
-      check: Reports further problems of a whole value, or None.
+      checks: What is checked beyond the types.
     Returns:
       The value.
     Raises:
@@ -95,14 +120,11 @@
     except (OSError, UnicodeDecodeError) as error:
         problem = Problem(Source(path, 0), "", f"cannot be read: {error}")
         raise SettingsError((problem,)) from error
-    return parse_yaml(path, text, cls, check)
+    return parse_yaml(path, text, cls, checks)
 
 
 def parse_yaml(
-    path: str,
-    text: str,
-    cls: type,
-    check: Callable[[Any, Reading], None] | None = None,
+    path: str, text: str, cls: type, checks: Checks = NO_CHECKS
 ) -> Any:
     """Structure a YAML text into a data class.
 
@@ -110,13 +132,13 @@
       path: Name of the file, for the problems.
       text: The YAML text.
       cls: The data class.
-      check: Reports further problems of a whole value, or None.
+      checks: What is checked beyond the types.
     Returns:
       The value.
     Raises:
       SettingsError: The text has problems.
     """
-    reading = Reading(path)
+    reading = Reading(path, checks_by_class=dict(checks.by_class))
     try:
         node = compose(text, SafeLoader)
     except YAMLError as error:
@@ -130,21 +152,36 @@
     if node is None:
         reading.report("", "the file is empty")
         raise SettingsError(reading.problems)
-    value = _structure(reading, node, cls, "")
-    if value is not BAD and not reading.problems and check is not None:
-        check(value, reading)
+    fields_by_name: dict[str, Any] = {}
+    value = _structure(reading, node, cls, "", fields_by_name)
+    if checks.fields is not None:
+        checks.fields(SimpleNamespace(**fields_by_name), reading)
+    if value is not BAD and checks.whole is not None:
+        checks.whole(value, reading)
     if reading.problems:
-        raise SettingsError(reading.problems)
+        in_order = sorted(reading.problems, key=_by_line)
+        raise SettingsError(in_order)
     return value
 
 
-def _structure(reading: Reading, node: YamlNode, hint: Any, name: str) -> Any:
-    """Structure one node as its hint says."""
+def _by_line(problem: Problem) -> tuple[int, str]:
+    return problem.source.line, problem.field
+
+
+def _structure(
+    reading: Reading,
+    node: YamlNode,
+    hint: Any,
+    name: str,
+    good: dict[str, Any] | None = None,
+) -> Any:
+    """Structure one node as its hint says; note a class's good fields."""
     reading.lines_by_field[name] = node.start_mark.line + 1
     if get_origin(hint) is tuple:
         return _structure_tuple(reading, node, get_args(hint)[0], name)
     if is_dataclass(hint):
-        return _structure_class(reading, node, hint, name)
+        good = {} if good is None else good
+        return _structure_class(reading, node, hint, name, good)
     options = get_args(hint) or (hint,)
     return _structure_scalar(reading, node, options, name)
 
@@ -159,26 +196,30 @@
     return BAD if BAD in items else items
 
 
-def _structure_class(reading, node, cls, name):
+def _structure_class(reading, node, cls, name, good):
     if not isinstance(node, MappingNode):
         return reading.report(name, "must be a mapping")
     nodes_by_field = _nodes_by_field(reading, node, cls, name)
     hints = get_type_hints(cls)
-    values = {}
+    whole = True
     for member in fields(cls):
         inner = _join(name, member.name)
+        value = member.default
         if member.name in nodes_by_field:
-            values[member.name] = _structure(
-                reading,
-                nodes_by_field[member.name],
-                hints[member.name],
-                inner,
-            )
-        elif member.default is MISSING:
-            values[member.name] = reading.report(inner, "is missing")
-    if any(value is BAD for value in values.values()):
+            node = nodes_by_field[member.name]
+            value = _structure(reading, node, hints[member.name], inner)
+        elif value is MISSING:
+            value = reading.report(inner, "is missing")
+        if value is BAD:
+            whole = False
+        else:
+            good[member.name] = value
+    if not whole:
         return BAD
-    return cls(**values)
+    built = cls(**good)
+    if cls in reading.checks_by_class:
+        reading.checks_by_class[cls](built, name, reading)
+    return built
 
 
 def _nodes_by_field(reading, node, cls, name):
--- a/sesamehall/scripts/common.py
+++ b/sesamehall/scripts/common.py
@@ -4,6 +4,7 @@
 import sys
 from typing import Any
 
+from sesamehall.codecs.yamlfile import Checks
 from sesamehall.codecs.yamlfile import load_yaml
 from sesamehall.core.codes import SettingsError
 from sesamehall.core.data import Problem
@@ -24,18 +25,18 @@
     return f"{source.file}:{source.line}: {name}{problem.message}"
 
 
-def load_or_exit(path: str, cls: type, check: Callable) -> Any:
+def load_or_exit(path: str, cls: type, checks: Checks) -> Any:
     """Read a file, or list its problems and end with code 2.
 
     Args:
       path: Name of the file.
       cls: Data class of its content.
-      check: Reports problems beyond the types.
+      checks: What is checked beyond the types.
     Returns:
       The value.
     """
     try:
-        return load_yaml(path, cls, check)
+        return load_yaml(path, cls, checks)
     except SettingsError as error:
         for problem in error.problems:
             print(describe(problem), file=sys.stderr)
--- a/sesamehall/scripts/entry.py
+++ b/sesamehall/scripts/entry.py
@@ -1,6 +1,6 @@
 """The entry: takes callers' requests and jobs, and routes them."""
 
-from sesamehall.codecs.checks import check_settings
+from sesamehall.codecs.checks import SETTINGS_CHECKS
 from sesamehall.core.settings import EntrySettings
 from sesamehall.runtime.logbook import set_up_logging
 from sesamehall.scripts.common import load_or_exit
@@ -17,7 +17,7 @@
       settings: YAML file with the entry's settings; docs/OPERATORS.md
         describes its fields.
     """
-    loaded = load_or_exit(settings, EntrySettings, check_settings)
+    loaded = load_or_exit(settings, EntrySettings, SETTINGS_CHECKS)
     set_up_logging()
     from sesamehall.runtime.entry import EntryApplication
 
--- a/sesamehall/scripts/operator.py
+++ b/sesamehall/scripts/operator.py
@@ -1,8 +1,8 @@
 """The operators' command line: the two lists, keys, and what is in force."""
 
-from sesamehall.codecs.checks import check_limits
-from sesamehall.codecs.checks import check_plans
-from sesamehall.codecs.checks import check_settings
+from sesamehall.codecs.checks import LIMITS_CHECKS
+from sesamehall.codecs.checks import PLANS_CHECKS
+from sesamehall.codecs.checks import SETTINGS_CHECKS
 from sesamehall.core.data import LimitsList
 from sesamehall.core.data import PlansList
 from sesamehall.core.settings import OperatorSettings
@@ -17,10 +17,10 @@
       limits: YAML file with the limits, or nothing.
     """
     if plans:
-        load_or_exit(plans, PlansList, check_plans)
+        load_or_exit(plans, PlansList, PLANS_CHECKS)
         print(f"{plans}: no problems")
     if limits:
-        load_or_exit(limits, LimitsList, check_limits)
+        load_or_exit(limits, LimitsList, LIMITS_CHECKS)
         print(f"{limits}: no problems")
 
 
@@ -43,10 +43,10 @@
         raise SystemExit("give either --plans or --limits")
     desk = _open_desk(settings)
     if plans:
-        value = load_or_exit(plans, PlansList, check_plans)
+        value = load_or_exit(plans, PlansList, PLANS_CHECKS)
         desk.publish_plans(value, based_on)
     else:
-        value = load_or_exit(limits, LimitsList, check_limits)
+        value = load_or_exit(limits, LimitsList, LIMITS_CHECKS)
         desk.publish_limits(value, based_on)
 
 
@@ -95,7 +95,7 @@
     """Read the settings and the log."""
     from sesamehall.runtime.desk import Desk
 
-    loaded = load_or_exit(settings, OperatorSettings, check_settings)
+    loaded = load_or_exit(settings, OperatorSettings, SETTINGS_CHECKS)
     return Desk(loaded)
 
 
--- a/sesamehall/scripts/steward.py
+++ b/sesamehall/scripts/steward.py
@@ -1,6 +1,6 @@
 """The steward: follows the log, and places, moves and maintains."""
 
-from sesamehall.codecs.checks import check_settings
+from sesamehall.codecs.checks import SETTINGS_CHECKS
 from sesamehall.core.settings import StewardSettings
 from sesamehall.runtime.logbook import set_up_logging
 from sesamehall.runtime.steward import StewardApplication
@@ -18,7 +18,7 @@
       settings: YAML file with the steward's settings; docs/OPERATORS.md
         describes its fields.
     """
-    loaded = load_or_exit(settings, StewardSettings, check_settings)
+    loaded = load_or_exit(settings, StewardSettings, SETTINGS_CHECKS)
     set_up_logging()
     StewardApplication(loaded).serve()
 
