Answer every job call once, and never with another team's job

Cause: two calls with one job id shared an entry in the table, so the first was never answered and held its thread; the loser of two teams' race for one id was told 'accepted' with the other team's job. Change: calls are kept by their own id as data classes; a decision that fails holds a server thread 10 s at most.

--- a/sesamehall/core/state.py
+++ b/sesamehall/core/state.py
@@ -117,6 +117,23 @@
     probing: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class JobCall:
+    """A caller's job call that waits for its record to be read back.
+
+    Attributes:
+      record_id: Identifier of the record.
+      job_id: Identifier of the job.
+      team: Team of the caller.
+      cancels: Whether it cancels the job; else it hands the job in.
+    """
+
+    record_id: str
+    job_id: str
+    team: str
+    cancels: bool
+
+
 @dataclass(frozen=True, slots=True)
 class EntryState:
     """What an entry keeps of requests, targets and job calls.
@@ -139,7 +156,7 @@
       report_due: Whether the timer of the next report is set.
       changed_teams: Teams whose load is not yet reported, mapped to True.
       changed_targets: The same for targets.
-      calls_by_record_id: Job calls that wait for their record.
+      job_calls_by_id: Job calls that wait for their records.
     """
 
     tickets_by_request_id: Map[str, Ticket] = EMPTY_MAP
@@ -159,7 +176,7 @@
     report_due: bool = False
     changed_teams: Map[str, bool] = EMPTY_MAP
     changed_targets: Map[str, bool] = EMPTY_MAP
-    calls_by_record_id: Map[str, str] = EMPTY_MAP
+    job_calls_by_id: Map[str, JobCall] = EMPTY_MAP
 
 
 @dataclass(frozen=True, slots=True)
--- a/sesamehall/reducer/answers.py
+++ b/sesamehall/reducer/answers.py
@@ -136,9 +136,9 @@
 def _use_place(state, ticket, at_ms):
     """Use a slot and a place that may have become free."""
     team = ticket.team
-    step = even_out(state, team, at_ms)
+    step = even_out(state, team)
     step = then(step, dispatch_freed, team, ticket.target, at_ms)
-    return then(step, give_wanted, team, at_ms)
+    return then(step, give_wanted, team)
 
 
 def _give_up(state, ticket, at_ms):
--- a/sesamehall/reducer/jobcalls.py
+++ b/sesamehall/reducer/jobcalls.py
@@ -29,6 +29,7 @@
 from sesamehall.core.records import JobSubmitted
 from sesamehall.core.records import RecordBody
 from sesamehall.core.replacing import replace
+from sesamehall.core.state import JobCall
 from sesamehall.core.state import Phase
 from sesamehall.core.state import State
 from sesamehall.core.step import Step
@@ -59,9 +60,10 @@
     if known is not None:
         reply = Reply(event.call_id, JOB_ACCEPTED, status=known)
         return Step(state, (reply,))
-    body = JobSubmitted(job)
     record_id = f"job/{job.team}/{job.job_id}"
-    return _propose_call(state, event.call_id, record_id, body, event.at_ms)
+    call = JobCall(record_id, job.job_id, job.team, cancels=False)
+    body = JobSubmitted(job)
+    return _propose_call(state, event.call_id, call, body, event.at_ms)
 
 
 def ask_job(state: State, event: AskCalled) -> Step:
@@ -96,7 +98,8 @@
     if record_id in state.agreed.verdicts_by_record_id:
         reply = Reply(event.call_id, CANCEL_ACCEPTED, status=status)
         return Step(state, (reply,))
-    return _propose_call(state, event.call_id, record_id, body, event.at_ms)
+    call = JobCall(record_id, event.job_id, status.job.team, cancels=True)
+    return _propose_call(state, event.call_id, call, body, event.at_ms)
 
 
 def answer_judged_calls(state: State) -> Step:
@@ -107,15 +110,17 @@
     Returns:
       A Step with the answers.
     """
-    calls = state.entry.calls_by_record_id
+    calls = state.entry.job_calls_by_id
     effects = ()
-    for record_id, call_id in state.entry.calls_by_record_id.items():
-        verdict = state.agreed.verdicts_by_record_id.get(record_id)
+    for call_id, call in state.entry.job_calls_by_id.items():
+        verdict = state.agreed.verdicts_by_record_id.get(call.record_id)
         if verdict is None:
             continue
-        calls = calls.delete(record_id)
-        effects += (_judged_reply(state.agreed, record_id, call_id, verdict),)
-    entry = replace(state.entry, calls_by_record_id=calls)
+        calls = calls.delete(call_id)
+        effects += (_judged_reply(state.agreed, call_id, call, verdict),)
+    if not effects:
+        return Step(state)
+    entry = replace(state.entry, job_calls_by_id=calls)
     return Step(replace(state, entry=entry), effects)
 
 
@@ -128,15 +133,15 @@
     Returns:
       A Step; the record may still take effect, and the answer says so.
     """
-    calls = state.entry.calls_by_record_id
-    for record_id, call_id in calls.items():
-        if call_id == event.request_id:
-            entry = replace(
-                state.entry, calls_by_record_id=calls.delete(record_id)
-            )
-            reply = Reply(call_id, JOB_UNKNOWN, record_id)
-            return Step(replace(state, entry=entry), (reply,))
-    return Step(state)
+    calls = state.entry.job_calls_by_id
+    call = calls.get(event.request_id)
+    if call is None:
+        return Step(state)
+    entry = replace(
+        state.entry, job_calls_by_id=calls.delete(event.request_id)
+    )
+    reply = Reply(event.request_id, JOB_UNKNOWN, call.record_id)
+    return Step(replace(state, entry=entry), (reply,))
 
 
 def find_misfit(agreed: Agreed, job: Job) -> str | None:
@@ -203,22 +208,26 @@
 
 
 def _propose_call(
-    state: State, call_id: str, record_id: str, body: RecordBody, at_ms: int
+    state: State, call_id: str, call: JobCall, body: RecordBody, at_ms: int
 ) -> Step:
     """Propose a call's record, unless no steward could take it."""
     if nearest_steward(state) is None:
         return refuse(state, call_id, STEWARD_UNREACHABLE, "no stream open")
-    calls = state.entry.calls_by_record_id.set(record_id, call_id)
-    entry = replace(state.entry, calls_by_record_id=calls)
-    return propose(replace(state, entry=entry), record_id, body, at_ms)
+    calls = state.entry.job_calls_by_id.set(call_id, call)
+    entry = replace(state.entry, job_calls_by_id=calls)
+    waiting = replace(state, entry=entry)
+    return propose(waiting, call.record_id, body, at_ms)
 
 
-def _judged_reply(agreed, record_id, call_id, verdict):
+def _judged_reply(
+    agreed: Agreed, call_id: str, call: JobCall, verdict: Verdict
+) -> Reply:
     """Build the answer to a call from the verdict on its record."""
-    kind, _, name = record_id.partition("/")
-    job_id = name.partition("/")[2]
-    status = agreed.jobs_by_id.get(job_id)
-    code = JOB_ACCEPTED if kind == "job" else CANCEL_ACCEPTED
-    if verdict not in (Verdict.ACCEPTED, Verdict.ALREADY_DONE):
-        code = NOT_ADMITTED if kind == "job" else NO_SUCH_JOB
+    status = agreed.jobs_by_id.get(call.job_id)
+    if status is not None and status.job.team != call.team:
+        return Reply(call_id, NOT_ADMITTED, "the id is another team's")
+    if verdict in (Verdict.ACCEPTED, Verdict.ALREADY_DONE):
+        code = CANCEL_ACCEPTED if call.cancels else JOB_ACCEPTED
+    else:
+        code = NO_SUCH_JOB if call.cancels else NOT_ADMITTED
     return Reply(call_id, code, verdict.value, status)
--- /dev/null
+++ b/sesamehall/reducer/jobcalls_test.py
@@ -0,0 +1,108 @@
+"""Tables of callers' job calls at an entry."""
+
+import pytest
+
+from sesamehall.core.data import Job
+from sesamehall.core.data import PresentedKey
+from sesamehall.core.effects import Reply
+from sesamehall.core.effects import Send
+from sesamehall.core.events import AskCalled
+from sesamehall.core.events import CancelCalled
+from sesamehall.core.events import DeadlinePassed
+from sesamehall.core.events import MessageReceived
+from sesamehall.core.events import PeerDisconnected
+from sesamehall.core.events import StopRequested
+from sesamehall.core.events import SubmitCalled
+from sesamehall.core.messages import RecordsForwarded
+from sesamehall.core.records import JobSubmitted
+from sesamehall.core.records import LogEntry
+from sesamehall.core.records import Record
+from sesamehall.reducer.testing import build_entry
+from sesamehall.reducer.testing import DIGEST
+from sesamehall.reducer.testing import reduce_all
+
+JOB = Job("j", "", "batch", "c")
+RED = PresentedKey("key-red", DIGEST)
+BLUE = PresentedKey("key-blue", DIGEST)
+OTHERS = JobSubmitted(Job("j", "blue", "batch", "c"))
+STOP = StopRequested(0)
+CUT = PeerDisconnected(0, "steward-a")
+
+
+def submit(call_id, key=RED, job=JOB):
+    return SubmitCalled(0, call_id, key, job)
+
+
+def ask(call_id, key=RED, job_id="j"):
+    return AskCalled(0, call_id, key, job_id)
+
+
+def cancel(call_id, key=RED):
+    return CancelCalled(0, call_id, key, "j")
+
+
+def run(events):
+    """Reduce events; "log" stands for reading back what was proposed."""
+    state = build_entry()
+    words = []
+    proposed = []
+    for event in events:
+        if event == "log":
+            event = _forward(state, proposed)
+            proposed = []
+        elif isinstance(event, JobSubmitted):
+            event = _forward(state, [Record("other", event)])
+        state, effects = reduce_all(state, event)
+        for effect in effects:
+            match effect:
+                case Reply(request_id, code):
+                    words.append(f"{request_id}:{code.number}")
+                case Send("steward-a", message) if hasattr(message, "record"):
+                    proposed.append(message.record)
+    return words
+
+
+def _forward(state, records):
+    first = state.agreed.next_offset
+    entries = tuple(
+        LogEntry(first + index, record) for index, record in enumerate(records)
+    )
+    return MessageReceived(0, "steward-a", RecordsForwarded(entries))
+
+
+@pytest.mark.parametrize(
+    ("events", "words"),
+    [
+        ([submit("a"), "log"], ["a:1001"]),
+        ([submit("a", None)], ["a:2001"]),
+        ([submit("a", PresentedKey("x", DIGEST))], ["a:2002"]),
+        ([submit("a", job=Job("j", "", "pool", "c"))], ["a:2003"]),
+        (
+            [submit("a", job=Job("j", "", "batch", "c", processors=99))],
+            ["a:2016"],
+        ),
+        ([STOP, submit("a")], ["a:2009"]),
+        ([CUT, submit("a")], ["a:2018"]),
+        ([submit("a"), DeadlinePassed(9, "a"), "log"], ["a:3003"]),
+        ([submit("a"), submit("b"), "log"], ["a:1001", "b:1001"]),
+        (
+            [submit("a"), submit("b"), DeadlinePassed(9, "a"), "log"],
+            ["a:3003", "b:1001"],
+        ),
+        ([submit("a"), "log", submit("b")], ["a:1001", "b:1001"]),
+        ([OTHERS, submit("a")], ["a:2003"]),
+        ([submit("a"), OTHERS, "log"], ["a:2003"]),
+        ([ask("a")], ["a:2015"]),
+        ([OTHERS, ask("a")], ["a:2015"]),
+        ([OTHERS, ask("a", BLUE)], ["a:1002"]),
+        ([submit("a"), "log", ask("b")], ["a:1001", "b:1002"]),
+        ([OTHERS, cancel("a")], ["a:2015"]),
+        ([OTHERS, cancel("a", BLUE), "log"], ["a:1003"]),
+        (
+            [OTHERS, cancel("a", BLUE), "log", cancel("b", BLUE)],
+            ["a:1003", "b:1003"],
+        ),
+    ],
+)
+def test_job_calls(events, words):
+    assert run(events) == words
--- a/sesamehall/reducer/lending.py
+++ b/sesamehall/reducer/lending.py
@@ -53,10 +53,10 @@
     else:
         wants = drop_key(wants, peer.name)
     changed = _with_wants(state, question.team, wants)
-    return give_wanted(changed, question.team, at_ms)
+    return give_wanted(changed, question.team)
 
 
-def even_out(state: State, team: str, at_ms: int) -> Step:
+def even_out(state: State, team: str) -> Step:
     """Share a place that became free with entries that hold fewer.
 
     Called before the entry uses the place itself; it gives one only to a
@@ -65,7 +65,6 @@
     Args:
       state: State of the entry.
       team: Name of the team.
-      at_ms: The node's clock.
     Returns:
       A Step with the units given.
     """
@@ -83,7 +82,7 @@
     return _give(state, team, name, units) if units > 0 else Step(state)
 
 
-def give_wanted(state: State, team: str, at_ms: int) -> Step:
+def give_wanted(state: State, team: str) -> Step:
     """Give spare units of a team to the peers that asked for them.
 
     Called after the entry has used what it can.  If it lacks units itself,
@@ -93,7 +92,6 @@
     Args:
       state: State of the entry.
       team: Name of the team.
-      at_ms: The node's clock, for the timers of later questions.
     Returns:
       A Step with the units given.
     """
--- a/sesamehall/reducer/lifecycle.py
+++ b/sesamehall/reducer/lifecycle.py
@@ -102,7 +102,7 @@
     if state.phase is not Phase.STOPPING:
         return Step(state)
     entry = state.entry
-    if entry.tickets_by_request_id or entry.calls_by_record_id:
+    if entry.tickets_by_request_id or entry.job_calls_by_id:
         return Step(replace(state, stopping_ms=at_ms))
     if entry.lingering_by_attempt or state.claims.ballots_by_request_id:
         return Step(replace(state, stopping_ms=at_ms))
--- a/sesamehall/reducer/peers.py
+++ b/sesamehall/reducer/peers.py
@@ -179,7 +179,7 @@
             step = take_units(state, peer, message)
             step = then(step, dispatch_waiting, at_ms)
             for team in message.total_by_team:
-                step = then(step, give_wanted, team, at_ms)
+                step = then(step, give_wanted, team)
             return step
         case UnitsReceived():
             return take_confirmation(state, message)
--- a/sesamehall/reducer/reduce.py
+++ b/sesamehall/reducer/reduce.py
@@ -98,8 +98,9 @@
             return _follow_up(state, step, event.at_ms)
         case TimerFired():
             return _fire(state, event)
-        case DeadlinePassed() if event.request_id.startswith("call-"):
-            return pass_call_deadline(state, event)
+        case DeadlinePassed(_, name) if name in state.entry.job_calls_by_id:
+            step = pass_call_deadline(state, event)
+            return then(step, pursue_stop, event.at_ms)
         case DeadlinePassed():
             step = pass_deadline(state, event)
             return then(step, pursue_stop, event.at_ms)
--- a/sesamehall/runtime/front.py
+++ b/sesamehall/runtime/front.py
@@ -15,6 +15,7 @@
 
 from urllib3.util.wait import wait_for_read
 
+from sesamehall.core.codes import LOST
 from sesamehall.core.codes import MALFORMED
 from sesamehall.core.codes import STOPPING
 from sesamehall.core.data import Request
@@ -59,6 +60,7 @@
 IDEMPOTENT_METHODS = ("GET", "HEAD", "OPTIONS", "PUT", "DELETE", "TRACE")
 CALLER_ID_LIMIT = 128
 GONE_CHECK_MS = 500  # a caller that has gone is noticed this late
+DECISION_TIMEOUT_S = 10  # a decision that failed must not hold a thread
 CALL_TIMEOUT_MS = 10_000  # job calls are answered within this
 
 
@@ -243,7 +245,7 @@
                 else:
                     continue
                 self._post(event)
-                return mailbox.get()
+                return _await_reply(mailbox)
 
     def _call(self, event: SubmitCalled | AskCalled | CancelCalled):
         """Post a job call and wait for its answer."""
@@ -255,7 +257,7 @@
                 reply = mailbox.get(timeout=CALL_TIMEOUT_MS / 1000)
             except Empty:
                 self._post(DeadlinePassed(now_ms(), event.call_id))
-                reply = mailbox.get()
+                reply = _await_reply(mailbox)
         finally:
             del self._mailboxes_by_id[event.call_id]
         return own_response(reply.code, reply.detail, reply.status)
@@ -279,6 +281,18 @@
         return json_response(200, body, ())
 
 
+def _await_reply(mailbox: SimpleQueue):
+    """Wait for what is decided at a deadline; it comes within moments.
+
+    Raises:
+      BadRequest: Nothing was decided; the log holds the internal error.
+    """
+    try:
+        return mailbox.get(timeout=DECISION_TIMEOUT_S)
+    except Empty as error:
+        raise BadRequest(LOST, "internal error") from error
+
+
 def _is_gone(sock: socket) -> bool:
     """Tell whether a caller has closed its end of the connection."""
     if not wait_for_read(sock, timeout=0):
