--- a/sesamehall/reducer/load.py
+++ b/sesamehall/reducer/load.py
@@ -20,6 +20,7 @@
 from sesamehall.core.step import Step
 from sesamehall.core.timers import LoadTimer
 from sesamehall.reducer.allotments import has_place
+from sesamehall.reducer.broadcast import send_all
 from sesamehall.reducer.counts import shift_counts
 
 
@@ -91,7 +92,7 @@
     state = replace(state, entry=cleared)
     if not (report.running_by_team or report.waiting_by_line):
         return Step(state)
-    return _send_all(state, report)
+    return Step(state, send_all(state, NodeKind.ENTRY, report))
 
 
 def report_whole(state: State, peer: str) -> Step:
@@ -199,15 +200,3 @@
 
 def _pick(counts, names):
     return Map((name, counts.get(name, 0)) for name in names)
-
-
-def _send_all(state, message):
-    peers_by_name = state.identity.peers_by_name
-    return Step(
-        state,
-        tuple(
-            Send(name, message)
-            for name in state.peers_by_name
-            if peers_by_name[name].kind is NodeKind.ENTRY
-        ),
-    )
--- a/sesamehall/reducer/moving.py
+++ b/sesamehall/reducer/moving.py
@@ -14,7 +14,6 @@
 from sesamehall.core.data import Pool
 from sesamehall.core.effects import log
 from sesamehall.core.effects import RebootInstance
-from sesamehall.core.effects import Send
 from sesamehall.core.events import InstanceRebooted
 from sesamehall.core.logevents import MOVE_FINISHED
 from sesamehall.core.logevents import MOVE_STARTED
@@ -27,6 +26,7 @@
 from sesamehall.core.state import State
 from sesamehall.core.step import Step
 from sesamehall.core.step import then
+from sesamehall.reducer.broadcast import send_all
 from sesamehall.reducer.role import propose_fenced
 
 
@@ -169,7 +169,7 @@
             continue
         report = DrainReported(move.operation, state.identity.incarnation)
         line = log(TARGET_DRAINED, target=move.instance)
-        effects += (line,) + _send_stewards(state, report)
+        effects += (line,) + send_all(state, NodeKind.STEWARD, report)
     return Step(state, effects)
 
 
@@ -243,12 +243,3 @@
         isinstance(record.body, MoveStarted)
         for record in state.proposals_by_record_id.values()
     )
-
-
-def _send_stewards(state, message):
-    peers_by_name = state.identity.peers_by_name
-    return tuple(
-        Send(name, message)
-        for name in state.peers_by_name
-        if peers_by_name[name].kind is NodeKind.STEWARD
-    )
--- a/sesamehall/reducer/placing.py
+++ b/sesamehall/reducer/placing.py
@@ -12,7 +12,6 @@
 from sesamehall.core.data import TargetKind
 from sesamehall.core.effects import log
 from sesamehall.core.effects import RunTask
-from sesamehall.core.effects import Send
 from sesamehall.core.effects import SetTimer
 from sesamehall.core.effects import StopTask
 from sesamehall.core.events import TaskEnded
@@ -37,6 +36,7 @@
 from sesamehall.core.timers import TaskTimer
 from sesamehall.reducer.accounts import account_places
 from sesamehall.reducer.accounts import account_units
+from sesamehall.reducer.broadcast import send_all
 from sesamehall.reducer.counts import drop_key
 from sesamehall.reducer.jobcalls import find_misfit
 from sesamehall.reducer.role import holds_role
@@ -253,13 +253,7 @@
     held = account_units(state.agreed, team)
     units = units_for(running + 1, limit.ceiling) - held
     question = UnitsAsked(team, units, held, for_account=True)
-    peers_by_name = state.identity.peers_by_name
-    sends = tuple(
-        Send(name, question)
-        for name in state.peers_by_name
-        if peers_by_name[name].kind is NodeKind.ENTRY
-    )
-    return Step(state, sends)
+    return Step(state, send_all(state, NodeKind.ENTRY, question))
 
 
 def _renew_task(state, job_id, answered_ms, at_ms):
--- a/sesamehall/reducer/seeking.py
+++ b/sesamehall/reducer/seeking.py
@@ -3,7 +3,6 @@
 from immutables import Map
 
 from sesamehall.core.data import NodeKind
-from sesamehall.core.effects import Send
 from sesamehall.core.effects import SetTimer
 from sesamehall.core.limits import UNITS_ASK_MS
 from sesamehall.core.messages import UnitsAsked
@@ -19,6 +18,7 @@
 from sesamehall.reducer.allotments import held_units
 from sesamehall.reducer.allotments import missing_units
 from sesamehall.reducer.allotments import spare_units
+from sesamehall.reducer.broadcast import send_all
 from sesamehall.reducer.proposals import propose
 
 
@@ -100,13 +100,7 @@
 def _ask_peers(state, team, units):
     """Put a question to every entry."""
     question = UnitsAsked(team, units, held_units(state, team))
-    peers_by_name = state.identity.peers_by_name
-    sends = tuple(
-        Send(name, question)
-        for name in state.peers_by_name
-        if peers_by_name[name].kind is NodeKind.ENTRY
-    )
-    return Step(state, sends)
+    return Step(state, send_all(state, NodeKind.ENTRY, question))
 
 
 def withdraw_units(
