Look for a free slot without ranking all; set a report's timer in one copy

Cause: each dispatch ranked all targets twice and copied the state twice for its report. Change: has_free_slot stops at the first; note_load copies once.

--- a/sesamehall/reducer/dispatching.py
+++ b/sesamehall/reducer/dispatching.py
@@ -24,6 +24,7 @@
 from sesamehall.reducer.queues import first_waiting
 from sesamehall.reducer.queues import take_first
 from sesamehall.reducer.routing import choose_target
+from sesamehall.reducer.routing import has_free_slot
 from sesamehall.reducer.seeking import seek_units
 from sesamehall.reducer.shares import rank_team
 
@@ -99,7 +100,7 @@
     """Dispatch one service's requests, unless no slot is free."""
     step = plan_report(state, at_ms)
     known = state.agreed.services_by_name.get(service)
-    if known is None or choose_target(state, known.pool, ()) is None:
+    if known is None or not has_free_slot(state, known.pool):
         return step
     step = then(step, _dispatch_service, service, at_ms, patient)
     for team in step.state.entry.lines_by_service.get(service, ()):
--- a/sesamehall/reducer/load.py
+++ b/sesamehall/reducer/load.py
@@ -40,8 +40,13 @@
         entry,
         changed_teams=entry.changed_teams.set(team, True),
         changed_targets=entry.changed_targets.set(target, True),
+        report_due=True,
     )
-    return plan_report(replace(state, entry=changed), at_ms)
+    changed_state = replace(state, entry=changed)
+    if entry.report_due:
+        return Step(changed_state)
+    timer = SetTimer(LoadTimer(), at_ms + LOAD_REPORT_MS)
+    return Step(changed_state, (timer,))
 
 
 def plan_report(state: State, at_ms: int) -> Step:
--- a/sesamehall/reducer/routing.py
+++ b/sesamehall/reducer/routing.py
@@ -36,6 +36,23 @@
     return best
 
 
+def has_free_slot(state: State, pool: str) -> bool:
+    """Tell whether any target of a pool could take a request.
+
+    Args:
+      state: State of the entry.
+      pool: Name of the pool of executors.
+    Returns:
+      True when one has a free slot and may be used.
+    """
+    entry = state.entry
+    for name in entry.targets_by_pool.get(pool, ()):
+        target = entry.targets_by_name[name]
+        if free_slots(entry, target) > 0 and is_usable(state, target):
+            return True
+    return False
+
+
 def free_slots(entry: EntryState, target: Target) -> int:
     """Count the slots that no entry is known to use.
 
