--- a/sesamehall/codecs/packing.py
+++ b/sesamehall/codecs/packing.py
@@ -138,7 +138,7 @@
     if isinstance(value, tuple):
         return list(value)
     if isinstance(value, Map):
-        return msgpack.ExtType(MAPPING, pack(dict(value.items())))
+        return msgpack.ExtType(MAPPING, pack(dict(sorted(value.items()))))
     if isinstance(value, Enum):
         named = [type(value).__name__, value.value]
         return msgpack.ExtType(ENUM, pack(named))
--- a/sesamehall/reducer/broadcast.py
+++ b/sesamehall/reducer/broadcast.py
@@ -22,6 +22,6 @@
     peers_by_name = state.identity.peers_by_name
     return tuple(
         Send(name, message)
-        for name in state.peers_by_name
+        for name in sorted(state.peers_by_name)
         if peers_by_name[name].kind is kind
     )
--- a/sesamehall/reducer/claims.py
+++ b/sesamehall/reducer/claims.py
@@ -278,8 +278,12 @@
       state: State of the entry.
       peer: The peer, whose stream is new.
     Returns:
-      A Step with the question, or none for an entry with its memory.
+      A Step with the question, or none to a steward and for an entry with
+      its memory.
     """
+    node = state.identity.peers_by_name[peer.name]
+    if node.kind is not NodeKind.ENTRY:
+        return Step(state)
     if state.claims.sighted or peer.name in state.claims.told:
         return Step(state)
     return Step(state, (Send(peer.name, ClaimsAsked()),))
--- a/sesamehall/reducer/dispatching.py
+++ b/sesamehall/reducer/dispatching.py
@@ -38,7 +38,8 @@
     Returns:
       A Step with the dispatches, and questions for units that are missing.
     """
-    return dispatch_services(state, state.entry.lines_by_service, at_ms)
+    services = sorted(state.entry.lines_by_service)
+    return dispatch_services(state, services, at_ms)
 
 
 def dispatch_services(
@@ -103,7 +104,7 @@
     if known is None or not has_free_slot(state, known.pool):
         return step
     step = then(step, _dispatch_service, service, at_ms, patient)
-    for team in step.state.entry.lines_by_service.get(service, ()):
+    for team in sorted(step.state.entry.lines_by_service.get(service, ())):
         step = then(step, seek_units, team, at_ms)
     return step
 
--- a/sesamehall/reducer/freshness.py
+++ b/sesamehall/reducer/freshness.py
@@ -9,6 +9,8 @@
 """
 
 from sesamehall.core.data import NodeKind
+from sesamehall.core.effects import Effect
+from sesamehall.core.effects import Send
 from sesamehall.core.limits import KEYS_KNOWN_MS
 from sesamehall.core.limits import SILENT_AFTER_MS
 from sesamehall.core.messages import Heartbeat
@@ -53,6 +55,19 @@
     return replace(peer, next_offset=beat.next_offset, log_known_ms=known_ms)
 
 
+def tell_log_age(state: State, at_ms: int) -> tuple[Effect, ...]:
+    """Build heartbeats that tell every peer of the log's end.
+
+    Args:
+      state: State of any node.
+      at_ms: The node's clock.
+    Returns:
+      One heartbeat for each open stream.
+    """
+    beat = Heartbeat(state.agreed.next_offset, log_age_ms(state, at_ms))
+    return tuple(Send(name, beat) for name in sorted(state.peers_by_name))
+
+
 def log_age_ms(state: State, at_ms: int) -> int:
     """Compute how long ago this node knew the log's end.
 
--- a/sesamehall/reducer/jobcalls.py
+++ b/sesamehall/reducer/jobcalls.py
@@ -112,7 +112,7 @@
     """
     calls = state.entry.job_calls_by_id
     effects = ()
-    for call_id, call in state.entry.job_calls_by_id.items():
+    for call_id, call in sorted(state.entry.job_calls_by_id.items()):
         verdict = state.agreed.verdicts_by_record_id.get(call.record_id)
         if verdict is None:
             continue
--- a/sesamehall/reducer/lending.py
+++ b/sesamehall/reducer/lending.py
@@ -121,7 +121,7 @@
     step = Step(state)
     if not takers:
         return step
-    for team in state.agreed.limits_by_team:
+    for team in sorted(state.agreed.limits_by_team):
         units = spare_units(step.state, team)
         if units > 0:
             step = then(step, _give, team, min(takers), units)
@@ -162,7 +162,7 @@
     )
     lines = tuple(
         log(UNITS_TAKEN, team=team, units=units, giver=peer.name)
-        for team, units in gained.items()
+        for team, units in sorted(gained.items())
     )
     return Step(
         replace(state, allotments=allotments),
--- a/sesamehall/reducer/lifecycle.py
+++ b/sesamehall/reducer/lifecycle.py
@@ -178,7 +178,7 @@
     step = pursue_lease(turn_memory(state, at_ms), at_ms)
     step = then(step, keep_reserve, at_ms)
     step = then(step, repeat_questions)
-    for peer in state.peers_by_name.values():
+    for _, peer in sorted(state.peers_by_name.items()):
         step = then(step, resend_units, peer)
         step = then(step, ask_memory, peer)
     step = then(step, report_changes, at_ms)
--- a/sesamehall/reducer/membership.py
+++ b/sesamehall/reducer/membership.py
@@ -159,7 +159,9 @@
         state, identity=identity, allotments=Allotments(wants_by_team=wants)
     )
     greeting = greet(identity)
-    greetings = tuple(Send(name, greeting) for name in state.peers_by_name)
+    greetings = tuple(
+        Send(name, greeting) for name in sorted(state.peers_by_name)
+    )
     return Step(fresh, (line,) + greetings)
 
 
@@ -186,7 +188,8 @@
     if not state.agreed.settlement.missing:
         return Step(state)
     decisions = tuple(
-        _settlement_of(gone, at_ms) for gone in state.agreed.settlement.gone
+        _settlement_of(gone, at_ms)
+        for gone in sorted(state.agreed.settlement.gone)
     )
     return chain(state, *decisions)
 
--- a/sesamehall/reducer/moving.py
+++ b/sesamehall/reducer/moving.py
@@ -92,7 +92,7 @@
     """
     effects = tuple(
         RebootInstance(move.operation, move.instance, move.to_pool)
-        for move in state.agreed.moves_by_operation.values()
+        for _, move in sorted(state.agreed.moves_by_operation.items())
         if _is_drained(state, move)
     )
     return Step(state, effects)
@@ -164,7 +164,7 @@
       A Step with the reports; repeating them is harmless.
     """
     effects = ()
-    for move in state.agreed.moves_by_operation.values():
+    for _, move in sorted(state.agreed.moves_by_operation.items()):
         if state.entry.running_by_target.get(move.instance, 0):
             continue
         report = DrainReported(move.operation, state.identity.incarnation)
--- a/sesamehall/reducer/peers.py
+++ b/sesamehall/reducer/peers.py
@@ -51,6 +51,7 @@
 from sesamehall.reducer.following import apply_entries
 from sesamehall.reducer.freshness import log_age_ms
 from sesamehall.reducer.freshness import note_log_age
+from sesamehall.reducer.freshness import tell_log_age
 from sesamehall.reducer.lending import forget_wants
 from sesamehall.reducer.lending import give_wanted
 from sesamehall.reducer.lending import resend_units
@@ -113,7 +114,7 @@
     """
     effects = tuple(
         Disconnect(name)
-        for name, peer in state.peers_by_name.items()
+        for name, peer in sorted(state.peers_by_name.items())
         if at_ms - peer.heard_ms > SILENT_AFTER_MS
     )
     return Step(state, effects)
@@ -128,8 +129,7 @@
     Returns:
       A Step with the heartbeats.
     """
-    beat = Heartbeat(state.agreed.next_offset, log_age_ms(state, at_ms))
-    return Step(state, tuple(Send(name, beat) for name in state.peers_by_name))
+    return Step(state, tell_log_age(state, at_ms))
 
 
 def take_message(state: State, event: MessageReceived) -> Step:
@@ -178,7 +178,7 @@
         case UnitsSent():
             step = take_units(state, peer, message)
             step = then(step, dispatch_waiting, at_ms)
-            for team in message.total_by_team:
+            for team in sorted(message.total_by_team):
                 step = then(step, give_wanted, team)
             return step
         case UnitsReceived():
--- a/sesamehall/reducer/placing.py
+++ b/sesamehall/reducer/placing.py
@@ -87,7 +87,7 @@
       A Step with the first call to each worker.
     """
     step = Step(state)
-    for job_ids in state.agreed.job_ids_by_worker.values():
+    for _, job_ids in sorted(state.agreed.job_ids_by_worker.items()):
         for job_id in job_ids:
             if job_id not in state.steward.tasks_by_job_id:
                 step = then(step, _renew_task, job_id, at_ms, at_ms)
--- a/sesamehall/reducer/role.py
+++ b/sesamehall/reducer/role.py
@@ -115,7 +115,7 @@
       A Step with the declarations.
     """
     step = Step(_note_renewals(state, at_ms))
-    for member in state.agreed.members_by_incarnation.values():
+    for _, member in sorted(state.agreed.members_by_incarnation.items()):
         seen_ms = step.state.steward.members_seen_ms[_renewal_name(member)]
         if at_ms - seen_ms < GONE_AFTER_MS:
             continue
--- a/sesamehall/reducer/seeking.py
+++ b/sesamehall/reducer/seeking.py
@@ -92,7 +92,7 @@
       A Step with the questions.
     """
     step = Step(state)
-    for team in state.allotments.asked_by_team:
+    for team in sorted(state.allotments.asked_by_team):
         step = then(step, _ask_peers, team, missing_units(state, team))
     return step
 
--- a/sesamehall/reducer/stewardship.py
+++ b/sesamehall/reducer/stewardship.py
@@ -39,6 +39,7 @@
 from sesamehall.reducer.agreement import find_snapshot
 from sesamehall.reducer.following import adopt_agreed
 from sesamehall.reducer.following import apply_entries
+from sesamehall.reducer.freshness import tell_log_age
 
 
 def read_log(state: State) -> Step:
@@ -72,6 +73,7 @@
     effects = ()
     if state.steward.log_failures:
         effects += (log(LOG_BACK, offset=state.agreed.next_offset),)
+        effects += tell_log_age(replace(state, steward=steward), event.at_ms)
     state = replace(state, steward=steward)
     if event.earliest > state.agreed.next_offset:
         step = _seek_snapshot(state, event)
@@ -160,7 +162,7 @@
     """
     effects = ()
     followers = state.steward.followers_by_peer
-    for peer, offset in state.steward.followers_by_peer.items():
+    for peer, offset in sorted(state.steward.followers_by_peer.items()):
         if offset >= state.agreed.next_offset:
             continue
         effects += (Send(peer, _news_since(state, offset)),)
@@ -292,6 +294,6 @@
     peers_by_name = state.identity.peers_by_name
     return tuple(
         Send(peer, message)
-        for peer in state.steward.followers_by_peer
+        for peer in sorted(state.steward.followers_by_peer)
         if peers_by_name[peer].kind is NodeKind.ENTRY
     )
