--- a/sesamehall/reducer/peers.py
+++ b/sesamehall/reducer/peers.py
@@ -222,6 +222,8 @@
     node = state.identity.peers_by_name.get(hello.name)
     if node is None or node.kind is not hello.kind:
         return _refuse_peer(state, peer.name, "not in the settings")
+    if hello.name != peer.name:
+        return _refuse_peer(state, peer.name, f"says it is {hello.name}")
     if hello.newest < OLDEST_FORMAT or hello.oldest > PROTOCOL_FORMAT:
         return _refuse_peer(state, peer.name, "no common format")
     known = replace(peer, incarnation=hello.incarnation)
--- /dev/null
+++ b/sesamehall/reducer/peers_test.py
@@ -0,0 +1,88 @@
+"""Tables of streams: greetings, foreign messages, silence."""
+
+import pytest
+
+from sesamehall.core.data import NodeKind
+from sesamehall.core.effects import Disconnect
+from sesamehall.core.events import MessageReceived
+from sesamehall.core.events import PeerConnected
+from sesamehall.core.events import TimerFired
+from sesamehall.core.limits import SILENT_AFTER_MS
+from sesamehall.core.messages import ClaimsAsked
+from sesamehall.core.messages import DrainReported
+from sesamehall.core.messages import Follow
+from sesamehall.core.messages import Heartbeat
+from sesamehall.core.messages import Hello
+from sesamehall.core.messages import OLDEST_FORMAT
+from sesamehall.core.messages import PROTOCOL_FORMAT
+from sesamehall.core.timers import BeatTimer
+from sesamehall.reducer.testing import build_entry
+from sesamehall.reducer.testing import build_steward
+from sesamehall.reducer.testing import reduce_all
+
+
+def hello(name="entry-a", kind=NodeKind.ENTRY, newest=PROTOCOL_FORMAT):
+    return Hello(name, kind, f"{name}:2", newest, OLDEST_FORMAT)
+
+
+def refuses(effects):
+    return any(isinstance(effect, Disconnect) for effect in effects)
+
+
+@pytest.mark.parametrize(
+    ("greeting", "refused"),
+    [
+        (hello(), False),
+        (hello(newest=PROTOCOL_FORMAT + 1), False),
+        (hello(newest=OLDEST_FORMAT - 1), True),
+        (hello(kind=NodeKind.STEWARD), True),
+        (hello("nobody"), True),
+        (hello("steward-a", NodeKind.STEWARD), True),
+        (Heartbeat(0), True),
+    ],
+)
+def test_first_message_must_be_a_known_greeting(greeting, refused):
+    state, effects = reduce_all(
+        build_entry(),
+        PeerConnected(0, "entry-a"),
+        MessageReceived(0, "entry-a", greeting),
+    )
+    assert refuses(effects) == refused
+    known = state.peers_by_name["entry-a"].incarnation
+    assert known == ("" if refused else "entry-a:2")
+
+
+@pytest.mark.parametrize(
+    ("build", "message", "refused"),
+    [
+        (build_entry, Follow(0), True),
+        (build_entry, DrainReported("m", "x"), True),
+        (build_steward, ClaimsAsked(), True),
+        (build_steward, Follow(0), False),
+    ],
+)
+def test_messages_for_another_kind_of_node_end_the_stream(
+    build, message, refused
+):
+    event = MessageReceived(0, "entry-a", message)
+    _, effects = reduce_all(build(), event)
+    assert refuses(effects) == refused
+
+
+@pytest.mark.parametrize(
+    ("at_ms", "closed"),
+    [(SILENT_AFTER_MS, False), (SILENT_AFTER_MS + 1, True)],
+)
+def test_silent_streams_are_closed(at_ms, closed):
+    _, effects = reduce_all(build_entry(), TimerFired(at_ms, BeatTimer()))
+    assert refuses(effects) == closed
+
+
+def test_entries_ask_only_entries_for_claims():
+    _, effects = reduce_all(build_entry(), TimerFired(1, BeatTimer()))
+    asked = [
+        effect.peer
+        for effect in effects
+        if isinstance(getattr(effect, "message", None), ClaimsAsked)
+    ]
+    assert asked == ["entry-a"]
