--- a/sesamehall/runtime/desk.py
+++ b/sesamehall/runtime/desk.py
@@ -40,7 +40,7 @@
 
 
 class Desk:
-    """One operator's session with the log.
+    """One operator's work on the log.
 
     Attributes:
       agreed: The agreed state as far as the log was read.
