Look a member up once; drop what nothing uses

Cause: a last read found five copies of one look-up in accounts.py, two decisions on ballots and two on waiting requests that differed in a word, a no-op for ended appends, two log events that nothing ever logged (role taken and role lost; the claim's own record line tells it), and dead constants. Change: judge_member matches the records of a member; end_ballot and pass_deadline serve both uses; the dead parts are gone, from the catalogue too.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -62,7 +62,6 @@
 END = "<!-- end of the measured table -->"
 BEATS = 30
 RENEWALS = 200
-RECORDS_PER_S = 17.5  # at the target: 20 renewals in 10 s, 5 jobs a second
 
 
 @dataclass(frozen=True, slots=True)
--- a/sesamehall/core/codes.py
+++ b/sesamehall/core/codes.py
@@ -165,8 +165,6 @@
     REPEATED,
 )
 
-RESULT_CODES_BY_NUMBER = {code.number: code for code in RESULT_CODES}
-
 
 class SesamehallError(Exception):
     """Base of every error that this product raises."""
--- a/sesamehall/core/logevents.py
+++ b/sesamehall/core/logevents.py
@@ -89,8 +89,6 @@
     402, "peer refused", "Compare the settings and versions of the two nodes."
 )
 
-ROLE_TAKEN = _info(500, "role taken")
-ROLE_LOST = _info(501, "role lost")
 JOB_PLACED = _info(510, "job placed")
 JOB_ENDED = _info(511, "job ended")
 JOB_HELD = _info(512, "job held back")
--- a/sesamehall/reducer/accounts.py
+++ b/sesamehall/reducer/accounts.py
@@ -25,6 +25,9 @@
 
 Judged = tuple[Agreed, Verdict]
 UnitsByTeam = Map[str, int]
+MemberBody = (
+    EntryRenewed | EntryLeft | EntryExpired | UnitsWithdrawn | UnitsDeposited
+)
 
 
 def add_units(left: UnitsByTeam, right: UnitsByTeam, sign: int = 1):
@@ -108,12 +111,12 @@
     return _with_member(changed, member), Verdict.ACCEPTED
 
 
-def renew_entry(agreed: Agreed, body: EntryRenewed, offset: int) -> Judged:
-    """Judge the renewal of an incarnation's lease.
+def judge_member(agreed: Agreed, body: MemberBody, offset: int) -> Judged:
+    """Judge a record about an incarnation that must be a member.
 
     Args:
       agreed: State before the record.
-      body: The record.
+      body: The record, its epoch already checked if it has one.
       offset: Offset of the record.
     Returns:
       The state after it and the verdict.
@@ -121,75 +124,22 @@
     member = agreed.members_by_incarnation.get(body.incarnation)
     if member is None:
         return agreed, Verdict.UNKNOWN_NAME
-    renewed = replace(member, renewed_offset=offset)
-    return _with_member(agreed, renewed), Verdict.ACCEPTED
-
-
-def leave_entry(agreed: Agreed, body: EntryLeft) -> Judged:
-    """Judge an incarnation's farewell.
-
-    Args:
-      agreed: State before the record.
-      body: The record.
-    Returns:
-      The state after it and the verdict.
-    """
-    member = agreed.members_by_incarnation.get(body.incarnation)
-    if member is None:
-        return agreed, Verdict.UNKNOWN_NAME
-    return _collect(agreed, member), Verdict.ACCEPTED
-
-
-def expire_entry(agreed: Agreed, body: EntryExpired) -> Judged:
-    """Judge the statement that an incarnation's lease has run out.
-
-    Args:
-      agreed: State before the record.
-      body: The record, its epoch already checked.
-    Returns:
-      The state after it and the verdict.
-    """
-    member = agreed.members_by_incarnation.get(body.incarnation)
-    if member is None:
-        return agreed, Verdict.UNKNOWN_NAME
-    if member.renewed_offset != body.renewed_offset:
-        return agreed, Verdict.STALE_EPOCH
-    return _collect(agreed, member), Verdict.ACCEPTED
-
-
-def withdraw_units(agreed: Agreed, body: UnitsWithdrawn) -> Judged:
-    """Judge a withdrawal; each team's part is cut to what is free.
-
-    Args:
-      agreed: State before the record.
-      body: The record.
-    Returns:
-      The state after it and the verdict.
-    """
-    member = agreed.members_by_incarnation.get(body.incarnation)
-    if member is None:
-        return agreed, Verdict.UNKNOWN_NAME
-    granted = Map(
-        (team, min(max(units, 0), free_account_units(agreed, team)))
-        for team, units in body.units_by_team.items()
-    )
-    return _transfer(agreed, member, granted), Verdict.ACCEPTED
-
-
-def deposit_units(agreed: Agreed, body: UnitsDeposited) -> Judged:
-    """Judge a deposit.
-
-    Args:
-      agreed: State before the record.
-      body: The record.
-    Returns:
-      The state after it and the verdict.
-    """
-    member = agreed.members_by_incarnation.get(body.incarnation)
-    if member is None:
-        return agreed, Verdict.UNKNOWN_NAME
-    given = Map((team, -units) for team, units in body.units_by_team.items())
-    return _transfer(agreed, member, given), Verdict.ACCEPTED
+    match body:
+        case EntryRenewed():
+            renewed = replace(member, renewed_offset=offset)
+            return _with_member(agreed, renewed), Verdict.ACCEPTED
+        case EntryLeft():
+            return _collect(agreed, member), Verdict.ACCEPTED
+        case EntryExpired(_, _, renewed_offset):
+            if member.renewed_offset != renewed_offset:
+                return agreed, Verdict.STALE_EPOCH
+            return _collect(agreed, member), Verdict.ACCEPTED
+        case UnitsWithdrawn(_, units_by_team):
+            granted = _cut_to_free(agreed, units_by_team)
+            return _transfer(agreed, member, granted), Verdict.ACCEPTED
+        case UnitsDeposited(_, units_by_team):
+            given = add_units(Map(), units_by_team, -1)
+            return _transfer(agreed, member, given), Verdict.ACCEPTED
 
 
 def settle_units(agreed: Agreed, body: UnitsSettled) -> Judged:
@@ -231,6 +181,14 @@
     return f"{member}>{gone}"
 
 
+def _cut_to_free(agreed, units_by_team):
+    """Cut what is wanted of each team to what is free in the account."""
+    return Map(
+        (team, min(max(units, 0), free_account_units(agreed, team)))
+        for team, units in units_by_team.items()
+    )
+
+
 def _with_member(agreed, member):
     members = agreed.members_by_incarnation.set(member.incarnation, member)
     return replace(agreed, members_by_incarnation=members)
--- a/sesamehall/reducer/admission.py
+++ b/sesamehall/reducer/admission.py
@@ -97,7 +97,7 @@
     if service is None:
         return Refused(NO_SUCH_SERVICE, request.service)
     if request.key is None and service.open_to is not None:
-        return _check_room(state, request, service.open_to)
+        return _check_room(state, service.open_to)
     owner = identify_team(state, request.key, at_ms)
     match owner:
         case Refused():
@@ -106,7 +106,7 @@
             plan = state.agreed.plans_by_team.get(team)
             if plan is None or service.name not in plan.services:
                 return Refused(NOT_ADMITTED, f"{team} to {service.name}")
-            return _check_room(state, request, team)
+            return _check_room(state, team)
 
 
 def identify_team(
@@ -142,7 +142,7 @@
     return None
 
 
-def _check_room(state, request, team):
+def _check_room(state, team):
     """Refuse a team without limit, a full queue and a caller's id in use."""
     if team not in state.agreed.limits_by_team:
         return Refused(NO_LIMIT, team)
--- a/sesamehall/reducer/agreement.py
+++ b/sesamehall/reducer/agreement.py
@@ -26,13 +26,9 @@
 from sesamehall.core.records import UnitsSettled
 from sesamehall.core.records import UnitsWithdrawn
 from sesamehall.core.replacing import replace
-from sesamehall.reducer.accounts import deposit_units
-from sesamehall.reducer.accounts import expire_entry
 from sesamehall.reducer.accounts import join_entry
-from sesamehall.reducer.accounts import leave_entry
-from sesamehall.reducer.accounts import renew_entry
+from sesamehall.reducer.accounts import judge_member
 from sesamehall.reducer.accounts import settle_units
-from sesamehall.reducer.accounts import withdraw_units
 from sesamehall.reducer.lists import give_key
 from sesamehall.reducer.lists import publish_limits
 from sesamehall.reducer.lists import publish_plans
@@ -106,16 +102,12 @@
             return withdraw_key(agreed, body)
         case EntryJoined():
             return join_entry(agreed, body, offset)
-        case EntryRenewed():
-            return renew_entry(agreed, body, offset)
-        case EntryLeft():
-            return leave_entry(agreed, body)
+        case EntryRenewed() | EntryLeft() | UnitsWithdrawn():
+            return judge_member(agreed, body, offset)
+        case UnitsDeposited():
+            return judge_member(agreed, body, offset)
         case UnitsSettled():
             return settle_units(agreed, body)
-        case UnitsWithdrawn():
-            return withdraw_units(agreed, body)
-        case UnitsDeposited():
-            return deposit_units(agreed, body)
         case JobSubmitted():
             return submit_job(agreed, body)
         case JobCancelled():
@@ -136,7 +128,7 @@
         case SnapshotWritten():
             return replace(fenced, snapshot_offset=offset), verdict
         case EntryExpired():
-            return expire_entry(fenced, body)
+            return judge_member(fenced, body, offset)
         case InstanceJoined():
             return join_instance(fenced, body)
         case MoveStarted():
--- a/sesamehall/reducer/answers.py
+++ b/sesamehall/reducer/answers.py
@@ -32,7 +32,7 @@
 from sesamehall.core.step import Step
 from sesamehall.core.step import then
 from sesamehall.core.timers import LingerTimer
-from sesamehall.reducer.claims import pass_ballot_deadline
+from sesamehall.reducer.claims import end_ballot
 from sesamehall.reducer.claims import release_claim
 from sesamehall.reducer.counts import add_count
 from sesamehall.reducer.dispatching import dispatch_freed
@@ -82,38 +82,25 @@
     return then(step, _use_place, ticket, event.at_ms)
 
 
-def pass_deadline(state: State, event: DeadlinePassed) -> Step:
-    """Answer a request whose caller's time is over, if it still waits.
+def pass_deadline(state: State, event: DeadlinePassed | CallerGone) -> Step:
+    """Answer a request whose caller waits no longer, if it still waits.
 
     One that a target runs is answered when its attempt ends.
 
     Args:
       state: State of the entry.
-      event: The end of the caller's time.
+      event: The end of the caller's time, or the caller that has gone.
     Returns:
       A Step with the refusal, or none.
     """
     ticket = state.entry.tickets_by_request_id.get(event.request_id)
     if ticket is None:
-        return pass_ballot_deadline(state, event.request_id)
+        return end_ballot(state, event.request_id, DEADLINE_PASSED)
     if ticket.target:
         return Step(state)
     return _give_up(state, ticket, event.at_ms)
 
 
-def drop_gone(state: State, event: CallerGone) -> Step:
-    """Drop a waiting request whose caller has gone.
-
-    Args:
-      state: State of the entry.
-      event: The caller that has gone.
-    Returns:
-      A Step; a request that a target runs is left to its end.
-    """
-    passed = DeadlinePassed(event.at_ms, event.request_id)
-    return pass_deadline(state, passed)
-
-
 def end_linger(state: State, attempt: str, at_ms: int) -> Step:
     """Free what an attempt of unknown outcome may have used until now.
 
--- a/sesamehall/reducer/claims.py
+++ b/sesamehall/reducer/claims.py
@@ -13,7 +13,6 @@
 
 from immutables import Map
 
-from sesamehall.core.codes import DEADLINE_PASSED
 from sesamehall.core.codes import NOT_SAFE
 from sesamehall.core.codes import REPEATED
 from sesamehall.core.codes import ResultCode
@@ -167,34 +166,22 @@
     return Step(_with_ballot(state, ballot))
 
 
-def end_ballot(state: State, request_id: str) -> Step:
-    """Refuse a request whose votes are overdue.
-
-    Args:
-      state: State of the entry.
-      request_id: Identifier of the request.
-    Returns:
-      A Step with the refusal, or none for one that was decided.
-    """
-    ballot = state.claims.ballots_by_request_id.get(request_id)
-    if ballot is None:
-        return Step(state)
-    return _refuse_ballot(state, ballot, _why(ballot))
-
-
-def pass_ballot_deadline(state: State, request_id: str) -> Step:
-    """Refuse a request whose caller's time is over before its votes came.
+def end_ballot(
+    state: State, request_id: str, code: ResultCode | None = None
+) -> Step:
+    """Refuse a request that can wait for its votes no longer.
 
     Args:
       state: State of the entry.
       request_id: Identifier of the request.
+      code: Why, or None to tell it by the votes so far.
     Returns:
       A Step with the refusal, or none for one without a ballot.
     """
     ballot = state.claims.ballots_by_request_id.get(request_id)
     if ballot is None:
         return Step(state)
-    return _refuse_ballot(state, ballot, DEADLINE_PASSED)
+    return _refuse_ballot(state, ballot, code or _why(ballot))
 
 
 def release_claim(state: State, ticket: Ticket) -> Step:
--- a/sesamehall/reducer/reduce.py
+++ b/sesamehall/reducer/reduce.py
@@ -37,7 +37,6 @@
 from sesamehall.core.timers import UnitsTimer
 from sesamehall.core.timers import YieldTimer
 from sesamehall.reducer.admission import receive_request
-from sesamehall.reducer.answers import drop_gone
 from sesamehall.reducer.answers import end_linger
 from sesamehall.reducer.answers import finish_attempt
 from sesamehall.reducer.answers import pass_deadline
@@ -66,7 +65,6 @@
 from sesamehall.reducer.stewardship import bear_failed_read
 from sesamehall.reducer.stewardship import bear_unlisted
 from sesamehall.reducer.stewardship import list_instances
-from sesamehall.reducer.stewardship import note_append
 from sesamehall.reducer.stewardship import read_log
 from sesamehall.reducer.stewardship import take_list
 from sesamehall.reducer.stewardship import take_log
@@ -105,7 +103,7 @@
             step = pass_deadline(state, event)
             return then(step, pursue_stop, event.at_ms)
         case CallerGone():
-            return drop_gone(state, event)
+            return pass_deadline(state, event)
         case _:
             return _reduce_rare(state, event)
 
@@ -126,7 +124,7 @@
         case LogReadFailed():
             return bear_failed_read(state, event)
         case AppendEnded():
-            return note_append(state, event)
+            return Step(state)  # only reading the record back counts
         case InstancesListed():
             return take_list(state, event)
         case InstancesNotListed():
--- a/sesamehall/reducer/stewardship.py
+++ b/sesamehall/reducer/stewardship.py
@@ -9,7 +9,6 @@
 from sesamehall.core.effects import ReadLog
 from sesamehall.core.effects import Send
 from sesamehall.core.effects import SetTimer
-from sesamehall.core.events import AppendEnded
 from sesamehall.core.events import InstancesListed
 from sesamehall.core.events import InstancesNotListed
 from sesamehall.core.events import LogRead
@@ -209,18 +208,6 @@
     return Step(replace(state, steward=steward), effects)
 
 
-def note_append(state: State, event: AppendEnded) -> Step:
-    """Note the end of an append; only reading the record back counts.
-
-    Args:
-      state: State of the steward.
-      event: The end of the append.
-    Returns:
-      A Step without effects.
-    """
-    return Step(state)
-
-
 def list_instances(state: State) -> Step:
     """Ask the platform for its list.
 
