--- a/sesamehall/core/data.py
+++ b/sesamehall/core/data.py
@@ -22,6 +22,7 @@
 
     ENTRY = "entry"
     STEWARD = "steward"
+    MANAGER = "manager"
 
 
 @dataclass(frozen=True, slots=True)
--- a/sesamehall/core/effects.py
+++ b/sesamehall/core/effects.py
@@ -5,6 +5,7 @@
 from sesamehall.core.codes import ResultCode
 from sesamehall.core.data import JobStatus
 from sesamehall.core.logevents import LogEvent
+from sesamehall.core.managereffects import ManagerEffect
 from sesamehall.core.messages import Message
 from sesamehall.core.records import Record
 from sesamehall.core.timers import Timer
@@ -222,6 +223,7 @@
     | SetTimer
     | Log
     | Exit
+    | ManagerEffect
 )
 
 
--- a/sesamehall/core/events.py
+++ b/sesamehall/core/events.py
@@ -10,6 +10,7 @@
 from sesamehall.core.data import Job
 from sesamehall.core.data import PresentedKey
 from sesamehall.core.data import Request
+from sesamehall.core.managerevents import ManagerEvent
 from sesamehall.core.messages import Message
 from sesamehall.core.records import LogEntry
 from sesamehall.core.timers import Timer
@@ -403,4 +404,5 @@
     | InstancesNotListed
     | InstanceRebooted
     | WorkerAnswered
+    | ManagerEvent
 )
--- /dev/null
+++ b/sesamehall/core/jobtiming.py
@@ -0,0 +1,34 @@
+"""Periods and bounds of the managers' work on jobs."""
+
+MANAGER_BEAT_MS = 100  # what is due is done this late
+CALL_TIMEOUT_MS = 2_200  # callers wait 3 s; the answer needs some of it
+READ_RETRY_MS = 250  # pause after a failed read of a log
+OPERATOR_WAIT_MS = 1_000  # silent connections are noticed after this
+JOBS_WAIT_MS = 500  # the leader's reads of new jobs wait this long
+JOBS_PERIOD_MS = 1_000  # followers learn of new jobs this late
+PROGRESS_PERIOD_MS = 400  # followers see the leader's heartbeat this late
+WORKERS_PERIOD_MS = 300  # draining workers are noticed this late
+MANIFEST_FRESH_MS = 1_800  # older knowledge of keys may have been replaced
+
+LEADER_SILENT_MS = 2_000  # a leader without records this long is replaced
+CLAIM_SPREAD_MS = 400  # claims of several nodes are spread over this
+HEARTBEAT_MS = 400  # several of these fit into the silence allowed
+COMMIT_PERIOD_MS = 150  # ends of tasks wait this long for others
+START_CONFIRMED_MS = 1_500  # below LEADER_SILENT_MS, so terms never overlap
+RENEW_CONFIRMED_MS = 5_000  # leases outlast outages of the log by this
+
+LEASE_MS = 5_000  # a takeover of the role must fit into it
+START_LEASE_MS = 2_500  # an order that comes later than this is void
+CLOCK_SLACK_PERCENT = 3  # a worker's clock may be 2 % slow
+WATCH_WAIT_MS = 1_000  # a worker's silence is noticed soon after this
+WATCH_RETRY_MS = 300  # pause after a worker's silence
+RUN_NUMBERS_A_TERM = 16  # runs of a task that one leader may number
+FAILURES_TO_ASIDE = 4  # failures in a row that set a worker aside
+ASIDE_MS = 3_000  # a sick worker is tried again after this
+REFUSED_ASIDE_MS = 500  # a worker that refused is tried again after this
+PLACE_DELAY_MS = 3  # events within this are placed in one round
+PLACE_RETRY_MS = 500  # what could not be placed is tried again
+
+STOP_LEAST_MS = 700  # the balancer and open connections learn of a stop
+STOP_MOST_MS = 3_500  # the platform kills a process some time after this
+RESIGN_WAIT_MS = 2_000  # a log that is silent this long is not waited for
--- a/sesamehall/core/logevents.py
+++ b/sesamehall/core/logevents.py
@@ -95,6 +95,46 @@
 MOVE_STARTED = _info(521, "move started")
 MOVE_FINISHED = _info(522, "move finished")
 
+CALL_ANSWERED = _info(600, "call answered")
+CALL_REJECTED = _info(601, "call rejected")
+JOB_SEEN = _info(602, "job taken in")
+JOB_FINISHED = _info(603, "job finished")
+JOB_CANCEL_SEEN = _info(604, "cancelling taken in")
+RUN_ORDERED = _info(610, "run ordered")
+RUN_REFUSED = _info(611, "run refused")
+RUN_ENDED = _info(612, "run ended")
+RUN_ADOPTED = _info(613, "run adopted")
+RUN_STOPPED = _info(614, "run to be stopped")
+WORKER_REACHED = _info(620, "worker reached")
+WORKER_SILENT = _warning(
+    621, "worker silent", "Look at the worker; its tasks restart elsewhere."
+)
+WORKER_GONE = _info(622, "worker gone")
+WORKER_ASIDE = _warning(
+    623, "worker set aside", "Look at the worker; it is tried again."
+)
+TERM_CLAIMED = _info(630, "leadership claimed")
+TERM_BEGUN = _info(631, "leadership begun")
+TERM_ENDED = _warning(
+    632, "leadership lost", "Nothing; another node leads. Often: look at both."
+)
+STREAM_SILENT = _warning(
+    640, "stream unread", "Look at the platform's store and the way to it."
+)
+STREAM_BACK = _info(641, "stream read again")
+MANIFEST_TAKEN = _info(642, "manifest in force")
+READY_CHANGED = _info(643, "readiness changed")
+RECORDS_UNSTORED = _warning(
+    644, "records not stored", "Look at the platform's store; work goes on."
+)
+MACHINE_ORDERED = _info(650, "machine ordered")
+MACHINE_REFUSED = _info(651, "machine order refused")
+WAVE_SEEN = _info(652, "wave taken in")
+WAVE_COMPLETED = _info(653, "wave completed")
+MACHINES_UNLISTED = _warning(
+    654, "machines not listed", "Look at the platform's cloud interface."
+)
+
 NODE_STARTED = _info(900, "node started")
 NODE_STOPPING = _info(901, "node stopping")
 NODE_STOPPED = _info(902, "node stopped")
--- a/sesamehall/core/state.py
+++ b/sesamehall/core/state.py
@@ -10,6 +10,7 @@
 from sesamehall.core.data import Instance
 from sesamehall.core.data import Node
 from sesamehall.core.data import Request
+from sesamehall.core.managerstate import ManagerState
 from sesamehall.core.records import LogEntry
 from sesamehall.core.records import Record
 
@@ -349,6 +350,7 @@
       allotments: An entry's part of the ceilings.
       claims: Callers' request ids that an entry remembers.
       steward: A steward's part; stays empty in an entry.
+      manager: A manager's part; None in an entry and in a steward.
     """
 
     identity: Identity
@@ -362,3 +364,4 @@
     allotments: Allotments = Allotments()
     claims: Claims = Claims()
     steward: StewardState = StewardState()
+    manager: ManagerState | None = None
--- a/sesamehall/core/timers.py
+++ b/sesamehall/core/timers.py
@@ -100,6 +100,44 @@
     job_id: str
 
 
+@dataclass(frozen=True, slots=True)
+class ManagerTimer:
+    """A manager does what is done regularly."""
+
+
+@dataclass(frozen=True, slots=True)
+class PlaceTimer:
+    """Tasks of a pool may find room.
+
+    Attributes:
+      pool: Name of the pool.
+    """
+
+    pool: str
+
+
+@dataclass(frozen=True, slots=True)
+class DueTimer:
+    """An occurrence of a job may be due.
+
+    Attributes:
+      job_id: Identifier of the job.
+    """
+
+    job_id: str
+
+
+@dataclass(frozen=True, slots=True)
+class WatchTimer:
+    """A silent worker is asked again.
+
+    Attributes:
+      worker_id: Identifier of the worker.
+    """
+
+    worker_id: str
+
+
 Timer = (
     BeatTimer
     | LoadTimer
@@ -112,4 +150,8 @@
     | ListTimer
     | AppendTimer
     | TaskTimer
+    | ManagerTimer
+    | PlaceTimer
+    | DueTimer
+    | WatchTimer
 )
--- /dev/null
+++ b/sesamehall/platform/application.py
@@ -0,0 +1,141 @@
+"""The manager on the users' platform: owns threads, sockets and servers."""
+
+import os
+
+from cheroot.wsgi import Server
+
+from sesamehall.core.data import Node
+from sesamehall.core.data import NodeKind
+from sesamehall.core.effects import Effect
+from sesamehall.core.effects import Exit
+from sesamehall.core.effects import Log
+from sesamehall.core.events import Started
+from sesamehall.core.events import StopRequested
+from sesamehall.core.managereffects import AnswerCall
+from sesamehall.core.managereffects import ForgetWorker
+from sesamehall.core.managereffects import ListMachines
+from sesamehall.core.managereffects import MaintainMachine
+from sesamehall.core.managereffects import MoveMachine
+from sesamehall.core.managereffects import PaceRun
+from sesamehall.core.managereffects import ReadStream
+from sesamehall.core.managereffects import ReportWave
+from sesamehall.core.managereffects import SetReady
+from sesamehall.core.managereffects import StartRun
+from sesamehall.core.managereffects import StopRun
+from sesamehall.core.managereffects import StoreJob
+from sesamehall.core.managereffects import StoreProgress
+from sesamehall.core.managereffects import WatchWorker
+from sesamehall.core.managerstate import ManagerState
+from sesamehall.core.state import Identity
+from sesamehall.core.state import State
+from sesamehall.platform.ingress import Ingress
+from sesamehall.platform.ingress import ReadyPage
+from sesamehall.platform.machines import MachineGate
+from sesamehall.platform.settings import ProcessSettings
+from sesamehall.platform.streams import StoreGate
+from sesamehall.platform.workers import WorkerLines
+from sesamehall.runtime.application import new_incarnation
+from sesamehall.runtime.application import run_thread
+from sesamehall.runtime.interpreter import Interpreter
+from sesamehall.runtime.interpreter import now_ms
+from sesamehall.runtime.logbook import Logbook
+
+SERVING_THREADS = 10  # calls under way; each waits for the store at most
+BACKLOG = 128  # connections that wait to be accepted
+IDLE_TIMEOUT_S = 20  # the balancer closes idle connections before this
+
+
+class ManagerApplication:
+    """One manager process."""
+
+    def __init__(self, settings: ProcessSettings):
+        """Put the parts together; `serve` begins their work.
+
+        Args:
+          settings: What the process was told at its start.
+        """
+        rank = int.from_bytes(os.urandom(4), "big")
+        node = Node(
+            settings.name,
+            NodeKind.MANAGER,
+            settings.data_centre,
+            settings.front,
+        )
+        state = State(
+            Identity(node, new_incarnation(settings.name)),
+            manager=ManagerState(
+                settings.name, rank=rank, timing=settings.timing
+            ),
+        )
+        self._logbook = Logbook(settings.name, "")
+        self._interpreter = Interpreter(state, self._perform)
+        post = self._interpreter.post
+        self._ingress = Ingress(post)
+        self._ready = ReadyPage()
+        self._store = StoreGate(settings.store, post)
+        self._workers = WorkerLines(post)
+        self._machines = MachineGate(settings.name, settings.machines, post)
+        self._front_server = _new_server(
+            settings.front, self._ingress, SERVING_THREADS
+        )
+        self._ready_server = _new_server(settings.ready, self._ready, 1)
+
+    def serve(self) -> None:
+        """Serve until a decision ends the process."""
+        for server in (self._ready_server, self._front_server):
+            server.prepare()
+            run_thread(server.serve, "serve")
+        self._interpreter.post(Started(now_ms()))
+        self._interpreter.run()
+        self._front_server.stop()
+
+    def request_stop(self) -> None:
+        """Ask for a graceful stop; `serve` returns when it is done."""
+        self._interpreter.post(StopRequested(now_ms()))
+
+    def _perform(self, effect: Effect) -> None:
+        """Carry out an effect; none of them blocks."""
+        match effect:
+            case Log():
+                self._logbook.write(effect)
+            case WatchWorker():
+                self._workers.watch(effect)
+            case StartRun() | StopRun() | PaceRun():
+                self._workers.order(effect)
+            case ForgetWorker():
+                self._workers.forget(effect)
+            case AnswerCall():
+                self._ingress.deliver(effect)
+            case ReadStream():
+                self._store.read(effect)
+            case StoreJob():
+                self._store.store_job(effect)
+            case StoreProgress():
+                self._store.store_progress(effect)
+            case ReportWave():
+                self._store.report_wave(effect)
+            case ListMachines():
+                self._machines.list()
+            case MoveMachine() | MaintainMachine():
+                self._machines.order(effect)
+            case SetReady(ready):
+                self._ready.ready = ready
+            case Exit():
+                pass
+            case _:
+                raise TypeError(f"no way to {type(effect).__name__}")
+
+
+def _new_server(address: str, application, threads: int) -> Server:
+    """Build an HTTP server; it does not listen yet."""
+    host, _, port = address.rpartition(":")
+    server = Server(
+        (host, int(port)),
+        application,
+        numthreads=threads,
+        max=threads,
+        request_queue_size=BACKLOG,
+        timeout=IDLE_TIMEOUT_S,
+    )
+    server.shutdown_timeout = 1
+    return server
--- /dev/null
+++ b/sesamehall/platform/machines.py
@@ -0,0 +1,104 @@
+"""The platform's cloud interface: machines listed, moved and maintained."""
+
+from collections.abc import Callable
+from urllib.parse import urlencode
+
+from sesamehall.core.codes import DecodeError
+from sesamehall.core.codes import PlatformError
+from sesamehall.core.events import Event
+from sesamehall.core.fleet import Machine
+from sesamehall.core.managerevents import MachineAnswered
+from sesamehall.core.managerevents import MachinesListed
+from sesamehall.core.managerevents import MachinesNotListed
+from sesamehall.core.managereffects import MaintainMachine
+from sesamehall.core.managereffects import MoveMachine
+from sesamehall.platform.decoding import decode_machine
+from sesamehall.platform.decoding import each
+from sesamehall.platform.http import Client
+from sesamehall.platform.lanes import Lane
+from sesamehall.runtime.interpreter import now_ms
+
+ANSWER_TIMEOUT_S = 1.0  # the cloud interface may be slow
+
+
+class MachineGate:
+    """Lists machines and gives orders about them."""
+
+    def __init__(
+        self, node: str, address: str, post: Callable[[Event], None]
+    ):
+        """Prepare the gate.
+
+        Args:
+          node: Name of this node, which holds the lease on the machines.
+          address: "host:port" of the cloud interface.
+          post: Takes the events.
+        """
+        self._node = node
+        self._client = Client(address, connections=2)
+        self._post = post
+        self._lane = Lane("machines")
+
+    def list(self) -> None:
+        """List all machines; they come as an event."""
+        self._lane.put(self._list)
+
+    def order(self, effect: MoveMachine | MaintainMachine) -> None:
+        """Give an order about a machine.
+
+        Args:
+          effect: The order.
+        """
+        self._lane.put(lambda: self._order(effect))
+
+    def _list(self):
+        try:
+            machines = self._read_pages()
+        except (PlatformError, DecodeError) as error:
+            self._post(MachinesNotListed(now_ms(), str(error)))
+            return
+        self._post(MachinesListed(now_ms(), machines))
+
+    def _read_pages(self) -> tuple[Machine, ...]:
+        machines: tuple[Machine, ...] = ()
+        token = None
+        while True:
+            query = f"?{urlencode({'PageToken': token})}" if token else ""
+            answer = self._client.call(
+                "GET", f"/machines{query}", timeout_s=ANSWER_TIMEOUT_S
+            )
+            if answer.status != 200:
+                raise PlatformError(f"status {answer.status}")
+            page = answer.json()
+            machines += each(page, "Machines", decode_machine)
+            token = page.get("NextToken")
+            if not token:
+                return machines
+
+    def _order(self, effect):
+        path = "/machine-move"
+        content = {"Machine": effect.machine}
+        match effect:
+            case MoveMachine():
+                content["Pool"] = effect.pool
+            case MaintainMachine():
+                path = "/machine-upkeep"
+                content["Wave"] = effect.wave
+        headers = {
+            "Lease-Holder": self._node,
+            "Fencing-Token": str(effect.epoch),
+        }
+        done = False
+        try:
+            answer = self._client.call_json(
+                "POST", path, content, headers, ANSWER_TIMEOUT_S
+            )
+            done = answer.status == 200
+            reason = f"status {answer.status} {answer.body[:80]!r}"
+        except PlatformError as error:
+            reason = str(error)
+        self._post(
+            MachineAnswered(
+                now_ms(), effect.machine, done, "" if done else reason
+            )
+        )
--- /dev/null
+++ b/sesamehall/platform/workers.py
@@ -0,0 +1,228 @@
+"""Workers as the leader meets them: watched, and given orders."""
+
+from collections.abc import Callable
+
+from sesamehall.core.codes import DecodeError
+from sesamehall.core.codes import PlatformError
+from sesamehall.core.events import Event
+from sesamehall.core.managerevents import OrderRefusal
+from sesamehall.core.managerevents import RunAnswered
+from sesamehall.core.managerevents import StopAnswered
+from sesamehall.core.managerevents import WorkerNotReported
+from sesamehall.core.managerevents import WorkerReported
+from sesamehall.core.managereffects import ForgetWorker
+from sesamehall.core.managereffects import PaceRun
+from sesamehall.core.managereffects import StartRun
+from sesamehall.core.managereffects import StopRun
+from sesamehall.core.managereffects import WatchWorker
+from sesamehall.platform.decoding import decode_active
+from sesamehall.platform.decoding import decode_ended
+from sesamehall.platform.http import Answer
+from sesamehall.platform.http import Client
+from sesamehall.platform.lanes import Lane
+from sesamehall.runtime.interpreter import now_ms
+
+LIFE_HEADER = "Target-Instance"
+ORDER_TIMEOUT_S = 0.8  # a worker that answers later counts as silent
+REFUSAL_BY_REASON = {
+    "fence": OrderRefusal.FENCED,
+    "old": OrderRefusal.OLD_RUN,
+    "late": OrderRefusal.TOO_LATE,
+    "room": OrderRefusal.NO_ROOM,
+    "ticket": OrderRefusal.NO_TICKET,
+}
+
+
+class WorkerLine:
+    """The connections and threads of one worker."""
+
+    def __init__(
+        self, worker_id: str, address: str, post: Callable[[Event], None]
+    ):
+        """Prepare the line.
+
+        Args:
+          worker_id: Identifier of the worker.
+          address: "host:port" of its HTTP interface.
+          post: Takes the events.
+        """
+        self.address = address
+        self._client = Client(address, connections=2)
+        self._headers = {LIFE_HEADER: worker_id}
+        self._post = post
+        self._watching = Lane(f"watch {worker_id}")
+        self._orders = Lane(f"order {worker_id}")
+
+    def watch(self, effect: WatchWorker) -> None:
+        """Ask for the lists of runs.
+
+        Args:
+          effect: What to ask.
+        """
+        self._watching.put(lambda: self._watch(effect))
+
+    def order(self, effect: StartRun | StopRun | PaceRun) -> None:
+        """Give an order, after those given before.
+
+        Args:
+          effect: The order.
+        """
+        self._orders.put(lambda: self._order(effect))
+
+    def close(self) -> None:
+        """End the threads and close the connections."""
+        self._watching.close()
+        self._orders.close()
+        self._client.close()
+
+    def _call(self, path: str, content: dict, timeout_s: float) -> Answer:
+        return self._client.call_json(
+            "POST", path, content, self._headers, timeout_s
+        )
+
+    def _watch(self, effect: WatchWorker) -> None:
+        content = {
+            "FencingToken": effect.epoch,
+            "AckCursor": effect.acknowledged,
+        }
+        if effect.lease_until_ms >= 0:
+            content["DeadlineMs"] = effect.lease_until_ms
+        if effect.wait_ms:
+            content["WaitMs"] = effect.wait_ms
+        asked_ms = now_ms()
+        timeout_s = effect.wait_ms / 1_000 + ORDER_TIMEOUT_S
+        try:
+            answer = self._call("/hold", content, timeout_s)
+            refusal = _refusal(answer)
+            if refusal is None:
+                self._post(_decode_report(effect, asked_ms, answer))
+                return
+        except (PlatformError, DecodeError, KeyError):
+            refusal = OrderRefusal.SILENT
+        self._post(
+            WorkerNotReported(
+                now_ms(), effect.worker_id, effect.epoch, refusal
+            )
+        )
+
+    def _order(self, effect: StartRun | StopRun | PaceRun) -> None:
+        path, content = _encode_order(effect)
+        try:
+            answer = self._call(path, content, ORDER_TIMEOUT_S)
+            refusal = _refusal(answer)
+        except PlatformError:
+            refusal = OrderRefusal.SILENT
+        event_type = RunAnswered
+        if isinstance(effect, StopRun):
+            event_type = StopAnswered
+        if isinstance(effect, PaceRun):
+            return  # the next report shows the pace that is kept
+        self._post(
+            event_type(
+                now_ms(),
+                effect.worker_id,
+                effect.epoch,
+                effect.task,
+                effect.number,
+                refusal,
+            )
+        )
+
+
+class WorkerLines:
+    """The lines to all workers, made when first needed."""
+
+    def __init__(self, post: Callable[[Event], None]):
+        """Prepare them.
+
+        Args:
+          post: Takes the events.
+        """
+        self._post = post
+        self._lines_by_id: dict[str, WorkerLine] = {}
+
+    def watch(self, effect: WatchWorker) -> None:
+        """Ask a worker for its lists of runs.
+
+        Args:
+          effect: What to ask.
+        """
+        self._line(effect).watch(effect)
+
+    def order(self, effect: StartRun | StopRun | PaceRun) -> None:
+        """Give a worker an order.
+
+        Args:
+          effect: The order.
+        """
+        self._line(effect).order(effect)
+
+    def forget(self, effect: ForgetWorker) -> None:
+        """Close the line to a worker.
+
+        Args:
+          effect: Names the worker.
+        """
+        line = self._lines_by_id.pop(effect.worker_id, None)
+        if line is not None:
+            line.close()
+
+    def _line(self, effect):
+        line = self._lines_by_id.get(effect.worker_id)
+        if line is not None and line.address == effect.address:
+            return line
+        if line is not None:
+            line.close()
+        line = WorkerLine(effect.worker_id, effect.address, self._post)
+        self._lines_by_id[effect.worker_id] = line
+        return line
+
+
+def _encode_order(effect) -> tuple[str, dict]:
+    """Encode an order as a path and a JSON object."""
+    content = {
+        "Task": effect.task,
+        "RunId": effect.number,
+        "FencingToken": effect.epoch,
+    }
+    match effect:
+        case StartRun():
+            content["Spec"] = effect.command
+            content["DeadlineMs"] = effect.lease_until_ms
+            if effect.checkpoint:
+                content["Checkpoint"] = effect.checkpoint
+            return "/run-start", content
+        case StopRun():
+            return "/run-stop", content
+    content["Percent"] = effect.percent
+    return "/pace", content
+
+
+def _refusal(answer: Answer) -> OrderRefusal | None:
+    """Tell why a worker did not do what it was told, if it did not."""
+    match answer.status:
+        case 200:
+            return None
+        case 409:
+            reason = answer.json().get("Reason")
+            return REFUSAL_BY_REASON.get(reason, OrderRefusal.MALFORMED)
+        case 421:
+            return OrderRefusal.OTHER_LIFE
+        case 429 | 503:
+            return OrderRefusal.UNHEALTHY
+    return OrderRefusal.MALFORMED
+
+
+def _decode_report(effect, asked_ms, answer) -> WorkerReported:
+    content = answer.json()
+    born_ms = content.get("born")
+    return WorkerReported(
+        at_ms=now_ms(),
+        asked_ms=asked_ms,
+        worker_id=effect.worker_id,
+        epoch=effect.epoch,
+        clock_ms=content["ClockMs"],
+        born_ms=born_ms if type(born_ms) is int else 0,
+        active=decode_active(content.get("Active") or []),
+        ended=decode_ended(content.get("Finished") or []),
+    )
--- /dev/null
+++ b/sesamehall/reducer/jobs/bookkeeping.py
@@ -0,0 +1,233 @@
+"""Edits of a manager's state that keep its indexes equal to its parts."""
+
+from immutables import Map
+
+from sesamehall.core.data import EMPTY_MAP
+from sesamehall.core.managerstate import ManagerState
+from sesamehall.core.managerstate import Run
+from sesamehall.core.managerstate import Work
+from sesamehall.core.managerstate import Worker
+from sesamehall.core.replacing import replace
+from sesamehall.core.work import add_size
+from sesamehall.core.work import NO_SIZE
+from sesamehall.core.work import TaskPlace
+from sesamehall.reducer.counts import drop_key
+
+
+def pool_of(manager: ManagerState, work: Work) -> str:
+    """Find the pool that runs a job's tasks now.
+
+    Args:
+      manager: State of the manager.
+      work: The job.
+    Returns:
+      Name of the pool, or "" while no manifest names the queue.
+    """
+    if manager.manifest is None:
+        return ""
+    queue = manager.manifest.queues_by_name.get(work.plan.queue)
+    return "" if queue is None else queue.pool
+
+
+def put_work(manager: ManagerState, work: Work) -> ManagerState:
+    """Store a job and whether it has tasks that may start.
+
+    Args:
+      manager: State of the leader.
+      work: The job.
+    Returns:
+      The state with the job.
+    """
+    job_id = work.plan.job_id
+    works = manager.works_by_id.set(job_id, work)
+    by_pool = manager.job_ids_by_pool
+    pool = pool_of(manager, work)
+    job_ids = by_pool.get(pool, EMPTY_MAP)
+    if work.waiting and job_id not in job_ids:
+        by_pool = by_pool.set(pool, job_ids.set(job_id, True))
+    elif not work.waiting and job_id in job_ids:
+        by_pool = by_pool.set(pool, job_ids.delete(job_id))
+    return replace(manager, works_by_id=works, job_ids_by_pool=by_pool)
+
+
+def drop_work(manager: ManagerState, job_id: str) -> ManagerState:
+    """Forget a job that has ended and has no runs left.
+
+    Args:
+      manager: State of the leader.
+      job_id: Identifier of the job.
+    Returns:
+      The state without the job.
+    """
+    work = manager.works_by_id.get(job_id)
+    if work is None:
+        return manager
+    manager = put_work(manager, replace(work, waiting=()))
+    return replace(manager, works_by_id=drop_key(manager.works_by_id, job_id))
+
+
+def index_by_pool(manager: ManagerState) -> ManagerState:
+    """Sort the jobs with waiting tasks by pool anew.
+
+    Args:
+      manager: State of the leader, whose manifest has changed.
+    Returns:
+      The state with the index.
+    """
+    by_pool: dict[str, dict[str, bool]] = {}
+    for job_id, work in manager.works_by_id.items():
+        if work.waiting:
+            by_pool.setdefault(pool_of(manager, work), {})[job_id] = True
+    index = Map((pool, Map(ids)) for pool, ids in by_pool.items())
+    return replace(manager, job_ids_by_pool=index)
+
+
+def put_worker(manager: ManagerState, worker: Worker) -> ManagerState:
+    """Store a worker.
+
+    Args:
+      manager: State of the leader.
+      worker: The worker.
+    Returns:
+      The state with the worker.
+    """
+    entry = worker.entry
+    by_pool = manager.worker_ids_by_pool
+    old = manager.workers_by_id.get(entry.worker_id)
+    if old is not None and old.entry.pool != entry.pool:
+        ids = drop_key(by_pool[old.entry.pool], entry.worker_id)
+        by_pool = by_pool.set(old.entry.pool, ids)
+    ids = by_pool.get(entry.pool, EMPTY_MAP)
+    if entry.worker_id not in ids:
+        by_pool = by_pool.set(entry.pool, ids.set(entry.worker_id, True))
+    return replace(
+        manager,
+        workers_by_id=manager.workers_by_id.set(entry.worker_id, worker),
+        worker_ids_by_pool=by_pool,
+    )
+
+
+def drop_worker(manager: ManagerState, worker_id: str) -> ManagerState:
+    """Forget a worker that has no runs left.
+
+    Args:
+      manager: State of the leader.
+      worker_id: Identifier of the worker.
+    Returns:
+      The state without the worker.
+    """
+    worker = manager.workers_by_id[worker_id]
+    pool = worker.entry.pool
+    ids = drop_key(manager.worker_ids_by_pool[pool], worker_id)
+    return replace(
+        manager,
+        workers_by_id=drop_key(manager.workers_by_id, worker_id),
+        worker_ids_by_pool=manager.worker_ids_by_pool.set(pool, ids),
+        leased_by_id=drop_key(manager.leased_by_id, worker_id),
+        dirty_workers=manager.dirty_workers.set(worker_id, True),
+    )
+
+
+def put_run(manager: ManagerState, run: Run) -> ManagerState:
+    """Store what is known of a run that is charged already.
+
+    Args:
+      manager: State of the leader.
+      run: The run.
+    Returns:
+      The state with the run.
+    """
+    return replace(manager, runs_by_task=manager.runs_by_task.set(run.task, run))
+
+
+def charge_run(manager: ManagerState, run: Run) -> ManagerState:
+    """Begin to charge a run to its worker, team and job.
+
+    Args:
+      manager: State of the leader.
+      run: A run of a task that has no other.
+    Returns:
+      The state; the task waits no longer.
+    """
+    worker = manager.workers_by_id[run.worker_id]
+    worker = replace(
+        worker,
+        tasks=worker.tasks.set(run.task, True),
+        used=add_size(worker.used, room_taken(run)),
+    )
+    manager = put_run(put_worker(manager, worker), run)
+    used = manager.used_by_team.get(run.team, NO_SIZE)
+    manager = replace(
+        manager,
+        used_by_team=manager.used_by_team.set(
+            run.team, add_size(used, run.size)
+        ),
+        numbers_by_task=manager.numbers_by_task.set(run.task, run.number),
+    )
+    work = manager.works_by_id.get(run.job_id)
+    if work is None:
+        return manager
+    waiting = tuple(place for place in work.waiting if place != run.place)
+    return put_work(
+        manager, replace(work, waiting=waiting, running=work.running + 1)
+    )
+
+
+def release_run(manager: ManagerState, run: Run) -> ManagerState:
+    """Stop charging a run that certainly does not go on.
+
+    Args:
+      manager: State of the leader.
+      run: The run.
+    Returns:
+      The state without the run; its task does not wait yet.
+    """
+    worker = manager.workers_by_id.get(run.worker_id)
+    if worker is not None:
+        worker = replace(
+            worker,
+            tasks=drop_key(worker.tasks, run.task),
+            used=add_size(worker.used, room_taken(run), -1),
+        )
+        manager = put_worker(manager, worker)
+    used = manager.used_by_team.get(run.team, NO_SIZE)
+    manager = replace(
+        manager,
+        runs_by_task=drop_key(manager.runs_by_task, run.task),
+        used_by_team=manager.used_by_team.set(
+            run.team, add_size(used, run.size, -1)
+        ),
+    )
+    work = manager.works_by_id.get(run.job_id)
+    if work is None:
+        return manager
+    return put_work(manager, replace(work, running=work.running - 1))
+
+
+def let_wait(manager: ManagerState, job_id: str, place: TaskPlace):
+    """Let a task wait for its next run.
+
+    Args:
+      manager: State of the leader.
+      job_id: Identifier of its job.
+      place: Where it stands within the job.
+    Returns:
+      The state; a task that waits already changes nothing.
+    """
+    work = manager.works_by_id.get(job_id)
+    if work is None or place in work.waiting:
+        return manager
+    return put_work(manager, replace(work, waiting=work.waiting + (place,)))
+
+
+def room_taken(run: Run):
+    """Compute the room that a run takes on its worker.
+
+    Args:
+      run: The run.
+    Returns:
+      Its size; what fills takes no processor time from others.
+    """
+    if run.fills:
+        return replace(run.size, cpu_milli=0)
+    return run.size
--- /dev/null
+++ b/sesamehall/reducer/jobs/calls.py
@@ -0,0 +1,320 @@
+"""Callers' calls about jobs, which any node answers."""
+
+from sesamehall.core.calls import Accepted
+from sesamehall.core.calls import CallAnswer
+from sesamehall.core.calls import CancelJob
+from sesamehall.core.calls import Counted
+from sesamehall.core.calls import CountPending
+from sesamehall.core.calls import JobCall
+from sesamehall.core.calls import Rejected
+from sesamehall.core.calls import ShowJob
+from sesamehall.core.calls import Shown
+from sesamehall.core.calls import SubmitJob
+from sesamehall.core.codes import JOB_UNKNOWN
+from sesamehall.core.codes import KEY_MISSING
+from sesamehall.core.codes import KEY_REFUSED
+from sesamehall.core.codes import LOG_UNREACHABLE
+from sesamehall.core.codes import MALFORMED
+from sesamehall.core.codes import NO_SUCH_JOB
+from sesamehall.core.codes import NO_SUCH_SERVICE
+from sesamehall.core.codes import NOT_READY
+from sesamehall.core.codes import ResultCode
+from sesamehall.core.data import JobPhase
+from sesamehall.core.data import TERMINAL_PHASES
+from sesamehall.core.effects import log
+from sesamehall.core.fleet import CancelAsked
+from sesamehall.core.jobtiming import CALL_TIMEOUT_MS
+from sesamehall.core.jobtiming import MANIFEST_FRESH_MS
+from sesamehall.core.jobtiming import START_CONFIRMED_MS
+from sesamehall.core.logevents import CALL_ANSWERED
+from sesamehall.core.logevents import CALL_REJECTED
+from sesamehall.core.managerevents import JobCalled
+from sesamehall.core.managerevents import JobStored
+from sesamehall.core.managerevents import StoreOutcome
+from sesamehall.core.managereffects import AnswerCall
+from sesamehall.core.managereffects import StoreJob
+from sesamehall.core.managerstate import CallStage
+from sesamehall.core.managerstate import ManagerState
+from sesamehall.core.managerstate import WaitingCall
+from sesamehall.core.manifest import Manifest
+from sesamehall.core.manifest import Queue
+from sesamehall.core.replacing import replace
+from sesamehall.core.step import Step
+from sesamehall.core.step import then
+from sesamehall.core.work import JobPlan
+from sesamehall.reducer.counts import drop_key
+
+RETRY_AFTER_S = 1  # a node that cannot serve now may again after this
+JOB_ID_LENGTH = 16
+JOB_ID_DIGITS = frozenset("0123456789abcdefABCDEF")
+
+
+def receive_call(manager: ManagerState, event: JobCalled) -> Step:
+    """Answer a call at once, or begin what its answer waits for.
+
+    Args:
+      manager: State of a manager.
+      event: The call.
+    Returns:
+      A Step.
+    """
+    call = event.call
+    at_ms = event.at_ms
+    if not knows_manifest(manager, at_ms):
+        return _reject(manager, call, NOT_READY, "", RETRY_AFTER_S)
+    queue = find_queue(manager.manifest, call.host, call.path)
+    if queue is None:
+        return _reject(manager, call, NO_SUCH_SERVICE, "")
+    team = manager.manifest.team_by_key.get(call.key, "")
+    if not queue.open_to_all and not team:
+        code = KEY_REFUSED if call.key else KEY_MISSING
+        return _reject(manager, call, code, "")
+    job_id = call.path[len(queue.path_prefix) :]
+    if isinstance(call.kind, CountPending):
+        if job_id:
+            return _reject(manager, call, NO_SUCH_JOB, job_id)
+        pending = count_pending(manager, queue.name)
+        return _answer(manager, call, Counted(pending), "")
+    if len(job_id) != JOB_ID_LENGTH or not JOB_ID_DIGITS.issuperset(job_id):
+        return _reject(manager, call, NO_SUCH_JOB, job_id)
+    waiting = WaitingCall(
+        call=call,
+        job_id=job_id,
+        team=team,
+        stage=CallStage.STORING,
+        since_ms=at_ms,
+        ends_ms=at_ms + CALL_TIMEOUT_MS,
+    )
+    return _begin(manager, waiting, queue, at_ms)
+
+
+def knows_manifest(manager: ManagerState, at_ms: int) -> bool:
+    """Tell whether the manifest is known well enough to judge by it.
+
+    Args:
+      manager: State of a manager.
+      at_ms: The node's clock.
+    Returns:
+      False when a newer one may be in force already.
+    """
+    if manager.manifest is None or manager.operator.fresh_ms < 0:
+        return False
+    return at_ms - manager.operator.fresh_ms < MANIFEST_FRESH_MS
+
+
+def find_queue(manifest: Manifest, host: str, path: str) -> Queue | None:
+    """Find the queue of a path: the longest prefix of the host decides.
+
+    Args:
+      manifest: The manifest.
+      host: Host that the caller named.
+      path: Path that the caller named.
+    Returns:
+      The queue, or None.
+    """
+    best = None
+    for queue in manifest.queues_by_name.values():
+        if queue.host != host or not path.startswith(queue.path_prefix):
+            continue
+        if best is None or len(queue.path_prefix) > len(best.path_prefix):
+            best = queue
+    return best
+
+
+def count_pending(manager: ManagerState, queue_name: str) -> int:
+    """Count a queue's jobs of which nothing has started.
+
+    Args:
+      manager: State of a manager.
+      queue_name: Name of the queue.
+    Returns:
+      Their number.
+    """
+    phases = manager.phase_by_job_id
+    return sum(
+        plan.queue == queue_name
+        and phases.get(job_id, JobPhase.WAITING) is JobPhase.WAITING
+        and job_id not in manager.cancelled_by_job_id
+        for job_id, plan in manager.plans_by_id.items()
+    )
+
+
+def _begin(manager, waiting, queue, at_ms):
+    """Begin what a call about a job needs."""
+    call = waiting.call
+    job_id = waiting.job_id
+    known = job_id in manager.team_by_job_id
+    if known and not _may_see(manager, waiting):
+        return _reject(manager, call, NO_SUCH_JOB, job_id)
+    ended = manager.phase_by_job_id.get(job_id) in TERMINAL_PHASES
+    match call.kind:
+        case SubmitJob() if known:
+            return _answer(manager, call, Accepted(), job_id)
+        case SubmitJob(draft):
+            if not draft.steps:
+                return _reject(manager, call, MALFORMED, job_id)
+            plan = JobPlan(
+                job_id=job_id,
+                queue=queue.name,
+                team=waiting.team,
+                command=draft.command,
+                steps=draft.steps,
+                times=draft.times,
+                first_wall_ms=draft.first_wall_ms,
+                period_ms=draft.period_ms,
+            )
+            return _store(manager, waiting, plan)
+        case CancelJob() if known and ended:
+            return _answer(manager, call, Accepted(), job_id)
+        case CancelJob():
+            return _store(manager, waiting, CancelAsked(job_id))
+        case ShowJob() if known and (ended or _leads_surely(manager, at_ms)):
+            phase = _shown_phase(manager, job_id)
+            return _answer(manager, call, Shown(phase), job_id)
+        case ShowJob() if known:
+            return _wait(manager, waiting, CallStage.READING_PROGRESS, at_ms)
+        case ShowJob():
+            return _wait(manager, waiting, CallStage.READING_JOBS, at_ms)
+
+
+def _may_see(manager, waiting):
+    """Tell whether a team may know of a job."""
+    owner = manager.team_by_job_id[waiting.job_id]
+    return not owner or owner == waiting.team
+
+
+def _leads_surely(manager, at_ms):
+    """Tell whether this node certainly knows the newest progress."""
+    since_ms = at_ms - manager.term.confirmed_ms
+    return bool(manager.term.epoch) and since_ms < START_CONFIRMED_MS
+
+
+def _shown_phase(manager, job_id):
+    phase = manager.phase_by_job_id.get(job_id, JobPhase.WAITING)
+    if phase in TERMINAL_PHASES:
+        return phase
+    if job_id in manager.cancelled_by_job_id:
+        return JobPhase.CANCELLED
+    return phase
+
+
+def _store(manager, waiting, value):
+    store = StoreJob(waiting.call.call_id, value, waiting.ends_ms)
+    calls = manager.calls_by_id.set(waiting.call.call_id, waiting)
+    return Step(replace(manager, calls_by_id=calls), (store,))
+
+
+def _wait(manager, waiting, stage, at_ms):
+    """Let a call wait for a read of a log that begins after it came."""
+    waiting = replace(waiting, stage=stage, since_ms=at_ms)
+    calls = manager.calls_by_id.set(waiting.call.call_id, waiting)
+    return Step(replace(manager, calls_by_id=calls))
+
+
+def take_job_stored(manager: ManagerState, event: JobStored) -> Step:
+    """Answer a call whose job or cancelling was stored, or was not.
+
+    Args:
+      manager: State of a manager.
+      event: What became of it.
+    Returns:
+      A Step.
+    """
+    waiting = manager.calls_by_id.get(event.call_id)
+    if waiting is None:
+        return Step(manager)
+    call = waiting.call
+    match event.outcome:
+        case StoreOutcome.STORED if isinstance(call.kind, SubmitJob):
+            return _answer(manager, call, Accepted(), waiting.job_id)
+        case StoreOutcome.STORED if waiting.job_id in manager.team_by_job_id:
+            return _answer(manager, call, Accepted(), waiting.job_id)
+        case StoreOutcome.STORED:
+            return _wait(
+                manager, waiting, CallStage.READING_JOBS, event.at_ms
+            )
+        case StoreOutcome.UNKNOWN:
+            return _reject(manager, call, JOB_UNKNOWN, waiting.job_id)
+    return _reject(
+        manager, call, LOG_UNREACHABLE, waiting.job_id, RETRY_AFTER_S
+    )
+
+
+def advance_calls(manager: ManagerState, at_ms: int) -> Step:
+    """Answer the calls whose read has been done, or that took too long.
+
+    Args:
+      manager: State of a manager.
+      at_ms: The node's clock.
+    Returns:
+      A Step.
+    """
+    step = Step(manager)
+    for _, waiting in sorted(manager.calls_by_id.items()):
+        step = then(step, _advance, waiting, at_ms)
+    return step
+
+
+def _advance(manager, waiting, at_ms):
+    call = waiting.call
+    job_id = waiting.job_id
+    known = job_id in manager.team_by_job_id
+    match waiting.stage:
+        case CallStage.READING_JOBS if known:
+            if not _may_see(manager, waiting):
+                return _reject(manager, call, NO_SUCH_JOB, job_id)
+            if isinstance(call.kind, CancelJob):
+                return _answer(manager, call, Accepted(), job_id)
+            if _leads_surely(manager, at_ms):
+                phase = _shown_phase(manager, job_id)
+                return _answer(manager, call, Shown(phase), job_id)
+            return _wait(manager, waiting, CallStage.READING_PROGRESS, at_ms)
+        case CallStage.READING_JOBS:
+            if manager.jobs.fresh_ms >= waiting.since_ms:
+                return _reject(manager, call, NO_SUCH_JOB, job_id)
+        case CallStage.READING_PROGRESS:
+            if manager.progress.fresh_ms >= waiting.since_ms:
+                phase = _shown_phase(manager, job_id)
+                return _answer(manager, call, Shown(phase), job_id)
+    if at_ms < waiting.ends_ms:
+        return Step(manager)
+    if waiting.stage is CallStage.READING_PROGRESS:
+        phase = _shown_phase(manager, job_id)
+        return _answer(manager, call, Shown(phase), job_id)
+    if isinstance(call.kind, SubmitJob):
+        return _reject(manager, call, JOB_UNKNOWN, job_id)
+    return _reject(manager, call, NOT_READY, job_id, RETRY_AFTER_S)
+
+
+def _answer(manager, call: JobCall, answer: CallAnswer, job_id: str) -> Step:
+    line = log(
+        CALL_ANSWERED,
+        call=call.call_id,
+        job=job_id,
+        kind=type(call.kind).__name__,
+        answer=type(answer).__name__,
+        version=manager.manifest.version,
+    )
+    return _finish(manager, call, answer, line)
+
+
+def _reject(
+    manager, call: JobCall, code: ResultCode, job_id: str, after_s: int = 0
+) -> Step:
+    version = 0 if manager.manifest is None else manager.manifest.version
+    line = log(
+        CALL_REJECTED,
+        call=call.call_id,
+        job=job_id,
+        kind=type(call.kind).__name__,
+        code=code.number,
+        reason=code.name,
+        version=version,
+    )
+    return _finish(manager, call, Rejected(code, after_s), line)
+
+
+def _finish(manager, call, answer, line):
+    calls = drop_key(manager.calls_by_id, call.call_id)
+    manager = replace(manager, calls_by_id=calls)
+    return Step(manager, (line, AnswerCall(call.call_id, answer)))
--- /dev/null
+++ b/sesamehall/reducer/jobs/following.py
@@ -0,0 +1,309 @@
+"""Reading the logs: manifest, workers, jobs and the leader's progress."""
+
+from sesamehall.core.data import TERMINAL_PHASES
+from sesamehall.core.effects import log
+from sesamehall.core.fleet import CancelAsked
+from sesamehall.core.fleet import Leader
+from sesamehall.core.fleet import LeasedWorker
+from sesamehall.core.fleet import Stream
+from sesamehall.core.fleet import WorkerEntry
+from sesamehall.core.jobtiming import JOBS_PERIOD_MS
+from sesamehall.core.jobtiming import JOBS_WAIT_MS
+from sesamehall.core.jobtiming import OPERATOR_WAIT_MS
+from sesamehall.core.jobtiming import PROGRESS_PERIOD_MS
+from sesamehall.core.jobtiming import READ_RETRY_MS
+from sesamehall.core.jobtiming import WORKERS_PERIOD_MS
+from sesamehall.core.logevents import MANIFEST_TAKEN
+from sesamehall.core.logevents import STREAM_BACK
+from sesamehall.core.logevents import STREAM_SILENT
+from sesamehall.core.logevents import WAVE_SEEN
+from sesamehall.core.managerevents import StreamRead
+from sesamehall.core.managerevents import StreamUnread
+from sesamehall.core.managereffects import ReadStream
+from sesamehall.core.managerstate import CallStage
+from sesamehall.core.managerstate import Following
+from sesamehall.core.managerstate import ManagerState
+from sesamehall.core.managerstate import WaveProgress
+from sesamehall.core.manifest import Manifest
+from sesamehall.core.manifest import Wave
+from sesamehall.core.replacing import replace
+from sesamehall.core.step import Step
+from sesamehall.core.step import then
+from sesamehall.core.work import JobPlan
+from sesamehall.core.work import Progress
+from sesamehall.reducer.counts import drop_key
+from sesamehall.reducer.jobs.bookkeeping import index_by_pool
+from sesamehall.reducer.jobs.leading import begin_job
+from sesamehall.reducer.jobs.leading import cancel_job
+from sesamehall.reducer.jobs.leading import end_term
+from sesamehall.reducer.jobs.leading import keep_progress
+from sesamehall.reducer.jobs.leading import WORKER_KEY_PREFIX
+from sesamehall.reducer.jobs.runs import place_soon
+from sesamehall.reducer.jobs.workers import drop_entry
+from sesamehall.reducer.jobs.workers import take_entry
+
+
+def following_of(manager: ManagerState, stream: Stream) -> Following:
+    """Find how far a log was read.
+
+    Args:
+      manager: State of a manager.
+      stream: The log.
+    Returns:
+      How far.
+    """
+    match stream:
+        case Stream.OPERATOR:
+            return manager.operator
+        case Stream.WORKERS:
+            return manager.workers
+        case Stream.JOBS:
+            return manager.jobs
+        case Stream.PROGRESS:
+            return manager.progress
+
+
+def _put_following(manager, stream, following):
+    match stream:
+        case Stream.OPERATOR:
+            return replace(manager, operator=following)
+        case Stream.WORKERS:
+            return replace(manager, workers=following)
+        case Stream.JOBS:
+            return replace(manager, jobs=following)
+        case Stream.PROGRESS:
+            return replace(manager, progress=following)
+
+
+def read_due(manager: ManagerState, at_ms: int) -> Step:
+    """Read the logs whose turn has come.
+
+    Args:
+      manager: State of a manager.
+      at_ms: The node's clock.
+    Returns:
+      A Step with the reads.
+    """
+    step = Step(manager)
+    for stream in Stream:
+        step = then(step, _read_if_due, stream, at_ms)
+    return step
+
+
+def _read_if_due(manager, stream, at_ms):
+    following = following_of(manager, stream)
+    if following.reading:
+        return Step(manager)
+    if following.failed_ms >= 0:
+        if at_ms - following.failed_ms < READ_RETRY_MS:
+            return Step(manager)
+    elif not _is_due(manager, stream, following, at_ms):
+        return Step(manager)
+    wait_ms = _wait_ms(manager, stream)
+    effect = ReadStream(stream, following.next_offset, wait_ms)
+    following = replace(following, reading=True)
+    return Step(_put_following(manager, stream, following), (effect,))
+
+
+def _is_due(manager, stream, following, at_ms):
+    """Tell whether a log should be read now."""
+    leads = manager.term.epoch > 0
+    since_ms = at_ms - following.fresh_ms
+    if following.next_offset < 0:
+        return leads or stream is not Stream.WORKERS
+    match stream:
+        case Stream.OPERATOR:
+            return True
+        case Stream.WORKERS:
+            return leads and since_ms >= WORKERS_PERIOD_MS
+        case Stream.JOBS:
+            asked = _is_awaited(manager, CallStage.READING_JOBS)
+            return leads or asked or since_ms >= JOBS_PERIOD_MS
+        case Stream.PROGRESS:
+            asked = _is_awaited(manager, CallStage.READING_PROGRESS)
+            return not leads and (asked or since_ms >= PROGRESS_PERIOD_MS)
+
+
+def _is_awaited(manager, stage):
+    return any(call.stage is stage for call in manager.calls_by_id.values())
+
+
+def _wait_ms(manager, stream):
+    match stream:
+        case Stream.OPERATOR:
+            return OPERATOR_WAIT_MS
+        case Stream.JOBS if manager.term.epoch:
+            return JOBS_WAIT_MS
+    return 0
+
+
+def take_read(manager: ManagerState, event: StreamRead) -> Step:
+    """Take in records of a log.
+
+    Args:
+      manager: State of a manager.
+      event: The records.
+    Returns:
+      A Step.
+    """
+    stream = event.stream
+    following = following_of(manager, stream)
+    effects = ()
+    if following.failed_ms >= 0:
+        effects = (log(STREAM_BACK, stream=stream.value),)
+    grown_ms = following.grown_ms
+    if event.records or event.whole:
+        grown_ms = event.at_ms
+    following = Following(
+        next_offset=event.next_offset,
+        fresh_ms=event.asked_ms,
+        grown_ms=grown_ms,
+    )
+    manager = _put_following(manager, stream, following)
+    manager = replace(manager, wall_offset_ms=event.wall_ms - event.at_ms)
+    step = Step(manager, effects)
+    for record in event.records:
+        step = then(step, _take_record, stream, record, event.at_ms)
+    if event.whole and stream is Stream.WORKERS:
+        step = then(step, _drop_unlisted, event)
+    return step
+
+
+def take_unread(manager: ManagerState, event: StreamUnread) -> Step:
+    """Bear that a log could not be read.
+
+    Args:
+      manager: State of a manager.
+      event: Why.
+    Returns:
+      A Step; a log that has forgotten records is read from the beginning.
+    """
+    following = following_of(manager, event.stream)
+    effects = ()
+    if following.failed_ms < 0:
+        effects = (
+            log(
+                STREAM_SILENT, stream=event.stream.value, reason=event.reason
+            ),
+        )
+    following = replace(following, reading=False, failed_ms=event.at_ms)
+    if event.forgotten:
+        following = replace(following, next_offset=-1)
+    return Step(_put_following(manager, event.stream, following), effects)
+
+
+def _take_record(manager, stream, record, at_ms):
+    match (stream, record.value):
+        case (Stream.OPERATOR, Manifest() as manifest):
+            return _take_manifest(manager, manifest, at_ms)
+        case (Stream.OPERATOR, Wave() as wave):
+            return _take_wave(manager, wave, at_ms)
+        case (Stream.WORKERS, WorkerEntry() as entry):
+            return _while_leading(manager, take_entry, entry, at_ms)
+        case (Stream.WORKERS, None):
+            return _while_leading(manager, drop_entry, record.key, at_ms)
+        case (Stream.JOBS, JobPlan() as plan):
+            return _take_plan(manager, plan, at_ms)
+        case (Stream.JOBS, CancelAsked(job_id)):
+            return _take_cancel(manager, job_id, at_ms)
+        case (Stream.PROGRESS, value):
+            return _take_progress(manager, record.key, value, at_ms)
+    return Step(manager)
+
+
+def _while_leading(manager, decide, *arguments):
+    return decide(manager, *arguments) if manager.term.epoch else Step(manager)
+
+
+def _take_manifest(manager, manifest, at_ms):
+    """Put a newer manifest into force."""
+    old = manager.manifest
+    if old is not None and manifest.version <= old.version:
+        return Step(manager)
+    line = log(
+        MANIFEST_TAKEN,
+        version=manifest.version,
+        queues=len(manifest.queues_by_name),
+        teams=len(manifest.quotas_by_team),
+    )
+    manager = replace(manager, manifest=manifest)
+    if not manager.term.epoch:
+        return Step(manager, (line,))
+    step = Step(index_by_pool(manager), (line,))
+    for pool in sorted(manifest.pools_by_name):
+        step = then(step, place_soon, pool, at_ms)
+    return step
+
+
+def _take_wave(manager, wave, at_ms):
+    waves = manager.fleet.waves_by_number
+    if wave.number in waves:
+        return Step(manager)
+    line = log(
+        WAVE_SEEN,
+        wave=wave.number,
+        machines=len(wave.machines),
+        within_ms=wave.within_ms,
+        at_once=wave.at_once,
+    )
+    waves = waves.set(wave.number, WaveProgress(wave, at_ms))
+    fleet = replace(manager.fleet, waves_by_number=waves)
+    return Step(replace(manager, fleet=fleet), (line,))
+
+
+def _drop_unlisted(manager, event):
+    """Drop workers that the whole list does not name."""
+    named = {record.key for record in event.records}
+    step = Step(manager)
+    for worker_id, worker in sorted(manager.workers_by_id.items()):
+        if worker.listed and worker_id not in named:
+            step = then(step, drop_entry, worker_id, event.at_ms)
+    return step
+
+
+def _take_plan(manager, plan, at_ms):
+    """Take in a job; a repeat of its identifier changes nothing."""
+    job_id = plan.job_id
+    if job_id in manager.team_by_job_id:
+        return Step(manager)
+    manager = replace(
+        manager,
+        team_by_job_id=manager.team_by_job_id.set(job_id, plan.team),
+        queue_by_job_id=manager.queue_by_job_id.set(job_id, plan.queue),
+    )
+    if manager.phase_by_job_id.get(job_id) in TERMINAL_PHASES:
+        return Step(manager)
+    plans = manager.plans_by_id.set(job_id, plan)
+    manager = replace(manager, plans_by_id=plans)
+    return _while_leading(manager, begin_job, job_id, False, at_ms)
+
+
+def _take_cancel(manager, job_id, at_ms):
+    if job_id in manager.cancelled_by_job_id:
+        return Step(manager)
+    cancelled = manager.cancelled_by_job_id.set(job_id, True)
+    manager = replace(manager, cancelled_by_job_id=cancelled)
+    return _while_leading(manager, cancel_job, job_id, at_ms)
+
+
+def _take_progress(manager, key, value, at_ms):
+    """Take in a record of a leader; the own ones are known already."""
+    match value:
+        case Leader(_, epoch) if epoch < manager.term.epoch:
+            return Step(manager)
+        case Leader(node, epoch) as leader:
+            if manager.term.epoch and node != manager.name:
+                return end_term(manager, f"epoch {epoch} began", at_ms)
+            return Step(replace(manager, leader=leader))
+    if manager.term.epoch:
+        return Step(manager)
+    leased_by_id = manager.leased_by_id
+    match value:
+        case Progress():
+            return Step(keep_progress(manager, value, at_ms))
+        case LeasedWorker(worker_id):
+            leased_by_id = leased_by_id.set(worker_id, value)
+        case None if key.startswith(WORKER_KEY_PREFIX):
+            worker_id = key.removeprefix(WORKER_KEY_PREFIX)
+            leased_by_id = drop_key(leased_by_id, worker_id)
+    return Step(replace(manager, leased_by_id=leased_by_id))
--- /dev/null
+++ b/sesamehall/reducer/jobs/orders.py
@@ -0,0 +1,143 @@
+"""Answers of workers to orders, and orders that are sent again."""
+
+from sesamehall.core.effects import log
+from sesamehall.core.jobtiming import REFUSED_ASIDE_MS
+from sesamehall.core.logevents import RUN_REFUSED
+from sesamehall.core.managerevents import OrderRefusal
+from sesamehall.core.managerevents import RunAnswered
+from sesamehall.core.managerevents import StopAnswered
+from sesamehall.core.managereffects import StartRun
+from sesamehall.core.managerstate import ManagerState
+from sesamehall.core.managerstate import Run
+from sesamehall.core.managerstate import RunState
+from sesamehall.core.replacing import replace
+from sesamehall.core.step import Step
+from sesamehall.core.step import then
+from sesamehall.reducer.jobs.bookkeeping import put_run
+from sesamehall.reducer.jobs.bookkeeping import put_worker
+from sesamehall.reducer.jobs.progress import checkpoint_of
+from sesamehall.reducer.jobs.runs import give_up_run
+from sesamehall.reducer.jobs.runs import stop_run
+from sesamehall.reducer.jobs.workers import extend_lease
+from sesamehall.reducer.jobs.workers import may_start
+from sesamehall.reducer.jobs.workers import start_lease_until
+
+
+def take_start_answer(manager: ManagerState, event: RunAnswered) -> Step:
+    """Decide what follows from the answer to an order to start.
+
+    An order without an answer may be carried out later; it is sent again,
+    since a worker answers a repeat as it would have answered the first.
+
+    Args:
+      manager: State of the leader.
+      event: The answer.
+    Returns:
+      A Step.
+    """
+    run = _find_run(manager, event)
+    if run is None:
+        return Step(manager)
+    at_ms = event.at_ms
+    match event.refusal:
+        case None:
+            if run.answered_ms < 0:
+                run = replace(run, answered_ms=at_ms)
+            if run.state is RunState.STARTING:
+                run = replace(run, state=RunState.RUNNING)
+            return Step(put_run(manager, run))
+        case OrderRefusal.SILENT:
+            return _start_again(manager, run, at_ms)
+    line = log(
+        RUN_REFUSED,
+        task=run.task,
+        run=run.number,
+        worker=run.worker_id,
+        reason=event.refusal.value,
+        tries=run.tries,
+    )
+    step = Step(manager, (line,))
+    if run.tries > 1 or run.answered_ms >= 0:
+        return step  # an earlier copy may have got through: lists will tell
+    step = then(step, _set_aside, run.worker_id, at_ms)
+    return then(step, give_up_run, run, event.refusal.value, at_ms)
+
+
+def take_stop_answer(manager: ManagerState, event: StopAnswered) -> Step:
+    """Send an order to stop again while it has no answer.
+
+    Args:
+      manager: State of the leader.
+      event: The answer.
+    Returns:
+      A Step.
+    """
+    run = _find_run(manager, event)
+    if run is None or event.refusal is not OrderRefusal.SILENT:
+        return Step(manager)
+    return stop_run(manager, run, "no answer")
+
+
+def start_order(
+    manager: ManagerState, run: Run, command: str, lease_until_ms: int
+) -> StartRun:
+    """Build the order to start a run.
+
+    Args:
+      manager: State of the leader.
+      run: The run.
+      command: The job's text for workers.
+      lease_until_ms: End of the lease on the worker's clock.
+    Returns:
+      The effect.
+    """
+    worker = manager.workers_by_id[run.worker_id]
+    work = manager.works_by_id[run.job_id]
+    return StartRun(
+        worker_id=run.worker_id,
+        address=worker.entry.address,
+        epoch=manager.term.epoch,
+        task=run.task,
+        number=run.number,
+        command=command,
+        lease_until_ms=lease_until_ms,
+        checkpoint=checkpoint_of(work, run.place),
+    )
+
+
+def _find_run(manager, event):
+    """Find the run that an answer is about, if it is still wanted."""
+    if event.epoch != manager.term.epoch:
+        return None
+    run = manager.runs_by_task.get(event.task)
+    if run is None:
+        return None
+    if (run.worker_id, run.number) != (event.worker_id, event.number):
+        return None
+    return run
+
+
+def _start_again(manager, run, at_ms):
+    """Repeat an order without an answer, as long as it may be wanted."""
+    work = manager.works_by_id.get(run.job_id)
+    worker = manager.workers_by_id[run.worker_id]
+    wanted = run.state is RunState.STARTING and work is not None
+    if not wanted or not may_start(manager, at_ms) or worker.silences > 1:
+        return Step(manager)
+    lease_until_ms = start_lease_until(worker, at_ms)
+    worker = extend_lease(worker, lease_until_ms)
+    manager = put_worker(manager, worker)
+    run = replace(
+        run, tries=run.tries + 1, lease_end_ms=worker.lease_end_ms
+    )
+    manager = put_run(manager, run)
+    order = start_order(manager, run, work.plan.command, lease_until_ms)
+    return Step(manager, (order,))
+
+
+def _set_aside(manager, worker_id, at_ms):
+    worker = manager.workers_by_id[worker_id]
+    until_ms = max(worker.aside_until_ms, at_ms + REFUSED_ASIDE_MS)
+    return Step(
+        put_worker(manager, replace(worker, aside_until_ms=until_ms))
+    )
--- /dev/null
+++ b/sesamehall/reducer/jobs/progress.py
@@ -0,0 +1,289 @@
+"""How far a job has come: which tasks may start, and when it has ended."""
+
+from sesamehall.core.data import JobPhase
+from sesamehall.core.data import TERMINAL_PHASES
+from sesamehall.core.managerstate import Work
+from sesamehall.core.replacing import replace
+from sesamehall.core.work import count_bits
+from sesamehall.core.work import has_bit
+from sesamehall.core.work import JobPlan
+from sesamehall.core.work import Progress
+from sesamehall.core.work import StepProgress
+from sesamehall.core.work import TaskPlace
+from sesamehall.core.work import with_bit
+from sesamehall.core.manifest import Queue
+
+
+def begin_work(
+    plan: JobPlan,
+    progress: Progress,
+    queue: Queue | None,
+    at_ms: int,
+    wall_ms: int,
+    inherited: bool,
+) -> Work:
+    """Begin to work on a job.
+
+    Args:
+      plan: The job.
+      progress: What is stored of it.
+      queue: Its queue, or None where no manifest names it.
+      at_ms: The node's clock.
+      wall_ms: Time of day, since 1970.
+      inherited: Whether an earlier leader may have started tasks of it.
+    Returns:
+      The job with the tasks that may start.
+    """
+    stretch = 1.0 if queue is None else queue.stretch
+    slack_ms = 0 if queue is None else queue.slack_ms
+    goal_ms = at_ms + int(stretch * longest_chain_ms(plan)) + slack_ms
+    work = Work(plan, progress, at_ms, goal_ms, inherited=inherited)
+    return replace(work, waiting=startable(work, wall_ms))
+
+
+def longest_chain_ms(plan: JobPlan) -> int:
+    """Compute the declared time of the longest chain of steps.
+
+    Args:
+      plan: The job; steps come after those that they wait for.
+    Returns:
+      Milliseconds.
+    """
+    ends_ms: list[int] = []
+    for step in plan.steps:
+        earlier = [ends_ms[number] for number in step.after]
+        ends_ms.append(max(earlier, default=0) + step.estimate_ms)
+    return max(ends_ms, default=0)
+
+
+def due_occurrences(plan: JobPlan, wall_ms: int) -> range:
+    """Tell which occurrences of a job are due.
+
+    Args:
+      plan: The job.
+      wall_ms: Time of day, since 1970.
+    Returns:
+      Their numbers.
+    """
+    if not plan.times:
+        return range(1)
+    past_ms = wall_ms - plan.first_wall_ms
+    if past_ms < 0:
+        return range(0)
+    return range(min(plan.times, past_ms // max(plan.period_ms, 1) + 1))
+
+
+def steps_of(progress: Progress, plan: JobPlan, occurrence: int):
+    """Find the progress of an occurrence's steps.
+
+    Args:
+      progress: Progress of the job.
+      plan: The job.
+      occurrence: Number of the occurrence.
+    Returns:
+      A StepProgress for each step.
+    """
+    for number, steps in progress.occurrences:
+        if number == occurrence:
+            return steps
+    return (StepProgress(),) * len(plan.steps)
+
+
+def is_step_done(plan: JobPlan, steps, number: int) -> bool:
+    """Tell whether all tasks of a step have ended well.
+
+    Args:
+      plan: The job.
+      steps: Progress of the occurrence's steps.
+      number: Number of the step.
+    Returns:
+      True when they have.
+    """
+    return count_bits(steps[number].done) >= plan.steps[number].count
+
+
+def startable(work: Work, wall_ms: int) -> tuple[TaskPlace, ...]:
+    """List the tasks whose turn has come and that are not done.
+
+    Args:
+      work: The job.
+      wall_ms: Time of day, since 1970.
+    Returns:
+      Their places; tasks that run are among them.
+    """
+    if work.progress.phase in TERMINAL_PHASES:
+        return ()
+    places: list[TaskPlace] = []
+    for occurrence in due_occurrences(work.plan, wall_ms):
+        steps = steps_of(work.progress, work.plan, occurrence)
+        for number in range(len(steps)):
+            places += _open_tasks(work.plan, steps, occurrence, number)
+    return tuple(places)
+
+
+def _open_tasks(plan, steps, occurrence, number):
+    """List the tasks of one step that are not done, if its turn has come."""
+    step = plan.steps[number]
+    if not all(is_step_done(plan, steps, after) for after in step.after):
+        return []
+    done = steps[number].done
+    return [
+        TaskPlace(occurrence, number, index)
+        for index in range(step.count)
+        if not has_bit(done, index)
+    ]
+
+
+def newly_startable(work: Work, place: TaskPlace) -> tuple[TaskPlace, ...]:
+    """List the tasks whose turn has come with the end of a step.
+
+    Args:
+      work: The job after a task of the step has ended well.
+      place: That task.
+    Returns:
+      Places of tasks of later steps; none while the step is not done.
+    """
+    plan = work.plan
+    steps = steps_of(work.progress, plan, place.occurrence)
+    if not is_step_done(plan, steps, place.step):
+        return ()
+    places: list[TaskPlace] = []
+    for number, step in enumerate(plan.steps):
+        if place.step in step.after:
+            places += _open_tasks(plan, steps, place.occurrence, number)
+    return tuple(places)
+
+
+def is_task_done(work: Work, place: TaskPlace) -> bool:
+    """Tell whether a task has ended well.
+
+    Args:
+      work: The job.
+      place: The task.
+    Returns:
+      True when it has.
+    """
+    steps = steps_of(work.progress, work.plan, place.occurrence)
+    return has_bit(steps[place.step].done, place.index)
+
+
+def is_task_known(plan: JobPlan, place: TaskPlace) -> bool:
+    """Tell whether a job has a task.
+
+    Args:
+      plan: The job.
+      place: The task.
+    Returns:
+      False for numbers that the job does not have.
+    """
+    if place.step >= len(plan.steps):
+        return False
+    in_step = place.index < plan.steps[place.step].count
+    return in_step and place.occurrence < max(plan.times, 1)
+
+
+def with_done(work: Work, place: TaskPlace) -> Work:
+    """Note that a task has ended well.
+
+    One end of a gang stands for all its tasks.
+
+    Args:
+      work: The job.
+      place: The task.
+    Returns:
+      The job, completed when that was the last of its tasks.
+    """
+    plan = work.plan
+    steps = list(steps_of(work.progress, plan, place.occurrence))
+    done = steps[place.step].done
+    indexes = (place.index,)
+    if plan.steps[place.step].gang:
+        indexes = range(plan.steps[place.step].count)
+    for index in indexes:
+        done = with_bit(done, index)
+    steps[place.step] = replace(steps[place.step], done=done)
+    changed = _with_steps(work, place.occurrence, tuple(steps))
+    if not _all_done(changed):
+        return changed
+    progress = replace(changed.progress, phase=JobPhase.DONE)
+    return replace(changed, progress=progress)
+
+
+def with_failure(work: Work, place: TaskPlace) -> tuple[Work, int]:
+    """Count a failed run of a task.
+
+    Args:
+      work: The job.
+      place: The task.
+    Returns:
+      The job, and how often the task has failed by now.
+    """
+    steps = list(steps_of(work.progress, work.plan, place.occurrence))
+    failures = dict(steps[place.step].failures)
+    count = failures.get(place.index, 0) + 1
+    failures[place.index] = count
+    steps[place.step] = replace(
+        steps[place.step], failures=tuple(sorted(failures.items()))
+    )
+    return _with_steps(work, place.occurrence, tuple(steps)), count
+
+
+def with_checkpoint(work: Work, place: TaskPlace, checkpoint: str) -> Work:
+    """Keep the newest checkpoint of a task.
+
+    Args:
+      work: The job.
+      place: The task.
+      checkpoint: The checkpoint.
+    Returns:
+      The job.
+    """
+    steps = list(steps_of(work.progress, work.plan, place.occurrence))
+    kept = dict(steps[place.step].checkpoints)
+    kept[place.index] = checkpoint
+    steps[place.step] = replace(
+        steps[place.step], checkpoints=tuple(sorted(kept.items()))
+    )
+    return _with_steps(work, place.occurrence, tuple(steps))
+
+
+def checkpoint_of(work: Work, place: TaskPlace) -> str:
+    """Find the checkpoint that a task goes on from.
+
+    Args:
+      work: The job.
+      place: The task.
+    Returns:
+      The checkpoint, or ""; of a gang that of any of its tasks.
+    """
+    steps = steps_of(work.progress, work.plan, place.occurrence)
+    kept = dict(steps[place.step].checkpoints)
+    if work.plan.steps[place.step].gang:
+        return next(iter(kept.values()), "")
+    return kept.get(place.index, "")
+
+
+def _with_steps(work, occurrence, steps):
+    occurrences = dict(work.progress.occurrences)
+    occurrences[occurrence] = steps
+    progress = replace(
+        work.progress,
+        phase=_running_phase(work.progress.phase),
+        occurrences=tuple(sorted(occurrences.items())),
+    )
+    return replace(work, progress=progress)
+
+
+def _running_phase(phase):
+    return JobPhase.RUNNING if phase is JobPhase.WAITING else phase
+
+
+def _all_done(work):
+    plan = work.plan
+    if len(work.progress.occurrences) < max(plan.times, 1):
+        return False
+    return all(
+        is_step_done(plan, steps, number)
+        for _, steps in work.progress.occurrences
+        for number in range(len(plan.steps))
+    )
--- /dev/null
+++ b/sesamehall/reducer/jobs/runs.py
@@ -0,0 +1,344 @@
+"""Ends of runs, and what a job comes to by them."""
+
+from sesamehall.core.data import JobPhase
+from sesamehall.core.data import TERMINAL_PHASES
+from sesamehall.core.effects import log
+from sesamehall.core.effects import SetTimer
+from sesamehall.core.jobtiming import ASIDE_MS
+from sesamehall.core.jobtiming import FAILURES_TO_ASIDE
+from sesamehall.core.jobtiming import PLACE_DELAY_MS
+from sesamehall.core.logevents import JOB_FINISHED
+from sesamehall.core.logevents import RUN_ENDED
+from sesamehall.core.logevents import RUN_STOPPED
+from sesamehall.core.logevents import WORKER_ASIDE
+from sesamehall.core.managereffects import StopRun
+from sesamehall.core.managerstate import ManagerState
+from sesamehall.core.managerstate import Run
+from sesamehall.core.managerstate import RunState
+from sesamehall.core.managerstate import Work
+from sesamehall.core.replacing import replace
+from sesamehall.core.step import Step
+from sesamehall.core.step import then
+from sesamehall.core.timers import PlaceTimer
+from sesamehall.core.work import EndedRun
+from sesamehall.core.work import RunEnd
+from sesamehall.core.work import split_task_id
+from sesamehall.core.work import task_id
+from sesamehall.reducer.jobs.bookkeeping import drop_work
+from sesamehall.reducer.jobs.bookkeeping import let_wait
+from sesamehall.reducer.jobs.bookkeeping import put_run
+from sesamehall.reducer.jobs.bookkeeping import put_work
+from sesamehall.reducer.jobs.bookkeeping import put_worker
+from sesamehall.reducer.jobs.bookkeeping import release_run
+from sesamehall.reducer.jobs.progress import is_task_done
+from sesamehall.reducer.jobs.progress import is_task_known
+from sesamehall.reducer.jobs.progress import newly_startable
+from sesamehall.reducer.jobs.progress import with_checkpoint
+from sesamehall.reducer.jobs.progress import with_done
+from sesamehall.reducer.jobs.progress import with_failure
+
+
+def place_soon(manager: ManagerState, pool: str, at_ms: int) -> Step:
+    """Have waiting tasks of a pool placed, together with others.
+
+    Args:
+      manager: State of the leader.
+      pool: Name of the pool.
+      at_ms: The node's clock.
+    Returns:
+      A Step with the timer, unless it is set already.
+    """
+    if pool in manager.placing_pools:
+        return Step(manager)
+    pools = manager.placing_pools.set(pool, True)
+    timer = SetTimer(PlaceTimer(pool), at_ms + PLACE_DELAY_MS)
+    return Step(replace(manager, placing_pools=pools), (timer,))
+
+
+def take_end(
+    manager: ManagerState, worker_id: str, ended: EndedRun, at_ms: int
+) -> Step:
+    """Take in the end of a run, as its worker reports it.
+
+    An end that comes after the run was given up still counts where it is
+    good: the task is done.
+
+    Args:
+      manager: State of the leader.
+      worker_id: The worker.
+      ended: The end.
+      at_ms: The node's clock.
+    Returns:
+      A Step.
+    """
+    named = split_task_id(ended.task)
+    if named is None:
+        return Step(manager)
+    job_id, place = named
+    line = log(
+        RUN_ENDED,
+        task=ended.task,
+        run=ended.number,
+        worker=worker_id,
+        end=ended.end.value,
+    )
+    run = manager.runs_by_task.get(ended.task)
+    ours = run is not None and (run.worker_id, run.number) == (
+        worker_id,
+        ended.number,
+    )
+    if ours:
+        manager = release_run(manager, run)
+    worker = manager.workers_by_id.get(worker_id)
+    step = Step(manager, (line,))
+    if worker is not None:
+        step = then(step, place_soon, worker.entry.pool, at_ms)
+    work = step.state.works_by_id.get(job_id)
+    if work is None or not is_task_known(work.plan, place):
+        return step
+    if ended.checkpoint and not is_task_done(work, place):
+        work = with_checkpoint(work, place, ended.checkpoint)
+        step = Step(put_work(step.state, work), step.effects)
+    match ended.end:
+        case RunEnd.DONE:
+            return then(step, _finish_task, worker_id, job_id, place, at_ms)
+        case RunEnd.FAILED:
+            step = then(step, _count_failure, worker_id, job_id, place, at_ms)
+    if ours:
+        step = then(step, _wait_again, job_id, place, at_ms)
+    return step
+
+
+def give_up_run(manager: ManagerState, run: Run, why: str, at_ms: int) -> Step:
+    """Let a task run anew whose run certainly does not go on.
+
+    Args:
+      manager: State of the leader.
+      run: The run.
+      why: Reason, for the log.
+      at_ms: The node's clock.
+    Returns:
+      A Step.
+    """
+    line = log(
+        RUN_ENDED,
+        task=run.task,
+        run=run.number,
+        worker=run.worker_id,
+        end=why,
+    )
+    manager = release_run(manager, run)
+    work = manager.works_by_id.get(run.job_id)
+    if work is not None and run.checkpoint:
+        work = with_checkpoint(work, run.place, run.checkpoint)
+        manager = put_work(manager, work)
+    step = Step(manager, (line,))
+    worker = manager.workers_by_id.get(run.worker_id)
+    if worker is not None:
+        step = then(step, place_soon, worker.entry.pool, at_ms)
+    return then(step, _wait_again, run.job_id, run.place, at_ms)
+
+
+def stop_run(manager: ManagerState, run: Run, why: str) -> Step:
+    """Order a worker to stop a run; its room is free when it has ended.
+
+    Args:
+      manager: State of the leader.
+      run: The run.
+      why: Reason, for the log.
+    Returns:
+      A Step with the order.
+    """
+    line = log(
+        RUN_STOPPED,
+        task=run.task,
+        run=run.number,
+        worker=run.worker_id,
+        reason=why,
+    )
+    manager = put_run(manager, replace(run, state=RunState.STOPPING))
+    worker = manager.workers_by_id[run.worker_id]
+    order = StopRun(
+        worker_id=run.worker_id,
+        address=worker.entry.address,
+        epoch=manager.term.epoch,
+        task=run.task,
+        number=run.number,
+    )
+    return Step(manager, (line, order))
+
+
+def end_job(
+    manager: ManagerState, job_id: str, phase: JobPhase, why: str, at_ms: int
+) -> Step:
+    """End a job and stop what still runs of it.
+
+    Args:
+      manager: State of the leader.
+      job_id: Identifier of the job.
+      phase: How it has ended.
+      why: Reason, for the log and for the caller.
+      at_ms: The node's clock.
+    Returns:
+      A Step; the end is shown once it is stored.
+    """
+    work = manager.works_by_id[job_id]
+    line = log(
+        JOB_FINISHED,
+        job=job_id,
+        phase=phase.value,
+        reason=why,
+        took_ms=at_ms - work.accepted_ms,
+        goal_ms=work.goal_ms - work.accepted_ms,
+    )
+    progress = replace(
+        work.progress, phase=phase, detail=why, occurrences=()
+    )
+    work = replace(work, progress=progress, waiting=())
+    manager = replace(
+        put_work(manager, work),
+        dirty_jobs=manager.dirty_jobs.set(job_id, True),
+        ended_now=True,
+    )
+    step = Step(manager, (line,))
+    for run in _runs_of(manager, work):
+        if run.state is not RunState.STOPPING:
+            step = then(step, stop_run, run, why)
+    return step
+
+
+def forget_ended(manager: ManagerState, job_id: str) -> ManagerState:
+    """Forget a job whose end is stored once nothing of it runs.
+
+    Args:
+      manager: State of the leader.
+      job_id: Identifier of the job.
+    Returns:
+      The state.
+    """
+    work = manager.works_by_id.get(job_id)
+    if work is None or work.running or job_id in manager.dirty_jobs:
+        return manager
+    if work.progress.phase not in TERMINAL_PHASES:
+        return manager
+    return drop_work(manager, job_id)
+
+
+def _runs_of(manager: ManagerState, work: Work) -> list[Run]:
+    """List the runs of a job, in the order of their tasks."""
+    if not work.running:
+        return []
+    job_id = work.plan.job_id
+    runs = (
+        run for run in manager.runs_by_task.values() if run.job_id == job_id
+    )
+    return sorted(runs, key=lambda run: run.task)
+
+
+def _finish_task(manager, worker_id, job_id, place, at_ms):
+    """Note that a task is done, and start or end what follows from it."""
+    manager = _praise(manager, worker_id)
+    work = manager.works_by_id[job_id]
+    if work.progress.phase in TERMINAL_PHASES:
+        return Step(forget_ended(manager, job_id))
+    if is_task_done(work, place):
+        return Step(manager)
+    work = with_done(work, place)
+    steps = work.plan.steps[place.step]
+    waiting = tuple(
+        other
+        for other in work.waiting
+        if other != place
+        and not (steps.gang and _same_step(other, place))
+    )
+    work = replace(work, waiting=waiting + newly_startable(work, place))
+    manager = put_work(manager, work)
+    manager = replace(
+        manager, dirty_jobs=manager.dirty_jobs.set(job_id, True)
+    )
+    step = Step(manager)
+    for run in _superseded_runs(manager, work, place):
+        if run.state is not RunState.STOPPING:
+            step = then(step, stop_run, run, "task done")
+    if work.progress.phase is JobPhase.DONE:
+        return then(step, end_job, job_id, JobPhase.DONE, "", at_ms)
+    return step
+
+
+def _superseded_runs(manager, work, place):
+    """List the runs that a good end of a task makes needless."""
+    if work.plan.steps[place.step].gang:
+        runs = _runs_of(manager, work)
+        return [run for run in runs if _same_step(run.place, place)]
+    run = manager.runs_by_task.get(task_id(work.plan.job_id, place))
+    return [] if run is None else [run]
+
+
+def _same_step(one, other):
+    return (one.occurrence, one.step) == (other.occurrence, other.step)
+
+
+def _count_failure(manager, worker_id, job_id, place, at_ms):
+    """Charge a failure to the task, its job and its worker."""
+    work = manager.works_by_id[job_id]
+    manager = replace(
+        manager,
+        failed_on_by_task=manager.failed_on_by_task.set(
+            f"{job_id}.{place.step}.{place.index}", worker_id
+        ),
+    )
+    step = _blame(manager, worker_id, at_ms)
+    if work.progress.phase in TERMINAL_PHASES:
+        return step
+    if work.plan.steps[place.step].lasting:
+        return step
+    if is_task_done(work, place):
+        return step
+    work, count = with_failure(work, place)
+    manager = put_work(step.state, work)
+    manager = replace(
+        manager, dirty_jobs=manager.dirty_jobs.set(job_id, True)
+    )
+    step = Step(manager, step.effects)
+    if count < _attempts(manager, work):
+        return step
+    why = f"step {place.step} task {place.index} failed {count} times"
+    return then(step, end_job, job_id, JobPhase.FAILED, why, at_ms)
+
+
+def _attempts(manager, work):
+    queue = manager.manifest.queues_by_name.get(work.plan.queue)
+    return 1 if queue is None else queue.attempts
+
+
+def _praise(manager, worker_id):
+    worker = manager.workers_by_id.get(worker_id)
+    if worker is None or not worker.failures:
+        return manager
+    return put_worker(manager, replace(worker, failures=0))
+
+
+def _blame(manager, worker_id, at_ms):
+    """Count a failure in a row; set the worker aside after some."""
+    worker = manager.workers_by_id.get(worker_id)
+    if worker is None:
+        return Step(manager)
+    failures = worker.failures + 1
+    worker = replace(worker, failures=failures)
+    if failures % FAILURES_TO_ASIDE:
+        return Step(put_worker(manager, worker))
+    worker = replace(worker, aside_until_ms=at_ms + ASIDE_MS)
+    line = log(WORKER_ASIDE, worker=worker_id, failures=failures)
+    return Step(put_worker(manager, worker), (line,))
+
+
+def _wait_again(manager, job_id, place, at_ms):
+    """Let a task wait for its next run, unless its job needs none."""
+    work = manager.works_by_id.get(job_id)
+    if work is None:
+        return Step(manager)
+    if work.progress.phase in TERMINAL_PHASES:
+        return Step(forget_ended(manager, job_id))
+    if is_task_done(work, place):
+        return Step(manager)
+    return Step(let_wait(manager, job_id, place))
--- /dev/null
+++ b/sesamehall/reducer/machines/__init__.py
@@ -0,0 +1,1 @@
+"""Machines: moves between pools, and waves of maintenance."""
--- a/sesamehall/reducer/reduce.py
+++ b/sesamehall/reducer/reduce.py
@@ -54,6 +54,7 @@
 from sesamehall.reducer.lifecycle import start_node
 from sesamehall.reducer.lifecycle import stop_node
 from sesamehall.reducer.load import report_changes
+from sesamehall.reducer.managing import reduce_manager
 from sesamehall.reducer.moving import take_reboot
 from sesamehall.reducer.peers import connect_peer
 from sesamehall.reducer.peers import disconnect_peer
@@ -82,6 +83,8 @@
     Returns:
       A Step with the new state and what the runtime shall do.
     """
+    if state.manager is not None:
+        return reduce_manager(state, event)
     match event:
         case RequestReceived():
             return receive_request(state, event)
--- a/sesamehall/runtime/interpreter.py
+++ b/sesamehall/runtime/interpreter.py
@@ -23,12 +23,12 @@
 
 
 def now_ms() -> int:
-    """Read the node's monotonic clock.
+    """Read the node's steady clock, which counts suspended time.
 
     Returns:
       Milliseconds since an arbitrary point.
     """
-    return time.monotonic_ns() // 1_000_000
+    return time.clock_gettime_ns(time.CLOCK_BOOTTIME) // 1_000_000
 
 
 class Interpreter:
