Carry out waves of maintenance; park idle machines by present demand

Change: machines/ with lists, orders, waves, sizing and moves; a worker is emptied before its machine is moved or maintained.

--- a/sesamehall/core/fleet.py
+++ b/sesamehall/core/fleet.py
@@ -134,12 +134,26 @@
     completed: bool
 
 
+@dataclass(frozen=True, slots=True)
+class WaveRecord:
+    """Machines that need no further order of a wave.
+
+    Attributes:
+      number: Number of the wave.
+      machines: Machines whose maintenance was taken by the platform.
+    """
+
+    number: int
+    machines: tuple[str, ...]
+
+
 StoredValue = (
     JobPlan
     | CancelAsked
     | Progress
     | Leader
     | LeasedWorker
+    | WaveRecord
     | Manifest
     | Wave
     | WorkerEntry
--- /dev/null
+++ b/sesamehall/core/fleettiming.py
@@ -0,0 +1,12 @@
+"""Periods, bounds and weights of the decisions about machines."""
+
+MACHINES_PERIOD_MS = 500  # a machine is seen to be back this late
+ORDER_CONFIRMED_MS = 1_000  # an older confirmation may be another's term
+ORDER_RETRY_MS = 1_500  # an order without an answer is sent again
+EMPTY_WAIT_MS = 4_000  # tasks that run longer are stopped and go on elsewhere
+WAVE_CYCLE_MS = 6_000  # emptying a worker, its maintenance and its return
+WAVE_RESERVE_MS = 6_000  # left of a wave's time when all should be done
+
+PEAK_HOLD_MS = 2_500  # longer than a machine needs to come back
+HEADROOM = 1.5  # demand grows by this while a machine joins a pool
+SPARE_WORKERS = 1  # kept beside what the demand asks for
--- a/sesamehall/core/managerevents.py
+++ b/sesamehall/core/managerevents.py
@@ -224,12 +224,14 @@
       at_ms: The node's clock.
       machine: Name of the machine.
       done: Whether the order was carried out.
+      refused: Whether it certainly was not, and will not be.
       reason: Why not, for the log.
     """
 
     at_ms: int
     machine: str
     done: bool
+    refused: bool = False
     reason: str = ""
 
 
--- a/sesamehall/core/managerstate.py
+++ b/sesamehall/core/managerstate.py
@@ -76,6 +76,7 @@
       beats: Heartbeats written.
       written_jobs: Jobs whose progress the write under way holds.
       written_workers: Workers whose record it holds.
+      written_waves: Waves whose record it holds.
     """
 
     epoch: int = 0
@@ -86,6 +87,7 @@
     beats: int = 0
     written_jobs: tuple[Progress, ...] = ()
     written_workers: tuple[LeasedWorker, ...] = ()
+    written_waves: tuple[int, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -251,15 +253,22 @@
 
     Attributes:
       order: What was asked.
-      target: Pool to join, or number of the wave.
-      sent_ms: Clock at which it was sent, or -1 while its worker empties.
+      pool: Pool to join, or "" for maintenance.
+      wave: Wave that asked for maintenance, or 0.
+      worker_id: Worker that has to be empty first, or "".
       since_ms: Clock at which it was decided.
+      sent_ms: Clock at which it was last sent, or -1 while its worker
+        empties.
+      done_ms: Clock at which the platform took it, or -1.
     """
 
     order: MachineOrder
-    target: str
-    sent_ms: int
+    pool: str
+    wave: int
+    worker_id: str
     since_ms: int
+    sent_ms: int = -1
+    done_ms: int = -1
 
 
 @dataclass(frozen=True, slots=True)
@@ -269,18 +278,29 @@
     Attributes:
       wave: The wave.
       seen_ms: Clock at which this node first saw it.
-      begun: Machines whose maintenance has begun, and the clock of it.
       completed: Whether its end was reported.
       reported: Whether its beginning was reported.
     """
 
     wave: Wave
     seen_ms: int
-    begun: Map[str, int] = EMPTY_MAP
     completed: bool = False
     reported: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class Peak:
+    """The highest of a pool's needs in the latest time.
+
+    Attributes:
+      workers: Workers that were needed.
+      at_ms: Clock at which they were.
+    """
+
+    workers: int
+    at_ms: int
+
+
 @dataclass(frozen=True, slots=True)
 class FleetState:
     """Machines, and what is to happen to them.
@@ -291,7 +311,7 @@
       listing: Whether a list is under way.
       orders_by_machine: Orders that are not carried out yet.
       waves_by_number: Waves of maintenance.
-      busy_ms_by_pool: Clock at which a pool last had something to do.
+      peaks_by_pool: Workers that each pool has needed of late.
     """
 
     machines_by_name: Map[str, Machine] = EMPTY_MAP
@@ -299,7 +319,7 @@
     listing: bool = False
     orders_by_machine: Map[str, PendingOrder] = EMPTY_MAP
     waves_by_number: Map[int, WaveProgress] = EMPTY_MAP
-    busy_ms_by_pool: Map[str, int] = EMPTY_MAP
+    peaks_by_pool: Map[str, Peak] = EMPTY_MAP
 
 
 @dataclass(frozen=True, slots=True)
@@ -336,6 +356,8 @@
       used_by_team: Room that a team's runs take.
       dirty_jobs: Jobs whose progress is not stored yet.
       dirty_workers: Workers whose record is not stored yet.
+      dirty_waves: Waves whose record is not stored yet.
+      maintained_by_wave: Machines whose maintenance in a wave has begun.
       ended_now: Whether a job's end waits to be stored.
       placing_pools: Pools whose next round of placing is due.
       wall_offset_ms: Time of day less the node's clock.
@@ -374,6 +396,8 @@
     used_by_team: Map[str, Size] = EMPTY_MAP
     dirty_jobs: Map[str, bool] = EMPTY_MAP
     dirty_workers: Map[str, bool] = EMPTY_MAP
+    dirty_waves: Map[int, bool] = EMPTY_MAP
+    maintained_by_wave: Map[int, tuple[str, ...]] = EMPTY_MAP
     ended_now: bool = False
     placing_pools: Map[str, bool] = EMPTY_MAP
     wall_offset_ms: int = 0
--- a/sesamehall/platform/machines.py
+++ b/sesamehall/platform/machines.py
@@ -18,6 +18,7 @@
 from sesamehall.platform.lanes import Lane
 from sesamehall.runtime.interpreter import now_ms
 
+REFUSED_STATUSES = (400, 409)
 ANSWER_TIMEOUT_S = 1.0  # the cloud interface may be slow
 
 
@@ -89,16 +90,22 @@
             "Fencing-Token": str(effect.epoch),
         }
         done = False
+        refused = False
         try:
             answer = self._client.call_json(
                 "POST", path, content, headers, ANSWER_TIMEOUT_S
             )
             done = answer.status == 200
+            refused = answer.status in REFUSED_STATUSES
             reason = f"status {answer.status} {answer.body[:80]!r}"
         except PlatformError as error:
             reason = str(error)
         self._post(
             MachineAnswered(
-                now_ms(), effect.machine, done, "" if done else reason
+                now_ms(),
+                effect.machine,
+                done,
+                refused,
+                "" if done else reason,
             )
         )
--- a/sesamehall/reducer/jobs/following.py
+++ b/sesamehall/reducer/jobs/following.py
@@ -6,6 +6,7 @@
 from sesamehall.core.fleet import Leader
 from sesamehall.core.fleet import LeasedWorker
 from sesamehall.core.fleet import Stream
+from sesamehall.core.fleet import WaveRecord
 from sesamehall.core.fleet import WorkerEntry
 from sesamehall.core.jobtiming import JOBS_PERIOD_MS
 from sesamehall.core.jobtiming import JOBS_WAIT_MS
@@ -301,6 +302,9 @@
     match value:
         case Progress():
             return Step(keep_progress(manager, value, at_ms))
+        case WaveRecord(number, machines):
+            maintained = manager.maintained_by_wave.set(number, machines)
+            return Step(replace(manager, maintained_by_wave=maintained))
         case LeasedWorker(worker_id):
             leased_by_id = leased_by_id.set(worker_id, value)
         case None if key.startswith(WORKER_KEY_PREFIX):
--- a/sesamehall/reducer/jobs/leading.py
+++ b/sesamehall/reducer/jobs/leading.py
@@ -8,6 +8,7 @@
 from sesamehall.core.fleet import Leader
 from sesamehall.core.fleet import LeasedWorker
 from sesamehall.core.fleet import StoredRecord
+from sesamehall.core.fleet import WaveRecord
 from sesamehall.core.fleet import WorkerEntry
 from sesamehall.core.jobtiming import CLAIM_SPREAD_MS
 from sesamehall.core.jobtiming import COMMIT_PERIOD_MS
@@ -50,6 +51,7 @@
 
 LEADER_KEY = "leader"
 WORKER_KEY_PREFIX = "worker/"
+WAVE_KEY_PREFIX = "wave/"
 
 
 def consider_claim(manager: ManagerState, at_ms: int) -> Step:
@@ -125,13 +127,21 @@
     dirty_workers = manager.dirty_workers
     for leased in term.written_workers:
         dirty_workers = dirty_workers.set(leased.worker_id, True)
+    dirty_waves = manager.dirty_waves
+    for number in term.written_waves:
+        dirty_waves = dirty_waves.set(number, True)
     manager = replace(
         manager,
         term=replace(
-            term, storing=False, written_jobs=(), written_workers=()
+            term,
+            storing=False,
+            written_jobs=(),
+            written_workers=(),
+            written_waves=(),
         ),
         dirty_jobs=dirty_jobs,
         dirty_workers=dirty_workers,
+        dirty_waves=dirty_waves,
     )
     return Step(manager, (line,))
 
@@ -163,7 +173,7 @@
         ),
         leader=Leader(manager.name, event.epoch),
         workers=Following(),
-        fleet=replace(FleetState(), waves_by_number=_renewed_waves(manager)),
+        fleet=_new_fleet(manager),
     )
     step = Step(manager, (line,))
     for job_id in sorted(manager.plans_by_id):
@@ -176,9 +186,9 @@
     return step
 
 
-def _renewed_waves(manager):
-    """Keep the waves of maintenance, without what was begun of them."""
-    return manager.fleet.waves_by_number
+def _new_fleet(manager):
+    """Keep the waves, and nothing of what an earlier term had in hand."""
+    return FleetState(waves_by_number=manager.fleet.waves_by_number)
 
 
 def _inherit_worker(manager, leased, lease_end_ms, at_ms):
@@ -309,7 +319,9 @@
     if not term.epoch or term.storing:
         return Step(manager)
     since_ms = at_ms - term.confirmed_ms
-    changed = bool(manager.dirty_jobs or manager.dirty_workers)
+    changed = bool(
+        manager.dirty_jobs or manager.dirty_workers or manager.dirty_waves
+    )
     due = manager.ended_now or (changed and since_ms >= COMMIT_PERIOD_MS)
     if not due and since_ms < HEARTBEAT_MS:
         return Step(manager)
@@ -347,15 +359,28 @@
         StoredRecord(WORKER_KEY_PREFIX + leased.worker_id, leased)
         for leased in workers
     )
-    records += dropped + (StoredRecord(LEADER_KEY, leader),)
+    waves = tuple(sorted(manager.dirty_waves))
+    records += dropped + tuple(
+        StoredRecord(
+            f"{WAVE_KEY_PREFIX}{number}",
+            WaveRecord(number, manager.maintained_by_wave[number]),
+        )
+        for number in waves
+    )
+    records += (StoredRecord(LEADER_KEY, leader),)
     term = replace(
-        term, storing=True, written_jobs=jobs, written_workers=workers
+        term,
+        storing=True,
+        written_jobs=jobs,
+        written_workers=workers,
+        written_waves=waves,
     )
     manager = replace(
         manager,
         term=term,
         dirty_jobs=EMPTY_MAP,
         dirty_workers=EMPTY_MAP,
+        dirty_waves=EMPTY_MAP,
         ended_now=False,
     )
     return Step(manager, (StoreProgress(term.epoch, records),))
@@ -383,6 +408,7 @@
             confirmed_ms=event.asked_ms,
             written_jobs=(),
             written_workers=(),
+            written_waves=(),
         ),
     )
     for progress in term.written_jobs:
@@ -473,10 +499,9 @@
         used_by_team=EMPTY_MAP,
         dirty_jobs=EMPTY_MAP,
         dirty_workers=EMPTY_MAP,
+        dirty_waves=EMPTY_MAP,
         ended_now=False,
         placing_pools=EMPTY_MAP,
-        fleet=replace(
-            FleetState(), waves_by_number=manager.fleet.waves_by_number
-        ),
+        fleet=_new_fleet(manager),
     )
     return Step(manager, (line,) + forgotten)
--- a/sesamehall/reducer/jobs/workers.py
+++ b/sesamehall/reducer/jobs/workers.py
@@ -342,6 +342,7 @@
         tasks=Map(),
         used=NO_SIZE,
         failures=0,
+        leaving=False,
     )
     manager = put_worker(step.state, worker)
     dirty = manager.dirty_workers.set(worker.entry.worker_id, True)
--- a/sesamehall/reducer/machines/fleet.py
+++ b/sesamehall/reducer/machines/fleet.py
@@ -1,27 +1,195 @@
-"""The fleet's machines: lists, moves and maintenance."""
+"""The fleet's machines: lists, orders, and when each may be given.
 
+An order for a machine ends all that runs on it, so its worker is emptied
+first.  Orders of two leaders must not cross: a new leader waits before its
+first, and none is given without a fresh confirmation of the role.
+"""
+
+from immutables import Map
+
+from sesamehall.core.effects import log
+from sesamehall.core.fleet import Machine
+from sesamehall.core.fleet import MachineState
+from sesamehall.core.fleettiming import MACHINES_PERIOD_MS
+from sesamehall.core.fleettiming import ORDER_CONFIRMED_MS
+from sesamehall.core.fleettiming import ORDER_RETRY_MS
+from sesamehall.core.logevents import MACHINE_ORDERED
+from sesamehall.core.logevents import MACHINE_REFUSED
+from sesamehall.core.logevents import MACHINES_UNLISTED
 from sesamehall.core.managerevents import MachineAnswered
 from sesamehall.core.managerevents import MachinesListed
 from sesamehall.core.managerevents import MachinesNotListed
+from sesamehall.core.managereffects import ListMachines
+from sesamehall.core.managereffects import MaintainMachine
+from sesamehall.core.managereffects import MoveMachine
+from sesamehall.core.managerstate import MachineOrder
 from sesamehall.core.managerstate import ManagerState
+from sesamehall.core.managerstate import PendingOrder
+from sesamehall.core.replacing import replace
 from sesamehall.core.step import Step
+from sesamehall.core.step import then
+from sesamehall.reducer.counts import drop_key
+from sesamehall.reducer.jobs.bookkeeping import put_worker
+from sesamehall.reducer.machines.evacuation import empty_worker
+from sesamehall.reducer.machines.moves import choose_moves
+from sesamehall.reducer.machines.waves import note_maintained
+from sesamehall.reducer.machines.waves import review_waves
 
 
 def review_fleet(manager: ManagerState, at_ms: int) -> Step:
-    """Stub."""
-    return Step(manager)
+    """Do what is due for machines.
+
+    Args:
+      manager: State of a manager.
+      at_ms: The node's clock.
+    Returns:
+      A Step; nothing for a node that does not lead.
+    """
+    if not manager.term.epoch or manager.manifest is None:
+        return Step(manager)
+    step = _list_if_due(manager, at_ms)
+    if manager.fleet.listed_ms < 0 or not _may_order(manager, at_ms):
+        return step
+    step = then(step, review_waves, at_ms)
+    step = then(step, choose_moves, at_ms)
+    for machine in sorted(step.state.fleet.orders_by_machine):
+        step = then(step, _pursue, machine, at_ms)
+    return step
+
+
+def _list_if_due(manager, at_ms):
+    fleet = manager.fleet
+    if fleet.listing or at_ms - fleet.listed_ms < MACHINES_PERIOD_MS:
+        return Step(manager)
+    listing = replace(fleet, listing=True)
+    return Step(replace(manager, fleet=listing), (ListMachines(),))
+
+
+def _may_order(manager, at_ms):
+    """Tell whether no other leader can give orders for machines."""
+    term = manager.term
+    confirmed = at_ms - term.confirmed_ms < ORDER_CONFIRMED_MS
+    alone = at_ms - term.began_ms >= manager.timing.order_pause_ms
+    return confirmed and alone and not manager.stopping
 
 
 def take_machines(manager: ManagerState, event: MachinesListed) -> Step:
-    """Stub."""
-    return Step(manager)
+    """Take in the list of machines, and what it shows to be done.
+
+    Args:
+      manager: State of a manager.
+      event: The list.
+    Returns:
+      A Step.
+    """
+    machines = {machine.name: machine for machine in event.machines}
+    orders = manager.fleet.orders_by_machine
+    for name, order in orders.items():
+        machine = machines.get(name)
+        if machine is None or _is_carried_out(machine, order, event.at_ms):
+            orders = orders.delete(name)
+            manager = _keep_worker(manager, order.worker_id)
+    fleet = replace(
+        manager.fleet,
+        machines_by_name=Map(machines),
+        listed_ms=event.at_ms,
+        listing=False,
+        orders_by_machine=orders,
+    )
+    return Step(replace(manager, fleet=fleet))
+
+
+def _is_carried_out(machine: Machine, order: PendingOrder, at_ms: int) -> bool:
+    """Tell whether a machine is back from what was ordered."""
+    if order.done_ms < 0 or at_ms - order.done_ms < MACHINES_PERIOD_MS:
+        return False
+    if machine.state is not MachineState.UP:
+        return False
+    return order.pool in ("", machine.pool)
 
 
 def take_no_machines(manager: ManagerState, event: MachinesNotListed) -> Step:
-    """Stub."""
-    return Step(manager)
+    """Bear that the machines were not listed.
+
+    Args:
+      manager: State of a manager.
+      event: Why.
+    Returns:
+      A Step; the older list stays until the next.
+    """
+    fleet = replace(manager.fleet, listing=False)
+    line = log(MACHINES_UNLISTED, reason=event.reason)
+    return Step(replace(manager, fleet=fleet), (line,))
 
 
 def take_machine_answer(manager: ManagerState, event: MachineAnswered) -> Step:
-    """Stub."""
-    return Step(manager)
+    """Note that an order was taken, or drop one that was refused.
+
+    Args:
+      manager: State of a manager.
+      event: The answer.
+    Returns:
+      A Step; an order without an answer stays, and is sent again.
+    """
+    order = manager.fleet.orders_by_machine.get(event.machine)
+    if order is None:
+        return Step(manager)
+    if event.done:
+        order = replace(order, done_ms=event.at_ms)
+        manager = _put_order(manager, event.machine, order)
+        if order.order is MachineOrder.MAINTENANCE:
+            manager = note_maintained(manager, order.wave, event.machine)
+        return Step(manager)
+    line = log(
+        MACHINE_REFUSED, machine=event.machine, reason=event.reason
+    )
+    if not event.refused:
+        return Step(manager, (line,))
+    manager = _keep_worker(manager, order.worker_id)
+    orders = drop_key(manager.fleet.orders_by_machine, event.machine)
+    fleet = replace(manager.fleet, orders_by_machine=orders)
+    return Step(replace(manager, fleet=fleet), (line,))
+
+
+def _keep_worker(manager, worker_id):
+    """Let a worker take tasks again."""
+    worker = manager.workers_by_id.get(worker_id)
+    if worker is None:
+        return manager
+    return put_worker(manager, replace(worker, leaving=False))
+
+
+def _pursue(manager: ManagerState, machine: str, at_ms: int) -> Step:
+    """Empty the worker of a machine, then send the order."""
+    order = manager.fleet.orders_by_machine[machine]
+    if order.done_ms >= 0:
+        return Step(manager)
+    if order.sent_ms >= 0 and at_ms - order.sent_ms < ORDER_RETRY_MS:
+        return Step(manager)
+    worker = manager.workers_by_id.get(order.worker_id)
+    if worker is not None and worker.tasks:
+        return empty_worker(manager, order.worker_id, order.since_ms, at_ms)
+    line = log(
+        MACHINE_ORDERED,
+        machine=machine,
+        order=order.order.value,
+        pool=order.pool,
+        wave=order.wave,
+        worker=order.worker_id,
+        waited_ms=at_ms - order.since_ms,
+    )
+    epoch = manager.term.epoch
+    match order.order:
+        case MachineOrder.MOVE:
+            effect = MoveMachine(machine, order.pool, epoch)
+        case MachineOrder.MAINTENANCE:
+            effect = MaintainMachine(machine, order.wave, epoch)
+    manager = _put_order(manager, machine, replace(order, sent_ms=at_ms))
+    return Step(manager, (line, effect))
+
+
+def _put_order(manager, machine, order):
+    orders = manager.fleet.orders_by_machine.set(machine, order)
+    return replace(
+        manager, fleet=replace(manager.fleet, orders_by_machine=orders)
+    )
--- /dev/null
+++ b/sesamehall/reducer/machines/orders.py
@@ -0,0 +1,54 @@
+"""Decided orders for machines."""
+
+from sesamehall.core.fleet import Machine
+from sesamehall.core.fleet import MachineState
+from sesamehall.core.managerstate import MachineOrder
+from sesamehall.core.managerstate import ManagerState
+from sesamehall.core.managerstate import PendingOrder
+from sesamehall.core.replacing import replace
+from sesamehall.reducer.jobs.bookkeeping import put_worker
+
+
+def decide_order(
+    manager: ManagerState,
+    machine: Machine,
+    order: MachineOrder,
+    pool: str,
+    wave: int,
+    at_ms: int,
+) -> ManagerState:
+    """Decide an order; it is sent once the machine's worker is empty.
+
+    Args:
+      manager: State of the leader.
+      machine: The machine.
+      order: What it shall do.
+      pool: Pool to join, or "".
+      wave: Wave that asked for it, or 0.
+      at_ms: The node's clock.
+    Returns:
+      The state; nothing new is started on the worker.
+    """
+    pending = PendingOrder(order, pool, wave, machine.worker_id, at_ms)
+    orders = manager.fleet.orders_by_machine.set(machine.name, pending)
+    manager = replace(
+        manager, fleet=replace(manager.fleet, orders_by_machine=orders)
+    )
+    worker = manager.workers_by_id.get(machine.worker_id)
+    if worker is None:
+        return manager
+    return put_worker(manager, replace(worker, leaving=True))
+
+
+def is_free(manager: ManagerState, machine: Machine) -> bool:
+    """Tell whether a machine may get an order.
+
+    Args:
+      manager: State of the leader.
+      machine: The machine.
+    Returns:
+      False for one that is not up or has an order already.
+    """
+    if machine.name in manager.fleet.orders_by_machine:
+        return False
+    return machine.state is MachineState.UP
