--- a/sesamehall/codecs/packing.py
+++ b/sesamehall/codecs/packing.py
@@ -93,8 +93,7 @@
     if origin in (Union, UnionType):
         return any(conforms(value, choice) for choice in get_args(hint))
     if origin is tuple:
-        item, _ = get_args(hint)
-        return type(value) is tuple and all(conforms(v, item) for v in value)
+        return type(value) is tuple and _items_conform(value, get_args(hint))
     if origin is Map:
         key_hint, value_hint = get_args(hint)
         return isinstance(value, Map) and all(
@@ -106,6 +105,13 @@
     return type(value) is hint and _fields_conform(value)
 
 
+def _items_conform(value, hints):
+    """Check a tuple of like items, or one of a fixed length."""
+    if len(hints) == 2 and hints[1] is Ellipsis:
+        return all(conforms(item, hints[0]) for item in value)
+    return len(value) == len(hints) and all(map(conforms, value, hints))
+
+
 def _fields_conform(value):
     if not is_dataclass(value):
         return True
--- a/sesamehall/platform/store.py
+++ b/sesamehall/platform/store.py
@@ -3,6 +3,7 @@
 import base64
 from collections.abc import Iterator
 from dataclasses import dataclass
+import logging
 import random
 import struct
 from urllib.parse import urlencode
@@ -18,6 +19,7 @@
 from sesamehall.core.fleet import StoredRecord
 from sesamehall.core.fleet import StoredValue
 from sesamehall.core.fleet import Stream
+from sesamehall.core.logevents import RECORD_UNREADABLE
 from sesamehall.core.managerevents import StoreOutcome
 from sesamehall.platform.decoding import decode_manifest
 from sesamehall.platform.decoding import decode_object
@@ -27,6 +29,7 @@
 from sesamehall.platform.decoding import WAVE_KEY_PREFIX
 from sesamehall.platform.http import Client
 
+LOGGER = logging.getLogger("sesamehall")
 LENGTH = struct.Struct(">I")
 HEAD = struct.Struct(">QQ")  # end, and first offset that is retained
 TOPIC_BY_STREAM = {
@@ -287,7 +290,15 @@
         return StoredRecord(key, None)
     try:
         return StoredRecord(key, _decode_value(stream, key, value))
-    except DecodeError:
+    except DecodeError as error:
+        LOGGER.warning(
+            "%d %s stream=%s key=%s reason=%r",
+            RECORD_UNREADABLE.number,
+            RECORD_UNREADABLE.name,
+            stream.value,
+            key,
+            str(error),
+        )
         return StoredRecord("" if stream is not Stream.WORKERS else key, None)
 
 
