--- a/sesamehall/core/work.py
+++ b/sesamehall/core/work.py
@@ -7,7 +7,6 @@
 from dataclasses import dataclass
 from enum import Enum
 
-
 from sesamehall.core.data import JobPhase
 
 
@@ -288,5 +287,3 @@
         and size.memory_mb <= room.memory_mb
         and size.accelerators <= room.accelerators
     )
-
-
--- a/sesamehall/platform/ingress.py
+++ b/sesamehall/platform/ingress.py
@@ -26,8 +26,8 @@
 from sesamehall.core.codes import TOO_LARGE
 from sesamehall.core.data import JobPhase
 from sesamehall.core.events import Event
-from sesamehall.core.managerevents import JobCalled
 from sesamehall.core.managereffects import AnswerCall
+from sesamehall.core.managerevents import JobCalled
 from sesamehall.platform.decoding import decode_draft
 from sesamehall.platform.decoding import decode_object
 from sesamehall.runtime.interpreter import now_ms
--- a/sesamehall/platform/machines.py
+++ b/sesamehall/platform/machines.py
@@ -7,11 +7,11 @@
 from sesamehall.core.codes import PlatformError
 from sesamehall.core.events import Event
 from sesamehall.core.fleet import Machine
+from sesamehall.core.managereffects import MaintainMachine
+from sesamehall.core.managereffects import MoveMachine
 from sesamehall.core.managerevents import MachineAnswered
 from sesamehall.core.managerevents import MachinesListed
 from sesamehall.core.managerevents import MachinesNotListed
-from sesamehall.core.managereffects import MaintainMachine
-from sesamehall.core.managereffects import MoveMachine
 from sesamehall.platform.decoding import decode_machine
 from sesamehall.platform.decoding import each
 from sesamehall.platform.http import Client
@@ -25,9 +25,7 @@
 class MachineGate:
     """Lists machines and gives orders about them."""
 
-    def __init__(
-        self, node: str, address: str, post: Callable[[Event], None]
-    ):
+    def __init__(self, node: str, address: str, post: Callable[[Event], None]):
         """Prepare the gate.
 
         Args:
--- a/sesamehall/platform/settings.py
+++ b/sesamehall/platform/settings.py
@@ -101,9 +101,7 @@
         store=text("platform", "Address"),
         machines=text("CloudApi", "Address", default="") or "",
         timing=Timing(
-            longest_lease_ms=milliseconds(
-                "HoldMaxMs", usual.longest_lease_ms
-            ),
+            longest_lease_ms=milliseconds("HoldMaxMs", usual.longest_lease_ms),
             stop_ms=milliseconds("StopMs", usual.stop_ms),
             notice_ms=milliseconds("NoticeMs", usual.notice_ms),
             order_pause_ms=milliseconds("LeaseMs", usual.order_pause_ms),
--- a/sesamehall/reducer/jobs/bookkeeping.py
+++ b/sesamehall/reducer/jobs/bookkeeping.py
@@ -137,7 +137,9 @@
     Returns:
       The state with the run.
     """
-    return replace(manager, runs_by_task=manager.runs_by_task.set(run.task, run))
+    return replace(
+        manager, runs_by_task=manager.runs_by_task.set(run.task, run)
+    )
 
 
 def charge_run(manager: ManagerState, run: Run) -> ManagerState:
--- a/sesamehall/reducer/jobs/calls.py
+++ b/sesamehall/reducer/jobs/calls.py
@@ -28,11 +28,11 @@
 from sesamehall.core.jobtiming import START_CONFIRMED_MS
 from sesamehall.core.logevents import CALL_ANSWERED
 from sesamehall.core.logevents import CALL_REJECTED
+from sesamehall.core.managereffects import AnswerCall
+from sesamehall.core.managereffects import StoreJob
 from sesamehall.core.managerevents import JobCalled
 from sesamehall.core.managerevents import JobStored
 from sesamehall.core.managerevents import StoreOutcome
-from sesamehall.core.managereffects import AnswerCall
-from sesamehall.core.managereffects import StoreJob
 from sesamehall.core.managerstate import CallStage
 from sesamehall.core.managerstate import ManagerState
 from sesamehall.core.managerstate import WaitingCall
@@ -230,9 +230,7 @@
         case StoreOutcome.STORED if waiting.job_id in manager.team_by_job_id:
             return _answer(manager, call, Accepted(), waiting.job_id)
         case StoreOutcome.STORED:
-            return _wait(
-                manager, waiting, CallStage.READING_JOBS, event.at_ms
-            )
+            return _wait(manager, waiting, CallStage.READING_JOBS, event.at_ms)
         case StoreOutcome.UNKNOWN:
             return _reject(manager, call, JOB_UNKNOWN, waiting.job_id)
     return _reject(
--- a/sesamehall/reducer/jobs/following.py
+++ b/sesamehall/reducer/jobs/following.py
@@ -18,9 +18,9 @@
 from sesamehall.core.logevents import STREAM_BACK
 from sesamehall.core.logevents import STREAM_SILENT
 from sesamehall.core.logevents import WAVE_SEEN
+from sesamehall.core.managereffects import ReadStream
 from sesamehall.core.managerevents import StreamRead
 from sesamehall.core.managerevents import StreamUnread
-from sesamehall.core.managereffects import ReadStream
 from sesamehall.core.managerstate import CallStage
 from sesamehall.core.managerstate import Following
 from sesamehall.core.managerstate import ManagerState
@@ -183,9 +183,7 @@
     effects = ()
     if following.failed_ms < 0:
         effects = (
-            log(
-                STREAM_SILENT, stream=event.stream.value, reason=event.reason
-            ),
+            log(STREAM_SILENT, stream=event.stream.value, reason=event.reason),
         )
     following = replace(following, reading=False, failed_ms=event.at_ms)
     if event.forgotten:
--- a/sesamehall/reducer/jobs/leading.py
+++ b/sesamehall/reducer/jobs/leading.py
@@ -22,10 +22,10 @@
 from sesamehall.core.logevents import TERM_BEGUN
 from sesamehall.core.logevents import TERM_CLAIMED
 from sesamehall.core.logevents import TERM_ENDED
-from sesamehall.core.managerevents import ProgressStored
-from sesamehall.core.managerevents import StoreOutcome
 from sesamehall.core.managereffects import ForgetWorker
 from sesamehall.core.managereffects import StoreProgress
+from sesamehall.core.managerevents import ProgressStored
+from sesamehall.core.managerevents import StoreOutcome
 from sesamehall.core.managerstate import FleetState
 from sesamehall.core.managerstate import Following
 from sesamehall.core.managerstate import ManagerState
@@ -266,9 +266,7 @@
         return Step(manager)
     line = log(JOB_CANCEL_SEEN, job=job_id, running=work.running)
     step = Step(manager, (line,))
-    return then(
-        step, end_job, job_id, JobPhase.CANCELLED, "cancelled", at_ms
-    )
+    return then(step, end_job, job_id, JobPhase.CANCELLED, "cancelled", at_ms)
 
 
 def start_due(manager: ManagerState, job_id: str, at_ms: int) -> Step:
--- a/sesamehall/reducer/jobs/orders.py
+++ b/sesamehall/reducer/jobs/orders.py
@@ -3,10 +3,10 @@
 from sesamehall.core.effects import log
 from sesamehall.core.jobtiming import REFUSED_ASIDE_MS
 from sesamehall.core.logevents import RUN_REFUSED
+from sesamehall.core.managereffects import StartRun
 from sesamehall.core.managerevents import OrderRefusal
 from sesamehall.core.managerevents import RunAnswered
 from sesamehall.core.managerevents import StopAnswered
-from sesamehall.core.managereffects import StartRun
 from sesamehall.core.managerstate import ManagerState
 from sesamehall.core.managerstate import Run
 from sesamehall.core.managerstate import RunState
@@ -127,9 +127,7 @@
     lease_until_ms = start_lease_until(worker, at_ms)
     worker = extend_lease(worker, lease_until_ms)
     manager = put_worker(manager, worker)
-    run = replace(
-        run, tries=run.tries + 1, lease_end_ms=worker.lease_end_ms
-    )
+    run = replace(run, tries=run.tries + 1, lease_end_ms=worker.lease_end_ms)
     manager = put_run(manager, run)
     order = start_order(manager, run, work.plan.command, lease_until_ms)
     return Step(manager, (order,))
@@ -138,6 +136,4 @@
 def _set_aside(manager, worker_id, at_ms):
     worker = manager.workers_by_id[worker_id]
     until_ms = max(worker.aside_until_ms, at_ms + REFUSED_ASIDE_MS)
-    return Step(
-        put_worker(manager, replace(worker, aside_until_ms=until_ms))
-    )
+    return Step(put_worker(manager, replace(worker, aside_until_ms=until_ms)))
--- a/sesamehall/reducer/jobs/placing.py
+++ b/sesamehall/reducer/jobs/placing.py
@@ -174,9 +174,7 @@
             worker_id: add_size(worker.entry.capacity, worker.used, -1)
             for worker_id, worker in workers.items()
         }
-        return cls(
-            manager, workers, free, dict(manager.used_by_team), {}, []
-        )
+        return cls(manager, workers, free, dict(manager.used_by_team), {}, [])
 
     def place_job(self, work: Work) -> list[Choice]:
         """Place the waiting tasks of a job, as far as there is room."""
@@ -234,9 +232,7 @@
             self._reserve(step, work)
             return None
         self._take(best, name, work.plan.team, step.size, room)
-        number = next_number(
-            self.manager, task_id(work.plan.job_id, place)
-        )
+        number = next_number(self.manager, task_id(work.plan.job_id, place))
         return Choice(work, place, best, number)
 
     def _rank(self, worker, free, step, work, place):
--- a/sesamehall/reducer/jobs/progress.py
+++ b/sesamehall/reducer/jobs/progress.py
@@ -3,6 +3,7 @@
 from sesamehall.core.data import JobPhase
 from sesamehall.core.data import TERMINAL_PHASES
 from sesamehall.core.managerstate import Work
+from sesamehall.core.manifest import Queue
 from sesamehall.core.replacing import replace
 from sesamehall.core.work import count_bits
 from sesamehall.core.work import has_bit
@@ -11,7 +12,6 @@
 from sesamehall.core.work import StepProgress
 from sesamehall.core.work import TaskPlace
 from sesamehall.core.work import with_bit
-from sesamehall.core.manifest import Queue
 
 
 def begin_work(
--- a/sesamehall/reducer/jobs/runs.py
+++ b/sesamehall/reducer/jobs/runs.py
@@ -191,9 +191,7 @@
         took_ms=at_ms - work.accepted_ms,
         goal_ms=work.goal_ms - work.accepted_ms,
     )
-    progress = replace(
-        work.progress, phase=phase, detail=why, occurrences=()
-    )
+    progress = replace(work.progress, phase=phase, detail=why, occurrences=())
     work = replace(work, progress=progress, waiting=())
     manager = replace(
         put_work(manager, work),
@@ -248,14 +246,11 @@
     waiting = tuple(
         other
         for other in work.waiting
-        if other != place
-        and not (steps.gang and _same_step(other, place))
+        if other != place and not (steps.gang and _same_step(other, place))
     )
     work = replace(work, waiting=waiting + newly_startable(work, place))
     manager = put_work(manager, work)
-    manager = replace(
-        manager, dirty_jobs=manager.dirty_jobs.set(job_id, True)
-    )
+    manager = replace(manager, dirty_jobs=manager.dirty_jobs.set(job_id, True))
     step = Step(manager)
     for run in _superseded_runs(manager, work, place):
         if run.state is not RunState.STOPPING:
@@ -296,9 +291,7 @@
         return step
     work, count = with_failure(work, place)
     manager = put_work(step.state, work)
-    manager = replace(
-        manager, dirty_jobs=manager.dirty_jobs.set(job_id, True)
-    )
+    manager = replace(manager, dirty_jobs=manager.dirty_jobs.set(job_id, True))
     step = Step(manager, step.effects)
     if count < _attempts(manager, work):
         return step
--- a/sesamehall/reducer/jobs/workers.py
+++ b/sesamehall/reducer/jobs/workers.py
@@ -17,12 +17,12 @@
 from sesamehall.core.logevents import WORKER_GONE
 from sesamehall.core.logevents import WORKER_REACHED
 from sesamehall.core.logevents import WORKER_SILENT
-from sesamehall.core.managerevents import OrderRefusal
-from sesamehall.core.managerevents import WorkerNotReported
-from sesamehall.core.managerevents import WorkerReported
 from sesamehall.core.managereffects import ForgetWorker
 from sesamehall.core.managereffects import StopRun
 from sesamehall.core.managereffects import WatchWorker
+from sesamehall.core.managerevents import OrderRefusal
+from sesamehall.core.managerevents import WorkerNotReported
+from sesamehall.core.managerevents import WorkerReported
 from sesamehall.core.managerstate import ManagerState
 from sesamehall.core.managerstate import Run
 from sesamehall.core.managerstate import RunState
@@ -70,9 +70,7 @@
         worker = step.state.workers_by_id[entry.worker_id]
     worker = replace(
         worker,
-        entry=replace(
-            entry, born_ms=max(entry.born_ms, worker.entry.born_ms)
-        ),
+        entry=replace(entry, born_ms=max(entry.born_ms, worker.entry.born_ms)),
         listed=True,
     )
     step = Step(put_worker(step.state, worker), step.effects)
--- a/sesamehall/reducer/machines/fleet.py
+++ b/sesamehall/reducer/machines/fleet.py
@@ -16,12 +16,12 @@
 from sesamehall.core.logevents import MACHINE_ORDERED
 from sesamehall.core.logevents import MACHINE_REFUSED
 from sesamehall.core.logevents import MACHINES_UNLISTED
-from sesamehall.core.managerevents import MachineAnswered
-from sesamehall.core.managerevents import MachinesListed
-from sesamehall.core.managerevents import MachinesNotListed
 from sesamehall.core.managereffects import ListMachines
 from sesamehall.core.managereffects import MaintainMachine
 from sesamehall.core.managereffects import MoveMachine
+from sesamehall.core.managerevents import MachineAnswered
+from sesamehall.core.managerevents import MachinesListed
+from sesamehall.core.managerevents import MachinesNotListed
 from sesamehall.core.managerstate import MachineOrder
 from sesamehall.core.managerstate import ManagerState
 from sesamehall.core.managerstate import PendingOrder
@@ -140,9 +140,7 @@
         if order.order is MachineOrder.MAINTENANCE:
             manager = note_maintained(manager, order.wave, event.machine)
         return Step(manager)
-    line = log(
-        MACHINE_REFUSED, machine=event.machine, reason=event.reason
-    )
+    line = log(MACHINE_REFUSED, machine=event.machine, reason=event.reason)
     if not event.refused:
         return Step(manager, (line,))
     manager = _keep_worker(manager, order.worker_id)
--- a/sesamehall/reducer/managing.py
+++ b/sesamehall/reducer/managing.py
@@ -15,6 +15,7 @@
 from sesamehall.core.logevents import NODE_STOPPED
 from sesamehall.core.logevents import NODE_STOPPING
 from sesamehall.core.logevents import READY_CHANGED
+from sesamehall.core.managereffects import SetReady
 from sesamehall.core.managerevents import JobCalled
 from sesamehall.core.managerevents import JobStored
 from sesamehall.core.managerevents import MachineAnswered
@@ -28,7 +29,6 @@
 from sesamehall.core.managerevents import StreamUnread
 from sesamehall.core.managerevents import WorkerNotReported
 from sesamehall.core.managerevents import WorkerReported
-from sesamehall.core.managereffects import SetReady
 from sesamehall.core.managerstate import ManagerState
 from sesamehall.core.replacing import replace
 from sesamehall.core.state import State
--- a/sesamehall/reducer/purity_test.py
+++ b/sesamehall/reducer/purity_test.py
@@ -15,6 +15,7 @@
     "hashlib",
     "hmac",
     "immutables",
+    "math",
     "operator",
     "typing",
 }
@@ -22,7 +23,7 @@
 MODULES = sorted(
     path
     for folder in ("core", "reducer")
-    for path in (ROOT / folder).glob("*.py")
+    for path in (ROOT / folder).rglob("*.py")
     if not path.name.endswith("_test.py")
 )
 
