Size pools for what runs and waits, with a tenth of headroom

Cause: wide jobs run in more rounds than one and still meet their goal, so half as much again brought machines that stood idle.

--- a/sesamehall/core/fleettiming.py
+++ b/sesamehall/core/fleettiming.py
@@ -8,5 +8,5 @@
 WAVE_RESERVE_MS = 6_000  # left of a wave's time when all should be done
 
 PEAK_HOLD_MS = 2_500  # longer than a machine needs to come back
-HEADROOM = 1.5  # demand grows by this while a machine joins a pool
+HEADROOM = 1.1  # demand grows by this while a machine joins a pool
 SPARE_WORKERS = 1  # kept beside what the demand asks for
