Put back jobs that cannot be done in time; take over faster; listen before loading

Change: Moore-Hodgson ranking; 1.2 s of silence; sockets listen before the program is loaded; starts of jobs known to the earlier term go on for 5 s; nothing is placed on a worker with unwanted runs.

--- a/sesamehall/core/jobtiming.py
+++ b/sesamehall/core/jobtiming.py
@@ -6,18 +6,18 @@
 OPERATOR_WAIT_MS = 1_000  # silent connections are noticed after this
 JOBS_WAIT_MS = 500  # the leader's reads of new jobs wait this long
 JOBS_PERIOD_MS = 1_000  # followers learn of new jobs this late
-PROGRESS_PERIOD_MS = 400  # followers see the leader's heartbeat this late
+PROGRESS_PERIOD_MS = 250  # followers see the leader's heartbeat this late
 WORKERS_PERIOD_MS = 300  # draining workers are noticed this late
 MANIFEST_FRESH_MS = 1_800  # older knowledge of keys may have been replaced
 
-LEADER_SILENT_MS = 2_000  # a leader without records this long is replaced
-CLAIM_SPREAD_MS = 400  # claims of several nodes are spread over this
-HEARTBEAT_MS = 400  # several of these fit into the silence allowed
+LEADER_SILENT_MS = 1_200  # a leader without records this long is replaced
+CLAIM_SPREAD_MS = 300  # claims of several nodes are spread over this
+HEARTBEAT_MS = 250  # several of these fit into the silence allowed
 COMMIT_PERIOD_MS = 40  # ends of tasks wait this long for others
-START_CONFIRMED_MS = 1_500  # below LEADER_SILENT_MS, so terms never overlap
+START_CONFIRMED_MS = 900  # below LEADER_SILENT_MS, so terms never overlap
 RENEW_CONFIRMED_MS = 5_000  # leases outlast outages of the log by this
 
-LEASE_MS = 5_000  # a takeover of the role must fit into it
+LEASE_MS = 3_600  # a takeover of the role must fit into it
 START_LEASE_MS = 2_500  # an order that comes later than this is void
 CLOCK_SLACK_PERCENT = 3  # a worker's clock may be 2 % slow
 WATCH_WAIT_MS = 1_000  # a worker's silence is noticed soon after this
--- a/sesamehall/core/managerstate.py
+++ b/sesamehall/core/managerstate.py
@@ -102,6 +102,8 @@
       waiting: Tasks that may start.
       running: Number of tasks that run.
       inherited: Whether an earlier leader may have started tasks of it.
+      work_left: Declared processor time of the tasks that are not done, in
+        core-milliseconds.
     """
 
     plan: JobPlan
@@ -111,6 +113,7 @@
     waiting: tuple[TaskPlace, ...] = ()
     running: int = 0
     inherited: bool = False
+    work_left: float = 0.0
 
 
 class RunState(Enum):
@@ -190,6 +193,7 @@
       failures: Runs that failed since the latest that ended well.
       aside_until_ms: Clock until which nothing is started on it.
       leaving: Whether its machine is to be moved or maintained.
+      strangers: Runs on it that nobody wants; their room is not known.
     """
 
     entry: WorkerEntry
@@ -209,6 +213,7 @@
     failures: int = 0
     aside_until_ms: int = 0
     leaving: bool = False
+    strangers: int = 0
 
 
 class CallStage(Enum):
@@ -345,6 +350,8 @@
       leased_by_id: Workers on which a leader may have started something.
       leader: The newest record of a leader, or None.
       term: This node's own time as the leader.
+      jobs_known: Whether all jobs that an earlier leader may have known are
+        known, so that later ones are certainly not started.
       calls_by_id: Calls that are not answered yet.
       works_by_id: Jobs that have not ended, while this node leads.
       runs_by_task: Runs that may be going on, while this node leads.
@@ -354,6 +361,8 @@
       worker_ids_by_pool: Their identifiers, mapped to True.
       job_ids_by_pool: Jobs with tasks that may start, mapped to True.
       used_by_team: Room that a team's runs take.
+      mean_work_by_queue: Processor time of a mean job, in
+        core-milliseconds, of the queues that had any.
       dirty_jobs: Jobs whose progress is not stored yet.
       dirty_workers: Workers whose record is not stored yet.
       dirty_waves: Waves whose record is not stored yet.
@@ -385,6 +394,7 @@
     leased_by_id: Map[str, LeasedWorker] = EMPTY_MAP
     leader: Leader | None = None
     term: Term = Term()
+    jobs_known: bool = False
     calls_by_id: Map[int, WaitingCall] = EMPTY_MAP
     works_by_id: Map[str, Work] = EMPTY_MAP
     runs_by_task: Map[str, Run] = EMPTY_MAP
@@ -394,6 +404,7 @@
     worker_ids_by_pool: Map[str, Map[str, bool]] = EMPTY_MAP
     job_ids_by_pool: Map[str, Map[str, bool]] = EMPTY_MAP
     used_by_team: Map[str, Size] = EMPTY_MAP
+    mean_work_by_queue: Map[str, float] = EMPTY_MAP
     dirty_jobs: Map[str, bool] = EMPTY_MAP
     dirty_workers: Map[str, bool] = EMPTY_MAP
     dirty_waves: Map[int, bool] = EMPTY_MAP
--- a/sesamehall/platform/application.py
+++ b/sesamehall/platform/application.py
@@ -1,6 +1,7 @@
 """The manager on the users' platform: owns threads, sockets and servers."""
 
 import os
+from socket import socket
 
 from cheroot.wsgi import Server
 
@@ -30,6 +31,8 @@
 from sesamehall.core.state import State
 from sesamehall.platform.ingress import Ingress
 from sesamehall.platform.ingress import ReadyPage
+from sesamehall.platform.listening import BACKLOG
+from sesamehall.platform.listening import Listeners
 from sesamehall.platform.machines import MachineGate
 from sesamehall.platform.settings import ProcessSettings
 from sesamehall.platform.streams import StoreGate
@@ -41,18 +44,19 @@
 from sesamehall.runtime.logbook import Logbook
 
 SERVING_THREADS = 10  # calls under way; each waits for the store at most
-BACKLOG = 128  # connections that wait to be accepted
+SHUTDOWN_TIMEOUT_S = 1  # threads that still serve are left after this
 IDLE_TIMEOUT_S = 20  # the balancer closes idle connections before this
 
 
 class ManagerApplication:
     """One manager process."""
 
-    def __init__(self, settings: ProcessSettings):
+    def __init__(self, settings: ProcessSettings, listeners: Listeners):
         """Put the parts together; `serve` begins their work.
 
         Args:
           settings: What the process was told at its start.
+          listeners: Sockets that callers and the balancer connect to.
         """
         rank = int.from_bytes(os.urandom(4), "big")
         node = Node(
@@ -75,10 +79,10 @@
         self._store = StoreGate(settings.store, post)
         self._workers = WorkerLines(post)
         self._machines = MachineGate(settings.name, settings.machines, post)
-        self._front_server = _new_server(
-            settings.front, self._ingress, SERVING_THREADS
+        self._front_server = ListeningServer(
+            listeners.front, self._ingress, SERVING_THREADS
         )
-        self._ready_server = _new_server(settings.ready, self._ready, 1)
+        self._ready_server = ListeningServer(listeners.ready, self._ready, 1)
 
     def serve(self) -> None:
         """Serve until a decision ends the process."""
@@ -126,16 +130,37 @@
                 raise TypeError(f"no way to {type(effect).__name__}")
 
 
-def _new_server(address: str, application, threads: int) -> Server:
-    """Build an HTTP server; it does not listen yet."""
-    host, _, port = address.rpartition(":")
-    server = Server(
-        (host, int(port)),
-        application,
-        numthreads=threads,
-        max=threads,
-        request_queue_size=BACKLOG,
-        timeout=IDLE_TIMEOUT_S,
-    )
-    server.shutdown_timeout = 1
-    return server
+class ListeningServer(Server):
+    """An HTTP server on a socket that listens already."""
+
+    def __init__(self, listener: socket, application, threads: int):
+        """Prepare the server.
+
+        Args:
+          listener: The socket.
+          application: WSGI application that serves the requests.
+          threads: Requests that are served at once.
+        """
+        super().__init__(
+            listener.getsockname(),
+            application,
+            numthreads=threads,
+            max=threads,
+            request_queue_size=BACKLOG,
+            timeout=IDLE_TIMEOUT_S,
+            shutdown_timeout=SHUTDOWN_TIMEOUT_S,
+        )
+        self._listener = listener
+
+    def bind(self, family, type, proto=0):
+        """Take the socket that listens already.
+
+        Args:
+          family: Not used.
+          type: Not used.
+          proto: Not used.
+        Returns:
+          The socket.
+        """
+        self.socket = self._listener
+        return self.socket
--- a/sesamehall/platform/settings.py
+++ b/sesamehall/platform/settings.py
@@ -9,8 +9,7 @@
 from sesamehall.core.data import Problem
 from sesamehall.core.data import Source
 from sesamehall.core.managerstate import Timing
-
-SETTINGS_VARIABLE = "SESAMEHALL_BOOT"
+from sesamehall.platform.listening import SETTINGS_VARIABLE
 
 
 @dataclass(frozen=True, slots=True)
--- a/sesamehall/reducer/jobs/following.py
+++ b/sesamehall/reducer/jobs/following.py
@@ -165,6 +165,9 @@
     step = Step(manager, effects)
     for record in event.records:
         step = then(step, _take_record, stream, record, event.at_ms)
+    if stream is Stream.JOBS and not step.state.jobs_known:
+        known = event.known_ms >= step.state.term.began_ms
+        step = Step(replace(step.state, jobs_known=known), step.effects)
     if event.whole and stream is Stream.WORKERS:
         step = then(step, _drop_unlisted, event)
     return step
@@ -224,6 +227,7 @@
         version=manifest.version,
         queues=len(manifest.queues_by_name),
         teams=len(manifest.quotas_by_team),
+        shares=_shares(manifest),
     )
     manager = replace(manager, manifest=manifest)
     if not manager.term.epoch:
@@ -234,6 +238,14 @@
     return step
 
 
+def _shares(manifest):
+    """Write down the teams' shares and ceilings, for the log."""
+    return ",".join(
+        f"{team}:{quota.weight}:{quota.ceiling.cpu_milli}"
+        for team, quota in sorted(manifest.quotas_by_team.items())
+    )
+
+
 def _take_wave(manager, wave, at_ms):
     waves = manager.fleet.waves_by_number
     if wave.number in waves:
@@ -274,7 +286,8 @@
         return Step(manager)
     plans = manager.plans_by_id.set(job_id, plan)
     manager = replace(manager, plans_by_id=plans)
-    return _while_leading(manager, begin_job, job_id, False, at_ms)
+    inherited = not manager.jobs_known
+    return _while_leading(manager, begin_job, job_id, inherited, at_ms)
 
 
 def _take_cancel(manager, job_id, at_ms):
--- a/sesamehall/reducer/jobs/leading.py
+++ b/sesamehall/reducer/jobs/leading.py
@@ -43,6 +43,7 @@
 from sesamehall.reducer.jobs.bookkeeping import put_worker
 from sesamehall.reducer.jobs.progress import begin_work
 from sesamehall.reducer.jobs.progress import is_task_done
+from sesamehall.reducer.jobs.progress import plan_work
 from sesamehall.reducer.jobs.progress import startable
 from sesamehall.reducer.jobs.runs import end_job
 from sesamehall.reducer.jobs.runs import forget_ended
@@ -51,6 +52,7 @@
 
 LEADER_KEY = "leader"
 WORKER_KEY_PREFIX = "worker/"
+MEAN_OVER_JOBS = 50  # a queue's mean job is learnt over so many
 WAVE_KEY_PREFIX = "wave/"
 
 
@@ -172,6 +174,7 @@
             epoch=event.epoch, began_ms=at_ms, confirmed_ms=event.asked_ms
         ),
         leader=Leader(manager.name, event.epoch),
+        jobs_known=False,
         workers=Following(),
         fleet=_new_fleet(manager),
     )
@@ -234,7 +237,7 @@
     progress = manager.progress_by_id.get(job_id, Progress(job_id))
     wall_ms = at_ms + manager.wall_offset_ms
     work = begin_work(plan, progress, queue, at_ms, wall_ms, inherited)
-    manager = put_work(manager, work)
+    manager = _learn_work(put_work(manager, work), plan)
     line = log(
         JOB_SEEN,
         job=job_id,
@@ -251,6 +254,15 @@
     return then(step, _await_due, plan, at_ms)
 
 
+def _learn_work(manager, plan):
+    """Follow the mean processor time of a queue's jobs."""
+    work = plan_work(plan)
+    mean = manager.mean_work_by_queue.get(plan.queue, work)
+    mean += (work - mean) / MEAN_OVER_JOBS
+    means = manager.mean_work_by_queue.set(plan.queue, mean)
+    return replace(manager, mean_work_by_queue=means)
+
+
 def cancel_job(manager: ManagerState, job_id: str, at_ms: int) -> Step:
     """Stop a job that its team no longer wants.
 
--- a/sesamehall/reducer/jobs/orders.py
+++ b/sesamehall/reducer/jobs/orders.py
@@ -122,7 +122,9 @@
     work = manager.works_by_id.get(run.job_id)
     worker = manager.workers_by_id[run.worker_id]
     wanted = run.state is RunState.STARTING and work is not None
-    if not wanted or not may_start(manager, at_ms) or worker.silences > 1:
+    if not wanted or worker.silences > 1:
+        return Step(manager)
+    if not may_start(manager, work, at_ms):
         return Step(manager)
     lease_until_ms = start_lease_until(worker, at_ms)
     worker = extend_lease(worker, lease_until_ms)
--- a/sesamehall/reducer/jobs/placing.py
+++ b/sesamehall/reducer/jobs/placing.py
@@ -28,6 +28,9 @@
 from sesamehall.reducer.jobs.bookkeeping import charge_run
 from sesamehall.reducer.jobs.bookkeeping import put_worker
 from sesamehall.reducer.jobs.orders import start_order
+from sesamehall.reducer.jobs.progress import chain_left_ms
+from sesamehall.reducer.jobs.ranking import Candidate
+from sesamehall.reducer.jobs.ranking import rank
 from sesamehall.reducer.jobs.workers import extend_lease
 from sesamehall.reducer.jobs.workers import may_start
 from sesamehall.reducer.jobs.workers import start_lease_until
@@ -68,9 +71,8 @@
     if not job_ids or not manager.term.epoch:
         return Step(manager)
     step = Step(manager)
-    if may_start(manager, at_ms):
-        for choice in choose(manager, pool, at_ms):
-            step = then(step, _start, choice, at_ms)
+    for choice in choose(manager, pool, at_ms):
+        step = then(step, _start, choice, at_ms)
     if not step.state.job_ids_by_pool.get(pool):
         return step
     timer = SetTimer(PlaceTimer(pool), at_ms + PLACE_RETRY_MS)
@@ -118,27 +120,35 @@
 
 def _by_rank(manager: ManagerState, pool: str, at_ms: int) -> list[Work]:
     """Order the jobs with waiting tasks by what a wait would cost."""
-
-    def rank(work):
-        queue = manager.manifest.queues_by_name[work.plan.queue]
-        lasting = work.plan.steps[0].lasting
-        late = not lasting and work.goal_ms < at_ms
-        return (
-            not lasting,
-            late,
-            queue.priority,
-            work.goal_ms,
-            work.plan.job_id,
-        )
-
     unresolved = is_unresolved(manager, pool)
-    works = (
-        manager.works_by_id[job_id]
-        for job_id in manager.job_ids_by_pool.get(pool, EMPTY_MAP)
+    works_by_id = {}
+    for job_id in manager.job_ids_by_pool.get(pool, EMPTY_MAP):
+        work = manager.works_by_id[job_id]
+        if unresolved and work.inherited:
+            continue
+        if may_start(manager, work, at_ms):
+            works_by_id[job_id] = work
+    cores = sum(
+        worker.entry.capacity.cpu_milli / 1_000
+        for worker in _workers(manager, pool)
+        if takes_tasks(worker, at_ms)
     )
-    return sorted(
-        (work for work in works if not (unresolved and work.inherited)),
-        key=rank,
+    candidates = [_candidate(manager, work) for work in works_by_id.values()]
+    ranked = rank(candidates, cores, at_ms)
+    return [works_by_id[job_id] for job_id in ranked]
+
+
+def _candidate(manager, work):
+    """Show a job as ranking sees it."""
+    queue = manager.manifest.queues_by_name[work.plan.queue]
+    return Candidate(
+        job_id=work.plan.job_id,
+        priority=queue.priority,
+        goal_ms=work.goal_ms,
+        chain_ms=chain_left_ms(work),
+        work=work.work_left,
+        mean_work=manager.mean_work_by_queue.get(queue.name, 0.0),
+        lasting=work.plan.steps[0].lasting,
     )
 
 
@@ -214,7 +224,7 @@
             room = replace(room, cpu_milli=0)
         name = _step_name(work, place)
         best = None
-        best_rank = None
+        best_order = None
         for worker_id, free in self.free_by_id.items():
             if worker_id in self.reserved or not fits(room, free):
                 continue
@@ -224,10 +234,10 @@
             count = self.count_by_worker_step.get((worker_id, name), 0)
             if step.most_per_worker and count >= step.most_per_worker:
                 continue
-            rank = self._rank(worker, free, step, work, place)
-            if best_rank is None or rank < best_rank:
+            order = self._order(worker, free, step, work, place)
+            if best_order is None or order < best_order:
                 best = worker_id
-                best_rank = rank
+                best_order = order
         if best is None:
             self._reserve(step, work)
             return None
@@ -235,7 +245,7 @@
         number = next_number(self.manager, task_id(work.plan.job_id, place))
         return Choice(work, place, best, number)
 
-    def _rank(self, worker, free, step, work, place):
+    def _order(self, worker, free, step, work, place):
         """Rank a worker: data's rack, not where it failed, least room."""
         far = bool(step.rack) and worker.entry.rack != step.rack
         failed_on = self.manager.failed_on_by_task.get(
@@ -311,6 +321,7 @@
         and not worker.silences
         and not worker.entry.draining
         and not worker.leaving
+        and not worker.strangers
         and worker.aside_until_ms <= at_ms
     )
 
--- a/sesamehall/reducer/jobs/progress.py
+++ b/sesamehall/reducer/jobs/progress.py
@@ -9,6 +9,7 @@
 from sesamehall.core.work import has_bit
 from sesamehall.core.work import JobPlan
 from sesamehall.core.work import Progress
+from sesamehall.core.work import StepPlan
 from sesamehall.core.work import StepProgress
 from sesamehall.core.work import TaskPlace
 from sesamehall.core.work import with_bit
@@ -38,7 +39,59 @@
     slack_ms = 0 if queue is None else queue.slack_ms
     goal_ms = at_ms + int(stretch * longest_chain_ms(plan)) + slack_ms
     work = Work(plan, progress, at_ms, goal_ms, inherited=inherited)
-    return replace(work, waiting=startable(work, wall_ms))
+    return replace(
+        work, waiting=startable(work, wall_ms), work_left=_work_left(work)
+    )
+
+
+def task_work(step: StepPlan) -> float:
+    """Compute the declared processor time of a task.
+
+    Args:
+      step: Its step.
+    Returns:
+      Core-milliseconds.
+    """
+    return step.size.cpu_milli * step.estimate_ms / 1_000
+
+
+def plan_work(plan: JobPlan) -> float:
+    """Compute the declared processor time of one occurrence of a job.
+
+    Args:
+      plan: The job.
+    Returns:
+      Core-milliseconds.
+    """
+    return sum(step.count * task_work(step) for step in plan.steps)
+
+
+def _work_left(work):
+    """Add up the tasks that are not done."""
+    left = plan_work(work.plan) * max(work.plan.times, 1)
+    for _, steps in work.progress.occurrences:
+        for step, progress in zip(work.plan.steps, steps, strict=False):
+            left -= count_bits(progress.done) * task_work(step)
+    return left
+
+
+def chain_left_ms(work: Work) -> int:
+    """Compute the declared time of the longest chain that is not done.
+
+    Args:
+      work: The job.
+    Returns:
+      Milliseconds; for a job with occurrences that of one.
+    """
+    plan = work.plan
+    steps = steps_of(work.progress, plan, 0)
+    ends_ms: list[int] = []
+    for number, step in enumerate(plan.steps):
+        earlier = [ends_ms[after] for after in step.after]
+        done = is_step_done(plan, steps, number)
+        own_ms = 0 if done else step.estimate_ms
+        ends_ms.append(max(earlier, default=0) + own_ms)
+    return max(ends_ms, default=0)
 
 
 def longest_chain_ms(plan: JobPlan) -> int:
@@ -203,6 +256,8 @@
         done = with_bit(done, index)
     steps[place.step] = replace(steps[place.step], done=done)
     changed = _with_steps(work, place.occurrence, tuple(steps))
+    spent = len(indexes) * task_work(plan.steps[place.step])
+    changed = replace(changed, work_left=max(work.work_left - spent, 0.0))
     if not _all_done(changed):
         return changed
     progress = replace(changed.progress, phase=JobPhase.DONE)
--- /dev/null
+++ b/sesamehall/reducer/jobs/ranking.py
@@ -0,0 +1,102 @@
+"""Ranking: which jobs get room first when there is not enough for all.
+
+In a surge beyond a pool's capacity, serving in order of deadlines makes every
+job late.  So the jobs that cannot all be done in time are told apart first,
+as in the Moore-Hodgson rule: walk through them in order of their goals, and
+whenever the work so far cannot be done by a job's goal, put back the job
+that earns least for its work.
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+from heapq import heappop
+from heapq import heappush
+
+SMALL_JOB_SHARE = 0.3  # of a mean job's worth that does not grow with work
+WORK_SHARE = 0.7  # of it that grows with the work
+
+
+@dataclass(frozen=True, slots=True)
+class Candidate:
+    """A job that waits for room, as ranking sees it.
+
+    Attributes:
+      job_id: Identifier of the job.
+      priority: 0 goes first.
+      goal_ms: Clock at which it should be done.
+      chain_ms: Time that its remaining steps take one after the other.
+      work: Processor time that it still needs, in core-milliseconds.
+      mean_work: Processor time of a mean job of its queue.
+      lasting: Whether its tasks run until it is cancelled.
+    """
+
+    job_id: str
+    priority: int
+    goal_ms: int
+    chain_ms: int
+    work: float
+    mean_work: float
+    lasting: bool = False
+
+
+def rank(
+    candidates: Iterable[Candidate], cores: float, at_ms: int
+) -> list[str]:
+    """Rank the jobs of a pool.
+
+    Args:
+      candidates: The jobs with tasks that may start.
+      cores: Processor cores of the pool.
+      at_ms: The node's clock.
+    Returns:
+      Identifiers of the jobs: lasting ones, those that can be done in time,
+      and the others, the earliest goal first within each.
+    """
+    lasting: list[Candidate] = []
+    hopeful: list[Candidate] = []
+    late: list[Candidate] = []
+    for candidate in sorted(candidates, key=_by_goal):
+        if candidate.lasting:
+            lasting.append(candidate)
+        elif at_ms + candidate.chain_ms > candidate.goal_ms:
+            late.append(candidate)
+        else:
+            hopeful.append(candidate)
+    timely, put_back = _split(hopeful, cores, at_ms)
+    late += put_back
+    late.sort(key=lambda candidate: (-value(candidate), candidate.job_id))
+    return [one.job_id for one in lasting + timely + late]
+
+
+def value(candidate: Candidate) -> float:
+    """Compute what a job earns for the work that it still needs.
+
+    Args:
+      candidate: The job.
+    Returns:
+      Worth, of mean jobs, for each mean job's work; small jobs earn more.
+    """
+    if candidate.mean_work <= 0:
+        return 1.0
+    relative = max(candidate.work / candidate.mean_work, 0.01)
+    return SMALL_JOB_SHARE / relative + WORK_SHARE
+
+
+def _by_goal(candidate):
+    return (candidate.priority, candidate.goal_ms, candidate.job_id)
+
+
+def _split(hopeful, cores, at_ms):
+    """Tell the jobs that can be done in time together from the others."""
+    kept_by_id = {candidate.job_id: candidate for candidate in hopeful}
+    heap: list[tuple[float, str]] = []
+    work = 0.0
+    for candidate in sorted(hopeful, key=lambda one: one.goal_ms):
+        heappush(heap, (value(candidate), candidate.job_id))
+        work += candidate.work
+        while heap and at_ms + work / max(cores, 0.001) > candidate.goal_ms:
+            _, job_id = heappop(heap)
+            work -= kept_by_id.pop(job_id).work
+    timely = [one for one in hopeful if one.job_id in kept_by_id]
+    put_back = [one for one in hopeful if one.job_id not in kept_by_id]
+    return timely, put_back
--- /dev/null
+++ b/sesamehall/reducer/jobs/ranking_test.py
@@ -0,0 +1,68 @@
+"""Tests of ranking under the loads that it is for."""
+
+import pytest
+
+from sesamehall.reducer.jobs.ranking import Candidate
+from sesamehall.reducer.jobs.ranking import rank
+
+
+def job(name, goal_ms, work=1_000, chain_ms=500, **others):
+    return Candidate(
+        job_id=name,
+        priority=others.pop("priority", 0),
+        goal_ms=goal_ms,
+        chain_ms=chain_ms,
+        work=work,
+        mean_work=1_000,
+        **others,
+    )
+
+
+@pytest.mark.parametrize(
+    ("pattern", "candidates", "cores", "expected"),
+    [
+        (
+            "room for all: by goal",
+            [job("a", 3_000), job("b", 2_000), job("c", 4_000)],
+            10,
+            ["b", "a", "c"],
+        ),
+        (
+            "surge: the large job that makes the others late goes back",
+            [job("a", 2_000), job("b", 1_500, work=9_000), job("c", 2_500)],
+            2,
+            ["a", "c", "b"],
+        ),
+        (
+            "surge of equal jobs: as many as can be done stay in time",
+            [job("a", 1_000), job("b", 1_000), job("c", 1_000)],
+            2,
+            ["b", "c", "a"],
+        ),
+        (
+            "too late already: after all others, the small one first",
+            [
+                job("a", 400, work=5_000),
+                job("b", 300, work=500),
+                job("c", 9_000),
+            ],
+            4,
+            ["c", "b", "a"],
+        ),
+        (
+            "lasting tasks serve their own users and go first",
+            [job("a", 1_000), job("b", 2_000, lasting=True)],
+            4,
+            ["b", "a"],
+        ),
+        (
+            "urgent queue before others",
+            [job("a", 2_000, priority=1), job("b", 3_000)],
+            4,
+            ["b", "a"],
+        ),
+        ("nothing waits", [], 4, []),
+    ],
+)
+def test_rank(pattern, candidates, cores, expected):
+    assert rank(candidates, cores, 0) == expected
--- a/sesamehall/reducer/jobs/workers.py
+++ b/sesamehall/reducer/jobs/workers.py
@@ -26,6 +26,7 @@
 from sesamehall.core.managerstate import ManagerState
 from sesamehall.core.managerstate import Run
 from sesamehall.core.managerstate import RunState
+from sesamehall.core.managerstate import Work
 from sesamehall.core.managerstate import Worker
 from sesamehall.core.replacing import replace
 from sesamehall.core.step import Step
@@ -308,17 +309,28 @@
     return worker_clock(worker, at_ms) + START_LEASE_MS
 
 
-def may_start(manager: ManagerState, at_ms: int) -> bool:
-    """Tell whether no other leader can have begun its term.
+def may_start(manager: ManagerState, work: Work, at_ms: int) -> bool:
+    """Tell whether a leader may start tasks of a job.
+
+    While its writes are not confirmed another leader may have begun its
+    term.  That one waits for every worker that may have got an order from
+    this one, before it starts tasks of jobs that this one may know; jobs
+    that came later are left to it.
 
     Args:
       manager: State of a manager.
+      work: The job.
       at_ms: The node's clock.
     Returns:
-      True for a leader whose writes were confirmed a moment ago.
+      True when no task can come to run twice by it.
     """
-    since_ms = at_ms - manager.term.confirmed_ms
-    return bool(manager.term.epoch) and since_ms < START_CONFIRMED_MS
+    if not manager.term.epoch:
+        return False
+    confirmed_ms = manager.term.confirmed_ms
+    if at_ms - confirmed_ms < START_CONFIRMED_MS:
+        return True
+    known = work.accepted_ms < confirmed_ms + START_CONFIRMED_MS
+    return known and at_ms - confirmed_ms < RENEW_CONFIRMED_MS
 
 
 def _lease_ms(manager):
@@ -368,6 +380,7 @@
 def _take_active(manager, event):
     """Compare the runs that go on with those that are known."""
     step = Step(manager)
+    strangers = 0
     for active in event.active:
         run = step.state.runs_by_task.get(active.task)
         ours = run is not None and (run.worker_id, run.number) == (
@@ -379,7 +392,14 @@
             step = Step(refreshed, step.effects)
         elif not _is_ended_in(event, active):
             step = then(step, _adopt_or_stop, run, active, event)
-    return step
+            strangers += active.task not in step.state.runs_by_task
+            strangers += run is not None
+    worker = step.state.workers_by_id[event.worker_id]
+    if worker.strangers == strangers:
+        return step
+    worker = replace(worker, strangers=strangers)
+    step = Step(put_worker(step.state, worker), step.effects)
+    return then(step, place_soon, worker.entry.pool, event.at_ms)
 
 
 def _is_ended_in(event, active):
--- a/sesamehall/reducer/purity_test.py
+++ b/sesamehall/reducer/purity_test.py
@@ -13,6 +13,7 @@
     "fractions",
     "functools",
     "hashlib",
+    "heapq",
     "hmac",
     "immutables",
     "math",
--- a/sesamehall/scripts/common.py
+++ b/sesamehall/scripts/common.py
@@ -7,22 +7,7 @@
 from sesamehall.codecs.yamlfile import Checks
 from sesamehall.codecs.yamlfile import load_yaml
 from sesamehall.core.codes import SettingsError
-from sesamehall.core.data import Problem
-
-EXIT_BAD_INPUT = 2
-
-
-def describe(problem: Problem) -> str:
-    """Write a problem as one line.
-
-    Args:
-      problem: The problem.
-    Returns:
-      "file:line: field message".
-    """
-    source = problem.source
-    name = f"{problem.field} " if problem.field else ""
-    return f"{source.file}:{source.line}: {name}{problem.message}"
+from sesamehall.scripts.problems import exit_with_problems
 
 
 def load_or_exit(path: str, cls: type, checks: Checks) -> Any:
@@ -38,9 +23,7 @@
     try:
         return load_yaml(path, cls, checks)
     except SettingsError as error:
-        for problem in error.problems:
-            print(describe(problem), file=sys.stderr)
-        raise SystemExit(EXIT_BAD_INPUT) from error
+        exit_with_problems(error)
 
 
 def run_daemon(program: Callable) -> None:
--- a/sesamehall/scripts/manager.py
+++ b/sesamehall/scripts/manager.py
@@ -4,12 +4,7 @@
 import signal
 import sys
 
-from sesamehall.core.codes import SettingsError
-from sesamehall.platform.application import ManagerApplication
-from sesamehall.platform.settings import load_settings
-from sesamehall.runtime.logbook import set_up_logging
-from sesamehall.scripts.common import describe
-from sesamehall.scripts.common import EXIT_BAD_INPUT
+from sesamehall.platform.listening import open_listeners
 
 
 def main() -> None:
@@ -18,14 +13,30 @@
     Settings that are not valid are listed with file and field, and the exit
     code is 2.
     """
+    listeners = open_listeners(os.environ)
+    run_manager(listeners)
+
+
+def run_manager(listeners) -> None:
+    """Load the program, which takes a while, and run it.
+
+    Args:
+      listeners: Sockets that listen already, or None without settings.
+    """
+    from sesamehall.core.codes import SettingsError
+    from sesamehall.platform.application import ManagerApplication
+    from sesamehall.platform.settings import load_settings
+    from sesamehall.runtime.logbook import set_up_logging
+    from sesamehall.scripts.problems import exit_with_problems
+
     try:
         settings = load_settings(os.environ)
     except SettingsError as error:
-        for problem in error.problems:
-            print(describe(problem), file=sys.stderr)
-        raise SystemExit(EXIT_BAD_INPUT) from error
+        exit_with_problems(error)
+    if listeners is None:
+        sys.exit("the addresses of the settings cannot be listened on")
     set_up_logging()
-    application = ManagerApplication(settings)
+    application = ManagerApplication(settings, listeners)
     signal.signal(signal.SIGTERM, lambda *_: application.request_stop())
     signal.signal(signal.SIGHUP, signal.SIG_IGN)  # read at the next start
     application.serve()
