Size pools by what their jobs need to meet their goals; share machines out; move them directly

Cause: a wide job's waiting tasks counted all at once, so one pool took every machine; a machine went to another pool by way of standby, 3 s. Change: need = remaining work over the time to the goal; shared out in proportion when there are too few; idle machines go straight to a pool that lacks some.

--- a/sesamehall/core/fleettiming.py
+++ b/sesamehall/core/fleettiming.py
@@ -8,5 +8,6 @@
 WAVE_RESERVE_MS = 6_000  # left of a wave's time when all should be done
 
 PEAK_HOLD_MS = 2_500  # longer than a machine needs to come back
-HEADROOM = 1.1  # demand grows by this while a machine joins a pool
+HEADROOM = 1.3  # room is lost between tasks, and demand grows meanwhile
 SPARE_WORKERS = 1  # kept beside what the demand asks for
+LEAST_TIME_MS = 1_000  # a job that is late is given this long for its rest
--- a/sesamehall/reducer/machines/moves.py
+++ b/sesamehall/reducer/machines/moves.py
@@ -4,7 +4,6 @@
 stand there; a pool whose demand grows gets them back.
 """
 
-from sesamehall.core.data import EMPTY_MAP
 from sesamehall.core.fleet import Machine
 from sesamehall.core.managerstate import MachineOrder
 from sesamehall.core.managerstate import ManagerState
@@ -14,7 +13,8 @@
 from sesamehall.reducer.machines.orders import decide_order
 from sesamehall.reducer.machines.orders import is_free
 from sesamehall.reducer.machines.sizing import hold_peak
-from sesamehall.reducer.machines.sizing import needed_workers
+from sesamehall.reducer.machines.sizing import need_of
+from sesamehall.reducer.machines.sizing import share_out
 from sesamehall.reducer.machines.sizing import workers_of
 
 
@@ -35,17 +35,29 @@
         for name in sorted(manager.manifest.pools_by_name)
         if name != standby
     ]
+    needs = {pool: need_of(manager, pool, at_ms) for pool in pools}
+    targets = share_out(needs, len(manager.fleet.machines_by_name))
     peaks = manager.fleet.peaks_by_pool
-    for pool in pools:
-        needed = needed_workers(manager, pool)
-        peaks = peaks.set(pool, hold_peak(peaks.get(pool), needed, at_ms))
+    for pool, target in targets.items():
+        peaks = peaks.set(pool, hold_peak(peaks.get(pool), target, at_ms))
     manager = replace(
         manager, fleet=replace(manager.fleet, peaks_by_pool=peaks)
     )
+    donors = _parked(manager, standby)
+    for pool in pools:
+        donors += _idle_beyond(manager, pool, targets[pool])
     for pool in pools:
-        manager = _fill(manager, pool, standby, at_ms)
+        lacking = max(targets[pool] - _present(manager, pool), 0)
+        for machine in donors[:lacking]:
+            manager = decide_order(
+                manager, machine, MachineOrder.MOVE, pool, 0, at_ms
+            )
+        donors = donors[lacking:]
     for pool in pools:
-        manager = _park(manager, pool, standby, at_ms)
+        for machine in _idle_beyond(manager, pool, peaks[pool].workers):
+            manager = decide_order(
+                manager, machine, MachineOrder.MOVE, standby, 0, at_ms
+            )
     return Step(manager)
 
 
@@ -57,21 +69,13 @@
     return None
 
 
-def surplus(manager: ManagerState, pool: str) -> int:
-    """Compute how many workers a pool has beyond its needs.
-
-    Args:
-      manager: State of the leader.
-      pool: Name of the pool.
-    Returns:
-      Their number; negative when it lacks some.
-    """
-    present = len(workers_of(manager, pool))
+def _present(manager: ManagerState, pool: str) -> int:
+    """Count the workers of a pool, with those on their way to it."""
     arriving = sum(
         order.pool == pool or _returns_to(manager, name, order, pool)
         for name, order in manager.fleet.orders_by_machine.items()
     )
-    return present + arriving - manager.fleet.peaks_by_pool[pool].workers
+    return len(workers_of(manager, pool)) + arriving
 
 
 def _returns_to(manager, name, order: PendingOrder, pool):
@@ -82,18 +86,6 @@
     return machine is not None and machine.pool == pool
 
 
-def _fill(manager, pool, standby, at_ms):
-    """Bring machines into a pool that lacks some."""
-    lacking = -surplus(manager, pool)
-    if lacking <= 0:
-        return manager
-    for machine in _parked(manager, standby)[:lacking]:
-        manager = decide_order(
-            manager, machine, MachineOrder.MOVE, pool, 0, at_ms
-        )
-    return manager
-
-
 def _parked(manager, standby) -> list[Machine]:
     machines = manager.fleet.machines_by_name
     return [
@@ -103,33 +95,27 @@
     ]
 
 
-def _park(manager, pool, standby, at_ms):
-    """Switch idle machines off that a pool does not need."""
-    spare = surplus(manager, pool)
-    if spare <= 0 or pool not in manager.worker_ids_by_pool:
-        return manager
-    by_worker = {
-        machine.worker_id: machine
-        for machine in manager.fleet.machines_by_name.values()
-        if machine.pool == pool and is_free(manager, machine)
-    }
-    ids = manager.worker_ids_by_pool.get(pool, EMPTY_MAP)
+def _idle_beyond(manager: ManagerState, pool: str, kept: int) -> list[Machine]:
+    """List idle machines of a pool beyond those that it keeps."""
+    spare = _present(manager, pool) - kept
+    if spare <= 0:
+        return []
+    machines = manager.fleet.machines_by_name
     idle = [
-        by_worker[worker_id]
-        for worker_id in sorted(ids)
-        if worker_id in by_worker and _is_idle(manager, worker_id)
+        machine
+        for _, machine in sorted(machines.items())
+        if machine.pool == pool
+        and is_free(manager, machine)
+        and _is_idle(manager, machine.worker_id)
     ]
-    for machine in idle[:spare]:
-        manager = decide_order(
-            manager, machine, MachineOrder.MOVE, standby, 0, at_ms
-        )
-    return manager
+    return idle[:spare]
 
 
 def _is_idle(manager, worker_id):
-    worker = manager.workers_by_id[worker_id]
+    worker = manager.workers_by_id.get(worker_id)
     return (
-        worker.listed
+        worker is not None
+        and worker.listed
         and worker.reached
         and not worker.silences
         and not worker.leaving
--- a/sesamehall/reducer/machines/sizing.py
+++ b/sesamehall/reducer/machines/sizing.py
@@ -1,11 +1,12 @@
 """Sizing: how many workers each pool needs, from its present demand."""
 
-from collections.abc import Iterable
+from dataclasses import dataclass
 from math import ceil
 
 from sesamehall.core.data import EMPTY_MAP
 from sesamehall.core.data import TERMINAL_PHASES
 from sesamehall.core.fleettiming import HEADROOM
+from sesamehall.core.fleettiming import LEAST_TIME_MS
 from sesamehall.core.fleettiming import PEAK_HOLD_MS
 from sesamehall.core.fleettiming import SPARE_WORKERS
 from sesamehall.core.managerstate import ManagerState
@@ -13,33 +14,76 @@
 from sesamehall.core.managerstate import Work
 from sesamehall.core.managerstate import Worker
 from sesamehall.core.work import Size
+from sesamehall.core.work import StepPlan
 from sesamehall.reducer.jobs.bookkeeping import pool_of
+from sesamehall.reducer.jobs.progress import chain_left_ms
+from sesamehall.reducer.jobs.progress import plan_work
 
 
-def needed_workers(manager: ManagerState, pool: str) -> int:
+@dataclass(frozen=True, slots=True)
+class Need:
+    """Workers that a pool needs.
+
+    Attributes:
+      least: Workers without which lasting tasks cannot be placed.
+      wanted: Workers with which all jobs can be done in time.
+    """
+
+    least: int
+    wanted: int
+
+
+def need_of(manager: ManagerState, pool: str, at_ms: int) -> Need:
     """Compute how many workers a pool needs now.
 
+    A job needs as many workers as do its remaining work by its goal; lasting
+    tasks need their room, and as many workers as they must be spread over.
+
     Args:
       manager: State of the leader.
       pool: Name of the pool.
+      at_ms: The node's clock.
     Returns:
-      Enough for what runs and waits, with headroom for a growing demand,
-      and for lasting tasks that must not share a worker.
+      The need, with headroom and a spare worker.
     """
-    workers = workers_of(manager, pool)
+    workers = workers_of(manager, pool) or list(manager.workers_by_id.values())
     if not workers:
-        return 0
-    demand = _demand(manager, pool, workers)
+        return Need(0, 0)
     room = _mean_room(workers)
-    by_size = max(
-        _ratio(demand.cpu_milli, room.cpu_milli),
-        _ratio(demand.memory_mb, room.memory_mb),
-        _ratio(demand.accelerators, room.accelerators),
-    )
-    spread = max(
-        (_spread(work) for work in _works_of(manager, pool)), default=0
-    )
-    return max(ceil(by_size * HEADROOM), spread) + SPARE_WORKERS
+    lasting = 0.0
+    timely = 0.0
+    spread = 0
+    for work in _works_of(manager, pool):
+        if work.plan.steps[0].lasting:
+            lasting += _lasting_load(work, room)
+            spread = max(spread, _spread(work))
+        else:
+            timely += _timely_load(work, room, at_ms)
+    least = max(ceil(lasting), spread)
+    wanted = max(ceil((lasting + timely) * HEADROOM), spread) + SPARE_WORKERS
+    return Need(least, wanted)
+
+
+def share_out(needs_by_pool: dict[str, Need], workers: int) -> dict[str, int]:
+    """Share out the workers that there are over the pools.
+
+    Args:
+      needs_by_pool: What each pool needs.
+      workers: Workers in all of them and on standby.
+    Returns:
+      Workers for each pool: what it wants where there are enough, else the
+      least, and of the rest a part in proportion to what it wants more.
+    """
+    wanted = sum(need.wanted for need in needs_by_pool.values())
+    if wanted <= workers:
+        return {pool: need.wanted for pool, need in needs_by_pool.items()}
+    least = sum(need.least for need in needs_by_pool.values())
+    rest = max(workers - least, 0)
+    more = max(wanted - least, 1)
+    return {
+        pool: need.least + rest * (need.wanted - need.least) // more
+        for pool, need in needs_by_pool.items()
+    }
 
 
 def hold_peak(old: Peak | None, workers: int, at_ms: int) -> Peak:
@@ -82,19 +126,35 @@
     )
 
 
-def _demand(manager, pool, workers: Iterable[Worker]) -> Size:
-    """Add up what runs on the workers and what waits for them."""
-    cpu = sum(worker.used.cpu_milli for worker in workers)
-    memory = sum(worker.used.memory_mb for worker in workers)
-    accelerators = sum(worker.used.accelerators for worker in workers)
-    for job_id in manager.job_ids_by_pool.get(pool, EMPTY_MAP):
-        work = manager.works_by_id[job_id]
-        for place in work.waiting:
-            step = work.plan.steps[place.step]
-            cpu += 0 if step.fills else step.size.cpu_milli
-            memory += step.size.memory_mb
-            accelerators += step.size.accelerators
-    return Size(cpu, memory, accelerators)
+def _lasting_load(work: Work, room: Size) -> float:
+    """Compute the workers that a job's lasting tasks fill."""
+    if work.progress.phase in TERMINAL_PHASES:
+        return 0.0
+    return sum(step.count * _part(step, room) for step in work.plan.steps)
+
+
+def _timely_load(work: Work, room: Size, at_ms: int) -> float:
+    """Compute the workers that do the rest of a job by its goal."""
+    whole = plan_work(work.plan)
+    if not whole or work.progress.phase in TERMINAL_PHASES:
+        return 0.0
+    worker_ms = sum(
+        step.count * step.estimate_ms * _part(step, room)
+        for step in work.plan.steps
+    )
+    left_ms = worker_ms * work.work_left / whole
+    time_ms = max(work.goal_ms - at_ms, chain_left_ms(work), LEAST_TIME_MS)
+    return left_ms / time_ms
+
+
+def _part(step: StepPlan, room: Size) -> float:
+    """Compute the part of a worker that a task takes."""
+    cpu_milli = 0 if step.fills else step.size.cpu_milli
+    return max(
+        _ratio(cpu_milli, room.cpu_milli),
+        _ratio(step.size.memory_mb, room.memory_mb),
+        _ratio(step.size.accelerators, room.accelerators),
+    )
 
 
 def _mean_room(workers) -> Size:
