Store which machines may have orders, so that a new leader need not wait

Cause: a new leader gave no order for 3 s, and counted workers whose life an order had ended as workers that may run tasks, which held inherited jobs. Change: the machines are stored before their orders are sent; only these wait; the end of a worker's life by an order is stored too; sizes are logged.

--- a/sesamehall/core/fleet.py
+++ b/sesamehall/core/fleet.py
@@ -147,6 +147,17 @@
     machines: tuple[str, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class OrderedMachines:
+    """Machines for which a leader has lately given, or may give, an order.
+
+    Attributes:
+      machines: Their names.
+    """
+
+    machines: tuple[str, ...]
+
+
 StoredValue = (
     JobPlan
     | CancelAsked
@@ -154,6 +165,7 @@
     | Leader
     | LeasedWorker
     | WaveRecord
+    | OrderedMachines
     | Manifest
     | Wave
     | WorkerEntry
--- a/sesamehall/core/logevents.py
+++ b/sesamehall/core/logevents.py
@@ -134,6 +134,7 @@
 MACHINES_UNLISTED = _warning(
     654, "machines not listed", "Look at the platform's cloud interface."
 )
+POOLS_SIZED = _info(655, "pools sized")
 
 NODE_STARTED = _info(900, "node started")
 NODE_STOPPING = _info(901, "node stopping")
--- a/sesamehall/core/managerstate.py
+++ b/sesamehall/core/managerstate.py
@@ -77,6 +77,7 @@
       written_jobs: Jobs whose progress the write under way holds.
       written_workers: Workers whose record it holds.
       written_waves: Waves whose record it holds.
+      written_machines: Machines that it says may have orders.
     """
 
     epoch: int = 0
@@ -88,6 +89,7 @@
     written_jobs: tuple[Progress, ...] = ()
     written_workers: tuple[LeasedWorker, ...] = ()
     written_waves: tuple[int, ...] = ()
+    written_machines: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -193,6 +195,7 @@
       failures: Runs that failed since the latest that ended well.
       aside_until_ms: Clock until which nothing is started on it.
       leaving: Whether its machine is to be moved or maintained.
+      over: Whether its life was ended by an order for its machine.
       strangers: Runs on it that nobody wants; their room is not known.
     """
 
@@ -213,6 +216,7 @@
     failures: int = 0
     aside_until_ms: int = 0
     leaving: bool = False
+    over: bool = False
     strangers: int = 0
 
 
@@ -265,6 +269,7 @@
       sent_ms: Clock at which it was last sent, or -1 while its worker
         empties.
       done_ms: Clock at which the platform took it, or -1.
+      stored: Whether it is stored that the machine may have an order.
     """
 
     order: MachineOrder
@@ -274,6 +279,7 @@
     since_ms: int
     sent_ms: int = -1
     done_ms: int = -1
+    stored: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -317,6 +323,10 @@
       orders_by_machine: Orders that are not carried out yet.
       waves_by_number: Waves of maintenance.
       peaks_by_pool: Workers that each pool has needed of late.
+      touched_ms_by_machine: Clock of the latest decision for a machine.
+      inherited: Machines that an earlier leader may have orders for.
+      targets_by_pool: Workers that each pool shall have.
+      unstored: Whether there are machines with orders not stored yet.
     """
 
     machines_by_name: Map[str, Machine] = EMPTY_MAP
@@ -325,6 +335,10 @@
     orders_by_machine: Map[str, PendingOrder] = EMPTY_MAP
     waves_by_number: Map[int, WaveProgress] = EMPTY_MAP
     peaks_by_pool: Map[str, Peak] = EMPTY_MAP
+    touched_ms_by_machine: Map[str, int] = EMPTY_MAP
+    inherited: tuple[str, ...] = ()
+    targets_by_pool: Map[str, int] = EMPTY_MAP
+    unstored: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -366,6 +380,8 @@
       dirty_jobs: Jobs whose progress is not stored yet.
       dirty_workers: Workers whose record is not stored yet.
       dirty_waves: Waves whose record is not stored yet.
+      ordered_machines: Machines that a leader may have orders for, as it is
+        stored.
       maintained_by_wave: Machines whose maintenance in a wave has begun.
       ended_now: Whether a job's end waits to be stored.
       placing_pools: Pools whose next round of placing is due.
@@ -408,6 +424,7 @@
     dirty_jobs: Map[str, bool] = EMPTY_MAP
     dirty_workers: Map[str, bool] = EMPTY_MAP
     dirty_waves: Map[int, bool] = EMPTY_MAP
+    ordered_machines: tuple[str, ...] = ()
     maintained_by_wave: Map[int, tuple[str, ...]] = EMPTY_MAP
     ended_now: bool = False
     placing_pools: Map[str, bool] = EMPTY_MAP
--- a/sesamehall/reducer/jobs/following.py
+++ b/sesamehall/reducer/jobs/following.py
@@ -5,6 +5,7 @@
 from sesamehall.core.fleet import CancelAsked
 from sesamehall.core.fleet import Leader
 from sesamehall.core.fleet import LeasedWorker
+from sesamehall.core.fleet import OrderedMachines
 from sesamehall.core.fleet import Stream
 from sesamehall.core.fleet import WaveRecord
 from sesamehall.core.fleet import WorkerEntry
@@ -313,6 +314,8 @@
     match value:
         case Progress():
             return Step(keep_progress(manager, value, at_ms))
+        case OrderedMachines(machines):
+            return Step(replace(manager, ordered_machines=machines))
         case WaveRecord(number, machines):
             maintained = manager.maintained_by_wave.set(number, machines)
             return Step(replace(manager, maintained_by_wave=maintained))
--- a/sesamehall/reducer/jobs/leading.py
+++ b/sesamehall/reducer/jobs/leading.py
@@ -7,6 +7,7 @@
 from sesamehall.core.effects import SetTimer
 from sesamehall.core.fleet import Leader
 from sesamehall.core.fleet import LeasedWorker
+from sesamehall.core.fleet import OrderedMachines
 from sesamehall.core.fleet import StoredRecord
 from sesamehall.core.fleet import WaveRecord
 from sesamehall.core.fleet import WorkerEntry
@@ -54,6 +55,7 @@
 WORKER_KEY_PREFIX = "worker/"
 MEAN_OVER_JOBS = 50  # a queue's mean job is learnt over so many
 WAVE_KEY_PREFIX = "wave/"
+ORDERS_KEY = "machines"
 
 
 def consider_claim(manager: ManagerState, at_ms: int) -> Step:
@@ -144,6 +146,10 @@
         dirty_jobs=dirty_jobs,
         dirty_workers=dirty_workers,
         dirty_waves=dirty_waves,
+        fleet=replace(
+            manager.fleet,
+            unstored=manager.fleet.unstored or bool(term.written_machines),
+        ),
     )
     return Step(manager, (line,))
 
@@ -190,8 +196,11 @@
 
 
 def _new_fleet(manager):
-    """Keep the waves, and nothing of what an earlier term had in hand."""
-    return FleetState(waves_by_number=manager.fleet.waves_by_number)
+    """Keep the waves, and what an earlier term may have in hand."""
+    return FleetState(
+        waves_by_number=manager.fleet.waves_by_number,
+        inherited=manager.ordered_machines,
+    )
 
 
 def _inherit_worker(manager, leased, lease_end_ms, at_ms):
@@ -330,7 +339,10 @@
         return Step(manager)
     since_ms = at_ms - term.confirmed_ms
     changed = bool(
-        manager.dirty_jobs or manager.dirty_workers or manager.dirty_waves
+        manager.dirty_jobs
+        or manager.dirty_workers
+        or manager.dirty_waves
+        or manager.fleet.unstored
     )
     due = manager.ended_now or (changed and since_ms >= COMMIT_PERIOD_MS)
     if not due and since_ms < HEARTBEAT_MS:
@@ -357,12 +369,12 @@
     workers = tuple(
         _leased_record(manager.workers_by_id[worker_id])
         for worker_id in sorted(manager.dirty_workers)
-        if worker_id in manager.workers_by_id
+        if _may_have_runs(manager, worker_id)
     )
     dropped = tuple(
         StoredRecord(WORKER_KEY_PREFIX + worker_id, None)
         for worker_id in sorted(manager.dirty_workers)
-        if worker_id not in manager.workers_by_id
+        if not _may_have_runs(manager, worker_id)
     )
     records = tuple(StoredRecord(job.job_id, job) for job in jobs)
     records += tuple(
@@ -377,6 +389,9 @@
         )
         for number in waves
     )
+    machines = tuple(sorted(manager.fleet.touched_ms_by_machine))
+    if manager.fleet.unstored:
+        records += (StoredRecord(ORDERS_KEY, OrderedMachines(machines)),)
     records += (StoredRecord(LEADER_KEY, leader),)
     term = replace(
         term,
@@ -384,6 +399,7 @@
         written_jobs=jobs,
         written_workers=workers,
         written_waves=waves,
+        written_machines=machines if manager.fleet.unstored else (),
     )
     manager = replace(
         manager,
@@ -392,10 +408,16 @@
         dirty_workers=EMPTY_MAP,
         dirty_waves=EMPTY_MAP,
         ended_now=False,
+        fleet=replace(manager.fleet, unstored=False),
     )
     return Step(manager, (StoreProgress(term.epoch, records),))
 
 
+def _may_have_runs(manager, worker_id):
+    worker = manager.workers_by_id.get(worker_id)
+    return worker is not None and not worker.over
+
+
 def _leased_record(worker):
     entry = worker.entry
     return LeasedWorker(
@@ -419,7 +441,9 @@
             written_jobs=(),
             written_workers=(),
             written_waves=(),
+            written_machines=(),
         ),
+        fleet=_with_stored_orders(manager.fleet, term.written_machines),
     )
     for progress in term.written_jobs:
         manager = keep_progress(manager, progress, event.at_ms)
@@ -430,6 +454,15 @@
     return then(step, commit, event.at_ms)
 
 
+def _with_stored_orders(fleet, machines):
+    """Let orders be given whose machines are stored now."""
+    orders = fleet.orders_by_machine
+    for name in machines:
+        if name in orders:
+            orders = orders.set(name, replace(orders[name], stored=True))
+    return replace(fleet, orders_by_machine=orders)
+
+
 def _confirm_worker(manager, leased, at_ms):
     worker = manager.workers_by_id.get(leased.worker_id)
     if worker is None or worker.entry.born_ms != leased.born_ms:
--- a/sesamehall/reducer/jobs/placing.py
+++ b/sesamehall/reducer/jobs/placing.py
@@ -108,7 +108,10 @@
       True while a worker that may have any has not answered.
     """
     return any(
-        worker.leased and not worker.reached and worker.lease_end_ms
+        worker.leased
+        and not worker.over
+        and not worker.reached
+        and worker.lease_end_ms
         for worker in _workers(manager, pool)
     )
 
@@ -321,6 +324,7 @@
         and not worker.silences
         and not worker.entry.draining
         and not worker.leaving
+        and not worker.over
         and not worker.strangers
         and worker.aside_until_ms <= at_ms
     )
--- a/sesamehall/reducer/jobs/workers.py
+++ b/sesamehall/reducer/jobs/workers.py
@@ -254,6 +254,33 @@
     )
 
 
+def end_life(manager: ManagerState, worker_id: str, at_ms: int) -> Step:
+    """Note that an order for its machine has ended a worker's life.
+
+    Args:
+      manager: State of the leader.
+      worker_id: The worker.
+      at_ms: The node's clock.
+    Returns:
+      A Step; nothing can run on the worker any more.
+    """
+    worker = manager.workers_by_id.get(worker_id)
+    if worker is None:
+        return Step(manager)
+    step = Step(manager)
+    for task in sorted(worker.tasks):
+        run = step.state.runs_by_task[task]
+        step = then(step, give_up_run, run, "machine taken", at_ms)
+    worker = replace(
+        step.state.workers_by_id[worker_id],
+        over=True,
+        lease_end_ms=min(worker.lease_end_ms, at_ms),
+    )
+    manager = put_worker(step.state, worker)
+    dirty = manager.dirty_workers.set(worker_id, True)
+    return Step(replace(manager, dirty_workers=dirty), step.effects)
+
+
 def review_workers(manager: ManagerState, at_ms: int) -> Step:
     """Review all workers that do not answer.
 
@@ -353,6 +380,7 @@
         used=NO_SIZE,
         failures=0,
         leaving=False,
+        over=False,
     )
     manager = put_worker(step.state, worker)
     dirty = manager.dirty_workers.set(worker.entry.worker_id, True)
--- a/sesamehall/reducer/machines/fleet.py
+++ b/sesamehall/reducer/machines/fleet.py
@@ -1,8 +1,9 @@
 """The fleet's machines: lists, orders, and when each may be given.
 
 An order for a machine ends all that runs on it, so its worker is emptied
-first.  Orders of two leaders must not cross: a new leader waits before its
-first, and none is given without a fresh confirmation of the role.
+first.  Orders of two leaders for one machine must not cross: it is stored
+which machines may have an order before any is sent, a new leader leaves these
+alone for a while, and none is given without a fresh confirmation of the role.
 """
 
 from immutables import Map
@@ -30,6 +31,7 @@
 from sesamehall.core.step import then
 from sesamehall.reducer.counts import drop_key
 from sesamehall.reducer.jobs.bookkeeping import put_worker
+from sesamehall.reducer.jobs.workers import end_life
 from sesamehall.reducer.machines.evacuation import empty_worker
 from sesamehall.reducer.machines.moves import choose_moves
 from sesamehall.reducer.machines.waves import note_maintained
@@ -50,6 +52,7 @@
     step = _list_if_due(manager, at_ms)
     if manager.fleet.listed_ms < 0 or not _may_order(manager, at_ms):
         return step
+    step = Step(_forget_touched(step.state, at_ms), step.effects)
     step = then(step, review_waves, at_ms)
     step = then(step, choose_moves, at_ms)
     for machine in sorted(step.state.fleet.orders_by_machine):
@@ -57,6 +60,28 @@
     return step
 
 
+def _forget_touched(manager, at_ms):
+    """Forget decisions that no other leader needs to wait for."""
+    fleet = manager.fleet
+    pause_ms = manager.timing.order_pause_ms
+    touched = fleet.touched_ms_by_machine
+    for name, touched_ms in touched.items():
+        over = at_ms - touched_ms >= pause_ms + ORDER_CONFIRMED_MS
+        if over and name not in fleet.orders_by_machine:
+            touched = touched.delete(name)
+    inherited = fleet.inherited
+    if at_ms - manager.term.began_ms >= pause_ms:
+        inherited = ()
+    if touched is fleet.touched_ms_by_machine and inherited:
+        return manager
+    return replace(
+        manager,
+        fleet=replace(
+            fleet, touched_ms_by_machine=touched, inherited=inherited
+        ),
+    )
+
+
 def _list_if_due(manager, at_ms):
     fleet = manager.fleet
     if fleet.listing or at_ms - fleet.listed_ms < MACHINES_PERIOD_MS:
@@ -67,10 +92,8 @@
 
 def _may_order(manager, at_ms):
     """Tell whether no other leader can give orders for machines."""
-    term = manager.term
-    confirmed = at_ms - term.confirmed_ms < ORDER_CONFIRMED_MS
-    alone = at_ms - term.began_ms >= manager.timing.order_pause_ms
-    return confirmed and alone and not manager.stopping
+    since_ms = at_ms - manager.term.confirmed_ms
+    return since_ms < ORDER_CONFIRMED_MS and not manager.stopping
 
 
 def take_machines(manager: ManagerState, event: MachinesListed) -> Step:
@@ -139,7 +162,7 @@
         manager = _put_order(manager, event.machine, order)
         if order.order is MachineOrder.MAINTENANCE:
             manager = note_maintained(manager, order.wave, event.machine)
-        return Step(manager)
+        return end_life(manager, order.worker_id, event.at_ms)
     line = log(MACHINE_REFUSED, machine=event.machine, reason=event.reason)
     if not event.refused:
         return Step(manager, (line,))
@@ -160,13 +183,14 @@
 def _pursue(manager: ManagerState, machine: str, at_ms: int) -> Step:
     """Empty the worker of a machine, then send the order."""
     order = manager.fleet.orders_by_machine[machine]
-    if order.done_ms >= 0:
+    if order.done_ms >= 0 or not order.stored:
         return Step(manager)
     if order.sent_ms >= 0 and at_ms - order.sent_ms < ORDER_RETRY_MS:
         return Step(manager)
     worker = manager.workers_by_id.get(order.worker_id)
     if worker is not None and worker.tasks:
         return empty_worker(manager, order.worker_id, order.since_ms, at_ms)
+    touched = manager.fleet.touched_ms_by_machine.set(machine, at_ms)
     line = log(
         MACHINE_ORDERED,
         machine=machine,
@@ -183,7 +207,8 @@
         case MachineOrder.MAINTENANCE:
             effect = MaintainMachine(machine, order.wave, epoch)
     manager = _put_order(manager, machine, replace(order, sent_ms=at_ms))
-    return Step(manager, (line, effect))
+    fleet = replace(manager.fleet, touched_ms_by_machine=touched)
+    return Step(replace(manager, fleet=fleet), (line, effect))
 
 
 def _put_order(manager, machine, order):
--- a/sesamehall/reducer/machines/moves.py
+++ b/sesamehall/reducer/machines/moves.py
@@ -4,7 +4,11 @@
 stand there; a pool whose demand grows gets them back.
 """
 
+from immutables import Map
+
+from sesamehall.core.effects import log
 from sesamehall.core.fleet import Machine
+from sesamehall.core.logevents import POOLS_SIZED
 from sesamehall.core.managerstate import MachineOrder
 from sesamehall.core.managerstate import ManagerState
 from sesamehall.core.managerstate import PendingOrder
@@ -40,8 +44,9 @@
     peaks = manager.fleet.peaks_by_pool
     for pool, target in targets.items():
         peaks = peaks.set(pool, hold_peak(peaks.get(pool), target, at_ms))
+    step = _note_targets(manager, needs, targets)
     manager = replace(
-        manager, fleet=replace(manager.fleet, peaks_by_pool=peaks)
+        step.state, fleet=replace(step.state.fleet, peaks_by_pool=peaks)
     )
     donors = _parked(manager, standby)
     for pool in pools:
@@ -58,7 +63,20 @@
             manager = decide_order(
                 manager, machine, MachineOrder.MOVE, standby, 0, at_ms
             )
-    return Step(manager)
+    return Step(manager, step.effects)
+
+
+def _note_targets(manager, needs, targets):
+    """Keep the targets, and log them where one has changed."""
+    if dict(manager.fleet.targets_by_pool) == targets:
+        return Step(manager)
+    sizes = ",".join(
+        f"{pool}:{needs[pool].wanted}/{target}/{_present(manager, pool)}"
+        for pool, target in sorted(targets.items())
+    )
+    line = log(POOLS_SIZED, wanted_target_present=sizes)
+    fleet = replace(manager.fleet, targets_by_pool=Map(targets))
+    return Step(replace(manager, fleet=fleet), (line,))
 
 
 def _standby_pool(manager):
@@ -119,6 +137,7 @@
         and worker.reached
         and not worker.silences
         and not worker.leaving
+        and not worker.over
         and not worker.entry.draining
         and not worker.tasks
     )
--- a/sesamehall/reducer/machines/orders.py
+++ b/sesamehall/reducer/machines/orders.py
@@ -30,10 +30,15 @@
       The state; nothing new is started on the worker.
     """
     pending = PendingOrder(order, pool, wave, machine.worker_id, at_ms)
-    orders = manager.fleet.orders_by_machine.set(machine.name, pending)
-    manager = replace(
-        manager, fleet=replace(manager.fleet, orders_by_machine=orders)
+    fleet = manager.fleet
+    touched = fleet.touched_ms_by_machine.set(machine.name, at_ms)
+    fleet = replace(
+        fleet,
+        orders_by_machine=fleet.orders_by_machine.set(machine.name, pending),
+        touched_ms_by_machine=touched,
+        unstored=True,
     )
+    manager = replace(manager, fleet=fleet)
     worker = manager.workers_by_id.get(machine.worker_id)
     if worker is None:
         return manager
@@ -49,6 +54,9 @@
     Returns:
       False for one that is not up or has an order already.
     """
-    if machine.name in manager.fleet.orders_by_machine:
+    fleet = manager.fleet
+    if machine.name in fleet.orders_by_machine:
+        return False
+    if machine.name in fleet.inherited:
         return False
     return machine.state is MachineState.UP
--- a/sesamehall/reducer/machines/sizing.py
+++ b/sesamehall/reducer/machines/sizing.py
@@ -121,6 +121,7 @@
     return (
         worker.listed
         and not worker.leaving
+        and not worker.over
         and not worker.entry.draining
         and not worker.silences
     )
