--- a/sesamehall/core/jobtiming.py
+++ b/sesamehall/core/jobtiming.py
@@ -21,6 +21,7 @@
 START_LEASE_MS = 2_500  # an order that comes later than this is void
 CLOCK_SLACK_PERCENT = 3  # a worker's clock may be 2 % slow
 WATCH_WAIT_MS = 1_000  # a worker's silence is noticed soon after this
+HEARD_MS = 1_400  # a worker that has not answered for this may be silent
 WATCH_RETRY_MS = 300  # pause after a worker's silence
 WATCH_UNSTORED_MS = 80  # a worker with ends to acknowledge answers at once
 RUN_NUMBERS_A_TERM = 16  # runs of a task that one leader may number
--- a/sesamehall/reducer/jobs/placing.py
+++ b/sesamehall/reducer/jobs/placing.py
@@ -32,6 +32,7 @@
 from sesamehall.reducer.jobs.ranking import Candidate
 from sesamehall.reducer.jobs.ranking import rank
 from sesamehall.reducer.jobs.workers import extend_lease
+from sesamehall.reducer.jobs.workers import is_heard
 from sesamehall.reducer.jobs.workers import may_start
 from sesamehall.reducer.jobs.workers import start_lease_until
 
@@ -321,7 +322,7 @@
         worker.listed
         and worker.reached
         and worker.leased
-        and not worker.silences
+        and is_heard(worker, at_ms)
         and not worker.entry.draining
         and not worker.leaving
         and not worker.over
--- a/sesamehall/reducer/jobs/runs.py
+++ b/sesamehall/reducer/jobs/runs.py
@@ -248,7 +248,12 @@
         for other in work.waiting
         if other != place and not (steps.gang and _same_step(other, place))
     )
-    work = replace(work, waiting=waiting + newly_startable(work, place))
+    following = tuple(
+        other
+        for other in newly_startable(work, place)
+        if task_id(job_id, other) not in manager.runs_by_task
+    )
+    work = replace(work, waiting=waiting + following)
     manager = put_work(manager, work)
     manager = replace(manager, dirty_jobs=manager.dirty_jobs.set(job_id, True))
     step = Step(manager)
--- a/sesamehall/reducer/jobs/workers.py
+++ b/sesamehall/reducer/jobs/workers.py
@@ -2,10 +2,12 @@
 
 from immutables import Map
 
+from sesamehall.core.data import TERMINAL_PHASES
 from sesamehall.core.effects import log
 from sesamehall.core.effects import SetTimer
 from sesamehall.core.fleet import WorkerEntry
 from sesamehall.core.jobtiming import CLOCK_SLACK_PERCENT
+from sesamehall.core.jobtiming import HEARD_MS
 from sesamehall.core.jobtiming import LEASE_MS
 from sesamehall.core.jobtiming import RENEW_CONFIRMED_MS
 from sesamehall.core.jobtiming import START_CONFIRMED_MS
@@ -99,6 +101,9 @@
 def watch_worker(manager: ManagerState, worker_id: str, at_ms: int) -> Step:
     """Ask a worker for its lists, and renew its lease if that is allowed.
 
+    The lease of a silent worker is left to run out, so that its tasks can
+    run elsewhere.
+
     Args:
       manager: State of the leader.
       worker_id: The worker.
@@ -111,12 +116,11 @@
         return Step(manager)
     since_ms = at_ms - manager.term.confirmed_ms
     lease_until_ms = -1
-    if worker.tasks and worker.reached and since_ms < RENEW_CONFIRMED_MS:
+    known = worker.reached and not worker.silences
+    if worker.tasks and known and since_ms < RENEW_CONFIRMED_MS:
         lease_until_ms = worker_clock(worker, at_ms) + _lease_ms(manager)
         worker = extend_lease(worker, lease_until_ms)
-    wait_ms = 0
-    if worker.reached and not worker.silences:
-        wait_ms = WATCH_WAIT_MS
+    wait_ms = WATCH_WAIT_MS if known else 0
     effect = WatchWorker(
         worker_id=worker_id,
         address=worker.entry.address,
@@ -297,6 +301,18 @@
     return step
 
 
+def is_heard(worker: Worker, at_ms: int) -> bool:
+    """Tell whether a worker has answered a moment ago.
+
+    Args:
+      worker: The worker.
+      at_ms: The node's clock.
+    Returns:
+      False for one that is silent, or whose answer is overdue.
+    """
+    return not worker.silences and at_ms - worker.seen_ms < HEARD_MS
+
+
 def worker_clock(worker: Worker, at_ms: int) -> int:
     """Estimate a worker's own clock.
 
@@ -459,7 +475,11 @@
 
 
 def _adopt_or_stop(manager, other, active: ActiveRun, event):
-    """Take over a run of an earlier leader, or stop one that is not wanted."""
+    """Take over a run of an earlier leader, or stop one that is not wanted.
+
+    Its turn may not seem to have come: the earlier leader may have known of
+    ends that are not stored and that other workers have yet to report.
+    """
     worker = manager.workers_by_id[event.worker_id]
     named = split_task_id(active.task)
     work = None if named is None else manager.works_by_id.get(named[0])
@@ -467,7 +487,7 @@
         work is not None
         and other is None
         and is_task_known(work.plan, named[1])
-        and named[1] in work.waiting
+        and work.progress.phase not in TERMINAL_PHASES
         and not is_task_done(work, named[1])
         and work.plan.steps[named[1].step].gang is False
     )
--- a/sesamehall/reducer/machines/evacuation.py
+++ b/sesamehall/reducer/machines/evacuation.py
@@ -9,6 +9,7 @@
 from sesamehall.core.work import task_id
 from sesamehall.core.work import TaskPlace
 from sesamehall.reducer.jobs.runs import stop_run
+from sesamehall.reducer.jobs.workers import is_heard
 
 FULL_PERCENT = 100  # a lasting task that works at this serves
 
@@ -35,7 +36,7 @@
         if run.state is not RunState.RUNNING:
             continue
         if run.lasting:
-            movable = may_stop(step.state, run)
+            movable = may_stop(step.state, run, at_ms)
         else:
             movable = at_ms - since_ms >= EMPTY_WAIT_MS
         if movable:
@@ -43,12 +44,13 @@
     return step
 
 
-def may_stop(manager: ManagerState, run: Run) -> bool:
+def may_stop(manager: ManagerState, run: Run, at_ms: int) -> bool:
     """Tell whether a step can do without one of its lasting tasks.
 
     Args:
       manager: State of the leader.
       run: A run of the task.
+      at_ms: The node's clock.
     Returns:
       False when as many others as may be are down already.
     """
@@ -63,13 +65,15 @@
         if index != run.place.index:
             place = TaskPlace(run.place.occurrence, run.place.step, index)
             other = manager.runs_by_task.get(task_id(run.job_id, place))
-            down += not _serves(other)
+            down += not _serves(manager, other, at_ms)
     return down < plan_step.may_miss
 
 
-def _serves(run: Run | None) -> bool:
+def _serves(manager, run: Run | None, at_ms) -> bool:
+    """Tell whether a task is certainly at work."""
     return (
         run is not None
         and run.state is RunState.RUNNING
         and run.percent >= FULL_PERCENT
+        and is_heard(manager.workers_by_id[run.worker_id], at_ms)
     )
