--- /dev/null
+++ b/sesamehall/reducer/jobs/testing.py
@@ -0,0 +1,143 @@
+"""Builders of managers' states for tests."""
+
+from immutables import Map
+
+from sesamehall.core.effects import Effect
+from sesamehall.core.effects import Log
+from sesamehall.core.effects import SetTimer
+from sesamehall.core.fleet import WorkerEntry
+from sesamehall.core.managerevents import WorkerReported
+from sesamehall.core.managerstate import ManagerState
+from sesamehall.core.managerstate import Term
+from sesamehall.core.managerstate import Worker
+from sesamehall.core.manifest import Manifest
+from sesamehall.core.manifest import Queue
+from sesamehall.core.manifest import Quota
+from sesamehall.core.manifest import WorkerPool
+from sesamehall.core.replacing import replace
+from sesamehall.core.step import Step
+from sesamehall.core.work import JobPlan
+from sesamehall.core.work import Size
+from sesamehall.core.work import StepPlan
+from sesamehall.core.work import task_id
+from sesamehall.core.work import TaskPlace
+from sesamehall.reducer.jobs.bookkeeping import put_worker
+from sesamehall.reducer.jobs.leading import begin_job
+from sesamehall.reducer.jobs.placing import place_tasks
+
+NOW_MS = 100_000
+JOB_ID = "00000000000000aa"
+OTHER_JOB_ID = "00000000000000bb"
+ROOM = Size(4_000, 8_000)
+SMALL = Size(1_000, 1_000)
+
+
+def build_step(count=1, size=SMALL, **others):
+    """Build a step whose tasks take 500 ms."""
+    return StepPlan(count, size, estimate_ms=500, **others)
+
+
+def build_plan(*steps, job_id=JOB_ID, team="guild"):
+    """Build a job of the queue "quotes"."""
+    return JobPlan(job_id, "quotes", team, "spec", steps or (build_step(),))
+
+
+def build_manifest(**quota):
+    """Build a manifest with one queue, its pool, and a standby pool."""
+    queue = Queue("quotes", "q.example", "/q/", "a", attempts=2)
+    quotas = {"guild": Quota("guild", **quota)}
+    pools = {
+        "a": WorkerPool("a"),
+        "spare": WorkerPool("spare", standby=True),
+    }
+    return Manifest(
+        version=1,
+        queues_by_name=Map(quotes=queue),
+        pools_by_name=Map(pools),
+        quotas_by_team=Map(quotas),
+        team_by_key=Map({"k": "guild"}),
+    )
+
+
+def build_entry(name, **others):
+    """Build what a worker of pool "a" registers."""
+    fields = {"capacity": ROOM, "rack": "r1-1", "born_ms": 7, **others}
+    return WorkerEntry(name, "10.0.0.1:80", "a", "dc", **fields)
+
+
+def build_worker(name, **others):
+    """Build a worker that takes tasks."""
+    fields = {
+        "leased": True,
+        "reached": True,
+        "clock_ms": 50_000,
+        "seen_ms": NOW_MS,
+        "lease_end_ms": NOW_MS,
+        **others,
+    }
+    return Worker(build_entry(name), **fields)
+
+
+def build_leader(*workers, manifest=None, **others):
+    """Build a leader whose role was confirmed just now."""
+    term = Term(epoch=1, began_ms=NOW_MS - 5_000, confirmed_ms=NOW_MS)
+    manager = ManagerState(
+        "edge-1",
+        manifest=manifest or build_manifest(),
+        term=others.pop("term", term),
+        jobs_known=True,
+        **others,
+    )
+    for worker in workers:
+        manager = put_worker(manager, worker)
+    return manager
+
+
+def take_in(manager, *plans, inherited=False):
+    """Let a leader take in jobs."""
+    for plan in plans:
+        manager = replace(
+            manager,
+            plans_by_id=manager.plans_by_id.set(plan.job_id, plan),
+            team_by_job_id=manager.team_by_job_id.set(plan.job_id, plan.team),
+        )
+        step = begin_job(manager, plan.job_id, inherited, NOW_MS)
+        manager = step.state
+    return manager
+
+
+def place_all(manager, at_ms=NOW_MS) -> Step:
+    """Place the waiting tasks of pool "a"."""
+    return place_tasks(manager, "a", at_ms)
+
+
+def build_report(worker_id, active=(), ended=(), at_ms=NOW_MS, **others):
+    """Build a worker's lists of runs."""
+    fields = {"born_ms": 7, "epoch": 1, "asked_ms": at_ms, **others}
+    return WorkerReported(
+        at_ms=at_ms,
+        worker_id=worker_id,
+        clock_ms=50_000 + at_ms - NOW_MS,
+        active=tuple(active),
+        ended=tuple(ended),
+        **fields,
+    )
+
+
+def task(index=0, step=0, job_id=JOB_ID):
+    """Name a task."""
+    return task_id(job_id, TaskPlace(0, step, index))
+
+
+def effects_of(step: Step, kind: type) -> list[Effect]:
+    """List the effects of a kind."""
+    return [effect for effect in step.effects if isinstance(effect, kind)]
+
+
+def decisions_of(step: Step) -> list[Effect]:
+    """List the effects beside log lines and timers."""
+    return [
+        effect
+        for effect in step.effects
+        if not isinstance(effect, Log | SetTimer)
+    ]
