--- a/sesamehall/reducer/machines/fleet.py
+++ b/sesamehall/reducer/machines/fleet.py
@@ -13,6 +13,7 @@
 from sesamehall.core.fleet import MachineState
 from sesamehall.core.fleettiming import MACHINES_PERIOD_MS
 from sesamehall.core.fleettiming import ORDER_CONFIRMED_MS
+from sesamehall.core.fleettiming import ORDER_FORGET_MS
 from sesamehall.core.fleettiming import ORDER_RETRY_MS
 from sesamehall.core.logevents import MACHINE_ORDERED
 from sesamehall.core.logevents import MACHINE_REFUSED
@@ -123,9 +124,11 @@
 
 
 def _is_carried_out(machine: Machine, order: PendingOrder, at_ms: int) -> bool:
-    """Tell whether a machine is back from what was ordered."""
+    """Tell whether a machine is back, or can no longer be waited for."""
     if order.done_ms < 0 or at_ms - order.done_ms < MACHINES_PERIOD_MS:
         return False
+    if at_ms - order.done_ms >= ORDER_FORGET_MS:
+        return True  # something else has come of it; it is decided anew
     if machine.state is not MachineState.UP:
         return False
     return order.pool in ("", machine.pool)
--- /dev/null
+++ b/sesamehall/reducer/machines/fleet_test.py
@@ -0,0 +1,189 @@
+"""Tests of orders for machines: moves, waves, and changes of leader."""
+
+from immutables import Map
+import pytest
+
+from sesamehall.core.fleet import Machine
+from sesamehall.core.fleet import MachineState
+from sesamehall.core.managereffects import MaintainMachine
+from sesamehall.core.managereffects import MoveMachine
+from sesamehall.core.managereffects import ReportWave
+from sesamehall.core.managereffects import StoreProgress
+from sesamehall.core.managerevents import MachineAnswered
+from sesamehall.core.managerevents import MachinesListed
+from sesamehall.core.managerstate import FleetState
+from sesamehall.core.managerstate import Term
+from sesamehall.core.managerstate import WaveProgress
+from sesamehall.core.manifest import Wave
+from sesamehall.core.replacing import replace
+from sesamehall.reducer.jobs.leading import write_progress
+from sesamehall.reducer.jobs.testing import build_leader
+from sesamehall.reducer.jobs.testing import build_plan
+from sesamehall.reducer.jobs.testing import build_step
+from sesamehall.reducer.jobs.testing import build_worker
+from sesamehall.reducer.jobs.testing import effects_of
+from sesamehall.reducer.jobs.testing import NOW_MS
+from sesamehall.reducer.jobs.testing import place_all
+from sesamehall.reducer.jobs.testing import SMALL
+from sesamehall.reducer.jobs.testing import take_in
+from sesamehall.reducer.machines.fleet import review_fleet
+from sesamehall.reducer.machines.fleet import take_machine_answer
+from sesamehall.reducer.machines.fleet import take_machines
+
+UP = MachineState.UP
+IN_POOL = tuple(Machine(f"m{n}", "a", UP, f"w{n}") for n in range(1, 5))
+PARKED = tuple(Machine(f"p{n}", "spare", UP) for n in range(1, 4))
+
+
+def build_fleet(machines, plans=(), **fleet):
+    """Build a leader that has listed machines, with a worker on each."""
+    workers = [
+        build_worker(machine.worker_id)
+        for machine in machines
+        if machine.worker_id
+    ]
+    fields = {
+        "machines_by_name": Map((one.name, one) for one in machines),
+        "listed_ms": NOW_MS,
+        **fleet,
+    }
+    manager = build_leader(*workers, fleet=FleetState(**fields))
+    return place_all(take_in(manager, *plans)).state
+
+
+def store_orders(manager):
+    """Let what was decided be stored."""
+    orders = Map(
+        (name, replace(order, stored=True))
+        for name, order in manager.fleet.orders_by_machine.items()
+    )
+    fleet = replace(manager.fleet, orders_by_machine=orders)
+    return replace(manager, fleet=fleet)
+
+
+def moves_of(manager, at_ms=NOW_MS):
+    """Decide moves, store them, and list those that are sent."""
+    manager = review_fleet(manager, at_ms).state
+    step = review_fleet(store_orders(manager), at_ms)
+    return sorted(
+        (effect.machine, effect.pool)
+        for effect in effects_of(step, MoveMachine)
+    )
+
+
+WIDE = build_plan(build_step(30, SMALL))
+
+
+@pytest.mark.parametrize(
+    ("machines", "plans", "expected"),
+    [
+        (IN_POOL, [], [("m1", "spare"), ("m2", "spare"), ("m3", "spare")]),
+        (PARKED, [], []),
+        (
+            IN_POOL[:1] + PARKED,
+            [WIDE],
+            [("p1", "a"), ("p2", "a"), ("p3", "a")],
+        ),
+        (IN_POOL[:2], [build_plan(build_step(2, lasting=True))], []),
+    ],
+    ids=["idle ones are parked", "parked stay", "surge", "in use stay"],
+)
+def test_moves(machines, plans, expected):
+    assert moves_of(build_fleet(machines, plans)) == expected
+
+
+def test_order_is_stored_before_it_is_sent():
+    step = review_fleet(build_fleet(IN_POOL), NOW_MS)
+    assert not effects_of(step, MoveMachine)
+    again = review_fleet(step.state, NOW_MS)
+    assert not effects_of(again, MoveMachine)
+    (store,) = effects_of(write_progress(again.state, False), StoreProgress)
+    names = [
+        record.value.machines
+        for record in store.records
+        if record.key == "machines"
+    ]
+    assert names == [("m1", "m2", "m3")]
+
+
+@pytest.mark.parametrize(
+    ("inherited", "term_ms", "sent"),
+    [((), 0, 3), (("m1", "m2"), 0, 2), (("m1", "m2"), 3_000, 3)],
+    ids=["none", "may be ordered by another", "waited long enough"],
+)
+def test_new_leader_leaves_ordered_machines_alone(inherited, term_ms, sent):
+    manager = build_fleet(IN_POOL, inherited=inherited)
+    term = Term(epoch=2, began_ms=NOW_MS - term_ms, confirmed_ms=NOW_MS)
+    assert len(moves_of(replace(manager, term=term))) == sent
+
+
+@pytest.mark.parametrize(("confirmed_ago_ms", "sent"), [(999, 3), (1_000, 0)])
+def test_no_order_without_confirmation(confirmed_ago_ms, sent):
+    manager = build_fleet(IN_POOL)
+    confirmed_ms = NOW_MS - confirmed_ago_ms
+    term = replace(manager.term, confirmed_ms=confirmed_ms)
+    assert len(moves_of(replace(manager, term=term))) == sent
+
+
+def waves(at_once=2, within_ms=20_000):
+    names = tuple(machine.name for machine in IN_POOL)
+    wave = Wave(1, names, within_ms, at_once)
+    return Map({1: WaveProgress(wave, NOW_MS)})
+
+
+@pytest.mark.parametrize(
+    ("at_once", "within_ms", "sent"),
+    [(1, 20_000, 1), (2, 20_000, 2), (4, 6_000, 4), (4, 60_000, 2)],
+    ids=["one at most", "two at most", "little time", "much time"],
+)
+def test_wave_keeps_its_bound(at_once, within_ms, sent):
+    busy = build_plan(build_step(4, lasting=True, most_per_worker=1))
+    manager = build_fleet(
+        IN_POOL, [busy], waves_by_number=waves(at_once, within_ms)
+    )
+    first = review_fleet(manager, NOW_MS)
+    assert effects_of(first, ReportWave)[0].status.completed is False
+    decided = first.state.fleet.orders_by_machine
+    assert len([order for order in decided.values() if order.wave]) == sent
+
+
+def test_wave_is_completed_once_all_are_back():
+    manager = build_fleet(IN_POOL, waves_by_number=waves(at_once=4))
+    pools = manager.manifest.pools_by_name.delete("spare")
+    manifest = replace(manager.manifest, pools_by_name=pools)
+    manager = replace(manager, manifest=manifest)
+    at_ms = NOW_MS
+    done = set()
+    reports = []
+    for _ in range(20):
+        manager = store_orders(manager)
+        step = review_fleet(manager, at_ms)
+        manager = step.state
+        reports += effects_of(step, ReportWave)
+        for effect in effects_of(step, MaintainMachine):
+            done.add(effect.machine)
+            answer = MachineAnswered(at_ms, effect.machine, True)
+            manager = take_machine_answer(manager, answer).state
+        at_ms += 1_000
+        term = replace(manager.term, confirmed_ms=at_ms)
+        manager = replace(manager, term=term)
+        listed = MachinesListed(at_ms, IN_POOL)
+        manager = take_machines(manager, listed).state
+    assert done == {machine.name for machine in IN_POOL}
+    assert [report.status.completed for report in reports] == [False, True]
+
+
+@pytest.mark.parametrize(
+    ("done", "refused", "pending", "leaving"),
+    [(True, False, True, True), (False, False, True, True)]
+    + [(False, True, False, False)],
+    ids=["taken", "no answer", "refused"],
+)
+def test_answer_to_an_order(done, refused, pending, leaving):
+    manager = review_fleet(build_fleet(IN_POOL), NOW_MS).state
+    answer = MachineAnswered(NOW_MS, "m1", done, refused)
+    manager = take_machine_answer(manager, answer).state
+    assert ("m1" in manager.fleet.orders_by_machine) == pending
+    worker = manager.workers_by_id["w1"]
+    assert worker.leaving == leaving
+    assert worker.over == done
