--- /dev/null
+++ b/sesamehall/reducer/jobs/calls_test.py
@@ -0,0 +1,260 @@
+"""Tests of callers' calls about jobs."""
+
+import pytest
+
+from sesamehall.core.calls import Accepted
+from sesamehall.core.calls import CancelJob
+from sesamehall.core.calls import Counted
+from sesamehall.core.calls import CountPending
+from sesamehall.core.calls import JobCall
+from sesamehall.core.calls import JobDraft
+from sesamehall.core.calls import Rejected
+from sesamehall.core.calls import ShowJob
+from sesamehall.core.calls import Shown
+from sesamehall.core.calls import SubmitJob
+from sesamehall.core.codes import JOB_UNKNOWN
+from sesamehall.core.codes import KEY_MISSING
+from sesamehall.core.codes import KEY_REFUSED
+from sesamehall.core.codes import LOG_UNREACHABLE
+from sesamehall.core.codes import MALFORMED
+from sesamehall.core.codes import NO_SUCH_JOB
+from sesamehall.core.codes import NO_SUCH_SERVICE
+from sesamehall.core.codes import NOT_READY
+from sesamehall.core.data import JobPhase
+from sesamehall.core.fleet import CancelAsked
+from sesamehall.core.fleet import StoredRecord
+from sesamehall.core.fleet import Stream
+from sesamehall.core.managereffects import AnswerCall
+from sesamehall.core.managereffects import StoreJob
+from sesamehall.core.managerevents import JobCalled
+from sesamehall.core.managerevents import JobStored
+from sesamehall.core.managerevents import StoreOutcome
+from sesamehall.core.managerevents import StreamRead
+from sesamehall.core.managerstate import Following
+from sesamehall.core.managerstate import ManagerState
+from sesamehall.core.manifest import Queue
+from sesamehall.core.replacing import replace
+from sesamehall.core.work import JobPlan
+from sesamehall.core.work import Progress
+from sesamehall.reducer.jobs.calls import advance_calls
+from sesamehall.reducer.jobs.calls import find_queue
+from sesamehall.reducer.jobs.calls import receive_call
+from sesamehall.reducer.jobs.calls import take_job_stored
+from sesamehall.reducer.jobs.following import take_read
+from sesamehall.reducer.jobs.testing import build_leader
+from sesamehall.reducer.jobs.testing import build_manifest
+from sesamehall.reducer.jobs.testing import build_plan
+from sesamehall.reducer.jobs.testing import build_step
+from sesamehall.reducer.jobs.testing import effects_of
+from sesamehall.reducer.jobs.testing import JOB_ID
+from sesamehall.reducer.jobs.testing import NOW_MS
+from sesamehall.reducer.jobs.testing import take_in
+
+SUBMIT = SubmitJob(JobDraft("spec", (build_step(),)))
+
+
+def build_follower(*progress, manifest_ms=NOW_MS):
+    """Build a node that does not lead and knows one job."""
+    manager = ManagerState(
+        "edge-2",
+        manifest=build_manifest(),
+        operator=Following(1, fresh_ms=manifest_ms),
+        jobs=Following(1, fresh_ms=NOW_MS - 500),
+        progress=Following(1, fresh_ms=NOW_MS - 500),
+    )
+    records = (StoredRecord(JOB_ID, build_plan()),)
+    manager = read(manager, Stream.JOBS, records, NOW_MS - 500)
+    stored = tuple(StoredRecord(one.job_id, one) for one in progress)
+    return read(manager, Stream.PROGRESS, stored, NOW_MS - 500)
+
+
+def read(manager, stream, records, known_ms):
+    """Let a node read records."""
+    event = StreamRead(known_ms, known_ms, 0, stream, records, 1, False)
+    return take_read(manager, event).state
+
+
+def call(kind, path=f"/q/{JOB_ID}", key="k", host="q.example"):
+    return JobCalled(NOW_MS, JobCall(1, host, path, key, kind))
+
+
+def answers_of(step):
+    return [effect.answer for effect in effects_of(step, AnswerCall)]
+
+
+@pytest.mark.parametrize(
+    ("kind", "path", "key", "code"),
+    [
+        (ShowJob(), "/other/", "k", NO_SUCH_SERVICE),
+        (ShowJob(), f"/q/{JOB_ID}", "", KEY_MISSING),
+        (ShowJob(), f"/q/{JOB_ID}", "x", KEY_REFUSED),
+        (ShowJob(), "/q/short", "k", NO_SUCH_JOB),
+        (CountPending(), "/q/more/", "k", NO_SUCH_JOB),
+        (SubmitJob(JobDraft("", ())), "/q/" + "0" * 16, "k", MALFORMED),
+    ],
+    ids=[
+        "unknown queue",
+        "no key",
+        "unknown key",
+        "no identifier",
+        "below a queue",
+        "no steps",
+    ],
+)
+def test_call_is_rejected_at_once(kind, path, key, code):
+    step = receive_call(build_follower(), call(kind, path, key))
+    assert answers_of(step) == [Rejected(code)]
+
+
+@pytest.mark.parametrize(("age_ms", "rejected"), [(1_799, 0), (1_800, 1)])
+def test_stale_manifest_judges_no_call(age_ms, rejected):
+    manager = build_follower(manifest_ms=NOW_MS - age_ms)
+    step = receive_call(manager, call(CountPending(), "/q/"))
+    codes = [
+        answer.code
+        for answer in answers_of(step)
+        if isinstance(answer, Rejected)
+    ]
+    assert codes == [NOT_READY] * rejected
+
+
+@pytest.mark.parametrize(
+    ("progress", "kind", "answer"),
+    [
+        ((), SUBMIT, Accepted()),
+        ((), CountPending(), Counted(1)),
+        ((Progress(JOB_ID, JobPhase.RUNNING),), CountPending(), Counted(0)),
+        (
+            (Progress(JOB_ID, JobPhase.DONE),),
+            ShowJob(),
+            Shown(JobPhase.DONE),
+        ),
+        ((Progress(JOB_ID, JobPhase.FAILED),), CancelJob(), Accepted()),
+    ],
+    ids=[
+        "handed in again",
+        "pending",
+        "none pending",
+        "ended",
+        "cancelled too late",
+    ],
+)
+def test_call_is_answered_at_once(progress, kind, answer):
+    path = "/q/" if isinstance(kind, CountPending) else f"/q/{JOB_ID}"
+    step = receive_call(build_follower(*progress), call(kind, path))
+    assert answers_of(step) == [answer]
+
+
+@pytest.mark.parametrize(
+    ("outcome", "answer"),
+    [
+        (StoreOutcome.STORED, Accepted()),
+        (StoreOutcome.REFUSED, Rejected(LOG_UNREACHABLE, 1)),
+        (StoreOutcome.UNKNOWN, Rejected(JOB_UNKNOWN)),
+    ],
+)
+def test_job_is_accepted_once_it_is_stored(outcome, answer):
+    path = "/q/" + "0" * 16
+    step = receive_call(build_follower(), call(SUBMIT, path))
+    assert answers_of(step) == []
+    (store,) = effects_of(step, StoreJob)
+    assert isinstance(store.value, JobPlan)
+    assert store.value.team == "guild"
+    step = take_job_stored(step.state, JobStored(NOW_MS, 1, outcome))
+    assert answers_of(step) == [answer]
+
+
+@pytest.mark.parametrize(
+    ("path", "stream", "records", "answer"),
+    [
+        (
+            f"/q/{JOB_ID}",
+            Stream.PROGRESS,
+            (StoredRecord(JOB_ID, Progress(JOB_ID, JobPhase.DONE)),),
+            Shown(JobPhase.DONE),
+        ),
+        (f"/q/{JOB_ID}", Stream.PROGRESS, (), Shown(JobPhase.WAITING)),
+        ("/q/" + "0" * 16, Stream.JOBS, (), Rejected(NO_SUCH_JOB)),
+    ],
+    ids=["done meanwhile", "as before", "unknown"],
+)
+def test_follower_reads_before_it_shows(path, stream, records, answer):
+    step = receive_call(build_follower(), call(ShowJob(), path))
+    assert answers_of(step) == []
+    stale = read(step.state, stream, (), NOW_MS - 1)
+    assert answers_of(advance_calls(stale, NOW_MS)) == []
+    fresh = read(step.state, stream, records, NOW_MS + 5)
+    assert answers_of(advance_calls(fresh, NOW_MS + 5)) == [answer]
+
+
+@pytest.mark.parametrize(
+    ("job_id", "answer"),
+    [(JOB_ID, Accepted()), ("0" * 16, Rejected(NO_SUCH_JOB))],
+)
+def test_cancelling_is_stored_first(job_id, answer):
+    path = f"/q/{job_id}"
+    step = receive_call(build_follower(), call(CancelJob(), path))
+    (store,) = effects_of(step, StoreJob)
+    assert store.value == CancelAsked(job_id)
+    stored = JobStored(NOW_MS, 1, StoreOutcome.STORED)
+    step = take_job_stored(step.state, stored)
+    manager = read(step.state, Stream.JOBS, (), NOW_MS + 5)
+    later = advance_calls(manager, NOW_MS + 5)
+    assert answers_of(step) + answers_of(later) == [answer]
+
+
+@pytest.mark.parametrize(
+    ("kind", "answer"),
+    [
+        (SUBMIT, Rejected(JOB_UNKNOWN)),
+        (ShowJob(), Rejected(NOT_READY, 1)),
+        (CancelJob(), Rejected(NOT_READY, 1)),
+    ],
+    ids=["hand-in", "show", "cancel"],
+)
+def test_call_without_store_is_given_up(kind, answer):
+    path = "/q/" + "0" * 16
+    step = receive_call(build_follower(), call(kind, path))
+    assert answers_of(advance_calls(step.state, NOW_MS + 2_199)) == []
+    assert answers_of(advance_calls(step.state, NOW_MS + 2_200)) == [answer]
+
+
+def test_job_of_another_team_is_not_shown():
+    manager = build_follower()
+    teams = manager.team_by_job_id.set(JOB_ID, "others")
+    step = receive_call(
+        replace(manager, team_by_job_id=teams), call(ShowJob())
+    )
+    assert answers_of(step) == [Rejected(NO_SUCH_JOB)]
+
+
+@pytest.mark.parametrize(
+    ("confirmed_ago_ms", "answers"),
+    [(0, [Shown(JobPhase.WAITING)]), (900, [])],
+)
+def test_leader_shows_what_it_knows(confirmed_ago_ms, answers):
+    manager = take_in(build_leader(), build_plan())
+    confirmed_ms = NOW_MS - confirmed_ago_ms
+    manager = replace(
+        manager,
+        operator=Following(1, fresh_ms=NOW_MS),
+        term=replace(manager.term, confirmed_ms=confirmed_ms),
+    )
+    assert answers_of(receive_call(manager, call(ShowJob()))) == answers
+
+
+@pytest.mark.parametrize(
+    ("host", "path", "name"),
+    [
+        ("q.example", "/q/x", "quotes"),
+        ("q.example", "/q/long/x", "longer"),
+        ("q.example", "/r/x", None),
+        ("r.example", "/q/x", None),
+    ],
+)
+def test_longest_prefix_decides(host, path, name):
+    manifest = build_manifest()
+    longer = Queue("longer", "q.example", "/q/long/", "a")
+    queues = manifest.queues_by_name.set("longer", longer)
+    found = find_queue(replace(manifest, queues_by_name=queues), host, path)
+    assert (found and found.name) == name
--- /dev/null
+++ b/sesamehall/reducer/jobs/leading_test.py
@@ -0,0 +1,244 @@
+"""Tests of the leader's term: claims, stored progress, and its end."""
+
+from immutables import Map
+import pytest
+
+from sesamehall.core.data import JobPhase
+from sesamehall.core.fleet import Leader
+from sesamehall.core.fleet import LeasedWorker
+from sesamehall.core.fleet import StoredRecord
+from sesamehall.core.fleet import Stream
+from sesamehall.core.managereffects import ForgetWorker
+from sesamehall.core.managereffects import StartRun
+from sesamehall.core.managereffects import StoreProgress
+from sesamehall.core.managereffects import WatchWorker
+from sesamehall.core.managerevents import ProgressStored
+from sesamehall.core.managerevents import StoreOutcome
+from sesamehall.core.managerevents import StreamRead
+from sesamehall.core.managerstate import Following
+from sesamehall.core.managerstate import ManagerState
+from sesamehall.core.managerstate import Term
+from sesamehall.core.replacing import replace
+from sesamehall.core.work import EndedRun
+from sesamehall.core.work import RunEnd
+from sesamehall.reducer.jobs.following import take_read
+from sesamehall.reducer.jobs.leading import commit
+from sesamehall.reducer.jobs.leading import consider_claim
+from sesamehall.reducer.jobs.leading import take_stored
+from sesamehall.reducer.jobs.testing import build_entry
+from sesamehall.reducer.jobs.testing import build_leader
+from sesamehall.reducer.jobs.testing import build_manifest
+from sesamehall.reducer.jobs.testing import build_plan
+from sesamehall.reducer.jobs.testing import build_report
+from sesamehall.reducer.jobs.testing import build_worker
+from sesamehall.reducer.jobs.testing import effects_of
+from sesamehall.reducer.jobs.testing import JOB_ID
+from sesamehall.reducer.jobs.testing import NOW_MS
+from sesamehall.reducer.jobs.testing import OTHER_JOB_ID
+from sesamehall.reducer.jobs.testing import place_all
+from sesamehall.reducer.jobs.testing import take_in
+from sesamehall.reducer.jobs.testing import task
+from sesamehall.reducer.jobs.workers import take_entry
+from sesamehall.reducer.jobs.workers import take_report
+
+
+def build_follower(leader, silent_ms, **others):
+    """Build a node that has read no record of a leader for a while."""
+    fields = {
+        "manifest": build_manifest(),
+        "leader": leader,
+        "jobs": Following(1, fresh_ms=NOW_MS),
+        "progress": Following(9, fresh_ms=NOW_MS, grown_ms=NOW_MS - silent_ms),
+        **others,
+    }
+    return ManagerState("edge-2", **fields)
+
+
+OTHER = Leader("edge-1", 3)
+
+
+@pytest.mark.parametrize(
+    ("leader", "silent_ms", "change", "epoch"),
+    [
+        (OTHER, 1_199, {}, None),
+        (OTHER, 1_200, {}, 4),
+        (OTHER, 1_200, {"rank": 100}, None),
+        (None, 0, {}, 1),
+        (Leader("edge-1", 3, resigned=True), 0, {}, 4),
+        (Leader("edge-2", 3), 0, {}, 4),
+        (OTHER, 9_000, {"stopping": True}, None),
+        (OTHER, 9_000, {"jobs": Following()}, None),
+        (OTHER, 9_000, {"progress": Following()}, None),
+        (OTHER, 9_000, {"term": Term(claiming=4)}, None),
+    ],
+    ids=[
+        "writes",
+        "silent",
+        "silent, others go first",
+        "never any",
+        "resigned",
+        "an earlier start of this node",
+        "stopping",
+        "jobs not read",
+        "progress not read",
+        "claimed already",
+    ],
+)
+def test_claim(leader, silent_ms, change, epoch):
+    manager = build_follower(leader, silent_ms, **change)
+    claims = effects_of(consider_claim(manager, NOW_MS), StoreProgress)
+    assert [claim.epoch for claim in claims] == ([epoch] if epoch else [])
+    assert all(claim.at_offset == 9 for claim in claims)
+
+
+def claimed(manager, outcome=StoreOutcome.STORED):
+    """Let a node claim the role and learn what became of it."""
+    step = consider_claim(manager, NOW_MS)
+    epoch = step.state.term.claiming
+    return take_stored(
+        step.state, ProgressStored(NOW_MS, NOW_MS, epoch, outcome)
+    )
+
+
+@pytest.mark.parametrize(
+    ("outcome", "leads"),
+    [
+        (StoreOutcome.STORED, True),
+        (StoreOutcome.REFUSED, False),
+        (StoreOutcome.FENCED, False),
+        (StoreOutcome.UNKNOWN, False),
+    ],
+)
+def test_claim_counts_once_it_is_stored(outcome, leads):
+    step = claimed(build_follower(OTHER, 2_000), outcome)
+    assert bool(step.state.term.epoch) == leads
+    assert not step.state.term.claiming
+
+
+def take_over(leased=("w1",)):
+    """Let a node take over a job and workers that an earlier leader had."""
+    by_id = Map((name, LeasedWorker(name, "h:1", "a", 7)) for name in leased)
+    manager = build_follower(
+        OTHER,
+        2_000,
+        plans_by_id=Map({JOB_ID: build_plan()}),
+        leased_by_id=by_id,
+    )
+    return claimed(manager)
+
+
+def reach(manager, name, active=(), ended=()):
+    """Let a worker register and report to a new leader."""
+    entry = build_entry(name)
+    manager = take_entry(manager, entry, NOW_MS).state
+    report = build_report(name, active, ended, epoch=4)
+    return take_report(manager, report).state
+
+
+@pytest.mark.parametrize(
+    ("leased", "reached", "at_ms", "starts"),
+    [
+        (("w1",), ("w1",), 0, 1),
+        (("w1", "w2"), ("w1",), 0, 0),
+        (("w1", "w2"), ("w1", "w2"), 0, 1),
+    ],
+    ids=["all reached", "one unreached", "both reached"],
+)
+def test_inherited_tasks_wait_for_all_workers(leased, reached, at_ms, starts):
+    step = take_over(leased)
+    assert len(effects_of(step, WatchWorker)) == len(leased)
+    manager = step.state
+    for name in reached:
+        manager = reach(manager, name)
+    orders = effects_of(place_all(manager, NOW_MS + at_ms), StartRun)
+    assert len(orders) == starts
+
+
+@pytest.mark.parametrize(
+    ("known_ms", "starts"), [(NOW_MS - 1, 0), (NOW_MS, 1)]
+)
+def test_later_jobs_need_not_wait(known_ms, starts):
+    """Only jobs read after the first read that began in the term do not."""
+    manager = reach(take_over(("w1", "w2")).state, "w1")
+    first = StreamRead(NOW_MS, known_ms, 0, Stream.JOBS, (), 1, False)
+    manager = take_read(manager, first).state
+    plan = build_plan(job_id=OTHER_JOB_ID)
+    record = StoredRecord(OTHER_JOB_ID, plan)
+    later = StreamRead(NOW_MS, known_ms, 0, Stream.JOBS, (record,), 2, False)
+    manager = take_read(manager, later).state
+    orders = effects_of(place_all(manager), StartRun)
+    assert len(orders) == starts
+
+
+@pytest.mark.parametrize(
+    ("confirmed_ago_ms", "accepted_ago_ms", "starts"),
+    [
+        (899, 0, 1),
+        (900, 900, 1),
+        (2_000, 900, 0),
+        (4_999, 4_200, 1),
+        (5_000, 5_000, 0),
+    ],
+    ids=[
+        "confirmed",
+        "known before",
+        "came too late",
+        "outage",
+        "outage too long",
+    ],
+)
+def test_starts_without_confirmation(
+    confirmed_ago_ms, accepted_ago_ms, starts
+):
+    manager = take_in(build_leader(build_worker("w1")), build_plan())
+    work = manager.works_by_id[JOB_ID]
+    work = replace(work, accepted_ms=NOW_MS - accepted_ago_ms)
+    confirmed_ms = NOW_MS - confirmed_ago_ms
+    manager = replace(
+        manager,
+        works_by_id=manager.works_by_id.set(JOB_ID, work),
+        term=replace(manager.term, confirmed_ms=confirmed_ms),
+    )
+    assert len(effects_of(place_all(manager), StartRun)) == starts
+
+
+def test_end_is_shown_and_acknowledged_once_it_is_stored():
+    manager = take_in(build_leader(build_worker("w1")), build_plan())
+    manager = place_all(manager).state
+    ended = EndedRun(1, task(), 1, RunEnd.DONE)
+    manager = take_report(manager, build_report("w1", (), [ended])).state
+    assert JOB_ID not in manager.phase_by_job_id
+    assert manager.workers_by_id["w1"].ended_stored == 0
+    step = commit(manager, NOW_MS)
+    (store,) = effects_of(step, StoreProgress)
+    assert [record.key for record in store.records] == [
+        JOB_ID,
+        "worker/w1",
+        "leader",
+    ]
+    stored = ProgressStored(NOW_MS, NOW_MS, 1, StoreOutcome.STORED)
+    manager = take_stored(step.state, stored).state
+    assert manager.phase_by_job_id[JOB_ID] is JobPhase.DONE
+    assert manager.workers_by_id["w1"].ended_stored == 1
+    assert JOB_ID not in manager.works_by_id
+
+
+@pytest.mark.parametrize(
+    ("outcome", "leads", "dirty"),
+    [
+        (StoreOutcome.UNKNOWN, True, True),
+        (StoreOutcome.REFUSED, True, True),
+        (StoreOutcome.FENCED, False, False),
+    ],
+)
+def test_write_that_fails(outcome, leads, dirty):
+    manager = take_in(build_leader(build_worker("w1")), build_plan())
+    manager = place_all(manager).state
+    ended = EndedRun(1, task(), 1, RunEnd.DONE)
+    manager = take_report(manager, build_report("w1", (), [ended])).state
+    manager = commit(manager, NOW_MS).state
+    step = take_stored(manager, ProgressStored(NOW_MS, NOW_MS, 1, outcome))
+    assert bool(step.state.term.epoch) == leads
+    assert bool(step.state.dirty_jobs) == dirty
+    assert bool(effects_of(step, ForgetWorker)) != leads
+    assert JOB_ID not in step.state.phase_by_job_id
