--- a/sesamehall/reducer/jobs/calls.py
+++ b/sesamehall/reducer/jobs/calls.py
@@ -25,7 +25,6 @@
 from sesamehall.core.fleet import CancelAsked
 from sesamehall.core.jobtiming import CALL_TIMEOUT_MS
 from sesamehall.core.jobtiming import MANIFEST_FRESH_MS
-from sesamehall.core.jobtiming import START_CONFIRMED_MS
 from sesamehall.core.logevents import CALL_ANSWERED
 from sesamehall.core.logevents import CALL_REJECTED
 from sesamehall.core.managereffects import AnswerCall
@@ -43,6 +42,7 @@
 from sesamehall.core.step import then
 from sesamehall.core.work import JobPlan
 from sesamehall.reducer.counts import drop_key
+from sesamehall.reducer.jobs.workers import is_confirmed
 
 RETRY_AFTER_S = 1  # a node that cannot serve now may again after this
 JOB_ID_LENGTH = 16
@@ -185,8 +185,7 @@
 
 def _leads_surely(manager, at_ms):
     """Tell whether this node certainly knows the newest progress."""
-    since_ms = at_ms - manager.term.confirmed_ms
-    return bool(manager.term.epoch) and since_ms < START_CONFIRMED_MS
+    return bool(manager.term.epoch) and is_confirmed(manager, at_ms)
 
 
 def _shown_phase(manager, job_id):
--- a/sesamehall/reducer/jobs/workers.py
+++ b/sesamehall/reducer/jobs/workers.py
@@ -226,7 +226,9 @@
 def review_worker(manager: ManagerState, worker_id: str, at_ms: int) -> Step:
     """Give up the runs of a silent worker whose lease has run out.
 
-    A worker that is neither registered nor answers is forgotten then.
+    Without fresh confirmation of the role another leader may have reached the
+    worker and renewed its lease, so nothing is given up then.  A worker that
+    is neither registered nor answers is forgotten.
 
     Args:
       manager: State of the leader.
@@ -238,6 +240,8 @@
     worker = manager.workers_by_id.get(worker_id)
     if worker is None or not worker.silences or at_ms < worker.lease_end_ms:
         return Step(manager)
+    if not is_confirmed(manager, at_ms):
+        return Step(manager)
     step = Step(manager)
     for task in sorted(worker.tasks):
         run = step.state.runs_by_task[task]
@@ -352,6 +356,18 @@
     return worker_clock(worker, at_ms) + START_LEASE_MS
 
 
+def is_confirmed(manager: ManagerState, at_ms: int) -> bool:
+    """Tell whether no other leader can have begun its term.
+
+    Args:
+      manager: State of a leader.
+      at_ms: The node's clock.
+    Returns:
+      True where its writes were confirmed a moment ago.
+    """
+    return at_ms - manager.term.confirmed_ms < START_CONFIRMED_MS
+
+
 def may_start(manager: ManagerState, work: Work, at_ms: int) -> bool:
     """Tell whether a leader may start tasks of a job.
 
@@ -369,9 +385,9 @@
     """
     if not manager.term.epoch:
         return False
-    confirmed_ms = manager.term.confirmed_ms
-    if at_ms - confirmed_ms < START_CONFIRMED_MS:
+    if is_confirmed(manager, at_ms):
         return True
+    confirmed_ms = manager.term.confirmed_ms
     known = work.accepted_ms < confirmed_ms + START_CONFIRMED_MS
     return known and at_ms - confirmed_ms < RENEW_CONFIRMED_MS
 
--- a/sesamehall/reducer/jobs/workers_test.py
+++ b/sesamehall/reducer/jobs/workers_test.py
@@ -70,7 +70,9 @@
     assert (watch.lease_until_ms >= 0) == (confirmed_ago_ms < 5_000)
 
 
-def test_tasks_of_a_silent_worker_wait_once_its_lease_is_over():
+@pytest.mark.parametrize("confirmed", [True, False])
+def test_tasks_of_a_silent_worker_wait_once_its_lease_is_over(confirmed):
+    """Not where another leader may have renewed the lease meanwhile."""
     manager = leader_with_run()
     lease_end_ms = manager.workers_by_id["w1"].lease_end_ms
     at_ms = NOW_MS
@@ -79,9 +81,13 @@
         manager = watch_worker(manager, "w1", at_ms).state
         assert task() in manager.runs_by_task
         at_ms += 300
+    if confirmed:
+        term = replace(manager.term, confirmed_ms=at_ms)
+        manager = replace(manager, term=term)
     manager = review_workers(manager, at_ms).state
-    assert task() not in manager.runs_by_task
-    assert len(manager.works_by_id[build_plan().job_id].waiting) == 1
+    assert (task() not in manager.runs_by_task) == confirmed
+    waiting = manager.works_by_id[build_plan().job_id].waiting
+    assert len(waiting) == confirmed
 
 
 @pytest.mark.parametrize(
