--- a/sesamehall/platform/http.py
+++ b/sesamehall/platform/http.py
@@ -2,14 +2,22 @@
 
 from dataclasses import dataclass
 import json
+from socket import SO_LINGER
+from socket import SOL_SOCKET
+import struct
 
 from urllib3 import HTTPConnectionPool
 from urllib3 import Timeout
+from urllib3.connection import HTTPConnection
 from urllib3.exceptions import HTTPError
 
 from sesamehall.core.codes import PlatformError
 
 CONNECT_TIMEOUT_S = 0.5  # a machine that accepts later counts as silent
+RESET_ON_CLOSE = (SOL_SOCKET, SO_LINGER, struct.pack("ii", 1, 0))
+# What was sent on a connection that is given up must not arrive later, when
+# a partition heals: another leader may have given other orders by then.
+SOCKET_OPTIONS = [*HTTPConnection.default_socket_options, RESET_ON_CLOSE]
 JSON_HEADERS = {"Content-Type": "application/json"}
 
 
@@ -55,7 +63,12 @@
           connections: Connections that are kept while idle.
         """
         host, _, port = address.rpartition(":")
-        self._pool = HTTPConnectionPool(host, int(port), maxsize=connections)
+        self._pool = HTTPConnectionPool(
+            host,
+            int(port),
+            maxsize=connections,
+            socket_options=SOCKET_OPTIONS,
+        )
 
     def call(
         self,
--- /dev/null
+++ b/sesamehall/reducer/jobs/arrivals.py
@@ -0,0 +1,57 @@
+"""Arrivals: how fast the jobs of a queue come, to foresee its needs."""
+
+from math import exp
+
+from sesamehall.core.fleettiming import ARRIVALS_OVER_MS
+from sesamehall.core.fleettiming import SURGE_JOBS
+from sesamehall.core.managerstate import Arrivals
+from sesamehall.core.managerstate import ManagerState
+from sesamehall.core.replacing import replace
+
+
+def note_arrival(
+    manager: ManagerState, queue: str, at_ms: int
+) -> ManagerState:
+    """Count a job that has come.
+
+    Args:
+      manager: State of the leader.
+      queue: Name of its queue.
+      at_ms: The node's clock.
+    Returns:
+      The state.
+    """
+    rate = jobs_per_s(manager, queue, at_ms) + 1_000 / ARRIVALS_OVER_MS
+    arrivals = manager.arrivals_by_queue.set(queue, Arrivals(rate, at_ms))
+    return replace(manager, arrivals_by_queue=arrivals)
+
+
+def surge_jobs_per_s(manager: ManagerState, queue: str, at_ms: int) -> float:
+    """Estimate how fast a queue's jobs come in a surge.
+
+    Args:
+      manager: State of the leader.
+      queue: Name of the queue.
+      at_ms: The node's clock.
+    Returns:
+      Jobs a second beyond what a few single jobs would seem to be.
+    """
+    few = SURGE_JOBS * 1_000 / ARRIVALS_OVER_MS
+    return max(jobs_per_s(manager, queue, at_ms) - few, 0.0)
+
+
+def jobs_per_s(manager: ManagerState, queue: str, at_ms: int) -> float:
+    """Estimate how fast a queue's jobs come.
+
+    Args:
+      manager: State of the leader.
+      queue: Name of the queue.
+      at_ms: The node's clock.
+    Returns:
+      Jobs a second; arrivals fade out over ARRIVALS_OVER_MS.
+    """
+    arrivals = manager.arrivals_by_queue.get(queue)
+    if arrivals is None:
+        return 0.0
+    age_ms = max(at_ms - arrivals.at_ms, 0)
+    return arrivals.jobs_per_s * exp(-age_ms / ARRIVALS_OVER_MS)
