Foresee surges by how fast jobs come; read the whole request in a test

Cause: a surge's need showed only as its jobs came near their goals. Change: need = at least the jobs that come in a surge, beyond a few single ones; the test reads the request to its end.

--- a/sesamehall/core/fleettiming.py
+++ b/sesamehall/core/fleettiming.py
@@ -11,4 +11,6 @@
 PEAK_HOLD_MS = 2_500  # longer than a machine needs to come back
 HEADROOM = 1.3  # room is lost between tasks, and demand grows meanwhile
 SPARE_WORKERS = 1  # kept beside what the demand asks for
+ARRIVALS_OVER_MS = 600  # a surge is seen this early
+SURGE_JOBS = 3  # so many jobs within that time are no surge yet
 LEAST_TIME_MS = 1_000  # a job that is late is given this long for its rest
--- a/sesamehall/core/managerstate.py
+++ b/sesamehall/core/managerstate.py
@@ -312,6 +312,19 @@
     at_ms: int
 
 
+@dataclass(frozen=True, slots=True)
+class Arrivals:
+    """How fast a queue's jobs come.
+
+    Attributes:
+      jobs_per_s: Mean of the latest time, with old arrivals fading out.
+      at_ms: Clock for which the mean holds.
+    """
+
+    jobs_per_s: float = 0.0
+    at_ms: int = 0
+
+
 @dataclass(frozen=True, slots=True)
 class FleetState:
     """Machines, and what is to happen to them.
@@ -375,6 +388,7 @@
       worker_ids_by_pool: Their identifiers, mapped to True.
       job_ids_by_pool: Jobs with tasks that may start, mapped to True.
       used_by_team: Room that a team's runs take.
+      arrivals_by_queue: How fast jobs come.
       mean_work_by_queue: Processor time of a mean job, in
         core-milliseconds, of the queues that had any.
       dirty_jobs: Jobs whose progress is not stored yet.
@@ -420,6 +434,7 @@
     worker_ids_by_pool: Map[str, Map[str, bool]] = EMPTY_MAP
     job_ids_by_pool: Map[str, Map[str, bool]] = EMPTY_MAP
     used_by_team: Map[str, Size] = EMPTY_MAP
+    arrivals_by_queue: Map[str, Arrivals] = EMPTY_MAP
     mean_work_by_queue: Map[str, float] = EMPTY_MAP
     dirty_jobs: Map[str, bool] = EMPTY_MAP
     dirty_workers: Map[str, bool] = EMPTY_MAP
--- a/sesamehall/platform/http_test.py
+++ b/sesamehall/platform/http_test.py
@@ -36,7 +36,9 @@
     seen = []
 
     def handle(connection):
-        connection.recv(65536)
+        received = b""
+        while not received.endswith(b"}"):
+            received += connection.recv(65536)
         connection.settimeout(5)
         try:
             seen.append(connection.recv(65536))
--- a/sesamehall/reducer/jobs/leading.py
+++ b/sesamehall/reducer/jobs/leading.py
@@ -38,6 +38,7 @@
 from sesamehall.core.timers import DueTimer
 from sesamehall.core.work import JobPlan
 from sesamehall.core.work import Progress
+from sesamehall.reducer.jobs.arrivals import note_arrival
 from sesamehall.reducer.jobs.bookkeeping import let_wait
 from sesamehall.reducer.jobs.bookkeeping import pool_of
 from sesamehall.reducer.jobs.bookkeeping import put_work
@@ -246,7 +247,10 @@
     progress = manager.progress_by_id.get(job_id, Progress(job_id))
     wall_ms = at_ms + manager.wall_offset_ms
     work = begin_work(plan, progress, queue, at_ms, wall_ms, inherited)
-    manager = _learn_work(put_work(manager, work), plan)
+    manager = put_work(manager, work)
+    if not plan.steps[0].lasting:
+        manager = _learn_work(manager, plan)
+        manager = note_arrival(manager, plan.queue, at_ms)
     line = log(
         JOB_SEEN,
         job=job_id,
--- a/sesamehall/reducer/machines/sizing.py
+++ b/sesamehall/reducer/machines/sizing.py
@@ -15,6 +15,7 @@
 from sesamehall.core.managerstate import Worker
 from sesamehall.core.work import Size
 from sesamehall.core.work import StepPlan
+from sesamehall.reducer.jobs.arrivals import surge_jobs_per_s
 from sesamehall.reducer.jobs.bookkeeping import pool_of
 from sesamehall.reducer.jobs.progress import chain_left_ms
 from sesamehall.reducer.jobs.progress import plan_work
@@ -36,8 +37,9 @@
 def need_of(manager: ManagerState, pool: str, at_ms: int) -> Need:
     """Compute how many workers a pool needs now.
 
-    A job needs as many workers as do its remaining work by its goal; lasting
-    tasks need their room, and as many workers as they must be spread over.
+    A job needs as many workers as do its remaining work by its goal, and a
+    surge that has just begun as many as do what comes; lasting tasks need
+    their room, and as many workers as they must be spread over.
 
     Args:
       manager: State of the leader.
@@ -59,6 +61,7 @@
             spread = max(spread, _spread(work))
         else:
             timely += _timely_load(work, room, at_ms)
+    timely = max(timely, _arriving_load(manager, pool, room, at_ms))
     least = max(ceil(lasting), spread)
     wanted = max(ceil((lasting + timely) * HEADROOM), spread) + SPARE_WORKERS
     return Need(least, wanted)
@@ -148,6 +151,19 @@
     return left_ms / time_ms
 
 
+def _arriving_load(manager, pool, room: Size, at_ms: int) -> float:
+    """Compute the workers that do jobs as fast as they come."""
+    if not room.cpu_milli:
+        return 0.0
+    work_per_s = sum(
+        surge_jobs_per_s(manager, name, at_ms)
+        * manager.mean_work_by_queue.get(name, 0.0)
+        for name, queue in manager.manifest.queues_by_name.items()
+        if queue.pool == pool
+    )
+    return work_per_s / room.cpu_milli
+
+
 def _part(step: StepPlan, room: Size) -> float:
     """Compute the part of a worker that a task takes."""
     cpu_milli = 0 if step.fills else step.size.cpu_milli
