--- a/sesamehall/core/calls.py
+++ b/sesamehall/core/calls.py
@@ -61,6 +61,7 @@
 
     Attributes:
       call_id: Identifier of the call within this process.
+      at_ms: The node's clock when it came.
       host: Host that the caller named.
       path: Path that the caller named.
       key: Key that was shown, or "".
@@ -68,6 +69,7 @@
     """
 
     call_id: int
+    at_ms: int
     host: str
     path: str
     key: str
--- a/sesamehall/core/logevents.py
+++ b/sesamehall/core/logevents.py
@@ -139,6 +139,9 @@
 NODE_STARTED = _info(900, "node started")
 NODE_STOPPING = _info(901, "node stopping")
 NODE_STOPPED = _info(902, "node stopped")
+LINES_DROPPED = _warning(
+    910, "log lines dropped", "Read standard output faster."
+)
 INTERNAL_ERROR = LogEvent(
     999, "internal error", logging.ERROR, "Report it with the history file."
 )
--- a/sesamehall/platform/application.py
+++ b/sesamehall/platform/application.py
@@ -32,6 +32,7 @@
 from sesamehall.platform.ingress import Ingress
 from sesamehall.platform.ingress import ReadyPage
 from sesamehall.platform.listening import BACKLOG
+from sesamehall.platform.listening import listen
 from sesamehall.platform.listening import Listeners
 from sesamehall.platform.machines import MachineGate
 from sesamehall.platform.settings import ProcessSettings
@@ -42,6 +43,7 @@
 from sesamehall.runtime.interpreter import Interpreter
 from sesamehall.runtime.interpreter import now_ms
 from sesamehall.runtime.logbook import Logbook
+from sesamehall.runtime.metrics import Metrics
 
 SERVING_THREADS = 10  # calls under way; each waits for the store at most
 SHUTDOWN_TIMEOUT_S = 1  # threads that still serve are left after this
@@ -72,6 +74,7 @@
             ),
         )
         self._logbook = Logbook(settings.name, "")
+        self._metrics = Metrics()
         self._interpreter = Interpreter(state, self._perform)
         post = self._interpreter.post
         self._ingress = Ingress(post)
@@ -83,16 +86,23 @@
             listeners.front, self._ingress, SERVING_THREADS
         )
         self._ready_server = ListeningServer(listeners.ready, self._ready, 1)
+        self._metrics_server = ListeningServer(
+            listen(f"{settings.metrics}"), self._metrics, 1
+        )
 
     def serve(self) -> None:
         """Serve until a decision ends the process."""
-        for server in (self._ready_server, self._front_server):
+        for server in self._servers():
             server.prepare()
             run_thread(server.serve, "serve")
         self._interpreter.post(Started(now_ms()))
         self._interpreter.run()
         self._front_server.stop()
 
+    def _servers(self):
+        """List the servers, those first that must not wait."""
+        return (self._ready_server, self._front_server, self._metrics_server)
+
     def request_stop(self) -> None:
         """Ask for a graceful stop; `serve` returns when it is done."""
         self._interpreter.post(StopRequested(now_ms()))
@@ -102,6 +112,7 @@
         match effect:
             case Log():
                 self._logbook.write(effect)
+                self._metrics.count(effect)
             case WatchWorker():
                 self._workers.watch(effect)
             case StartRun() | StopRun() | PaceRun():
--- a/sesamehall/platform/ingress.py
+++ b/sesamehall/platform/ingress.py
@@ -97,6 +97,7 @@
         """Have a call decided, and wait for the answer."""
         call = JobCall(
             call_id=next(self._serials),
+            at_ms=now_ms(),
             host=environ.get("HTTP_HOST", "").partition(":")[0],
             path=environ.get("PATH_INFO", ""),
             key=_read_key(environ),
@@ -105,7 +106,7 @@
         mailbox: SimpleQueue[CallAnswer] = SimpleQueue()
         self._mailboxes_by_id[call.call_id] = mailbox
         try:
-            self._post(JobCalled(now_ms(), call))
+            self._post(JobCalled(call.at_ms, call))
             return mailbox.get(timeout=DECISION_TIMEOUT_S)
         except Empty:
             return Rejected(JOB_UNKNOWN)
--- a/sesamehall/platform/listening.py
+++ b/sesamehall/platform/listening.py
@@ -40,12 +40,21 @@
         with open(environment[SETTINGS_VARIABLE], encoding="utf-8") as file:
             addresses = json.load(file)["Listen"]
         return Listeners(
-            _listen(addresses["Front"]), _listen(addresses["Ready"])
+            listen(addresses["Front"]), listen(addresses["Ready"])
         )
     except (OSError, ValueError, KeyError, TypeError):
         return None
 
 
-def _listen(address: str) -> socket:
+def listen(address: str) -> socket:
+    """Listen on an address.
+
+    Args:
+      address: "host:port".
+    Returns:
+      The socket.
+    Raises:
+      OSError: The address cannot be listened on.
+    """
     host, _, port = address.rpartition(":")
     return create_server((host, int(port)), backlog=BACKLOG)
--- a/sesamehall/platform/settings.py
+++ b/sesamehall/platform/settings.py
@@ -11,6 +11,8 @@
 from sesamehall.core.managerstate import Timing
 from sesamehall.platform.listening import SETTINGS_VARIABLE
 
+METRICS_PORT = 7000  # deploy/system.toml names the same
+
 
 @dataclass(frozen=True, slots=True)
 class ProcessSettings:
@@ -21,6 +23,7 @@
       data_centre: Where that machine stands.
       front: "host:port" for callers.
       ready: "host:port" for the balancer's question whether it is ready.
+      metrics: "host:port" on which metrics are served.
       store: "host:port" of the platform's metadata store.
       machines: "host:port" of the platform's cloud interface, or "".
       timing: Bounds that the platform sets.
@@ -30,6 +33,7 @@
     data_centre: str
     front: str
     ready: str
+    metrics: str
     store: str
     machines: str
     timing: Timing
@@ -97,6 +101,7 @@
         data_centre=text("Zone"),
         front=text("Listen", "Front"),
         ready=text("Listen", "Ready"),
+        metrics=f"{text('Ip')}:{METRICS_PORT}",
         store=text("platform", "Address"),
         machines=text("CloudApi", "Address", default="") or "",
         timing=Timing(
--- a/sesamehall/reducer/jobs/calls.py
+++ b/sesamehall/reducer/jobs/calls.py
@@ -61,22 +61,22 @@
     call = event.call
     at_ms = event.at_ms
     if not knows_manifest(manager, at_ms):
-        return _reject(manager, call, NOT_READY, "", RETRY_AFTER_S)
+        return _reject(manager, call, NOT_READY, "", at_ms, RETRY_AFTER_S)
     queue = find_queue(manager.manifest, call.host, call.path)
     if queue is None:
-        return _reject(manager, call, NO_SUCH_SERVICE, "")
+        return _reject(manager, call, NO_SUCH_SERVICE, "", at_ms)
     team = manager.manifest.team_by_key.get(call.key, "")
     if not queue.open_to_all and not team:
         code = KEY_REFUSED if call.key else KEY_MISSING
-        return _reject(manager, call, code, "")
+        return _reject(manager, call, code, "", at_ms)
     job_id = call.path[len(queue.path_prefix) :]
     if isinstance(call.kind, CountPending):
         if job_id:
-            return _reject(manager, call, NO_SUCH_JOB, job_id)
+            return _reject(manager, call, NO_SUCH_JOB, job_id, at_ms)
         pending = count_pending(manager, queue.name)
-        return _answer(manager, call, Counted(pending), "")
+        return _answer(manager, call, Counted(pending), "", at_ms)
     if len(job_id) != JOB_ID_LENGTH or not JOB_ID_DIGITS.issuperset(job_id):
-        return _reject(manager, call, NO_SUCH_JOB, job_id)
+        return _reject(manager, call, NO_SUCH_JOB, job_id, at_ms)
     waiting = WaitingCall(
         call=call,
         job_id=job_id,
@@ -145,14 +145,14 @@
     job_id = waiting.job_id
     known = job_id in manager.team_by_job_id
     if known and not _may_see(manager, waiting):
-        return _reject(manager, call, NO_SUCH_JOB, job_id)
+        return _reject(manager, call, NO_SUCH_JOB, job_id, at_ms)
     ended = manager.phase_by_job_id.get(job_id) in TERMINAL_PHASES
     match call.kind:
         case SubmitJob() if known:
-            return _answer(manager, call, Accepted(), job_id)
+            return _answer(manager, call, Accepted(), job_id, at_ms)
         case SubmitJob(draft):
             if not draft.steps:
-                return _reject(manager, call, MALFORMED, job_id)
+                return _reject(manager, call, MALFORMED, job_id, at_ms)
             plan = JobPlan(
                 job_id=job_id,
                 queue=queue.name,
@@ -165,12 +165,12 @@
             )
             return _store(manager, waiting, plan)
         case CancelJob() if known and ended:
-            return _answer(manager, call, Accepted(), job_id)
+            return _answer(manager, call, Accepted(), job_id, at_ms)
         case CancelJob():
             return _store(manager, waiting, CancelAsked(job_id))
         case ShowJob() if known and (ended or _leads_surely(manager, at_ms)):
             phase = _shown_phase(manager, job_id)
-            return _answer(manager, call, Shown(phase), job_id)
+            return _answer(manager, call, Shown(phase), job_id, at_ms)
         case ShowJob() if known:
             return _wait(manager, waiting, CallStage.READING_PROGRESS, at_ms)
         case ShowJob():
@@ -223,17 +223,18 @@
     if waiting is None:
         return Step(manager)
     call = waiting.call
+    at_ms = event.at_ms
     match event.outcome:
         case StoreOutcome.STORED if isinstance(call.kind, SubmitJob):
-            return _answer(manager, call, Accepted(), waiting.job_id)
+            return _answer(manager, call, Accepted(), waiting.job_id, at_ms)
         case StoreOutcome.STORED if waiting.job_id in manager.team_by_job_id:
-            return _answer(manager, call, Accepted(), waiting.job_id)
+            return _answer(manager, call, Accepted(), waiting.job_id, at_ms)
         case StoreOutcome.STORED:
             return _wait(manager, waiting, CallStage.READING_JOBS, event.at_ms)
         case StoreOutcome.UNKNOWN:
-            return _reject(manager, call, JOB_UNKNOWN, waiting.job_id)
+            return _reject(manager, call, JOB_UNKNOWN, waiting.job_id, at_ms)
     return _reject(
-        manager, call, LOG_UNREACHABLE, waiting.job_id, RETRY_AFTER_S
+        manager, call, LOG_UNREACHABLE, waiting.job_id, at_ms, RETRY_AFTER_S
     )
 
 
@@ -259,44 +260,55 @@
     match waiting.stage:
         case CallStage.READING_JOBS if known:
             if not _may_see(manager, waiting):
-                return _reject(manager, call, NO_SUCH_JOB, job_id)
+                return _reject(manager, call, NO_SUCH_JOB, job_id, at_ms)
             if isinstance(call.kind, CancelJob):
-                return _answer(manager, call, Accepted(), job_id)
+                return _answer(manager, call, Accepted(), job_id, at_ms)
             if _leads_surely(manager, at_ms):
                 phase = _shown_phase(manager, job_id)
-                return _answer(manager, call, Shown(phase), job_id)
+                return _answer(manager, call, Shown(phase), job_id, at_ms)
             return _wait(manager, waiting, CallStage.READING_PROGRESS, at_ms)
         case CallStage.READING_JOBS:
             if manager.jobs.fresh_ms >= waiting.since_ms:
-                return _reject(manager, call, NO_SUCH_JOB, job_id)
+                return _reject(manager, call, NO_SUCH_JOB, job_id, at_ms)
         case CallStage.READING_PROGRESS:
             if manager.progress.fresh_ms >= waiting.since_ms:
                 phase = _shown_phase(manager, job_id)
-                return _answer(manager, call, Shown(phase), job_id)
+                return _answer(manager, call, Shown(phase), job_id, at_ms)
     if at_ms < waiting.ends_ms:
         return Step(manager)
     if waiting.stage is CallStage.READING_PROGRESS:
         phase = _shown_phase(manager, job_id)
-        return _answer(manager, call, Shown(phase), job_id)
+        return _answer(manager, call, Shown(phase), job_id, at_ms)
     if isinstance(call.kind, SubmitJob):
-        return _reject(manager, call, JOB_UNKNOWN, job_id)
-    return _reject(manager, call, NOT_READY, job_id, RETRY_AFTER_S)
+        return _reject(manager, call, JOB_UNKNOWN, job_id, at_ms)
+    return _reject(manager, call, NOT_READY, job_id, at_ms, RETRY_AFTER_S)
 
 
-def _answer(manager, call: JobCall, answer: CallAnswer, job_id: str) -> Step:
+def _answer(
+    manager, call: JobCall, answer: CallAnswer, job_id: str, at_ms: int
+) -> Step:
     line = log(
         CALL_ANSWERED,
         call=call.call_id,
         job=job_id,
         kind=type(call.kind).__name__,
         answer=type(answer).__name__,
+        took_ms=at_ms - call.at_ms,
         version=manager.manifest.version,
+        age_ms=at_ms - _known_ms(manager),
     )
     return _finish(manager, call, answer, line)
 
 
+def _known_ms(manager):
+    """Tell up to when this node knows how far the jobs have come."""
+    if manager.term.epoch:
+        return manager.term.confirmed_ms
+    return manager.progress.fresh_ms
+
+
 def _reject(
-    manager, call: JobCall, code: ResultCode, job_id: str, after_s: int = 0
+    manager, call: JobCall, code: ResultCode, job_id: str, at_ms, after_s=0
 ) -> Step:
     version = 0 if manager.manifest is None else manager.manifest.version
     line = log(
@@ -306,7 +318,9 @@
         kind=type(call.kind).__name__,
         code=code.number,
         reason=code.name,
+        took_ms=at_ms - call.at_ms,
         version=version,
+        manifest_age_ms=at_ms - manager.operator.fresh_ms,
     )
     return _finish(manager, call, Rejected(code, after_s), line)
 
--- a/sesamehall/reducer/jobs/calls_test.py
+++ b/sesamehall/reducer/jobs/calls_test.py
@@ -75,7 +75,7 @@
 
 
 def call(kind, path=f"/q/{JOB_ID}", key="k", host="q.example"):
-    return JobCalled(NOW_MS, JobCall(1, host, path, key, kind))
+    return JobCalled(NOW_MS, JobCall(1, NOW_MS, host, path, key, kind))
 
 
 def answers_of(step):
--- /dev/null
+++ b/sesamehall/runtime/metrics.py
@@ -0,0 +1,85 @@
+"""Counters and histograms of what a daemon decides, from its log lines.
+
+Every numbered log line counts; some of them also carry a time, whose
+distribution is kept.
+"""
+
+from collections.abc import Iterable
+
+from prometheus_client import CollectorRegistry
+from prometheus_client import Counter
+from prometheus_client import generate_latest
+from prometheus_client import Histogram
+from prometheus_client.exposition import CONTENT_TYPE_PLAIN_0_0_4
+
+from sesamehall.core.effects import Log
+from sesamehall.core.logevents import CALL_ANSWERED
+from sesamehall.core.logevents import CALL_REJECTED
+from sesamehall.core.logevents import JOB_FINISHED
+from sesamehall.core.logevents import RUN_ORDERED
+
+BUCKETS_S = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2, 3, 5, 10, 30)
+HISTOGRAMS = (
+    (CALL_ANSWERED, "took_ms", "call_answered", "Time to a call's answer."),
+    (CALL_REJECTED, "took_ms", "call_rejected", "Time to a call's rejection."),
+    (RUN_ORDERED, "waited_ms", "task_waited", "From a job's arrival."),
+    (JOB_FINISHED, "took_ms", "job_took", "From a job's arrival to its end."),
+)
+
+
+class Metrics:
+    """The counters and histograms of one process, as a WSGI application."""
+
+    def __init__(self):
+        """Begin with nothing counted."""
+        self._registry = CollectorRegistry(auto_describe=False)
+        self._events = Counter(
+            "sesamehall_events",
+            "Log lines by number and name (docs/EVENTS.md).",
+            ["number", "name"],
+            registry=self._registry,
+        )
+        self._histograms_by_event = {
+            event: (
+                detail,
+                Histogram(
+                    f"sesamehall_{name}_seconds",
+                    text,
+                    buckets=BUCKETS_S,
+                    registry=self._registry,
+                ),
+            )
+            for event, detail, name, text in HISTOGRAMS
+        }
+
+    def count(self, effect: Log) -> None:
+        """Count a log line, and the time that it carries.
+
+        Args:
+          effect: The line.
+        """
+        event = effect.event
+        self._events.labels(str(event.number), event.name).inc()
+        if event not in self._histograms_by_event:
+            return
+        name, histogram = self._histograms_by_event[event]
+        for detail in effect.details:
+            if detail.name == name:
+                histogram.observe(detail.value / 1_000)
+
+    def __call__(self, environ: dict, start_response) -> Iterable[bytes]:
+        """Serve the metrics as text.
+
+        Args:
+          environ: The request.
+          start_response: Takes status and headers.
+        Returns:
+          The text.
+        """
+        body = generate_latest(self._registry)
+        headers = [
+            ("Content-Type", CONTENT_TYPE_PLAIN_0_0_4),
+            ("Content-Length", str(len(body))),
+        ]
+        start_response("200 OK", headers)
+        return [body]
--- /dev/null
+++ b/sesamehall/runtime/metrics_test.py
@@ -0,0 +1,43 @@
+"""Tests of the metrics that log lines turn into."""
+
+import pytest
+
+from sesamehall.core.effects import log
+from sesamehall.core.logevents import JOB_FINISHED
+from sesamehall.core.logevents import RUN_ORDERED
+from sesamehall.core.logevents import WORKER_SILENT
+from sesamehall.runtime.metrics import Metrics
+
+
+def text_of(metrics):
+    """Read the metrics as a scraper would."""
+    seen = []
+    (body,) = metrics({}, lambda status, headers: seen.append(status))
+    assert seen == ["200 OK"]
+    return body.decode()
+
+
+@pytest.mark.parametrize(
+    ("lines", "expected"),
+    [
+        (
+            [log(WORKER_SILENT, worker="w")] * 2,
+            'sesamehall_events_total{name="worker silent",number="621"} 2.0',
+        ),
+        (
+            [log(JOB_FINISHED, job="j", took_ms=700)],
+            'sesamehall_job_took_seconds_bucket{le="1.0"} 1.0',
+        ),
+        (
+            [log(RUN_ORDERED, task="t", waited_ms=40)],
+            "sesamehall_task_waited_seconds_sum 0.04",
+        ),
+        ([log(JOB_FINISHED, job="j")], "sesamehall_job_took_seconds_sum 0.0"),
+    ],
+    ids=["counter", "bucket", "sum", "line without its time"],
+)
+def test_metrics(lines, expected):
+    metrics = Metrics()
+    for line in lines:
+        metrics.count(line)
+    assert expected in text_of(metrics)
--- a/sesamehall/scripts/manager.py
+++ b/sesamehall/scripts/manager.py
@@ -26,7 +26,7 @@
     from sesamehall.core.codes import SettingsError
     from sesamehall.platform.application import ManagerApplication
     from sesamehall.platform.settings import load_settings
-    from sesamehall.runtime.logbook import set_up_logging
+    from sesamehall.runtime.logqueue import set_up_queued_logging
     from sesamehall.scripts.problems import exit_with_problems
 
     try:
@@ -35,12 +35,12 @@
         exit_with_problems(error)
     if listeners is None:
         sys.exit("the addresses of the settings cannot be listened on")
-    set_up_logging()
+    writer = set_up_queued_logging()
     application = ManagerApplication(settings, listeners)
     signal.signal(signal.SIGTERM, lambda *_: application.request_stop())
     signal.signal(signal.SIGHUP, signal.SIG_IGN)  # read at the next start
     application.serve()
-    sys.stdout.flush()
+    writer.stop()
     os._exit(0)  # threads that wait for others need not be waited for
 
 
