Give orders from several threads, so that one without an answer holds up none

Cause: orders to a worker, and all calls about machines, waited for each other; where a tenth of them gets no answer, each of these cost 0.8 to 1 s. Change: a pool of 32 threads for orders to workers, 8 for machines; a watch without an answer is repeated at once; so is an order for a machine.

--- a/sesamehall/platform/machines.py
+++ b/sesamehall/platform/machines.py
@@ -1,6 +1,7 @@
 """The platform's cloud interface: machines listed, moved and maintained."""
 
 from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
 from urllib.parse import urlencode
 
 from sesamehall.core.codes import DecodeError
@@ -15,9 +16,9 @@
 from sesamehall.platform.decoding import decode_machine
 from sesamehall.platform.decoding import each
 from sesamehall.platform.http import Client
-from sesamehall.platform.lanes import Lane
 from sesamehall.runtime.interpreter import now_ms
 
+CALLS_AT_ONCE = 8  # a call without an answer must not hold up the others
 REFUSED_STATUSES = (400, 409)
 ANSWER_TIMEOUT_S = 1.0  # the cloud interface may be slow
 
@@ -34,13 +35,13 @@
           post: Takes the events.
         """
         self._node = node
-        self._client = Client(address, connections=2)
+        self._client = Client(address, CALLS_AT_ONCE)
         self._post = post
-        self._lane = Lane("machines")
+        self._executor = ThreadPoolExecutor(CALLS_AT_ONCE, "machines")
 
     def list(self) -> None:
         """List all machines; they come as an event."""
-        self._lane.put(self._list)
+        self._executor.submit(self._list)
 
     def order(self, effect: MoveMachine | MaintainMachine) -> None:
         """Give an order about a machine.
@@ -48,7 +49,7 @@
         Args:
           effect: The order.
         """
-        self._lane.put(lambda: self._order(effect))
+        self._executor.submit(self._order, effect)
 
     def _list(self):
         try:
--- a/sesamehall/platform/workers.py
+++ b/sesamehall/platform/workers.py
@@ -1,6 +1,8 @@
 """Workers as the leader meets them: watched, and given orders."""
 
 from collections.abc import Callable
+from concurrent.futures import Executor
+from concurrent.futures import ThreadPoolExecutor
 
 from sesamehall.core.codes import DecodeError
 from sesamehall.core.codes import PlatformError
@@ -23,7 +25,10 @@
 from sesamehall.runtime.interpreter import now_ms
 
 LIFE_HEADER = "Target-Instance"
-ORDER_TIMEOUT_S = 0.8  # a worker that answers later counts as silent
+WATCH_TIMEOUT_S = 0.8  # a worker that answers later counts as silent
+ORDER_TIMEOUT_S = 0.5  # an order without an answer is sent again after this
+ORDERS_AT_ONCE = 32  # those without an answer must not hold up the others
+CONNECTIONS = 8  # to one worker that are kept; a round places about as many
 REFUSAL_BY_REASON = {
     "fence": OrderRefusal.FENCED,
     "old": OrderRefusal.OLD_RUN,
@@ -34,10 +39,14 @@
 
 
 class WorkerLine:
-    """The connections and threads of one worker."""
+    """The connections and the watching thread of one worker."""
 
     def __init__(
-        self, worker_id: str, address: str, post: Callable[[Event], None]
+        self,
+        worker_id: str,
+        address: str,
+        post: Callable[[Event], None],
+        executor: Executor,
     ):
         """Prepare the line.
 
@@ -45,13 +54,14 @@
           worker_id: Identifier of the worker.
           address: "host:port" of its HTTP interface.
           post: Takes the events.
+          executor: Threads that give orders, for all workers.
         """
         self.address = address
-        self._client = Client(address, connections=2)
+        self._client = Client(address, CONNECTIONS)
         self._headers = {LIFE_HEADER: worker_id}
         self._post = post
         self._watching = Lane(f"watch {worker_id}")
-        self._orders = Lane(f"order {worker_id}")
+        self._executor = executor
 
     def watch(self, effect: WatchWorker) -> None:
         """Ask for the lists of runs.
@@ -62,17 +72,16 @@
         self._watching.put(lambda: self._watch(effect))
 
     def order(self, effect: StartRun | StopRun | PaceRun) -> None:
-        """Give an order, after those given before.
+        """Give an order; a later one does not wait for its answer.
 
         Args:
           effect: The order.
         """
-        self._orders.put(lambda: self._order(effect))
+        self._executor.submit(self._order, effect)
 
     def close(self) -> None:
-        """End the threads and close the connections."""
+        """End the thread and close the connections."""
         self._watching.close()
-        self._orders.close()
         self._client.close()
 
     def _call(self, path: str, content: dict, timeout_s: float) -> Answer:
@@ -90,7 +99,7 @@
         if effect.wait_ms:
             content["WaitMs"] = effect.wait_ms
         asked_ms = now_ms()
-        timeout_s = effect.wait_ms / 1_000 + ORDER_TIMEOUT_S
+        timeout_s = effect.wait_ms / 1_000 + WATCH_TIMEOUT_S
         try:
             answer = self._call("/hold", content, timeout_s)
             refusal = _refusal(answer)
@@ -139,6 +148,7 @@
           post: Takes the events.
         """
         self._post = post
+        self._executor = ThreadPoolExecutor(ORDERS_AT_ONCE, "order")
         self._lines_by_id: dict[str, WorkerLine] = {}
 
     def watch(self, effect: WatchWorker) -> None:
@@ -173,7 +183,9 @@
             return line
         if line is not None:
             line.close()
-        line = WorkerLine(effect.worker_id, effect.address, self._post)
+        line = WorkerLine(
+            effect.worker_id, effect.address, self._post, self._executor
+        )
         self._lines_by_id[effect.worker_id] = line
         return line
 
--- a/sesamehall/reducer/jobs/workers.py
+++ b/sesamehall/reducer/jobs/workers.py
@@ -197,7 +197,8 @@
       manager: State of the leader.
       event: Why it gave none.
     Returns:
-      A Step that asks it again after a pause.
+      A Step that asks it again, at once for the first time, since a single
+      answer may have been lost.
     """
     worker = manager.workers_by_id.get(event.worker_id)
     if worker is None or event.epoch != manager.term.epoch:
@@ -219,6 +220,8 @@
         worker = replace(worker, listed=False)
     step = Step(put_worker(manager, worker), effects)
     step = then(step, review_worker, event.worker_id, at_ms)
+    if worker.silences == 1:
+        return then(step, watch_worker, event.worker_id, at_ms)
     timer = SetTimer(WatchTimer(event.worker_id), at_ms + WATCH_RETRY_MS)
     return Step(step.state, step.effects + (timer,))
 
--- a/sesamehall/reducer/machines/fleet.py
+++ b/sesamehall/reducer/machines/fleet.py
@@ -155,7 +155,7 @@
       manager: State of a manager.
       event: The answer.
     Returns:
-      A Step; an order without an answer stays, and is sent again.
+      A Step; an order without an answer is sent again, which does no harm.
     """
     order = manager.fleet.orders_by_machine.get(event.machine)
     if order is None:
@@ -168,7 +168,8 @@
         return end_life(manager, order.worker_id, event.at_ms)
     line = log(MACHINE_REFUSED, machine=event.machine, reason=event.reason)
     if not event.refused:
-        return Step(manager, (line,))
+        unsent = replace(order, sent_ms=-1)
+        return Step(_put_order(manager, event.machine, unsent), (line,))
     manager = _keep_worker(manager, order.worker_id)
     orders = drop_key(manager.fleet.orders_by_machine, event.machine)
     fleet = replace(manager.fleet, orders_by_machine=orders)
