--- a/sesamehall/reducer/jobs/calls.py
+++ b/sesamehall/reducer/jobs/calls.py
@@ -61,15 +61,16 @@
     call = event.call
     at_ms = event.at_ms
     if not knows_manifest(manager, at_ms):
-        return _reject(manager, call, NOT_READY, "", at_ms, RETRY_AFTER_S)
+        named = call.path.rpartition("/")[2]
+        return _reject(manager, call, NOT_READY, named, at_ms, RETRY_AFTER_S)
     queue = find_queue(manager.manifest, call.host, call.path)
     if queue is None:
         return _reject(manager, call, NO_SUCH_SERVICE, "", at_ms)
+    job_id = call.path[len(queue.path_prefix) :]
     team = manager.manifest.team_by_key.get(call.key, "")
     if not queue.open_to_all and not team:
         code = KEY_REFUSED if call.key else KEY_MISSING
-        return _reject(manager, call, code, "", at_ms)
-    job_id = call.path[len(queue.path_prefix) :]
+        return _reject(manager, call, code, job_id, at_ms)
     if isinstance(call.kind, CountPending):
         if job_id:
             return _reject(manager, call, NO_SUCH_JOB, job_id, at_ms)
--- a/sesamehall/scripts/operator.py
+++ b/sesamehall/scripts/operator.py
@@ -91,6 +91,27 @@
     _open_desk(settings).withdraw_key(key_id)
 
 
+def explain(*, job: str, logs: list[str]) -> None:
+    """Print the course of a job from the logs of all nodes.
+
+    Args:
+      job: Identifier of the job.
+      logs: Files with the nodes' standard output.
+    """
+    from sesamehall.runtime.explaining import explain_job
+    from sesamehall.runtime.explaining import parse_lines
+
+    lines = []
+    for path in logs:
+        with open(path, encoding="utf-8", errors="replace") as file:
+            lines += parse_lines(file, path)
+    chosen = explain_job(lines, job)
+    if not chosen:
+        raise SystemExit(f"no line names job {job}")
+    for line in chosen:
+        print(line.time, line.node, line.number, line.text)
+
+
 def _open_desk(settings: str):
     """Read the settings and the log."""
     from sesamehall.runtime.desk import Desk
@@ -103,7 +124,15 @@
     """Run the program."""
     from defopt import run
 
-    commands = [check, publish, show, in_force, give_key, withdraw_key]
+    commands = [
+        check,
+        publish,
+        show,
+        in_force,
+        give_key,
+        withdraw_key,
+        explain,
+    ]
     run(commands, cli_options="all")
 
 
