--- a/sesamehall/reducer/jobs/calls.py
+++ b/sesamehall/reducer/jobs/calls.py
@@ -42,7 +42,7 @@
 from sesamehall.core.step import then
 from sesamehall.core.work import JobPlan
 from sesamehall.reducer.counts import drop_key
-from sesamehall.reducer.jobs.workers import is_confirmed
+from sesamehall.reducer.jobs.leases import is_confirmed
 
 RETRY_AFTER_S = 1  # a node that cannot serve now may again after this
 JOB_ID_LENGTH = 16
--- a/sesamehall/reducer/jobs/leading_test.py
+++ b/sesamehall/reducer/jobs/leading_test.py
@@ -22,9 +22,10 @@
 from sesamehall.core.work import EndedRun
 from sesamehall.core.work import RunEnd
 from sesamehall.reducer.jobs.following import take_read
-from sesamehall.reducer.jobs.leading import commit
 from sesamehall.reducer.jobs.leading import consider_claim
 from sesamehall.reducer.jobs.leading import take_stored
+from sesamehall.reducer.jobs.reports import take_report
+from sesamehall.reducer.jobs.storing import commit
 from sesamehall.reducer.jobs.testing import build_entry
 from sesamehall.reducer.jobs.testing import build_leader
 from sesamehall.reducer.jobs.testing import build_manifest
@@ -39,7 +40,6 @@
 from sesamehall.reducer.jobs.testing import take_in
 from sesamehall.reducer.jobs.testing import task
 from sesamehall.reducer.jobs.workers import take_entry
-from sesamehall.reducer.jobs.workers import take_report
 
 
 def build_follower(leader, silent_ms, **others):
--- /dev/null
+++ b/sesamehall/reducer/jobs/leases.py
@@ -0,0 +1,110 @@
+"""Leases of workers, and what may be ordered without confirmation."""
+
+from sesamehall.core.jobtiming import CLOCK_SLACK_PERCENT
+from sesamehall.core.jobtiming import HEARD_MS
+from sesamehall.core.jobtiming import LEASE_MS
+from sesamehall.core.jobtiming import RENEW_CONFIRMED_MS
+from sesamehall.core.jobtiming import START_CONFIRMED_MS
+from sesamehall.core.jobtiming import START_LEASE_MS
+from sesamehall.core.managerstate import ManagerState
+from sesamehall.core.managerstate import Work
+from sesamehall.core.managerstate import Worker
+from sesamehall.core.replacing import replace
+
+
+def is_heard(worker: Worker, at_ms: int) -> bool:
+    """Tell whether a worker has answered a moment ago.
+
+    Args:
+      worker: The worker.
+      at_ms: The node's clock.
+    Returns:
+      False for one that is silent, or whose answer is overdue.
+    """
+    return not worker.silences and at_ms - worker.seen_ms < HEARD_MS
+
+
+def worker_clock(worker: Worker, at_ms: int) -> int:
+    """Estimate a worker's own clock.
+
+    Args:
+      worker: A worker that has answered.
+      at_ms: The node's clock.
+    Returns:
+      Its clock, not behind by more than a call takes.
+    """
+    return worker.clock_ms + at_ms - worker.seen_ms
+
+
+def extend_lease(worker: Worker, lease_until_ms: int) -> Worker:
+    """Note the longest lease that a worker may have got.
+
+    Args:
+      worker: The worker.
+      lease_until_ms: End of the lease on the worker's clock.
+    Returns:
+      The worker with the end of its lease on our clock.
+    """
+    length_ms = lease_until_ms - worker.clock_ms
+    slow_ms = length_ms * (100 + CLOCK_SLACK_PERCENT) // 100
+    end_ms = max(worker.lease_end_ms, worker.seen_ms + slow_ms)
+    return replace(worker, lease_end_ms=end_ms)
+
+
+def start_lease_until(worker: Worker, at_ms: int) -> int:
+    """Choose the lease that an order to start carries.
+
+    Args:
+      worker: A worker that has answered.
+      at_ms: The node's clock.
+    Returns:
+      Its end on the worker's clock.
+    """
+    return worker_clock(worker, at_ms) + START_LEASE_MS
+
+
+def is_confirmed(manager: ManagerState, at_ms: int) -> bool:
+    """Tell whether no other leader can have begun its term.
+
+    Args:
+      manager: State of a leader.
+      at_ms: The node's clock.
+    Returns:
+      True where its writes were confirmed a moment ago.
+    """
+    return at_ms - manager.term.confirmed_ms < START_CONFIRMED_MS
+
+
+def may_start(manager: ManagerState, work: Work, at_ms: int) -> bool:
+    """Tell whether a leader may start tasks of a job.
+
+    While its writes are not confirmed another leader may have begun its
+    term.  That one waits for every worker that may have got an order from
+    this one, before it starts tasks of jobs that this one may know; jobs
+    that came later are left to it.
+
+    Args:
+      manager: State of a manager.
+      work: The job.
+      at_ms: The node's clock.
+    Returns:
+      True when no task can come to run twice by it.
+    """
+    if not manager.term.epoch:
+        return False
+    if is_confirmed(manager, at_ms):
+        return True
+    confirmed_ms = manager.term.confirmed_ms
+    known = work.accepted_ms < confirmed_ms + START_CONFIRMED_MS
+    return known and at_ms - confirmed_ms < RENEW_CONFIRMED_MS
+
+
+def lease_length_ms(manager: ManagerState) -> int:
+    """Choose how long a renewed lease lasts.
+
+    Args:
+      manager: State of a leader.
+    Returns:
+      Milliseconds, no more than workers grant.
+    """
+    return min(LEASE_MS, manager.timing.longest_lease_ms)
--- a/sesamehall/reducer/jobs/orders.py
+++ b/sesamehall/reducer/jobs/orders.py
@@ -15,12 +15,12 @@
 from sesamehall.core.step import then
 from sesamehall.reducer.jobs.bookkeeping import put_run
 from sesamehall.reducer.jobs.bookkeeping import put_worker
+from sesamehall.reducer.jobs.leases import extend_lease
+from sesamehall.reducer.jobs.leases import may_start
+from sesamehall.reducer.jobs.leases import start_lease_until
 from sesamehall.reducer.jobs.progress import checkpoint_of
 from sesamehall.reducer.jobs.runs import give_up_run
 from sesamehall.reducer.jobs.runs import stop_run
-from sesamehall.reducer.jobs.workers import extend_lease
-from sesamehall.reducer.jobs.workers import may_start
-from sesamehall.reducer.jobs.workers import start_lease_until
 
 
 def take_start_answer(manager: ManagerState, event: RunAnswered) -> Step:
--- a/sesamehall/reducer/jobs/placing.py
+++ b/sesamehall/reducer/jobs/placing.py
@@ -27,14 +27,14 @@
 from sesamehall.reducer.counts import drop_key
 from sesamehall.reducer.jobs.bookkeeping import charge_run
 from sesamehall.reducer.jobs.bookkeeping import put_worker
+from sesamehall.reducer.jobs.leases import extend_lease
+from sesamehall.reducer.jobs.leases import is_heard
+from sesamehall.reducer.jobs.leases import may_start
+from sesamehall.reducer.jobs.leases import start_lease_until
 from sesamehall.reducer.jobs.orders import start_order
 from sesamehall.reducer.jobs.progress import chain_left_ms
 from sesamehall.reducer.jobs.ranking import Candidate
 from sesamehall.reducer.jobs.ranking import rank
-from sesamehall.reducer.jobs.workers import extend_lease
-from sesamehall.reducer.jobs.workers import is_heard
-from sesamehall.reducer.jobs.workers import may_start
-from sesamehall.reducer.jobs.workers import start_lease_until
 
 RESERVED_MOST = 2  # workers kept free for tasks that found no room
 
--- /dev/null
+++ b/sesamehall/reducer/jobs/storing.py
@@ -0,0 +1,222 @@
+"""The leader's records: what is stored, when, and what follows from it."""
+
+from sesamehall.core.data import EMPTY_MAP
+from sesamehall.core.data import TERMINAL_PHASES
+from sesamehall.core.fleet import Leader
+from sesamehall.core.fleet import LeasedWorker
+from sesamehall.core.fleet import OrderedMachines
+from sesamehall.core.fleet import StoredRecord
+from sesamehall.core.fleet import WaveRecord
+from sesamehall.core.jobtiming import COMMIT_PERIOD_MS
+from sesamehall.core.jobtiming import HEARTBEAT_MS
+from sesamehall.core.managereffects import StoreProgress
+from sesamehall.core.managerevents import ProgressStored
+from sesamehall.core.managerstate import ManagerState
+from sesamehall.core.replacing import replace
+from sesamehall.core.step import Step
+from sesamehall.core.step import then
+from sesamehall.core.work import Progress
+from sesamehall.reducer.jobs.bookkeeping import put_worker
+from sesamehall.reducer.jobs.runs import forget_ended
+from sesamehall.reducer.jobs.runs import place_soon
+from sesamehall.reducer.jobs.workers import watch_worker
+
+LEADER_KEY = "leader"
+WORKER_KEY_PREFIX = "worker/"
+WAVE_KEY_PREFIX = "wave/"
+ORDERS_KEY = "machines"
+
+
+def commit(manager: ManagerState, at_ms: int) -> Step:
+    """Store what has changed, or a heartbeat when nothing has for a while.
+
+    Args:
+      manager: State of a manager.
+      at_ms: The node's clock.
+    Returns:
+      A Step with the records; nothing while a write is under way.
+    """
+    term = manager.term
+    if not term.epoch or term.storing:
+        return Step(manager)
+    since_ms = at_ms - term.confirmed_ms
+    changed = bool(
+        manager.dirty_jobs
+        or manager.dirty_workers
+        or manager.dirty_waves
+        or manager.fleet.unstored
+    )
+    due = manager.ended_now or (changed and since_ms >= COMMIT_PERIOD_MS)
+    if not due and since_ms < HEARTBEAT_MS:
+        return Step(manager)
+    return write_progress(manager, resigned=False)
+
+
+def write_progress(manager: ManagerState, resigned: bool) -> Step:
+    """Store what has changed, and that the leader is there.
+
+    Args:
+      manager: State of the leader.
+      resigned: Whether it gives the role up.
+    Returns:
+      A Step with the records.
+    """
+    term = replace(manager.term, beats=manager.term.beats + 1)
+    leader = Leader(manager.name, term.epoch, resigned, term.beats)
+    jobs = tuple(
+        manager.works_by_id[job_id].progress
+        for job_id in sorted(manager.dirty_jobs)
+        if job_id in manager.works_by_id
+    )
+    workers = tuple(
+        _leased_record(manager.workers_by_id[worker_id])
+        for worker_id in sorted(manager.dirty_workers)
+        if _may_have_runs(manager, worker_id)
+    )
+    dropped = tuple(
+        StoredRecord(WORKER_KEY_PREFIX + worker_id, None)
+        for worker_id in sorted(manager.dirty_workers)
+        if not _may_have_runs(manager, worker_id)
+    )
+    records = tuple(StoredRecord(job.job_id, job) for job in jobs)
+    records += tuple(
+        StoredRecord(WORKER_KEY_PREFIX + leased.worker_id, leased)
+        for leased in workers
+    )
+    waves = tuple(sorted(manager.dirty_waves))
+    records += dropped + tuple(
+        StoredRecord(
+            f"{WAVE_KEY_PREFIX}{number}",
+            WaveRecord(number, manager.maintained_by_wave[number]),
+        )
+        for number in waves
+    )
+    machines = tuple(sorted(manager.fleet.touched_ms_by_machine))
+    if manager.fleet.unstored:
+        records += (StoredRecord(ORDERS_KEY, OrderedMachines(machines)),)
+    records += (StoredRecord(LEADER_KEY, leader),)
+    term = replace(
+        term,
+        storing=True,
+        written_jobs=jobs,
+        written_workers=workers,
+        written_waves=waves,
+        written_machines=machines if manager.fleet.unstored else (),
+    )
+    manager = replace(
+        manager,
+        term=term,
+        dirty_jobs=EMPTY_MAP,
+        dirty_workers=EMPTY_MAP,
+        dirty_waves=EMPTY_MAP,
+        ended_now=False,
+        fleet=replace(manager.fleet, unstored=False),
+    )
+    return Step(manager, (StoreProgress(term.epoch, records),))
+
+
+def _may_have_runs(manager, worker_id):
+    worker = manager.workers_by_id.get(worker_id)
+    return worker is not None and not worker.over
+
+
+def _leased_record(worker):
+    entry = worker.entry
+    return LeasedWorker(
+        worker_id=entry.worker_id,
+        address=entry.address,
+        pool=entry.pool,
+        born_ms=entry.born_ms,
+        ended=worker.ended,
+    )
+
+
+def take_confirmed(manager: ManagerState, event: ProgressStored) -> Step:
+    """Show and acknowledge what is stored now.
+
+    Args:
+      manager: State of the leader.
+      event: The write that was confirmed.
+    Returns:
+      A Step that writes on, where more has changed.
+    """
+    term = manager.term
+    manager = replace(
+        manager,
+        term=replace(
+            term,
+            storing=False,
+            confirmed_ms=event.asked_ms,
+            written_jobs=(),
+            written_workers=(),
+            written_waves=(),
+            written_machines=(),
+        ),
+        fleet=_with_stored_orders(manager.fleet, term.written_machines),
+    )
+    for progress in term.written_jobs:
+        manager = keep_progress(manager, progress, event.at_ms)
+        manager = forget_ended(manager, progress.job_id)
+    step = Step(manager)
+    for leased in term.written_workers:
+        step = then(step, _confirm_worker, leased, event.at_ms)
+    return then(step, commit, event.at_ms)
+
+
+def _with_stored_orders(fleet, machines):
+    """Let orders be given whose machines are stored now."""
+    orders = fleet.orders_by_machine
+    for name in machines:
+        if name in orders:
+            orders = orders.set(name, replace(orders[name], stored=True))
+    return replace(fleet, orders_by_machine=orders)
+
+
+def _confirm_worker(manager, leased, at_ms):
+    worker = manager.workers_by_id.get(leased.worker_id)
+    if worker is None or worker.entry.born_ms != leased.born_ms:
+        return Step(manager)
+    new = not worker.leased
+    worker = replace(worker, leased=True, ended_stored=leased.ended)
+    manager = put_worker(manager, worker)
+    manager = replace(
+        manager,
+        leased_by_id=manager.leased_by_id.set(leased.worker_id, leased),
+    )
+    step = watch_worker(manager, leased.worker_id, at_ms)
+    if not new:
+        return step
+    return then(step, place_soon, worker.entry.pool, at_ms)
+
+
+def keep_progress(
+    manager: ManagerState, progress: Progress, at_ms: int
+) -> ManagerState:
+    """Keep what is stored of a job; of an ended one only its phase.
+
+    Args:
+      manager: State of a manager.
+      progress: What is stored.
+      at_ms: The node's clock.
+    Returns:
+      The state.
+    """
+    job_id = progress.job_id
+    phases = manager.phase_by_job_id.set(job_id, progress.phase)
+    manager = replace(manager, phase_by_job_id=phases)
+    if progress.phase not in TERMINAL_PHASES:
+        kept = manager.progress_by_id.set(job_id, progress)
+        return replace(manager, progress_by_id=kept)
+    ended = manager.ended_ms_by_job_id
+    if job_id not in ended:
+        ended = ended.set(job_id, at_ms)
+    return replace(
+        manager,
+        ended_ms_by_job_id=ended,
+        progress_by_id=_without(manager.progress_by_id, job_id),
+        plans_by_id=_without(manager.plans_by_id, job_id),
+    )
+
+
+def _without(by_id, job_id):
+    return by_id.delete(job_id) if job_id in by_id else by_id
--- a/sesamehall/reducer/jobs/testing.py
+++ b/sesamehall/reducer/jobs/testing.py
@@ -22,8 +22,8 @@
 from sesamehall.core.work import task_id
 from sesamehall.core.work import TaskPlace
 from sesamehall.reducer.jobs.bookkeeping import put_worker
-from sesamehall.reducer.jobs.leading import begin_job
 from sesamehall.reducer.jobs.placing import place_tasks
+from sesamehall.reducer.jobs.works import begin_job
 
 NOW_MS = 100_000
 JOB_ID = "00000000000000aa"
--- a/sesamehall/reducer/jobs/workers_test.py
+++ b/sesamehall/reducer/jobs/workers_test.py
@@ -11,6 +11,8 @@
 from sesamehall.core.work import EndedRun
 from sesamehall.core.work import RunEnd
 from sesamehall.reducer.jobs.bookkeeping import put_worker
+from sesamehall.reducer.jobs.leases import extend_lease
+from sesamehall.reducer.jobs.reports import take_report
 from sesamehall.reducer.jobs.testing import build_entry
 from sesamehall.reducer.jobs.testing import build_leader
 from sesamehall.reducer.jobs.testing import build_plan
@@ -22,10 +24,8 @@
 from sesamehall.reducer.jobs.testing import place_all
 from sesamehall.reducer.jobs.testing import take_in
 from sesamehall.reducer.jobs.testing import task
-from sesamehall.reducer.jobs.workers import extend_lease
 from sesamehall.reducer.jobs.workers import review_workers
 from sesamehall.reducer.jobs.workers import take_entry
-from sesamehall.reducer.jobs.workers import take_report
 from sesamehall.reducer.jobs.workers import take_silence
 from sesamehall.reducer.jobs.workers import watch_worker
 
--- /dev/null
+++ b/sesamehall/reducer/jobs/works.py
@@ -0,0 +1,132 @@
+"""Jobs that the leader works on: begun, due, and no longer wanted."""
+
+from sesamehall.core.data import JobPhase
+from sesamehall.core.data import TERMINAL_PHASES
+from sesamehall.core.effects import log
+from sesamehall.core.effects import SetTimer
+from sesamehall.core.logevents import JOB_CANCEL_SEEN
+from sesamehall.core.logevents import JOB_SEEN
+from sesamehall.core.managerstate import ManagerState
+from sesamehall.core.replacing import replace
+from sesamehall.core.step import Step
+from sesamehall.core.step import then
+from sesamehall.core.timers import DueTimer
+from sesamehall.core.work import JobPlan
+from sesamehall.core.work import Progress
+from sesamehall.reducer.jobs.arrivals import note_arrival
+from sesamehall.reducer.jobs.bookkeeping import let_wait
+from sesamehall.reducer.jobs.bookkeeping import pool_of
+from sesamehall.reducer.jobs.bookkeeping import put_work
+from sesamehall.reducer.jobs.progress import begin_work
+from sesamehall.reducer.jobs.progress import is_task_done
+from sesamehall.reducer.jobs.progress import plan_work
+from sesamehall.reducer.jobs.progress import startable
+from sesamehall.reducer.jobs.runs import end_job
+from sesamehall.reducer.jobs.runs import place_soon
+
+MEAN_OVER_JOBS = 50  # a queue's mean job is learnt over so many
+
+
+def begin_job(
+    manager: ManagerState, job_id: str, inherited: bool, at_ms: int
+) -> Step:
+    """Begin to work on a job, or end it when it is to be stopped.
+
+    Args:
+      manager: State of the leader.
+      job_id: Identifier of a job whose plan is known.
+      inherited: Whether an earlier leader may have started tasks of it.
+      at_ms: The node's clock.
+    Returns:
+      A Step; nothing for a job that has ended.
+    """
+    phase = manager.phase_by_job_id.get(job_id, JobPhase.WAITING)
+    if phase in TERMINAL_PHASES or job_id in manager.works_by_id:
+        return Step(manager)
+    plan = manager.plans_by_id[job_id]
+    queue = None
+    if manager.manifest is not None:
+        queue = manager.manifest.queues_by_name.get(plan.queue)
+    progress = manager.progress_by_id.get(job_id, Progress(job_id))
+    wall_ms = at_ms + manager.wall_offset_ms
+    work = begin_work(plan, progress, queue, at_ms, wall_ms, inherited)
+    manager = put_work(manager, work)
+    if not plan.steps[0].lasting:
+        manager = _learn_work(manager, plan)
+        manager = note_arrival(manager, plan.queue, at_ms)
+    line = log(
+        JOB_SEEN,
+        job=job_id,
+        queue=plan.queue,
+        team=plan.team,
+        tasks=sum(step.count for step in plan.steps),
+        goal_ms=work.goal_ms - at_ms,
+        inherited=int(inherited),
+    )
+    step = Step(manager, (line,))
+    if job_id in manager.cancelled_by_job_id:
+        return then(step, cancel_job, job_id, at_ms)
+    step = then(step, place_soon, pool_of(manager, work), at_ms)
+    return then(step, _await_due, plan, at_ms)
+
+
+def _learn_work(manager, plan):
+    """Follow the mean processor time of a queue's jobs."""
+    work = plan_work(plan)
+    mean = manager.mean_work_by_queue.get(plan.queue, work)
+    mean += (work - mean) / MEAN_OVER_JOBS
+    means = manager.mean_work_by_queue.set(plan.queue, mean)
+    return replace(manager, mean_work_by_queue=means)
+
+
+def cancel_job(manager: ManagerState, job_id: str, at_ms: int) -> Step:
+    """Stop a job that its team no longer wants.
+
+    Args:
+      manager: State of the leader.
+      job_id: Identifier of the job.
+      at_ms: The node's clock.
+    Returns:
+      A Step; nothing for a job that has ended.
+    """
+    work = manager.works_by_id.get(job_id)
+    if work is None or work.progress.phase in TERMINAL_PHASES:
+        return Step(manager)
+    line = log(JOB_CANCEL_SEEN, job=job_id, running=work.running)
+    step = Step(manager, (line,))
+    return then(step, end_job, job_id, JobPhase.CANCELLED, "cancelled", at_ms)
+
+
+def start_due(manager: ManagerState, job_id: str, at_ms: int) -> Step:
+    """Start the occurrences of a job that have become due.
+
+    Args:
+      manager: State of a manager.
+      job_id: Identifier of the job.
+      at_ms: The node's clock.
+    Returns:
+      A Step with the timer of the next one.
+    """
+    work = manager.works_by_id.get(job_id)
+    if work is None:
+        return Step(manager)
+    for place in startable(work, at_ms + manager.wall_offset_ms):
+        task = f"{job_id}.{place.occurrence}.{place.step}.{place.index}"
+        running = task in manager.runs_by_task
+        if not running and not is_task_done(work, place):
+            manager = let_wait(manager, job_id, place)
+    step = place_soon(manager, pool_of(manager, work), at_ms)
+    return then(step, _await_due, work.plan, at_ms)
+
+
+def _await_due(manager, plan: JobPlan, at_ms):
+    """Set the timer of a job's next occurrence."""
+    if not plan.times:
+        return Step(manager)
+    wall_ms = at_ms + manager.wall_offset_ms
+    for number in range(plan.times):
+        due_ms = plan.first_wall_ms + number * plan.period_ms
+        if due_ms > wall_ms:
+            timer = SetTimer(DueTimer(plan.job_id), at_ms + due_ms - wall_ms)
+            return Step(manager, (timer,))
+    return Step(manager)
--- a/sesamehall/reducer/machines/evacuation.py
+++ b/sesamehall/reducer/machines/evacuation.py
@@ -8,8 +8,8 @@
 from sesamehall.core.step import then
 from sesamehall.core.work import task_id
 from sesamehall.core.work import TaskPlace
+from sesamehall.reducer.jobs.leases import is_heard
 from sesamehall.reducer.jobs.runs import stop_run
-from sesamehall.reducer.jobs.workers import is_heard
 
 FULL_PERCENT = 100  # a lasting task that works at this serves
 
--- a/sesamehall/reducer/machines/fleet_test.py
+++ b/sesamehall/reducer/machines/fleet_test.py
@@ -16,7 +16,7 @@
 from sesamehall.core.managerstate import WaveProgress
 from sesamehall.core.manifest import Wave
 from sesamehall.core.replacing import replace
-from sesamehall.reducer.jobs.leading import write_progress
+from sesamehall.reducer.jobs.storing import write_progress
 from sesamehall.reducer.jobs.testing import build_leader
 from sesamehall.reducer.jobs.testing import build_plan
 from sesamehall.reducer.jobs.testing import build_step
