--- a/sesamehall/reducer/jobs/leading_test.py
+++ b/sesamehall/reducer/jobs/leading_test.py
@@ -223,6 +223,15 @@
     assert JOB_ID not in manager.works_by_id
 
 
+@pytest.mark.parametrize(("resigned", "writes"), [(False, 1), (True, 0)])
+def test_nothing_follows_a_resignation(resigned, writes):
+    """A later record would say that the leader is there still."""
+    leader = Leader("edge-1", 1, resigned)
+    manager = build_leader(build_worker("w1"), leader=leader)
+    step = commit(manager, NOW_MS + 10_000)
+    assert len(effects_of(step, StoreProgress)) == writes
+
+
 @pytest.mark.parametrize(
     ("outcome", "leads", "dirty"),
     [
