--- a/sesamehall/platform/application.py
+++ b/sesamehall/platform/application.py
@@ -87,7 +87,7 @@
         )
         self._ready_server = ListeningServer(listeners.ready, self._ready, 1)
         self._metrics_server = ListeningServer(
-            listen(f"{settings.metrics}"), self._metrics, 1
+            listen(settings.metrics), self._metrics, 1
         )
 
     def serve(self) -> None:
--- a/sesamehall/reducer/jobs/storing.py
+++ b/sesamehall/reducer/jobs/storing.py
@@ -16,6 +16,7 @@
 from sesamehall.core.step import Step
 from sesamehall.core.step import then
 from sesamehall.core.work import Progress
+from sesamehall.reducer.counts import drop_key
 from sesamehall.reducer.jobs.bookkeeping import put_worker
 from sesamehall.reducer.jobs.runs import forget_ended
 from sesamehall.reducer.jobs.runs import place_soon
@@ -213,10 +214,6 @@
     return replace(
         manager,
         ended_ms_by_job_id=ended,
-        progress_by_id=_without(manager.progress_by_id, job_id),
-        plans_by_id=_without(manager.plans_by_id, job_id),
+        progress_by_id=drop_key(manager.progress_by_id, job_id),
+        plans_by_id=drop_key(manager.plans_by_id, job_id),
     )
-
-
-def _without(by_id, job_id):
-    return by_id.delete(job_id) if job_id in by_id else by_id
