Adopt gangs at a takeover; let jobs of a dropped queue wait

Cause: a successor stopped the runs of a gang that it found and placed its tasks anew at once, while the old ones might still be running (TWICE), and the whole gang's work was lost. Placing raised for a job whose queue the manifest no longer names.

Change: runs of gangs are taken over like any other; a gang is only placed when all its tasks wait. Jobs without a queue wait until a manifest names it. Placing has tables of its own.

--- a/sesamehall/reducer/jobs/placing.py
+++ b/sesamehall/reducer/jobs/placing.py
@@ -61,7 +61,8 @@
 
     Args:
       manager: State of a manager.
-      pool: Name of the pool.
+      pool: Name of the pool; jobs of a queue that the manifest no longer
+        names are under "" and wait until it does.
       at_ms: The node's clock.
     Returns:
       A Step with the orders to start.
@@ -69,7 +70,7 @@
     pools = drop_key(manager.placing_pools, pool)
     manager = replace(manager, placing_pools=pools)
     job_ids = manager.job_ids_by_pool.get(pool, EMPTY_MAP)
-    if not job_ids or not manager.term.epoch:
+    if not pool or not job_ids or not manager.term.epoch:
         return Step(manager)
     step = Step(manager)
     for choice in choose(manager, pool, at_ms):
--- /dev/null
+++ b/sesamehall/reducer/jobs/placing_test.py
@@ -0,0 +1,129 @@
+"""Tests of placing: what may run where, and within which ceilings."""
+
+import pytest
+
+from sesamehall.core.managereffects import StartRun
+from sesamehall.core.replacing import replace
+from sesamehall.core.work import ActiveRun
+from sesamehall.core.work import Size
+from sesamehall.reducer.jobs.placing import place_tasks
+from sesamehall.reducer.jobs.reports import take_report
+from sesamehall.reducer.jobs.testing import build_entry
+from sesamehall.reducer.jobs.testing import build_leader
+from sesamehall.reducer.jobs.testing import build_manifest
+from sesamehall.reducer.jobs.testing import build_plan
+from sesamehall.reducer.jobs.testing import build_report
+from sesamehall.reducer.jobs.testing import build_step
+from sesamehall.reducer.jobs.testing import build_worker
+from sesamehall.reducer.jobs.testing import effects_of
+from sesamehall.reducer.jobs.testing import NOW_MS
+from sesamehall.reducer.jobs.testing import place_all
+from sesamehall.reducer.jobs.testing import take_in
+from sesamehall.reducer.jobs.testing import task
+
+
+def places_of(step):
+    """List the workers of the orders to start, in order."""
+    return sorted(order.worker_id for order in effects_of(step, StartRun))
+
+
+@pytest.mark.parametrize(
+    ("step", "workers", "expected"),
+    [
+        (build_step(count=3), {"w1": {}}, ["w1"] * 3),
+        (build_step(count=5), {"w1": {}}, ["w1"] * 4),
+        (build_step(size=Size(5_000, 1)), {"w1": {}}, []),
+        (
+            build_step(count=3, most_per_worker=1),
+            {"w1": {}, "w2": {}},
+            ["w1", "w2"],
+        ),
+        (build_step(label="kind-b"), {"w1": {}}, []),
+        (build_step(label="kind-b"), {"w1": {"labels": ("kind-b",)}}, ["w1"]),
+        (
+            build_step(rack="r1-2"),
+            {"w1": {}, "w2": {"rack": "r1-2"}},
+            ["w2"],
+        ),
+        (
+            build_step(count=2),
+            {"w1": {"draining": True}, "w2": {}},
+            ["w2"] * 2,
+        ),
+        (build_step(count=5, gang=True), {"w1": {}}, []),
+        (
+            build_step(count=5, gang=True),
+            {"w1": {}, "w2": {}},
+            ["w1"] * 4 + ["w2"],
+        ),
+        (build_step(count=9, fills=True), {"w1": {}}, ["w1"] * 8),
+    ],
+    ids=[
+        "fits",
+        "room for some",
+        "larger than a worker",
+        "spread",
+        "label missing",
+        "label",
+        "near its data",
+        "draining",
+        "gang without room",
+        "gang",
+        "fills, within memory",
+    ],
+)
+def test_where_tasks_are_placed(step, workers, expected):
+    built = [
+        replace(build_worker(name), entry=build_entry(name, **others))
+        for name, others in workers.items()
+    ]
+    manager = take_in(build_leader(*built), build_plan(step))
+    assert places_of(place_all(manager)) == expected
+
+
+@pytest.mark.parametrize(
+    ("ceiling", "starts"),
+    [
+        (Size(), 4),
+        (Size(cpu_milli=2_000), 2),
+        (Size(cpu_milli=2_500), 2),
+        (Size(memory_mb=1_000), 1),
+        (Size(cpu_milli=999), 0),
+    ],
+)
+def test_no_team_gets_more_than_its_ceiling(ceiling, starts):
+    manager = build_leader(
+        build_worker("w1"), manifest=build_manifest(ceiling=ceiling)
+    )
+    manager = take_in(manager, build_plan(build_step(count=4)))
+    assert len(places_of(place_all(manager))) == starts
+
+
+@pytest.mark.parametrize(
+    ("pool", "starts"), [("a", ["w1"]), ("", [])], ids=["named", "dropped"]
+)
+def test_jobs_of_a_dropped_queue_wait(pool, starts):
+    """A manifest may drop the queue of jobs that were accepted."""
+    manager = build_leader(build_worker("w1"))
+    if not pool:
+        queues = manager.manifest.queues_by_name.delete("quotes")
+        manifest = replace(manager.manifest, queues_by_name=queues)
+        manager = replace(manager, manifest=manifest)
+    manager = take_in(manager, build_plan())
+    assert places_of(place_tasks(manager, pool, NOW_MS)) == starts
+
+
+@pytest.mark.parametrize(
+    ("adopted", "starts"),
+    [((0, 1), 0), ((0,), 0), ((), 2)],
+    ids=["whole", "in part", "none"],
+)
+def test_gang_of_an_earlier_leader_goes_on(adopted, starts):
+    """Nothing of it is placed anew while members of it may run."""
+    manager = build_leader(build_worker("w1"))
+    plan = build_plan(build_step(count=2, gang=True))
+    manager = take_in(manager, plan, inherited=True)
+    active = [ActiveRun(task(index), 3) for index in adopted]
+    step = take_report(manager, build_report("w1", active))
+    assert len(step.state.runs_by_task) == len(adopted)
+    assert len(places_of(place_all(step.state))) == starts
--- a/sesamehall/reducer/jobs/reports.py
+++ b/sesamehall/reducer/jobs/reports.py
@@ -172,7 +172,6 @@
         and is_task_known(work.plan, named[1])
         and work.progress.phase not in TERMINAL_PHASES
         and not is_task_done(work, named[1])
-        and work.plan.steps[named[1].step].gang is False
     )
     if not wanted:
         order = StopRun(
