Let runs of jobs not read yet go on at a takeover

Change: until all jobs that an earlier leader may have known are read, a run of an unknown job is left alone; tasks of inherited jobs wait while a worker of the pool has runs that are neither taken over nor gone, and such a worker is asked again after 80 ms.

--- a/sesamehall/reducer/jobs/leading_test.py
+++ b/sesamehall/reducer/jobs/leading_test.py
@@ -10,6 +10,7 @@
 from sesamehall.core.fleet import Stream
 from sesamehall.core.managereffects import ForgetWorker
 from sesamehall.core.managereffects import StartRun
+from sesamehall.core.managereffects import StopRun
 from sesamehall.core.managereffects import StoreProgress
 from sesamehall.core.managereffects import WatchWorker
 from sesamehall.core.managerevents import OrderRefusal
@@ -21,6 +22,7 @@
 from sesamehall.core.managerstate import ManagerState
 from sesamehall.core.managerstate import Term
 from sesamehall.core.replacing import replace
+from sesamehall.core.work import ActiveRun
 from sesamehall.core.work import EndedRun
 from sesamehall.core.work import RunEnd
 from sesamehall.reducer.jobs.following import take_read
@@ -34,6 +36,7 @@
 from sesamehall.reducer.jobs.testing import build_manifest
 from sesamehall.reducer.jobs.testing import build_plan
 from sesamehall.reducer.jobs.testing import build_report
+from sesamehall.reducer.jobs.testing import build_step
 from sesamehall.reducer.jobs.testing import build_worker
 from sesamehall.reducer.jobs.testing import effects_of
 from sesamehall.reducer.jobs.testing import JOB_ID
@@ -157,6 +160,34 @@
     assert len(orders) == starts
 
 
+@pytest.mark.parametrize(
+    ("read_first", "runs", "strangers"),
+    [(True, 1, 0), (False, 0, 1)],
+    ids=["job read first", "run reported first"],
+)
+def test_run_of_a_job_not_read_yet_goes_on(read_first, runs, strangers):
+    """A follower may not have read the newest jobs when it takes over."""
+    plan = build_plan(build_step(count=2), job_id=OTHER_JOB_ID)
+    record = StoredRecord(OTHER_JOB_ID, plan)
+    read = StreamRead(NOW_MS, NOW_MS, 0, Stream.JOBS, (record,), 2, False)
+    active = [ActiveRun(task(job_id=OTHER_JOB_ID), 3)]
+    manager = take_over(("w1", "w2")).state
+    if read_first:
+        manager = take_read(manager, read).state
+    manager = reach(manager, "w2")
+    report = build_report("w1", active, epoch=4)
+    manager = take_entry(manager, build_entry("w1"), NOW_MS).state
+    step = take_report(manager, report)
+    assert not effects_of(step, StopRun)
+    assert len(step.state.runs_by_task) == runs
+    assert step.state.workers_by_id["w1"].strangers == strangers
+    manager = take_read(step.state, read).state
+    assert not effects_of(place_all(manager), StartRun) or read_first
+    manager = take_report(manager, report).state
+    order, *_ = effects_of(place_all(manager), StartRun)
+    assert order.task != active[0].task
+
+
 @pytest.mark.parametrize(
     ("known_ms", "starts"), [(NOW_MS - 1, 0), (NOW_MS, 1)]
 )
--- a/sesamehall/reducer/jobs/placing.py
+++ b/sesamehall/reducer/jobs/placing.py
@@ -101,23 +101,28 @@
 
 
 def is_unresolved(manager: ManagerState, pool: str) -> bool:
-    """Tell whether runs of an earlier leader may be on unreached workers.
+    """Tell whether a pool may have runs of an earlier leader not known yet.
 
     Args:
       manager: State of the leader.
       pool: Name of the pool.
     Returns:
-      True while a worker that may have any has not answered.
+      True while a worker that may have any has not answered, or has runs
+      that are neither taken over nor gone.
     """
     return any(
-        worker.leased
-        and not worker.over
-        and not worker.reached
-        and worker.lease_end_ms
+        _may_hide_runs(worker)
         for worker in _workers(manager, pool)
+        if worker.leased and not worker.over
     )
 
 
+def _may_hide_runs(worker):
+    if worker.strangers:
+        return True
+    return not worker.reached and worker.lease_end_ms > 0
+
+
 def _workers(manager, pool):
     ids = manager.worker_ids_by_pool.get(pool, EMPTY_MAP)
     return [manager.workers_by_id[worker_id] for worker_id in sorted(ids)]
--- a/sesamehall/reducer/jobs/reports.py
+++ b/sesamehall/reducer/jobs/reports.py
@@ -78,9 +78,13 @@
 
 
 def _watch_on(manager, worker_id, at_ms):
-    """Ask a worker again; first store the ends that it would repeat."""
+    """Ask a worker again, which answers at its next end.
+
+    One that would answer at once is asked a little later: where it would
+    repeat ends that are not stored yet, or has runs that nobody wants.
+    """
     worker = manager.workers_by_id[worker_id]
-    if worker.ended == worker.ended_stored:
+    if worker.ended == worker.ended_stored and not worker.strangers:
         return watch_worker(manager, worker_id, at_ms)
     timer = SetTimer(WatchTimer(worker_id), at_ms + WATCH_UNSTORED_MS)
     return Step(manager, (timer,))
@@ -160,6 +164,9 @@
 def _adopt_or_stop(manager, other, active: ActiveRun, event):
     """Take over a run of an earlier leader, or stop one that is not wanted.
 
+    While a new leader has not read all jobs, it lets the run of a job that
+    it does not know go on: the job may be among those still to be read.
+
     Its turn may not seem to have come: the earlier leader may have known of
     ends that are not stored and that other workers have yet to report.
     """
@@ -173,6 +180,8 @@
         and work.progress.phase not in TERMINAL_PHASES
         and not is_task_done(work, named[1])
     )
+    if work is None and not manager.jobs_known:
+        return Step(manager)
     if not wanted:
         order = StopRun(
             worker_id=event.worker_id,
--- a/sesamehall/reducer/jobs/workers.py
+++ b/sesamehall/reducer/jobs/workers.py
@@ -103,7 +103,7 @@
     if worker.tasks and known and since_ms < RENEW_CONFIRMED_MS:
         lease_until_ms = worker_clock(worker, at_ms) + lease_length_ms(manager)
         worker = extend_lease(worker, lease_until_ms)
-    wait_ms = WATCH_WAIT_MS if known else 0
+    wait_ms = WATCH_WAIT_MS if known and not worker.strangers else 0
     effect = WatchWorker(
         worker_id=worker_id,
         address=worker.entry.address,
