--- /dev/null
+++ b/sesamehall/core/workstate.py
@@ -0,0 +1,155 @@
+"""The leader's view of jobs, runs and workers."""
+
+from dataclasses import dataclass
+from enum import Enum
+
+from immutables import Map
+
+from sesamehall.core.data import EMPTY_MAP
+from sesamehall.core.fleet import WorkerEntry
+from sesamehall.core.work import JobPlan
+from sesamehall.core.work import NO_SIZE
+from sesamehall.core.work import Progress
+from sesamehall.core.work import Size
+from sesamehall.core.work import TaskPlace
+
+
+@dataclass(frozen=True, slots=True)
+class Work:
+    """A job that has not ended, as the leader works on it.
+
+    Attributes:
+      plan: The job.
+      progress: How far it has come.
+      accepted_ms: Clock at which this node first saw it.
+      goal_ms: Clock at which it should be done.
+      waiting: Tasks that may start.
+      running: Number of tasks that run.
+      inherited: Whether an earlier leader may have started tasks of it.
+      work_left: Declared processor time of the tasks that are not done, in
+        core-milliseconds.
+    """
+
+    plan: JobPlan
+    progress: Progress
+    accepted_ms: int
+    goal_ms: int
+    waiting: tuple[TaskPlace, ...] = ()
+    running: int = 0
+    inherited: bool = False
+    work_left: float = 0.0
+
+
+class RunState(Enum):
+    """How far an order to run a task has come."""
+
+    STARTING = "starting"
+    RUNNING = "running"
+    STOPPING = "stopping"
+
+
+@dataclass(frozen=True, slots=True)
+class Run:
+    """A task on a worker, or on its way there.
+
+    Attributes:
+      task: Identifier of the task.
+      job_id: Identifier of its job.
+      place: Where it stands within the job.
+      number: Number of the run.
+      worker_id: The worker.
+      team: Team that it is charged to.
+      size: Room that it takes.
+      state: How far the order has come.
+      sent_ms: Clock at which the start was first sent.
+      answered_ms: Clock at which the worker confirmed it, or -1.
+      tries: How often the start was sent.
+      lease_end_ms: Clock after which the start can no longer take effect.
+      checkpoint: Newest checkpoint, or "".
+      percent: Share of full speed as last reported.
+      load: Response time tail or processor use as last reported.
+      pace: Share of its speed that it was last told to work at.
+      lasting: Whether it runs until it is cancelled.
+      fills: Whether it takes only processor time left over.
+      tail_target_ms: Response time that it must keep, or 0.
+    """
+
+    task: str
+    job_id: str
+    place: TaskPlace
+    number: int
+    worker_id: str
+    team: str
+    size: Size
+    state: RunState
+    sent_ms: int
+    answered_ms: int = -1
+    tries: int = 1
+    lease_end_ms: int = 0
+    checkpoint: str = ""
+    percent: int = 0
+    load: float = 0.0
+    pace: int = 100
+    lasting: bool = False
+    fills: bool = False
+    tail_target_ms: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Worker:
+    """A worker as the leader knows it.
+
+    Attributes:
+      entry: What it registered.
+      listed: Whether it is registered now.
+      leased: Whether it is stored that runs may be on it.
+      reached: Whether it has answered in this term.
+      watching: Whether a call for its lists is under way.
+      clock_ms: The worker's clock at its latest answer.
+      seen_ms: Clock of this node at that answer.
+      answered_ms: Clock at which the latest answered call was sent.
+      lease_end_ms: Clock after which nothing can run on it any more.
+      ended: Ends up to this one were taken in.
+      ended_stored: Ends up to this one are stored.
+      tasks: Tasks on it or on their way, mapped to True.
+      used: Room that they take.
+      silences: Calls without an answer since the latest answer.
+      failures: Runs that failed since the latest that ended well.
+      aside_until_ms: Clock until which nothing is started on it.
+      leaving: Whether its machine is to be moved or maintained.
+      over: Whether its life was ended by an order for its machine.
+      strangers: Runs on it that nobody wants; their room is not known.
+    """
+
+    entry: WorkerEntry
+    listed: bool = True
+    leased: bool = False
+    reached: bool = False
+    watching: bool = False
+    clock_ms: int = 0
+    seen_ms: int = -1
+    answered_ms: int = -1
+    lease_end_ms: int = 0
+    ended: int = 0
+    ended_stored: int = 0
+    tasks: Map[str, bool] = EMPTY_MAP
+    used: Size = NO_SIZE
+    silences: int = 0
+    failures: int = 0
+    aside_until_ms: int = 0
+    leaving: bool = False
+    over: bool = False
+    strangers: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Arrivals:
+    """How fast a queue's jobs come.
+
+    Attributes:
+      jobs_per_s: Mean of the latest time, with old arrivals fading out.
+      at_ms: Clock for which the mean holds.
+    """
+
+    jobs_per_s: float = 0.0
+    at_ms: int = 0
--- a/sesamehall/reducer/jobs/arrivals.py
+++ b/sesamehall/reducer/jobs/arrivals.py
@@ -4,9 +4,9 @@
 
 from sesamehall.core.fleettiming import ARRIVALS_OVER_MS
 from sesamehall.core.fleettiming import SURGE_JOBS
-from sesamehall.core.managerstate import Arrivals
 from sesamehall.core.managerstate import ManagerState
 from sesamehall.core.replacing import replace
+from sesamehall.core.workstate import Arrivals
 
 
 def note_arrival(
--- a/sesamehall/reducer/jobs/bookkeeping.py
+++ b/sesamehall/reducer/jobs/bookkeeping.py
@@ -4,13 +4,13 @@
 
 from sesamehall.core.data import EMPTY_MAP
 from sesamehall.core.managerstate import ManagerState
-from sesamehall.core.managerstate import Run
-from sesamehall.core.managerstate import Work
-from sesamehall.core.managerstate import Worker
 from sesamehall.core.replacing import replace
 from sesamehall.core.work import add_size
 from sesamehall.core.work import NO_SIZE
 from sesamehall.core.work import TaskPlace
+from sesamehall.core.workstate import Run
+from sesamehall.core.workstate import Work
+from sesamehall.core.workstate import Worker
 from sesamehall.reducer.counts import drop_key
 
 
--- a/sesamehall/reducer/jobs/following.py
+++ b/sesamehall/reducer/jobs/following.py
@@ -9,6 +9,7 @@
 from sesamehall.core.fleet import Stream
 from sesamehall.core.fleet import WaveRecord
 from sesamehall.core.fleet import WorkerEntry
+from sesamehall.core.fleetstate import WaveProgress
 from sesamehall.core.jobtiming import JOBS_PERIOD_MS
 from sesamehall.core.jobtiming import JOBS_WAIT_MS
 from sesamehall.core.jobtiming import OPERATOR_WAIT_MS
@@ -25,7 +26,6 @@
 from sesamehall.core.managerstate import CallStage
 from sesamehall.core.managerstate import Following
 from sesamehall.core.managerstate import ManagerState
-from sesamehall.core.managerstate import WaveProgress
 from sesamehall.core.manifest import Manifest
 from sesamehall.core.manifest import Wave
 from sesamehall.core.replacing import replace
--- a/sesamehall/reducer/jobs/leading.py
+++ b/sesamehall/reducer/jobs/leading.py
@@ -5,6 +5,7 @@
 from sesamehall.core.fleet import Leader
 from sesamehall.core.fleet import StoredRecord
 from sesamehall.core.fleet import WorkerEntry
+from sesamehall.core.fleetstate import FleetState
 from sesamehall.core.jobtiming import CLAIM_SPREAD_MS
 from sesamehall.core.jobtiming import LEADER_SILENT_MS
 from sesamehall.core.jobtiming import LEASE_MS
@@ -17,14 +18,13 @@
 from sesamehall.core.managereffects import StoreProgress
 from sesamehall.core.managerevents import ProgressStored
 from sesamehall.core.managerevents import StoreOutcome
-from sesamehall.core.managerstate import FleetState
 from sesamehall.core.managerstate import Following
 from sesamehall.core.managerstate import ManagerState
 from sesamehall.core.managerstate import Term
-from sesamehall.core.managerstate import Worker
 from sesamehall.core.replacing import replace
 from sesamehall.core.step import Step
 from sesamehall.core.step import then
+from sesamehall.core.workstate import Worker
 from sesamehall.reducer.jobs.bookkeeping import put_worker
 from sesamehall.reducer.jobs.storing import LEADER_KEY
 from sesamehall.reducer.jobs.storing import take_confirmed
--- a/sesamehall/reducer/jobs/leases.py
+++ b/sesamehall/reducer/jobs/leases.py
@@ -7,9 +7,9 @@
 from sesamehall.core.jobtiming import START_CONFIRMED_MS
 from sesamehall.core.jobtiming import START_LEASE_MS
 from sesamehall.core.managerstate import ManagerState
-from sesamehall.core.managerstate import Work
-from sesamehall.core.managerstate import Worker
 from sesamehall.core.replacing import replace
+from sesamehall.core.workstate import Work
+from sesamehall.core.workstate import Worker
 
 
 def is_heard(worker: Worker, at_ms: int) -> bool:
--- a/sesamehall/reducer/jobs/orders.py
+++ b/sesamehall/reducer/jobs/orders.py
@@ -8,11 +8,11 @@
 from sesamehall.core.managerevents import RunAnswered
 from sesamehall.core.managerevents import StopAnswered
 from sesamehall.core.managerstate import ManagerState
-from sesamehall.core.managerstate import Run
-from sesamehall.core.managerstate import RunState
 from sesamehall.core.replacing import replace
 from sesamehall.core.step import Step
 from sesamehall.core.step import then
+from sesamehall.core.workstate import Run
+from sesamehall.core.workstate import RunState
 from sesamehall.reducer.jobs.bookkeeping import put_run
 from sesamehall.reducer.jobs.bookkeeping import put_worker
 from sesamehall.reducer.jobs.leases import extend_lease
--- a/sesamehall/reducer/jobs/placing.py
+++ b/sesamehall/reducer/jobs/placing.py
@@ -9,10 +9,6 @@
 from sesamehall.core.jobtiming import RUN_NUMBERS_A_TERM
 from sesamehall.core.logevents import RUN_ORDERED
 from sesamehall.core.managerstate import ManagerState
-from sesamehall.core.managerstate import Run
-from sesamehall.core.managerstate import RunState
-from sesamehall.core.managerstate import Work
-from sesamehall.core.managerstate import Worker
 from sesamehall.core.replacing import replace
 from sesamehall.core.step import Step
 from sesamehall.core.step import then
@@ -24,6 +20,10 @@
 from sesamehall.core.work import StepPlan
 from sesamehall.core.work import task_id
 from sesamehall.core.work import TaskPlace
+from sesamehall.core.workstate import Run
+from sesamehall.core.workstate import RunState
+from sesamehall.core.workstate import Work
+from sesamehall.core.workstate import Worker
 from sesamehall.reducer.counts import drop_key
 from sesamehall.reducer.jobs.bookkeeping import charge_run
 from sesamehall.reducer.jobs.bookkeeping import put_worker
--- a/sesamehall/reducer/jobs/progress.py
+++ b/sesamehall/reducer/jobs/progress.py
@@ -2,7 +2,6 @@
 
 from sesamehall.core.data import JobPhase
 from sesamehall.core.data import TERMINAL_PHASES
-from sesamehall.core.managerstate import Work
 from sesamehall.core.manifest import Queue
 from sesamehall.core.replacing import replace
 from sesamehall.core.work import count_bits
@@ -13,6 +12,7 @@
 from sesamehall.core.work import StepProgress
 from sesamehall.core.work import TaskPlace
 from sesamehall.core.work import with_bit
+from sesamehall.core.workstate import Work
 
 
 def begin_work(
--- a/sesamehall/reducer/jobs/reports.py
+++ b/sesamehall/reducer/jobs/reports.py
@@ -9,14 +9,14 @@
 from sesamehall.core.managereffects import StopRun
 from sesamehall.core.managerevents import WorkerReported
 from sesamehall.core.managerstate import ManagerState
-from sesamehall.core.managerstate import Run
-from sesamehall.core.managerstate import RunState
 from sesamehall.core.replacing import replace
 from sesamehall.core.step import Step
 from sesamehall.core.step import then
 from sesamehall.core.timers import WatchTimer
 from sesamehall.core.work import ActiveRun
 from sesamehall.core.work import split_task_id
+from sesamehall.core.workstate import Run
+from sesamehall.core.workstate import RunState
 from sesamehall.reducer.jobs.bookkeeping import charge_run
 from sesamehall.reducer.jobs.bookkeeping import put_run
 from sesamehall.reducer.jobs.bookkeeping import put_worker
--- a/sesamehall/reducer/jobs/runs.py
+++ b/sesamehall/reducer/jobs/runs.py
@@ -13,9 +13,6 @@
 from sesamehall.core.logevents import WORKER_ASIDE
 from sesamehall.core.managereffects import StopRun
 from sesamehall.core.managerstate import ManagerState
-from sesamehall.core.managerstate import Run
-from sesamehall.core.managerstate import RunState
-from sesamehall.core.managerstate import Work
 from sesamehall.core.replacing import replace
 from sesamehall.core.step import Step
 from sesamehall.core.step import then
@@ -24,6 +21,9 @@
 from sesamehall.core.work import RunEnd
 from sesamehall.core.work import split_task_id
 from sesamehall.core.work import task_id
+from sesamehall.core.workstate import Run
+from sesamehall.core.workstate import RunState
+from sesamehall.core.workstate import Work
 from sesamehall.reducer.jobs.bookkeeping import drop_work
 from sesamehall.reducer.jobs.bookkeeping import let_wait
 from sesamehall.reducer.jobs.bookkeeping import put_run
--- a/sesamehall/reducer/jobs/testing.py
+++ b/sesamehall/reducer/jobs/testing.py
@@ -9,7 +9,6 @@
 from sesamehall.core.managerevents import WorkerReported
 from sesamehall.core.managerstate import ManagerState
 from sesamehall.core.managerstate import Term
-from sesamehall.core.managerstate import Worker
 from sesamehall.core.manifest import Manifest
 from sesamehall.core.manifest import Queue
 from sesamehall.core.manifest import Quota
@@ -21,6 +20,7 @@
 from sesamehall.core.work import StepPlan
 from sesamehall.core.work import task_id
 from sesamehall.core.work import TaskPlace
+from sesamehall.core.workstate import Worker
 from sesamehall.reducer.jobs.bookkeeping import put_worker
 from sesamehall.reducer.jobs.placing import place_tasks
 from sesamehall.reducer.jobs.works import begin_job
--- a/sesamehall/reducer/jobs/workers.py
+++ b/sesamehall/reducer/jobs/workers.py
@@ -15,12 +15,12 @@
 from sesamehall.core.managerevents import OrderRefusal
 from sesamehall.core.managerevents import WorkerNotReported
 from sesamehall.core.managerstate import ManagerState
-from sesamehall.core.managerstate import Worker
 from sesamehall.core.replacing import replace
 from sesamehall.core.step import Step
 from sesamehall.core.step import then
 from sesamehall.core.timers import WatchTimer
 from sesamehall.core.work import NO_SIZE
+from sesamehall.core.workstate import Worker
 from sesamehall.reducer.jobs.bookkeeping import drop_worker
 from sesamehall.reducer.jobs.bookkeeping import put_worker
 from sesamehall.reducer.jobs.leases import extend_lease
--- a/sesamehall/reducer/machines/evacuation.py
+++ b/sesamehall/reducer/machines/evacuation.py
@@ -2,12 +2,12 @@
 
 from sesamehall.core.fleettiming import EMPTY_WAIT_MS
 from sesamehall.core.managerstate import ManagerState
-from sesamehall.core.managerstate import Run
-from sesamehall.core.managerstate import RunState
 from sesamehall.core.step import Step
 from sesamehall.core.step import then
 from sesamehall.core.work import task_id
 from sesamehall.core.work import TaskPlace
+from sesamehall.core.workstate import Run
+from sesamehall.core.workstate import RunState
 from sesamehall.reducer.jobs.leases import is_heard
 from sesamehall.reducer.jobs.runs import stop_run
 
--- a/sesamehall/reducer/machines/fleet.py
+++ b/sesamehall/reducer/machines/fleet.py
@@ -11,6 +11,8 @@
 from sesamehall.core.effects import log
 from sesamehall.core.fleet import Machine
 from sesamehall.core.fleet import MachineState
+from sesamehall.core.fleetstate import MachineOrder
+from sesamehall.core.fleetstate import PendingOrder
 from sesamehall.core.fleettiming import MACHINES_PERIOD_MS
 from sesamehall.core.fleettiming import ORDER_CONFIRMED_MS
 from sesamehall.core.fleettiming import ORDER_FORGET_MS
@@ -24,9 +26,7 @@
 from sesamehall.core.managerevents import MachineAnswered
 from sesamehall.core.managerevents import MachinesListed
 from sesamehall.core.managerevents import MachinesNotListed
-from sesamehall.core.managerstate import MachineOrder
 from sesamehall.core.managerstate import ManagerState
-from sesamehall.core.managerstate import PendingOrder
 from sesamehall.core.replacing import replace
 from sesamehall.core.step import Step
 from sesamehall.core.step import then
--- a/sesamehall/reducer/machines/fleet_test.py
+++ b/sesamehall/reducer/machines/fleet_test.py
@@ -5,15 +5,15 @@
 
 from sesamehall.core.fleet import Machine
 from sesamehall.core.fleet import MachineState
+from sesamehall.core.fleetstate import FleetState
+from sesamehall.core.fleetstate import WaveProgress
 from sesamehall.core.managereffects import MaintainMachine
 from sesamehall.core.managereffects import MoveMachine
 from sesamehall.core.managereffects import ReportWave
 from sesamehall.core.managereffects import StoreProgress
 from sesamehall.core.managerevents import MachineAnswered
 from sesamehall.core.managerevents import MachinesListed
-from sesamehall.core.managerstate import FleetState
 from sesamehall.core.managerstate import Term
-from sesamehall.core.managerstate import WaveProgress
 from sesamehall.core.manifest import Wave
 from sesamehall.core.replacing import replace
 from sesamehall.reducer.jobs.storing import write_progress
--- a/sesamehall/reducer/machines/moves.py
+++ b/sesamehall/reducer/machines/moves.py
@@ -8,10 +8,10 @@
 
 from sesamehall.core.effects import log
 from sesamehall.core.fleet import Machine
+from sesamehall.core.fleetstate import MachineOrder
+from sesamehall.core.fleetstate import PendingOrder
 from sesamehall.core.logevents import POOLS_SIZED
-from sesamehall.core.managerstate import MachineOrder
 from sesamehall.core.managerstate import ManagerState
-from sesamehall.core.managerstate import PendingOrder
 from sesamehall.core.replacing import replace
 from sesamehall.core.step import Step
 from sesamehall.reducer.machines.orders import decide_order
--- a/sesamehall/reducer/machines/orders.py
+++ b/sesamehall/reducer/machines/orders.py
@@ -2,9 +2,9 @@
 
 from sesamehall.core.fleet import Machine
 from sesamehall.core.fleet import MachineState
-from sesamehall.core.managerstate import MachineOrder
+from sesamehall.core.fleetstate import MachineOrder
+from sesamehall.core.fleetstate import PendingOrder
 from sesamehall.core.managerstate import ManagerState
-from sesamehall.core.managerstate import PendingOrder
 from sesamehall.core.replacing import replace
 from sesamehall.reducer.jobs.bookkeeping import put_worker
 
--- a/sesamehall/reducer/machines/sizing.py
+++ b/sesamehall/reducer/machines/sizing.py
@@ -5,16 +5,16 @@
 
 from sesamehall.core.data import EMPTY_MAP
 from sesamehall.core.data import TERMINAL_PHASES
+from sesamehall.core.fleetstate import Peak
 from sesamehall.core.fleettiming import HEADROOM
 from sesamehall.core.fleettiming import LEAST_TIME_MS
 from sesamehall.core.fleettiming import PEAK_HOLD_MS
 from sesamehall.core.fleettiming import SPARE_WORKERS
 from sesamehall.core.managerstate import ManagerState
-from sesamehall.core.managerstate import Peak
-from sesamehall.core.managerstate import Work
-from sesamehall.core.managerstate import Worker
 from sesamehall.core.work import Size
 from sesamehall.core.work import StepPlan
+from sesamehall.core.workstate import Work
+from sesamehall.core.workstate import Worker
 from sesamehall.reducer.jobs.arrivals import surge_jobs_per_s
 from sesamehall.reducer.jobs.bookkeeping import pool_of
 from sesamehall.reducer.jobs.progress import chain_left_ms
--- a/sesamehall/reducer/machines/sizing_test.py
+++ b/sesamehall/reducer/machines/sizing_test.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from sesamehall.core.managerstate import Peak
+from sesamehall.core.fleetstate import Peak
 from sesamehall.core.work import Size
 from sesamehall.reducer.jobs.testing import build_leader
 from sesamehall.reducer.jobs.testing import build_plan
--- a/sesamehall/reducer/machines/waves.py
+++ b/sesamehall/reducer/machines/waves.py
@@ -4,13 +4,13 @@
 from sesamehall.core.fleet import Machine
 from sesamehall.core.fleet import MachineState
 from sesamehall.core.fleet import WaveStatus
+from sesamehall.core.fleetstate import MachineOrder
+from sesamehall.core.fleetstate import WaveProgress
 from sesamehall.core.fleettiming import WAVE_CYCLE_MS
 from sesamehall.core.fleettiming import WAVE_RESERVE_MS
 from sesamehall.core.logevents import WAVE_COMPLETED
 from sesamehall.core.managereffects import ReportWave
-from sesamehall.core.managerstate import MachineOrder
 from sesamehall.core.managerstate import ManagerState
-from sesamehall.core.managerstate import WaveProgress
 from sesamehall.core.replacing import replace
 from sesamehall.core.step import Step
 from sesamehall.core.step import then
