Ask the advice service where a step may run; split rounds from placing

Cause: workers refuse starts of a queue with a policy unless these carry a ticket, so such jobs waited for ever.

Change: placing asks the service about the most pressing step that waits, one call at a time and about 30 workers at most, keeps what it says for the life of each worker, and starts only with a valid ticket; a refused one is dropped.

--- a/sesamehall/core/jobtiming.py
+++ b/sesamehall/core/jobtiming.py
@@ -31,6 +31,8 @@
 PLACE_DELAY_MS = 3  # events within this are placed in one round
 PLACE_RETRY_MS = 500  # what could not be placed is tried again
 
+TICKET_RESERVE_MS = 500  # an order may take this long to reach its worker
+
 STOP_LEAST_MS = 700  # the balancer and open connections learn of a stop
 STOP_MOST_MS = 3_500  # the platform kills a process some time after this
 RESIGN_WAIT_MS = 2_000  # a log that is silent this long is not waited for
--- a/sesamehall/core/logevents.py
+++ b/sesamehall/core/logevents.py
@@ -105,6 +105,10 @@
 RUN_ENDED = _info(612, "run ended")
 RUN_ADOPTED = _info(613, "run adopted")
 RUN_STOPPED = _info(614, "run to be stopped")
+ADVICE_TAKEN = _info(615, "advice taken in")
+ADVICE_MISSING = _warning(
+    616, "no advice", "Look at the advice service; it is asked again."
+)
 WORKER_REACHED = _info(620, "worker reached")
 WORKER_SILENT = _warning(
     621, "worker silent", "Look at the worker; its tasks restart elsewhere."
--- a/sesamehall/core/managereffects.py
+++ b/sesamehall/core/managereffects.py
@@ -103,6 +103,7 @@
       command: Opaque text for the worker.
       lease_until_ms: End of the lease on the worker's clock.
       checkpoint: Where to go on from, or "".
+      ticket: Permission of the advice service, or "".
     """
 
     worker_id: str
@@ -113,6 +114,20 @@
     command: str
     lease_until_ms: int
     checkpoint: str
+    ticket: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class AskAdvice:
+    """Ask on which workers a step may run.
+
+    Attributes:
+      step: Name of the step.
+      worker_ids: The workers.
+    """
+
+    step: str
+    worker_ids: tuple[str, ...]
 
 
 @dataclass(frozen=True, slots=True)
--- a/sesamehall/core/managerevents.py
+++ b/sesamehall/core/managerevents.py
@@ -203,6 +203,42 @@
     refusal: OrderRefusal | None
 
 
+@dataclass(frozen=True, slots=True)
+class AdviceGiven:
+    """The advice service has said on which workers a step may run.
+
+    Attributes:
+      at_ms: The node's clock.
+      asked_ms: Clock at which it was asked.
+      step: Name of the step.
+      worker_ids: The workers that it was asked about.
+      tickets: Worker and ticket, of those on which it may run.
+      valid_ms: How long the tickets are valid.
+    """
+
+    at_ms: int
+    asked_ms: int
+    step: str
+    worker_ids: tuple[str, ...]
+    tickets: tuple[tuple[str, str], ...]
+    valid_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class AdviceNotGiven:
+    """The advice service gave no answer.
+
+    Attributes:
+      at_ms: The node's clock.
+      step: Name of the step.
+      reason: Why, for the log.
+    """
+
+    at_ms: int
+    step: str
+    reason: str
+
+
 @dataclass(frozen=True, slots=True)
 class MachinesListed:
     """The platform gave its list of machines.
@@ -258,6 +294,8 @@
     | WorkerNotReported
     | RunAnswered
     | StopAnswered
+    | AdviceGiven
+    | AdviceNotGiven
     | MachinesListed
     | MachinesNotListed
     | MachineAnswered
--- a/sesamehall/core/managerstate.py
+++ b/sesamehall/core/managerstate.py
@@ -17,6 +17,7 @@
 from sesamehall.core.work import Size
 from sesamehall.core.workstate import Arrivals
 from sesamehall.core.workstate import Run
+from sesamehall.core.workstate import Ticket
 from sesamehall.core.workstate import Work
 from sesamehall.core.workstate import Worker
 
@@ -168,6 +169,8 @@
       maintained_by_wave: Machines whose maintenance in a wave has begun.
       ended_now: Whether a job's end waits to be stored.
       placing_pools: Pools whose next round of placing is due.
+      tickets_by_step: What the advice service has said, by step and worker.
+      advising: Step that the advice service is being asked about, or "".
       wall_offset_ms: Time of day less the node's clock.
       fleet: Machines, and what is to happen to them.
     """
@@ -212,5 +215,7 @@
     maintained_by_wave: Map[int, tuple[str, ...]] = EMPTY_MAP
     ended_now: bool = False
     placing_pools: Map[str, bool] = EMPTY_MAP
+    tickets_by_step: Map[str, Map[str, Ticket]] = EMPTY_MAP
+    advising: str = ""
     wall_offset_ms: int = 0
     fleet: FleetState = FleetState()
--- a/sesamehall/core/workstate.py
+++ b/sesamehall/core/workstate.py
@@ -72,6 +72,7 @@
       lasting: Whether it runs until it is cancelled.
       fills: Whether it takes only processor time left over.
       tail_target_ms: Response time that it must keep, or 0.
+      ticket: Permission of the advice service, or "".
     """
 
     task: str
@@ -93,6 +94,23 @@
     lasting: bool = False
     fills: bool = False
     tail_target_ms: int = 0
+    ticket: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class Ticket:
+    """What the advice service has said of a step and a worker.
+
+    Attributes:
+      text: What an order to start must carry; "" where the step must not
+        run there.
+      born_ms: Start of the worker's life for which it holds.
+      until_ms: Clock until which it is valid.
+    """
+
+    text: str
+    born_ms: int
+    until_ms: int
 
 
 @dataclass(frozen=True, slots=True)
--- a/sesamehall/platform/application.py
+++ b/sesamehall/platform/application.py
@@ -13,6 +13,7 @@
 from sesamehall.core.events import Started
 from sesamehall.core.events import StopRequested
 from sesamehall.core.managereffects import AnswerCall
+from sesamehall.core.managereffects import AskAdvice
 from sesamehall.core.managereffects import ForgetWorker
 from sesamehall.core.managereffects import ListMachines
 from sesamehall.core.managereffects import MaintainMachine
@@ -29,6 +30,7 @@
 from sesamehall.core.managerstate import ManagerState
 from sesamehall.core.state import Identity
 from sesamehall.core.state import State
+from sesamehall.platform.advice import AdviceGate
 from sesamehall.platform.ingress import Ingress
 from sesamehall.platform.ingress import ReadyPage
 from sesamehall.platform.listening import BACKLOG
@@ -81,6 +83,7 @@
         self._ready = ReadyPage()
         self._store = StoreGate(settings.store, post)
         self._workers = WorkerLines(post)
+        self._advice = AdviceGate(settings.advice, post)
         self._machines = MachineGate(settings.name, settings.machines, post)
         self._front_server = ListeningServer(
             listeners.front, self._ingress, SERVING_THREADS
@@ -129,6 +132,8 @@
                 self._store.store_progress(effect)
             case ReportWave():
                 self._store.report_wave(effect)
+            case AskAdvice():
+                self._advice.ask(effect)
             case ListMachines():
                 self._machines.list()
             case MoveMachine() | MaintainMachine():
--- a/sesamehall/platform/decoding.py
+++ b/sesamehall/platform/decoding.py
@@ -347,6 +347,23 @@
         raise DecodeError(f"bad list of ends: {error}") from error
 
 
+def decode_tickets(rows: list) -> tuple[tuple[str, str], ...]:
+    """Decode the workers that an advice names.
+
+    Args:
+      rows: Worker and ticket of each.
+    Returns:
+      The same.
+    Raises:
+      DecodeError: A row is not valid.
+    """
+    for row in rows:
+        pair = isinstance(row, list) and len(row) == 2
+        if not pair or not all(isinstance(part, str) for part in row):
+            raise DecodeError("Good holds something else than pairs")
+    return tuple((worker_id, ticket) for worker_id, ticket in rows)
+
+
 def decode_machine(row: dict) -> Machine:
     """Decode a machine of the cloud interface's list.
 
--- a/sesamehall/platform/settings.py
+++ b/sesamehall/platform/settings.py
@@ -26,6 +26,7 @@
       metrics: "host:port" on which metrics are served.
       store: "host:port" of the platform's metadata store.
       machines: "host:port" of the platform's cloud interface, or "".
+      advice: "host:port" of the advice service, or "".
       timing: Bounds that the platform sets.
     """
 
@@ -36,6 +37,7 @@
     metrics: str
     store: str
     machines: str
+    advice: str
     timing: Timing
 
 
@@ -104,6 +106,7 @@
         metrics=f"{text('Ip')}:{METRICS_PORT}",
         store=text("platform", "Address"),
         machines=text("CloudApi", "Address", default="") or "",
+        advice=text("Advice", default="") or "",
         timing=Timing(
             longest_lease_ms=milliseconds("HoldMaxMs", usual.longest_lease_ms),
             stop_ms=milliseconds("StopMs", usual.stop_ms),
--- a/sesamehall/platform/workers.py
+++ b/sesamehall/platform/workers.py
@@ -203,6 +203,8 @@
             content["DeadlineMs"] = effect.lease_until_ms
             if effect.checkpoint:
                 content["Checkpoint"] = effect.checkpoint
+            if effect.ticket:
+                content["Ticket"] = effect.ticket
             return "/run-start", content
         case StopRun():
             return "/run-stop", content
--- a/sesamehall/reducer/jobs/leading.py
+++ b/sesamehall/reducer/jobs/leading.py
@@ -228,6 +228,8 @@
         dirty_workers=EMPTY_MAP,
         dirty_waves=EMPTY_MAP,
         ended_now=False,
+        tickets_by_step=EMPTY_MAP,
+        advising="",
         placing_pools=EMPTY_MAP,
         fleet=_new_fleet(manager),
     )
--- a/sesamehall/reducer/jobs/orders.py
+++ b/sesamehall/reducer/jobs/orders.py
@@ -13,6 +13,8 @@
 from sesamehall.core.step import then
 from sesamehall.core.workstate import Run
 from sesamehall.core.workstate import RunState
+from sesamehall.reducer.jobs.advice import drop_ticket
+from sesamehall.reducer.jobs.advice import step_name
 from sesamehall.reducer.jobs.bookkeeping import put_run
 from sesamehall.reducer.jobs.bookkeeping import put_worker
 from sesamehall.reducer.jobs.leases import extend_lease
@@ -59,7 +61,10 @@
     step = Step(manager, (line,))
     if run.tries > 1 or run.answered_ms >= 0:
         return step  # an earlier copy may have got through: lists will tell
-    step = then(step, _set_aside, run.worker_id, at_ms)
+    if event.refusal is OrderRefusal.NO_TICKET:
+        step = then(step, _drop_ticket, run)
+    else:
+        step = then(step, _set_aside, run.worker_id, at_ms)
     return then(step, give_up_run, run, event.refusal.value, at_ms)
 
 
@@ -102,6 +107,7 @@
         command=command,
         lease_until_ms=lease_until_ms,
         checkpoint=checkpoint_of(work, run.place),
+        ticket=run.ticket,
     )
 
 
@@ -135,6 +141,14 @@
     return Step(manager, (order,))
 
 
+def _drop_ticket(manager, run):
+    work = manager.works_by_id.get(run.job_id)
+    if work is None:
+        return Step(manager)
+    name = step_name(work, run.place)
+    return Step(drop_ticket(manager, name, run.worker_id))
+
+
 def _set_aside(manager, worker_id, at_ms):
     worker = manager.workers_by_id[worker_id]
     until_ms = max(worker.aside_until_ms, at_ms + REFUSED_ASIDE_MS)
--- /dev/null
+++ b/sesamehall/reducer/jobs/rounds.py
@@ -0,0 +1,257 @@
+"""Rounds of placing: room, ceilings, and the worker that fits best."""
+
+from dataclasses import dataclass
+
+from sesamehall.core.jobtiming import RUN_NUMBERS_A_TERM
+from sesamehall.core.managerstate import ManagerState
+from sesamehall.core.replacing import replace
+from sesamehall.core.work import add_size
+from sesamehall.core.work import fits
+from sesamehall.core.work import NO_SIZE
+from sesamehall.core.work import Size
+from sesamehall.core.work import StepPlan
+from sesamehall.core.work import task_id
+from sesamehall.core.work import TaskPlace
+from sesamehall.core.workstate import Work
+from sesamehall.core.workstate import Worker
+from sesamehall.reducer.jobs.advice import is_advised
+from sesamehall.reducer.jobs.advice import step_name
+from sesamehall.reducer.jobs.advice import ticket_for
+from sesamehall.reducer.jobs.leases import is_heard
+
+RESERVED_MOST = 2  # workers kept free for tasks that found no room
+
+
+@dataclass(frozen=True, slots=True)
+class Choice:
+    """A task and the worker that it shall run on.
+
+    Attributes:
+      work: Its job.
+      place: The task.
+      worker_id: The worker.
+      number: Number of the run; the tasks of a gang share it.
+      ticket: Permission of the advice service, or "".
+    """
+
+    work: Work
+    place: TaskPlace
+    worker_id: str
+    number: int
+    ticket: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class Round:
+    """One round of placing; its tables change as tasks are placed.
+
+    Attributes:
+      manager: State of the leader.
+      at_ms: The node's clock.
+      workers_by_id: Workers that take new tasks.
+      free_by_id: Room that each has left.
+      used_by_team: Room that teams take.
+      count_by_worker_step: Tasks of a step on a worker, where it is bounded.
+      reserved: Workers kept for tasks that found no room.
+    """
+
+    manager: ManagerState
+    at_ms: int
+    workers_by_id: dict[str, Worker]
+    free_by_id: dict[str, Size]
+    used_by_team: dict[str, Size]
+    count_by_worker_step: dict[tuple[str, str], int]
+    reserved: list[str]
+
+    @classmethod
+    def begin(cls, manager, workers, at_ms):
+        """Begin with what the workers and teams have left."""
+        workers = {worker.entry.worker_id: worker for worker in workers}
+        free = {
+            worker_id: add_size(worker.entry.capacity, worker.used, -1)
+            for worker_id, worker in workers.items()
+        }
+        used = dict(manager.used_by_team)
+        return cls(manager, at_ms, workers, free, used, {}, [])
+
+    def place_job(self, work: Work) -> list[Choice]:
+        """Place the waiting tasks of a job, as far as there is room."""
+        choices: list[Choice] = []
+        self._count_spread(work)
+        for step, places in _by_step(work):
+            if step.gang:
+                choices += self._place_gang(work, step, places)
+                continue
+            for place in places:
+                choice = self._place(work, step, place)
+                if choice is None:
+                    break
+                choices.append(choice)
+        return choices
+
+    def _place_gang(self, work, step, places):
+        """Place all tasks of a gang, or none."""
+        if len(places) < step.count:
+            return []
+        free = dict(self.free_by_id)
+        used = self.used_by_team.get(work.plan.team, NO_SIZE)
+        choices = [self._place(work, step, place) for place in places]
+        if None not in choices:
+            number = max(choice.number for choice in choices)
+            return [replace(choice, number=number) for choice in choices]
+        self.free_by_id.update(free)
+        self.used_by_team[work.plan.team] = used
+        return []
+
+    def _place(self, work, step, place):
+        """Place one task on the worker that it fits best."""
+        if not self._within_ceiling(work.plan.team, step.size):
+            return None
+        room = step.size
+        if step.fills:
+            room = replace(room, cpu_milli=0)
+        name = step_name(work, place)
+        advised = is_advised(self.manager, work)
+        best = None
+        best_order = None
+        for worker_id, free in self.free_by_id.items():
+            if worker_id in self.reserved or not fits(room, free):
+                continue
+            worker = self.workers_by_id[worker_id]
+            if step.label and step.label not in worker.entry.labels:
+                continue
+            count = self.count_by_worker_step.get((worker_id, name), 0)
+            if step.most_per_worker and count >= step.most_per_worker:
+                continue
+            if advised and not self._ticket(name, worker):
+                continue
+            order = self._order(worker, free, step, work, place)
+            if best_order is None or order < best_order:
+                best = worker_id
+                best_order = order
+        if best is None:
+            self._reserve(step, work)
+            return None
+        self._take(best, name, work.plan.team, step.size, room)
+        number = next_number(self.manager, task_id(work.plan.job_id, place))
+        ticket = (
+            self._ticket(name, self.workers_by_id[best]) if advised else ""
+        )
+        return Choice(work, place, best, number, ticket)
+
+    def _ticket(self, name, worker):
+        return ticket_for(self.manager, name, worker, self.at_ms)
+
+    def _order(self, worker, free, step, work, place):
+        """Rank a worker: data's rack, not where it failed, least room."""
+        far = bool(step.rack) and worker.entry.rack != step.rack
+        failed_on = self.manager.failed_on_by_task.get(
+            f"{work.plan.job_id}.{place.step}.{place.index}"
+        )
+        again = failed_on == worker.entry.worker_id
+        return (again, far, worker.failures > 0, free.cpu_milli)
+
+    def _take(self, worker_id, name, team, size, room):
+        free = self.free_by_id[worker_id]
+        self.free_by_id[worker_id] = add_size(free, room, -1)
+        used = self.used_by_team.get(team, NO_SIZE)
+        self.used_by_team[team] = add_size(used, size)
+        key = (worker_id, name)
+        count = self.count_by_worker_step.get(key, 0)
+        self.count_by_worker_step[key] = count + 1
+
+    def _reserve(self, step, work):
+        """Keep the emptiest worker for a task that found no room."""
+        if len(self.reserved) >= RESERVED_MOST or step.fills:
+            return
+        candidates = [
+            worker_id
+            for worker_id in self.free_by_id
+            if worker_id not in self.reserved
+            and fits(step.size, self.workers_by_id[worker_id].entry.capacity)
+        ]
+        if len(candidates) > RESERVED_MOST:
+            self.reserved.append(
+                max(
+                    candidates,
+                    key=lambda name: (self.free_by_id[name].cpu_milli, name),
+                )
+            )
+
+    def _within_ceiling(self, team, size):
+        quota = self.manager.manifest.quotas_by_team.get(team)
+        if quota is None:
+            return True
+        used = add_size(self.used_by_team.get(team, NO_SIZE), size)
+        return fits(_limited(used, quota.ceiling), quota.ceiling)
+
+    def _count_spread(self, work):
+        """Count a job's tasks on each worker, where that is bounded."""
+        if not any(step.most_per_worker for step in work.plan.steps):
+            return
+        if not work.running:
+            return
+        job_id = work.plan.job_id
+        for worker_id, worker in self.workers_by_id.items():
+            for task in worker.tasks:
+                run = self.manager.runs_by_task[task]
+                if run.job_id != job_id:
+                    continue
+                key = (worker_id, step_name(work, run.place))
+                count = self.count_by_worker_step.get(key, 0)
+                self.count_by_worker_step[key] = count + 1
+
+
+def takes_tasks(worker: Worker, at_ms: int) -> bool:
+    """Tell whether new tasks may be started on a worker.
+
+    Args:
+      worker: The worker.
+      at_ms: The node's clock.
+    Returns:
+      False for one that leaves, is silent, sick or not known enough.
+    """
+    return (
+        worker.listed
+        and worker.reached
+        and worker.leased
+        and is_heard(worker, at_ms)
+        and not worker.entry.draining
+        and not worker.leaving
+        and not worker.over
+        and not worker.strangers
+        and worker.aside_until_ms <= at_ms
+    )
+
+
+def _limited(used, ceiling):
+    """Leave out what a ceiling does not limit."""
+    return Size(
+        used.cpu_milli if ceiling.cpu_milli else 0,
+        used.memory_mb if ceiling.memory_mb else 0,
+        used.accelerators if ceiling.accelerators else 0,
+    )
+
+
+def _by_step(work) -> list[tuple[StepPlan, list[TaskPlace]]]:
+    """Group the waiting tasks of a job by step, in order."""
+    groups: dict[tuple[int, int], list[TaskPlace]] = {}
+    for place in work.waiting:
+        groups.setdefault((place.occurrence, place.step), []).append(place)
+    return [
+        (work.plan.steps[step], groups[occurrence, step])
+        for occurrence, step in sorted(groups)
+    ]
+
+
+def next_number(manager: ManagerState, task: str) -> int:
+    """Choose a run number above all that any leader can have used.
+
+    Args:
+      manager: State of the leader.
+      task: Identifier of the task.
+    Returns:
+      The number.
+    """
+    floor = (manager.term.epoch - 1) * RUN_NUMBERS_A_TERM
+    return max(manager.numbers_by_task.get(task, 0), floor) + 1
--- a/sesamehall/reducer/jobs/runs.py
+++ b/sesamehall/reducer/jobs/runs.py
@@ -24,6 +24,7 @@
 from sesamehall.core.workstate import Run
 from sesamehall.core.workstate import RunState
 from sesamehall.core.workstate import Work
+from sesamehall.reducer.jobs.advice import forget_tickets
 from sesamehall.reducer.jobs.bookkeeping import drop_work
 from sesamehall.reducer.jobs.bookkeeping import let_wait
 from sesamehall.reducer.jobs.bookkeeping import put_run
@@ -219,7 +220,7 @@
         return manager
     if work.progress.phase not in TERMINAL_PHASES:
         return manager
-    return drop_work(manager, job_id)
+    return drop_work(forget_tickets(manager, job_id), job_id)
 
 
 def _runs_of(manager: ManagerState, work: Work) -> list[Run]:
--- a/sesamehall/reducer/managing.py
+++ b/sesamehall/reducer/managing.py
@@ -16,6 +16,8 @@
 from sesamehall.core.logevents import NODE_STOPPING
 from sesamehall.core.logevents import READY_CHANGED
 from sesamehall.core.managereffects import SetReady
+from sesamehall.core.managerevents import AdviceGiven
+from sesamehall.core.managerevents import AdviceNotGiven
 from sesamehall.core.managerevents import JobCalled
 from sesamehall.core.managerevents import JobStored
 from sesamehall.core.managerevents import MachineAnswered
@@ -38,6 +40,8 @@
 from sesamehall.core.timers import ManagerTimer
 from sesamehall.core.timers import PlaceTimer
 from sesamehall.core.timers import WatchTimer
+from sesamehall.reducer.jobs.advice import take_advice
+from sesamehall.reducer.jobs.advice import take_no_advice
 from sesamehall.reducer.jobs.calls import advance_calls
 from sesamehall.reducer.jobs.calls import knows_manifest
 from sesamehall.reducer.jobs.calls import receive_call
@@ -50,6 +54,7 @@
 from sesamehall.reducer.jobs.leading import take_stored
 from sesamehall.reducer.jobs.orders import take_start_answer
 from sesamehall.reducer.jobs.orders import take_stop_answer
+from sesamehall.reducer.jobs.placing import place_step
 from sesamehall.reducer.jobs.placing import place_tasks
 from sesamehall.reducer.jobs.reports import take_report
 from sesamehall.reducer.jobs.storing import commit
@@ -91,6 +96,11 @@
             return take_start_answer(manager, event)
         case StopAnswered():
             return take_stop_answer(manager, event)
+        case AdviceGiven():
+            step = take_advice(manager, event)
+            return then(step, place_step, event.step, event.at_ms)
+        case AdviceNotGiven():
+            return take_no_advice(manager, event)
         case WorkerNotReported():
             return take_silence(manager, event)
         case TimerFired():
