--- a/sesamehall/core/workstate.py
+++ b/sesamehall/core/workstate.py
@@ -136,7 +136,8 @@
       aside_until_ms: Clock until which nothing is started on it.
       leaving: Whether its machine is to be moved or maintained.
       over: Whether its life was ended by an order for its machine.
-      strangers: Runs on it that nobody wants; their room is not known.
+      strangers: Runs that it has listed, of jobs not read yet or that nobody
+        wants; their room is not known.
     """
 
     entry: WorkerEntry
--- a/sesamehall/reducer/jobs/arrivals.py
+++ b/sesamehall/reducer/jobs/arrivals.py
@@ -1,9 +1,10 @@
 """Arrivals: how fast the jobs of a queue come, to foresee its needs."""
 
 from math import exp
+from math import sqrt
 
 from sesamehall.core.fleettiming import ARRIVALS_OVER_MS
-from sesamehall.core.fleettiming import SURGE_JOBS
+from sesamehall.core.fleettiming import SURGE_DEVIATIONS
 from sesamehall.core.managerstate import ManagerState
 from sesamehall.core.replacing import replace
 from sesamehall.core.workstate import Arrivals
@@ -34,10 +35,13 @@
       queue: Name of the queue.
       at_ms: The node's clock.
     Returns:
-      Jobs a second beyond what a few single jobs would seem to be.
+      Jobs a second, so many that they have hardly come by chance: of a few
+      jobs within ARRIVALS_OVER_MS little is left, of many nearly all.
     """
-    few = SURGE_JOBS * 1_000 / ARRIVALS_OVER_MS
-    return max(jobs_per_s(manager, queue, at_ms) - few, 0.0)
+    window_s = ARRIVALS_OVER_MS / 1_000
+    count = jobs_per_s(manager, queue, at_ms) * window_s
+    certain = count - SURGE_DEVIATIONS * sqrt(count)
+    return max(certain, 0.0) / window_s
 
 
 def jobs_per_s(manager: ManagerState, queue: str, at_ms: int) -> float:
--- a/sesamehall/reducer/jobs/arrivals_test.py
+++ b/sesamehall/reducer/jobs/arrivals_test.py
@@ -29,12 +29,14 @@
 
 
 @pytest.mark.parametrize(
-    ("period_ms", "is_surge"), [(40, True), (100, True), (1_000, False)]
+    ("period_ms", "low", "high"),
+    [(20, 35, 45), (40, 14, 20), (100, 2, 7), (300, 0, 0.5), (1_000, 0, 0)],
+    ids=["flood", "surge", "busy", "by chance", "calm"],
 )
-def test_few_jobs_are_no_surge(period_ms, is_surge):
+def test_few_jobs_are_no_surge(period_ms, low, high):
     manager = after_arrivals(period_ms)
     rate = surge_jobs_per_s(manager, "quotes", LONG_MS)
-    assert (rate > 0) == is_surge
+    assert low <= rate <= high
 
 
 def test_rate_fades_out():
--- a/sesamehall/reducer/jobs/leading_test.py
+++ b/sesamehall/reducer/jobs/leading_test.py
@@ -188,6 +188,35 @@
     assert order.task != active[0].task
 
 
+@pytest.mark.parametrize(
+    ("read_first", "taken"),
+    [(True, 1), (False, 0)],
+    ids=["job read first", "end reported first"],
+)
+def test_end_of_a_job_not_read_yet_is_left(read_first, taken):
+    """It must not be acknowledged before it has counted."""
+    plan = build_plan(job_id=OTHER_JOB_ID)
+    record = StoredRecord(OTHER_JOB_ID, plan)
+    read = StreamRead(NOW_MS, NOW_MS, 0, Stream.JOBS, (record,), 2, False)
+    ended = [EndedRun(1, task(job_id=OTHER_JOB_ID), 1, RunEnd.DONE)]
+    manager = take_over(("w1", "w2")).state
+    manager = reach(manager, "w2")
+    if read_first:
+        manager = take_read(manager, read).state
+    manager = reach(manager, "w1", ended=ended)
+    assert manager.workers_by_id["w1"].ended == taken
+    manager = take_read(manager, read).state
+    jobs_started = {
+        order.task.partition(".")[0]
+        for order in effects_of(place_all(manager), StartRun)
+    }
+    assert OTHER_JOB_ID not in jobs_started
+    manager = reach(manager, "w1", ended=ended)
+    assert manager.workers_by_id["w1"].ended == 1
+    work = manager.works_by_id[OTHER_JOB_ID]
+    assert work.progress.phase is JobPhase.DONE
+
+
 @pytest.mark.parametrize(
     ("known_ms", "starts"), [(NOW_MS - 1, 0), (NOW_MS, 1)]
 )
--- a/sesamehall/reducer/jobs/reports.py
+++ b/sesamehall/reducer/jobs/reports.py
@@ -1,5 +1,7 @@
 """Workers' lists of runs, compared with what the leader believes."""
 
+from itertools import takewhile
+
 from sesamehall.core.data import TERMINAL_PHASES
 from sesamehall.core.effects import log
 from sesamehall.core.effects import SetTimer
@@ -90,10 +92,29 @@
     return Step(manager, (timer,))
 
 
+def _is_unread(manager, task):
+    """Tell whether a task's job may be among those still to be read.
+
+    A follower reads the jobs now and then, so a new leader may hear of runs
+    of a job before it reads the job itself.
+    """
+    named = split_task_id(task)
+    if manager.jobs_known or named is None:
+        return False
+    return named[0] not in manager.team_by_job_id
+
+
+def _readable_ends(manager, event):
+    """List the new ends, up to the first whose job is still to be read."""
+    worker = manager.workers_by_id[event.worker_id]
+    new = [end for end in event.ended if end.sequence > worker.ended]
+    return list(takewhile(lambda end: not _is_unread(manager, end.task), new))
+
+
 def _take_ends(manager, event):
     """Take in the ends that are new."""
     worker = manager.workers_by_id[event.worker_id]
-    new = [end for end in event.ended if end.sequence > worker.ended]
+    new = _readable_ends(manager, event)
     if not new:
         return Step(manager)
     last = max(end.sequence for end in new)
@@ -111,7 +132,7 @@
 def _take_active(manager, event):
     """Compare the runs that go on with those that are known."""
     step = Step(manager)
-    strangers = 0
+    strangers = sum(_is_unread(manager, end.task) for end in event.ended)
     for active in event.active:
         run = step.state.runs_by_task.get(active.task)
         ours = run is not None and (run.worker_id, run.number) == (
@@ -180,7 +201,7 @@
         and work.progress.phase not in TERMINAL_PHASES
         and not is_task_done(work, named[1])
     )
-    if work is None and not manager.jobs_known:
+    if _is_unread(manager, active.task):
         return Step(manager)
     if not wanted:
         order = StopRun(
--- a/sesamehall/reducer/machines/fleet_test.py
+++ b/sesamehall/reducer/machines/fleet_test.py
@@ -72,6 +72,7 @@
 
 
 WIDE = build_plan(build_step(30, SMALL))
+APART = build_plan(build_step(2, lasting=True, most_per_worker=1))
 
 
 @pytest.mark.parametrize(
@@ -84,7 +85,7 @@
             [WIDE],
             [("p1", "a"), ("p2", "a"), ("p3", "a")],
         ),
-        (IN_POOL[:2], [build_plan(build_step(2, lasting=True))], []),
+        (IN_POOL[:2], [APART], []),
     ],
     ids=["idle ones are parked", "parked stay", "surge", "in use stay"],
 )
--- a/sesamehall/reducer/machines/moves.py
+++ b/sesamehall/reducer/machines/moves.py
@@ -9,7 +9,6 @@
 from sesamehall.core.effects import log
 from sesamehall.core.fleet import Machine
 from sesamehall.core.fleetstate import MachineOrder
-from sesamehall.core.fleetstate import PendingOrder
 from sesamehall.core.logevents import POOLS_SIZED
 from sesamehall.core.managerstate import ManagerState
 from sesamehall.core.replacing import replace
@@ -88,20 +87,13 @@
 
 
 def _present(manager: ManagerState, pool: str) -> int:
-    """Count the workers of a pool, with those on their way to it."""
-    arriving = sum(
-        order.pool == pool or _returns_to(manager, name, order, pool)
-        for name, order in manager.fleet.orders_by_machine.items()
-    )
-    return len(workers_of(manager, pool)) + arriving
-
+    """Count the workers of a pool, with those on their way to it.
 
-def _returns_to(manager, name, order: PendingOrder, pool):
-    """Tell whether a machine will be back in a pool from maintenance."""
-    if order.order is not MachineOrder.MAINTENANCE:
-        return False
-    machine = manager.fleet.machines_by_name.get(name)
-    return machine is not None and machine.pool == pool
+    A machine in maintenance is missed meanwhile, so it does not count.
+    """
+    orders = manager.fleet.orders_by_machine.values()
+    arriving = sum(order.pool == pool for order in orders)
+    return len(workers_of(manager, pool)) + arriving
 
 
 def _parked(manager, standby) -> list[Machine]:
--- a/sesamehall/reducer/machines/sizing.py
+++ b/sesamehall/reducer/machines/sizing.py
@@ -6,10 +6,12 @@
 from sesamehall.core.data import EMPTY_MAP
 from sesamehall.core.data import TERMINAL_PHASES
 from sesamehall.core.fleetstate import Peak
+from sesamehall.core.fleettiming import CALM_LOAD
 from sesamehall.core.fleettiming import HEADROOM
 from sesamehall.core.fleettiming import LEAST_TIME_MS
 from sesamehall.core.fleettiming import PEAK_HOLD_MS
 from sesamehall.core.fleettiming import SPARE_WORKERS
+from sesamehall.core.fleettiming import SURGE_HEADROOM
 from sesamehall.core.managerstate import ManagerState
 from sesamehall.core.work import Size
 from sesamehall.core.work import StepPlan
@@ -46,7 +48,8 @@
       pool: Name of the pool.
       at_ms: The node's clock.
     Returns:
-      The need, with headroom and a spare worker.
+      The need, with headroom; with a spare worker where short work may come
+    to wait, and at least one.
     """
     workers = workers_of(manager, pool) or list(manager.workers_by_id.values())
     if not workers:
@@ -63,7 +66,9 @@
             timely += _timely_load(work, room, at_ms)
     timely = max(timely, _arriving_load(manager, pool, room, at_ms))
     least = max(ceil(lasting), spread)
-    wanted = max(ceil((lasting + timely) * HEADROOM), spread) + SPARE_WORKERS
+    wanted = max(ceil((lasting + timely) * HEADROOM), spread, 1)
+    if timely > CALM_LOAD:
+        wanted += SPARE_WORKERS
     return Need(least, wanted)
 
 
@@ -152,7 +157,7 @@
 
 
 def _arriving_load(manager, pool, room: Size, at_ms: int) -> float:
-    """Compute the workers that do jobs as fast as they come."""
+    """Compute the workers that do jobs faster than they come."""
     if not room.cpu_milli:
         return 0.0
     work_per_s = sum(
@@ -161,7 +166,7 @@
         for name, queue in manager.manifest.queues_by_name.items()
         if queue.pool == pool
     )
-    return work_per_s / room.cpu_milli
+    return work_per_s * SURGE_HEADROOM / room.cpu_milli
 
 
 def _part(step: StepPlan, room: Size) -> float:
--- a/sesamehall/reducer/machines/sizing_test.py
+++ b/sesamehall/reducer/machines/sizing_test.py
@@ -23,17 +23,18 @@
     ("pattern", "steps", "least", "wanted"),
     [
         ("nothing to do", [], 0, 1),
-        ("one short task", [build_step(size=CORE)], 0, 2),
+        ("one short task", [build_step(size=CORE)], 0, 1),
+        ("a few short tasks", [build_step(3, size=CORE)], 0, 2),
         ("wide step, in its time", [build_step(40, CORE)], 0, 8),
-        ("lasting tasks", [build_step(8, CORE, lasting=True)], 2, 4),
+        ("lasting tasks", [build_step(8, CORE, lasting=True)], 2, 3),
         (
             "lasting tasks apart",
             [build_step(4, CORE, lasting=True, most_per_worker=1)],
             4,
-            5,
+            4,
         ),
-        ("memory decides", [build_step(4, HALF_MEMORY, lasting=True)], 2, 4),
-        ("fills take no processors", [build_step(9, CORE, fills=True)], 0, 2),
+        ("memory decides", [build_step(4, HALF_MEMORY, lasting=True)], 2, 3),
+        ("fills take no processors", [build_step(9, CORE, fills=True)], 0, 1),
     ],
     ids=lambda value: value if isinstance(value, str) else None,
 )
