--- a/sesamehall/core/fleet.py
+++ b/sesamehall/core/fleet.py
@@ -149,13 +149,17 @@
 
 @dataclass(frozen=True, slots=True)
 class OrderedMachines:
-    """Machines for which a leader has lately given, or may give, an order.
+    """Machines for which leaders have lately given, or may give, orders.
 
     Attributes:
-      machines: Their names.
+      node: Name of the leader that wrote this.
+      own: Machines that it may order itself.
+      others: Machines that leaders before it may have ordered.
     """
 
-    machines: tuple[str, ...]
+    node: str
+    own: tuple[str, ...] = ()
+    others: tuple[str, ...] = ()
 
 
 StoredValue = (
--- a/sesamehall/core/fleettiming.py
+++ b/sesamehall/core/fleettiming.py
@@ -8,10 +8,9 @@
 WAVE_CYCLE_MS = 6_000  # emptying a worker, its maintenance and its return
 WAVE_RESERVE_MS = 6_000  # left of a wave's time when all should be done
 
-PEAK_HOLD_MS = 2_500  # longer than a machine needs to come back
+PEAK_HOLD_MS = 1_600  # an idle machine costs by then as much as a move
 HEADROOM = 1.3  # room is lost between tasks, and demand grows meanwhile
 SPARE_WORKERS = 1  # kept beside what the demand asks for
-CALM_LOAD = 0.2  # workers; below it a pool of lasting tasks needs no spare
 SURGE_HEADROOM = 1.5  # room to catch up with what came before it
 ARRIVALS_OVER_MS = 600  # a surge is seen this early
 SURGE_DEVIATIONS = 1.5  # a count may be this far above its mean by chance
--- a/sesamehall/core/managerstate.py
+++ b/sesamehall/core/managerstate.py
@@ -10,6 +10,7 @@
 from sesamehall.core.data import JobPhase
 from sesamehall.core.fleet import Leader
 from sesamehall.core.fleet import LeasedWorker
+from sesamehall.core.fleet import OrderedMachines
 from sesamehall.core.fleetstate import FleetState
 from sesamehall.core.manifest import Manifest
 from sesamehall.core.work import JobPlan
@@ -164,8 +165,8 @@
       dirty_jobs: Jobs whose progress is not stored yet.
       dirty_workers: Workers whose record is not stored yet.
       dirty_waves: Waves whose record is not stored yet.
-      ordered_machines: Machines that a leader may have orders for, as it is
-        stored.
+      ordered_machines: Machines that leaders may have orders for, as it is
+        stored, or None.
       maintained_by_wave: Machines whose maintenance in a wave has begun.
       ended_now: Whether a job's end waits to be stored.
       placing_pools: Pools whose next round of placing is due.
@@ -211,7 +212,7 @@
     dirty_jobs: Map[str, bool] = EMPTY_MAP
     dirty_workers: Map[str, bool] = EMPTY_MAP
     dirty_waves: Map[int, bool] = EMPTY_MAP
-    ordered_machines: tuple[str, ...] = ()
+    ordered_machines: OrderedMachines | None = None
     maintained_by_wave: Map[int, tuple[str, ...]] = EMPTY_MAP
     ended_now: bool = False
     placing_pools: Map[str, bool] = EMPTY_MAP
--- a/sesamehall/reducer/jobs/following.py
+++ b/sesamehall/reducer/jobs/following.py
@@ -314,8 +314,8 @@
     match value:
         case Progress():
             return Step(keep_progress(manager, value, at_ms))
-        case OrderedMachines(machines):
-            return Step(replace(manager, ordered_machines=machines))
+        case OrderedMachines():
+            return Step(replace(manager, ordered_machines=value))
         case WaveRecord(number, machines):
             maintained = manager.maintained_by_wave.set(number, machines)
             return Step(replace(manager, maintained_by_wave=maintained))
--- a/sesamehall/reducer/jobs/leading.py
+++ b/sesamehall/reducer/jobs/leading.py
@@ -170,13 +170,27 @@
 
 
 def _new_fleet(manager):
-    """Keep the waves, and what an earlier term may have in hand."""
+    """Keep the waves, and what another node may have in hand."""
     return FleetState(
         waves_by_number=manager.fleet.waves_by_number,
-        inherited=manager.ordered_machines,
+        inherited=_ordered_by_others(manager),
     )
 
 
+def _ordered_by_others(manager):
+    """List the machines that another node may have ordered lately.
+
+    What an earlier start of this node has ordered needs no pause: the holder
+    is the same, and its earlier process is gone.
+    """
+    ordered = manager.ordered_machines
+    if ordered is None:
+        return ()
+    if ordered.node == manager.name:
+        return ordered.others
+    return ordered.own + ordered.others
+
+
 def _inherit_worker(manager, leased, lease_end_ms, at_ms):
     """Take over a worker on which runs of earlier leaders may be."""
     entry = WorkerEntry(
--- a/sesamehall/reducer/jobs/leading_test.py
+++ b/sesamehall/reducer/jobs/leading_test.py
@@ -6,6 +6,7 @@
 from sesamehall.core.data import JobPhase
 from sesamehall.core.fleet import Leader
 from sesamehall.core.fleet import LeasedWorker
+from sesamehall.core.fleet import OrderedMachines
 from sesamehall.core.fleet import StoredRecord
 from sesamehall.core.fleet import Stream
 from sesamehall.core.managereffects import ForgetWorker
@@ -141,6 +142,27 @@
     return take_report(manager, report).state
 
 
+@pytest.mark.parametrize(
+    ("ordered", "left_alone"),
+    [
+        (None, ()),
+        (OrderedMachines("edge-1", ("m1",), ("m2",)), ("m1", "m2")),
+        (OrderedMachines("edge-2", ("m1",), ("m2",)), ("m2",)),
+    ],
+    ids=["none", "another node", "an earlier start of this node"],
+)
+def test_machines_that_others_may_have_ordered(ordered, left_alone):
+    """After a restart of all, a surge must not wait for the own orders."""
+    manager = build_follower(OTHER, 2_000, ordered_machines=ordered)
+    manager = claimed(manager).state
+    assert manager.fleet.inherited == left_alone
+    fleet = replace(manager.fleet, unstored=True)
+    step = commit(replace(manager, fleet=fleet), NOW_MS + 1_000)
+    (store,) = effects_of(step, StoreProgress)
+    written = {record.key: record.value for record in store.records}
+    assert written["machines"].others == left_alone
+
+
 @pytest.mark.parametrize(
     ("leased", "reached", "at_ms", "starts"),
     [
--- a/sesamehall/reducer/jobs/reports.py
+++ b/sesamehall/reducer/jobs/reports.py
@@ -1,7 +1,5 @@
 """Workers' lists of runs, compared with what the leader believes."""
 
-from itertools import takewhile
-
 from sesamehall.core.data import TERMINAL_PHASES
 from sesamehall.core.effects import log
 from sesamehall.core.effects import SetTimer
@@ -108,7 +106,8 @@
     """List the new ends, up to the first whose job is still to be read."""
     worker = manager.workers_by_id[event.worker_id]
     new = [end for end in event.ended if end.sequence > worker.ended]
-    return list(takewhile(lambda end: not _is_unread(manager, end.task), new))
+    unread = [_is_unread(manager, end.task) for end in new]
+    return new[: unread.index(True)] if True in unread else new
 
 
 def _take_ends(manager, event):
--- a/sesamehall/reducer/jobs/storing.py
+++ b/sesamehall/reducer/jobs/storing.py
@@ -96,7 +96,9 @@
     )
     machines = tuple(sorted(manager.fleet.touched_ms_by_machine))
     if manager.fleet.unstored:
-        records += (StoredRecord(ORDERS_KEY, OrderedMachines(machines)),)
+        others = tuple(sorted(manager.fleet.inherited))
+        ordered = OrderedMachines(manager.name, machines, others)
+        records += (StoredRecord(ORDERS_KEY, ordered),)
     records += (StoredRecord(LEADER_KEY, leader),)
     term = replace(
         term,
--- a/sesamehall/reducer/machines/moves.py
+++ b/sesamehall/reducer/machines/moves.py
@@ -19,6 +19,7 @@
 from sesamehall.reducer.machines.sizing import need_of
 from sesamehall.reducer.machines.sizing import share_out
 from sesamehall.reducer.machines.sizing import workers_of
+from sesamehall.reducer.machines.waves import is_due
 
 
 def choose_moves(manager: ManagerState, at_ms: int) -> Step:
@@ -97,16 +98,20 @@
 
 
 def _parked(manager, standby) -> list[Machine]:
-    machines = manager.fleet.machines_by_name
-    return [
+    """List the machines on standby; those due for maintenance come last."""
+    parked = [
         machine
-        for _, machine in sorted(machines.items())
+        for _, machine in sorted(manager.fleet.machines_by_name.items())
         if machine.pool == standby and is_free(manager, machine)
     ]
+    return sorted(parked, key=lambda machine: is_due(manager, machine))
 
 
 def _idle_beyond(manager: ManagerState, pool: str, kept: int) -> list[Machine]:
-    """List idle machines of a pool beyond those that it keeps."""
+    """List idle machines of a pool beyond those that it keeps.
+
+    Those due for maintenance come first: on standby it disturbs nobody.
+    """
     spare = _present(manager, pool) - kept
     if spare <= 0:
         return []
@@ -118,6 +123,7 @@
         and is_free(manager, machine)
         and _is_idle(manager, machine.worker_id)
     ]
+    idle.sort(key=lambda machine: not is_due(manager, machine))
     return idle[:spare]
 
 
--- a/sesamehall/reducer/machines/sizing.py
+++ b/sesamehall/reducer/machines/sizing.py
@@ -6,7 +6,6 @@
 from sesamehall.core.data import EMPTY_MAP
 from sesamehall.core.data import TERMINAL_PHASES
 from sesamehall.core.fleetstate import Peak
-from sesamehall.core.fleettiming import CALM_LOAD
 from sesamehall.core.fleettiming import HEADROOM
 from sesamehall.core.fleettiming import LEAST_TIME_MS
 from sesamehall.core.fleettiming import PEAK_HOLD_MS
@@ -48,8 +47,7 @@
       pool: Name of the pool.
       at_ms: The node's clock.
     Returns:
-      The need, with headroom; with a spare worker where short work may come
-    to wait, and at least one.
+      The need, with headroom and a spare worker.
     """
     workers = workers_of(manager, pool) or list(manager.workers_by_id.values())
     if not workers:
@@ -66,9 +64,7 @@
             timely += _timely_load(work, room, at_ms)
     timely = max(timely, _arriving_load(manager, pool, room, at_ms))
     least = max(ceil(lasting), spread)
-    wanted = max(ceil((lasting + timely) * HEADROOM), spread, 1)
-    if timely > CALM_LOAD:
-        wanted += SPARE_WORKERS
+    wanted = max(ceil((lasting + timely) * HEADROOM), spread) + SPARE_WORKERS
     return Need(least, wanted)
 
 
--- a/sesamehall/reducer/machines/waves.py
+++ b/sesamehall/reducer/machines/waves.py
@@ -46,7 +46,13 @@
     if not left and not busy:
         return then(step, _complete, progress, at_ms)
     room = at_once_now(progress, len(left), at_ms) - len(busy)
-    free = [machine for machine in left if is_free(step.state, machine)]
+    pressed = is_pressed(progress, len(left), at_ms)
+    free = [
+        machine
+        for machine in left
+        if is_free(step.state, machine)
+        and (pressed or not _is_in_use(step.state, machine))
+    ]
     free.sort(key=lambda machine: _cost(step.state, machine))
     state = step.state
     for machine in free[: max(room, 0)]:
@@ -122,6 +128,45 @@
     return min(-(-left // rounds) + 1, wave.at_once)
 
 
+def is_pressed(progress: WaveProgress, left: int, at_ms: int) -> bool:
+    """Tell whether a wave can no longer wait for machines that are idle.
+
+    Args:
+      progress: The wave.
+      left: Machines that are still to come.
+      at_ms: The node's clock.
+    Returns:
+      True when the rounds that are left take all the time that is left.
+    """
+    wave = progress.wave
+    time_left_ms = progress.seen_ms + wave.within_ms - at_ms
+    rounds = -(-left // wave.at_once)
+    return time_left_ms <= rounds * WAVE_CYCLE_MS + WAVE_RESERVE_MS
+
+
+def is_due(manager: ManagerState, machine: Machine) -> bool:
+    """Tell whether a machine has maintenance before it.
+
+    Args:
+      manager: State of the leader.
+      machine: The machine.
+    Returns:
+      True for a machine of a wave whose turn has not come.
+    """
+    return any(
+        machine.name in progress.wave.machines
+        and machine.name
+        not in manager.maintained_by_wave.get(progress.wave.number, ())
+        for progress in manager.fleet.waves_by_number.values()
+        if not progress.completed
+    )
+
+
+def _is_in_use(manager, machine):
+    worker = manager.workers_by_id.get(machine.worker_id)
+    return worker is not None and bool(worker.tasks)
+
+
 def _cost(manager: ManagerState, machine: Machine):
     """Rank machines by what their maintenance interrupts."""
     worker = manager.workers_by_id.get(machine.worker_id)
