Slow down what fills where tasks that serve near their targets

Change: the tails that a worker reports decide: beyond nine tenths of a target what fills on the worker goes down to a quarter, then to nothing; below seven tenths it is let go in steps.

--- a/sesamehall/core/jobtiming.py
+++ b/sesamehall/core/jobtiming.py
@@ -31,6 +31,7 @@
 PLACE_DELAY_MS = 3  # events within this are placed in one round
 PLACE_RETRY_MS = 500  # what could not be placed is tried again
 
+PACE_SETTLE_MS = 700  # a tail covers half a second, a pace counts after 0.1
 TICKET_RESERVE_MS = 500  # an order may take this long to reach its worker
 
 STOP_LEAST_MS = 700  # the balancer and open connections learn of a stop
--- a/sesamehall/core/logevents.py
+++ b/sesamehall/core/logevents.py
@@ -109,6 +109,7 @@
 ADVICE_MISSING = _warning(
     616, "no advice", "Look at the advice service; it is asked again."
 )
+WORKER_PACED = _info(617, "filling tasks paced")
 WORKER_REACHED = _info(620, "worker reached")
 WORKER_SILENT = _warning(
     621, "worker silent", "Look at the worker; its tasks restart elsewhere."
--- a/sesamehall/core/workstate.py
+++ b/sesamehall/core/workstate.py
@@ -136,6 +136,8 @@
       aside_until_ms: Clock until which nothing is started on it.
       leaving: Whether its machine is to be moved or maintained.
       over: Whether its life was ended by an order for its machine.
+      fill_pace: Pace of what fills on it, in percent.
+      fill_paced_ms: Clock at which that pace was chosen.
       strangers: Runs that it has listed, of jobs not read yet or that nobody
         wants; their room is not known.
     """
@@ -158,6 +160,8 @@
     aside_until_ms: int = 0
     leaving: bool = False
     over: bool = False
+    fill_pace: int = 100
+    fill_paced_ms: int = 0
     strangers: int = 0
 
 
--- /dev/null
+++ b/sesamehall/reducer/jobs/pacing.py
@@ -0,0 +1,103 @@
+"""Pacing: what fills is slowed down where it disturbs tasks that serve.
+
+Tasks that fill take the processor time that others leave, but still disturb
+the tasks on the same worker that serve users of their own: by how much
+depends on the image and changes within seconds.  So the tail of the response
+times that a worker reports decides, as in a thermostat: near the target what
+fills is slowed down, quickly, and let go again in steps once it is calm.
+"""
+
+from sesamehall.core.effects import log
+from sesamehall.core.jobtiming import PACE_SETTLE_MS
+from sesamehall.core.logevents import WORKER_PACED
+from sesamehall.core.managereffects import PaceRun
+from sesamehall.core.managerstate import ManagerState
+from sesamehall.core.replacing import replace
+from sesamehall.core.step import Step
+from sesamehall.core.workstate import Run
+from sesamehall.core.workstate import RunState
+from sesamehall.core.workstate import Worker
+from sesamehall.reducer.jobs.bookkeeping import put_run
+from sesamehall.reducer.jobs.bookkeeping import put_worker
+
+FULL_PACE = 100  # percent
+NEAR_SHARE = 0.9  # of a target; beyond it what fills is slowed down
+CALM_SHARE = 0.7  # of a target; below it what fills is let go
+SLOWDOWN = 4  # the pace is divided by this, so that two steps nearly stop it
+LEAST_PACE = 10  # percent; a slower pace is none
+SPEEDUP = 20  # percent added at a time
+
+
+def pace_fills(manager: ManagerState, worker_id: str, at_ms: int) -> Step:
+    """Choose the pace of what fills on a worker that has reported.
+
+    Args:
+      manager: State of the leader.
+      worker_id: The worker.
+      at_ms: The node's clock.
+    Returns:
+      A Step with an order for each task whose pace is another; while the
+      strain lasts orders are repeated, since one may have been lost.
+    """
+    worker = manager.workers_by_id[worker_id]
+    runs = [manager.runs_by_task[task] for task in sorted(worker.tasks)]
+    fills = [run for run in runs if _is_paced(run)]
+    if not fills:
+        return Step(_with_pace(manager, worker, FULL_PACE, at_ms))
+    pace = worker.fill_pace
+    strain = _strain(runs)
+    settled = at_ms - worker.fill_paced_ms >= PACE_SETTLE_MS
+    if settled:
+        pace = _next_pace(pace, strain)
+    effects = ()
+    if pace != worker.fill_pace:
+        effects = (log(WORKER_PACED, worker=worker_id, percent=pace),)
+    manager = _with_pace(manager, worker, pace, at_ms)
+    for run in fills:
+        if run.pace != pace or (settled and strain > NEAR_SHARE):
+            manager = put_run(manager, replace(run, pace=pace))
+            effects += (_order(manager, worker, run, pace),)
+    return Step(manager, effects)
+
+
+def _is_paced(run: Run) -> bool:
+    return run.fills and run.state is RunState.RUNNING
+
+
+def _strain(runs: list[Run]) -> float:
+    """Compute how near the tails of tasks that serve are to their targets."""
+    return max(
+        (
+            run.load / run.tail_target_ms
+            for run in runs
+            if run.tail_target_ms and run.state is RunState.RUNNING
+        ),
+        default=0.0,
+    )
+
+
+def _next_pace(pace: int, strain: float) -> int:
+    if strain > NEAR_SHARE:
+        slower = pace // SLOWDOWN
+        return slower if slower >= LEAST_PACE else 0
+    if strain < CALM_SHARE:
+        return min(pace + SPEEDUP, FULL_PACE)
+    return pace
+
+
+def _with_pace(manager, worker: Worker, pace, at_ms):
+    if pace == worker.fill_pace:
+        return manager
+    paced = replace(worker, fill_pace=pace, fill_paced_ms=at_ms)
+    return put_worker(manager, paced)
+
+
+def _order(manager, worker, run, pace):
+    return PaceRun(
+        worker_id=run.worker_id,
+        address=worker.entry.address,
+        epoch=manager.term.epoch,
+        task=run.task,
+        number=run.number,
+        percent=pace,
+    )
--- a/sesamehall/reducer/jobs/reports.py
+++ b/sesamehall/reducer/jobs/reports.py
@@ -20,6 +20,7 @@
 from sesamehall.reducer.jobs.bookkeeping import charge_run
 from sesamehall.reducer.jobs.bookkeeping import put_run
 from sesamehall.reducer.jobs.bookkeeping import put_worker
+from sesamehall.reducer.jobs.pacing import pace_fills
 from sesamehall.reducer.jobs.progress import is_task_done
 from sesamehall.reducer.jobs.progress import is_task_known
 from sesamehall.reducer.jobs.runs import give_up_run
@@ -72,6 +73,7 @@
     step = then(step, _take_ends, event)
     step = then(step, _take_active, event)
     step = then(step, _give_up_missing, event)
+    step = then(step, pace_fills, event.worker_id, at_ms)
     if back:
         step = then(step, place_soon, worker.entry.pool, at_ms)
     return then(step, _watch_on, event.worker_id, at_ms)
