Soak real managers under faults, on stand-ins that speak the platform's protocol

Stand-ins of the metadata store, a worker and the cloud interface; a loopback proxy; faults by seed: managers killed, stopped, frozen and killed all at once, ways to the store and to workers delayed, silenced, cut one way or reset, a busy store, history dropped, workers crashed; eight promises checked from what callers and workers have seen. Not covered: clocks that jump, since that needs more than signals and sockets; waves, gangs, advice.

--- a/Makefile
+++ b/Makefile
@@ -1,8 +1,10 @@
 VENV := .venv
 PYTHON := $(VENV)/bin/python
 STAMP := $(VENV)/.installed
+SOURCES := sesamehall standins bench demo soak
+SEEDS ?= 50
 
-.PHONY: demo test lint format bench capacity
+.PHONY: demo test lint format bench capacity soak
 
 $(STAMP): requirements.txt requirements-dev.txt pyproject.toml
 	test -x $(PYTHON) || python3 -m venv $(VENV)
@@ -17,17 +19,20 @@
 	$(PYTHON) -m pytest
 
 lint: $(STAMP)
-	$(PYTHON) -m isort --check-only -q sesamehall standins bench demo
-	$(PYTHON) -m black -q --check sesamehall standins bench demo
-	$(PYTHON) -m flake8 sesamehall standins bench demo
+	$(PYTHON) -m isort --check-only -q $(SOURCES)
+	$(PYTHON) -m black -q --check $(SOURCES)
+	$(PYTHON) -m flake8 $(SOURCES)
 
 format: $(STAMP)
-	$(PYTHON) -m isort -q sesamehall standins bench demo
-	$(PYTHON) -m black -q sesamehall standins bench demo
+	$(PYTHON) -m isort -q $(SOURCES)
+	$(PYTHON) -m black -q $(SOURCES)
 
 bench: $(STAMP)
 	$(PYTHON) -m bench.ceiling_histories
 	$(PYTHON) -m bench.entry_overhead
 
+soak: $(STAMP)
+	$(PYTHON) -m soak.main --seeds $(SEEDS)
+
 capacity: $(STAMP)
 	$(PYTHON) -m bench.capacity
--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A randomized soak of real managers under faults from outside them."""
--- /dev/null
+++ b/standins/metadatastore_test.py
@@ -0,0 +1,90 @@
+"""Tests of the store's stand-in against the published protocol."""
+
+import json
+
+import pytest
+
+from sesamehall.core.fleet import CancelAsked
+from sesamehall.core.fleet import StoredRecord
+from sesamehall.platform.store import encode_record
+from standins.metadatastore import MetadataStore
+from standins.serving import Question
+
+TOPIC = "keyed.sesamehall-jobs"
+RECORD = encode_record(StoredRecord("a/cancel", CancelAsked("a")))
+
+
+def append(store, **conditions):
+    """Append a record; give status and answer."""
+    query = {"Topic": TOPIC, "part": "0"}
+    query.update({name: str(value) for name, value in conditions.items()})
+    question = Question("POST", "", "/log-append", query, {}, RECORD)
+    answer = store.answer(question)
+    return answer.status, json.loads(answer.body)
+
+
+@pytest.mark.parametrize(
+    ("appends", "last"),
+    [
+        ([{}], (200, {"Offset": 0, "EndOffset": 1})),
+        ([{}, {"At": 1}], (200, {"Offset": 1, "EndOffset": 2})),
+        ([{}, {"At": 0}], (412, {"EndOffset": 1})),
+        (
+            [
+                {"Producer": "p", "epoch": 2, "Seq": 7},
+                {"Producer": "p", "epoch": 1, "Seq": 8},
+            ],
+            (409, {"Reason": "fenced"}),
+        ),
+        (
+            [
+                {"Producer": "p", "epoch": 2, "Seq": 7},
+                {"Producer": "p", "epoch": 2, "Seq": 9},
+            ],
+            (409, {"Reason": "seq", "Seq": 8}),
+        ),
+        (
+            [
+                {"Producer": "p", "epoch": 2, "Seq": 7},
+                {"Producer": "p", "epoch": 2, "Seq": 7},
+            ],
+            (200, {"Offset": 0, "EndOffset": 1}),
+        ),
+        (
+            [
+                {"Producer": "p", "epoch": 2, "Seq": 7},
+                {"Producer": "p", "epoch": 3, "Seq": 1},
+            ],
+            (200, {"Offset": 1, "EndOffset": 2}),
+        ),
+    ],
+    ids=[
+        "first",
+        "at its end",
+        "not at its end",
+        "fenced",
+        "gap in the sequence",
+        "repeat",
+        "higher epoch",
+    ],
+)
+def test_appends_under_conditions(appends, last):
+    store = MetadataStore()
+    answers = [append(store, **conditions) for conditions in appends]
+    assert answers[-1] == last
+
+
+@pytest.mark.parametrize(("forgets", "status"), [(False, 200), (True, 410)])
+def test_history_goes_but_the_newest_stay(forgets, status):
+    store = MetadataStore()
+    append(store)
+    append(store)
+    if forgets:
+        store.forget_history()
+    query = {"Topic": TOPIC, "part": "0", "From": "0"}
+    read = store.answer(Question("GET", "", "/log-read", query, {}, b""))
+    assert read.status == status
+    newest = store.answer(Question("GET", "", "/log-newest", query, {}, b""))
+    page = json.loads(newest.body)
+    assert [item["Key"] for item in page["items"]] == ["a/cancel"]
+    assert page["EndOffset"] == 2
--- a/standins/serving.py
+++ b/standins/serving.py
@@ -67,17 +67,14 @@
     return Answer(status, json.dumps(value).encode(), (kind,))
 
 
-def serve(
-    listen: str, answer: Callable[[Question], Answer], threads: int
-) -> None:
-    """Serve until SIGTERM.
+def wsgi_application(answer: Callable[[Question], Answer]) -> Callable:
+    """Make a stand-in a WSGI application.
 
     Args:
-      listen: "host:port".
       answer: Answers a call; called from many threads.
-      threads: Calls served at once.
+    Returns:
+      The application.
     """
-    host, _, port = listen.rpartition(":")
 
     def application(environ, start_response):
         result = answer(_read_question(environ))
@@ -87,6 +84,21 @@
         )
         return [result.body]
 
+    return application
+
+
+def serve(
+    listen: str, answer: Callable[[Question], Answer], threads: int
+) -> None:
+    """Serve until SIGTERM.
+
+    Args:
+      listen: "host:port".
+      answer: Answers a call; called from many threads.
+      threads: Calls served at once.
+    """
+    host, _, port = listen.rpartition(":")
+    application = wsgi_application(answer)
     server = Server((host, int(port)), application, numthreads=threads)
     server.shutdown_timeout = 1
 
