Size pools by the time left once machines have joined; keep all until the first job

Change: a job's time ends 1.9 s before its goal, never shorter than its chain; one that is late already gets the time in which it still earns. Before the first short job all pools keep their machines.

--- a/sesamehall/core/fleettiming.py
+++ b/sesamehall/core/fleettiming.py
@@ -15,3 +15,5 @@
 ARRIVALS_OVER_MS = 600  # a surge is seen this early
 SURGE_DEVIATIONS = 1.5  # a count may be this far above its mean by chance
 LEAST_TIME_MS = 1_000  # a job that is late is given this long for its rest
+JOINING_MS = 1_900  # a move, and until the worker is listed and has answered
+LATE_GOALS = 3  # a job that takes this many times its goal earns nothing
--- a/sesamehall/reducer/machines/fleet_test.py
+++ b/sesamehall/reducer/machines/fleet_test.py
@@ -7,6 +7,7 @@
 from sesamehall.core.fleet import MachineState
 from sesamehall.core.fleetstate import FleetState
 from sesamehall.core.fleetstate import WaveProgress
+from sesamehall.core.fleettiming import PEAK_HOLD_MS
 from sesamehall.core.managereffects import MaintainMachine
 from sesamehall.core.managereffects import MoveMachine
 from sesamehall.core.managereffects import ReportWave
@@ -16,6 +17,7 @@
 from sesamehall.core.managerstate import Term
 from sesamehall.core.manifest import Wave
 from sesamehall.core.replacing import replace
+from sesamehall.core.workstate import Arrivals
 from sesamehall.reducer.jobs.storing import write_progress
 from sesamehall.reducer.jobs.testing import build_leader
 from sesamehall.reducer.jobs.testing import build_plan
@@ -47,7 +49,11 @@
         "listed_ms": NOW_MS,
         **fleet,
     }
-    manager = build_leader(*workers, fleet=FleetState(**fields))
+    manager = build_leader(
+        *workers,
+        fleet=FleetState(**fields),
+        arrivals_by_queue=Map(quotes=Arrivals()),
+    )
     return place_all(take_in(manager, *plans)).state
 
 
@@ -88,12 +94,31 @@
         ),
         (IN_POOL[:2], [APART], []),
     ],
-    ids=["idle ones are parked", "parked stay", "surge", "in use stay"],
+    ids=[
+        "idle ones are parked",
+        "parked stay",
+        "surge",
+        "in use stay",
+    ],
 )
 def test_moves(machines, plans, expected):
     assert moves_of(build_fleet(machines, plans)) == expected
 
 
+@pytest.mark.parametrize(
+    ("arrivals", "moves"), [(Map(), 0), (Map(quotes=Arrivals()), 3)]
+)
+def test_machines_stay_until_the_first_job(arrivals, moves):
+    """Nobody knows yet which pool will need them."""
+    manager = replace(build_fleet(IN_POOL), arrivals_by_queue=arrivals)
+    assert len(moves_of(manager)) == moves
+    later = review_fleet(manager, NOW_MS).state
+    later = replace(later, arrivals_by_queue=Map(quotes=Arrivals()))
+    at_ms = NOW_MS + PEAK_HOLD_MS
+    term = replace(later.term, confirmed_ms=at_ms)
+    assert len(moves_of(replace(later, term=term), at_ms)) == 3
+
+
 def test_order_is_stored_before_it_is_sent():
     step = review_fleet(build_fleet(IN_POOL), NOW_MS)
     assert not effects_of(step, MoveMachine)
--- a/sesamehall/reducer/machines/moves.py
+++ b/sesamehall/reducer/machines/moves.py
@@ -1,7 +1,8 @@
 """Moves of machines between pools, as the pools' needs change.
 
 A pool that is switched off costs nothing, so machines that no pool needs
-stand there; a pool whose demand grows gets them back.
+stand there; a pool whose demand grows gets them back.  Before the first short
+job nobody knows which pool that will be, so all keep what they have.
 """
 
 from immutables import Map
@@ -43,7 +44,8 @@
     targets = share_out(needs, len(manager.fleet.machines_by_name))
     peaks = manager.fleet.peaks_by_pool
     for pool, target in targets.items():
-        peaks = peaks.set(pool, hold_peak(peaks.get(pool), target, at_ms))
+        kept = target if manager.arrivals_by_queue else _present(manager, pool)
+        peaks = peaks.set(pool, hold_peak(peaks.get(pool), kept, at_ms))
     step = _note_targets(manager, needs, targets)
     manager = replace(
         step.state, fleet=replace(step.state.fleet, peaks_by_pool=peaks)
--- a/sesamehall/reducer/machines/sizing.py
+++ b/sesamehall/reducer/machines/sizing.py
@@ -7,6 +7,8 @@
 from sesamehall.core.data import TERMINAL_PHASES
 from sesamehall.core.fleetstate import Peak
 from sesamehall.core.fleettiming import HEADROOM
+from sesamehall.core.fleettiming import JOINING_MS
+from sesamehall.core.fleettiming import LATE_GOALS
 from sesamehall.core.fleettiming import LEAST_TIME_MS
 from sesamehall.core.fleettiming import PEAK_HOLD_MS
 from sesamehall.core.fleettiming import SPARE_WORKERS
@@ -148,8 +150,21 @@
         for step in work.plan.steps
     )
     left_ms = worker_ms * work.work_left / whole
-    time_ms = max(work.goal_ms - at_ms, chain_left_ms(work), LEAST_TIME_MS)
-    return left_ms / time_ms
+    return left_ms / _time_for(work, at_ms)
+
+
+def _time_for(work: Work, at_ms: int) -> int:
+    """Compute the time in which more machines may do the rest of a job.
+
+    They come some time after they are asked for.  A job that cannot be done
+    by its goal any more still earns a little up to LATE_GOALS times that.
+    """
+    chain_ms = chain_left_ms(work)
+    end_ms = work.goal_ms - JOINING_MS
+    if at_ms + chain_ms > work.goal_ms:
+        goal_after_ms = work.goal_ms - work.accepted_ms
+        end_ms = work.accepted_ms + LATE_GOALS * goal_after_ms
+    return max(end_ms - at_ms, chain_ms, LEAST_TIME_MS)
 
 
 def _arriving_load(manager, pool, room: Size, at_ms: int) -> float:
--- a/sesamehall/reducer/machines/sizing_test.py
+++ b/sesamehall/reducer/machines/sizing_test.py
@@ -4,11 +4,13 @@
 
 from sesamehall.core.fleetstate import Peak
 from sesamehall.core.fleettiming import PEAK_HOLD_MS
+from sesamehall.core.replacing import replace
 from sesamehall.core.work import Size
 from sesamehall.reducer.jobs.testing import build_leader
 from sesamehall.reducer.jobs.testing import build_plan
 from sesamehall.reducer.jobs.testing import build_step
 from sesamehall.reducer.jobs.testing import build_worker
+from sesamehall.reducer.jobs.testing import JOB_ID
 from sesamehall.reducer.jobs.testing import NOW_MS
 from sesamehall.reducer.jobs.testing import take_in
 from sesamehall.reducer.machines.sizing import hold_peak
@@ -45,6 +47,25 @@
     assert need_of(manager, "a", NOW_MS) == Need(least, wanted)
 
 
+@pytest.mark.parametrize(
+    ("accepted_ms", "goal_ms", "wanted"),
+    [(0, 10_000, 2), (0, 4_000, 5), (0, 2_400, 8), (-1_000, 0, 5)],
+    ids=["much time", "less", "none to lose", "late"],
+)
+def test_need_follows_the_time_that_is_left(accepted_ms, goal_ms, wanted):
+    """Machines take a while to join; a late job is no longer urgent."""
+    manager = build_leader(build_worker("w1"), build_worker("w2"))
+    manager = take_in(manager, build_plan(build_step(40, CORE)))
+    work = replace(
+        manager.works_by_id[JOB_ID],
+        accepted_ms=NOW_MS + accepted_ms,
+        goal_ms=NOW_MS + goal_ms,
+    )
+    works = manager.works_by_id.set(JOB_ID, work)
+    manager = replace(manager, works_by_id=works)
+    assert need_of(manager, "a", NOW_MS).wanted == wanted
+
+
 @pytest.mark.parametrize(
     ("needs", "workers", "targets"),
     [
