Learn what tasks take; stop runs that stand still, and run them elsewhere

Change: the ratio of actual to declared times, learnt for each queue, corrects goals, ranking and sizes; ranking counts the work of tasks that run.

--- a/sesamehall/core/jobtiming.py
+++ b/sesamehall/core/jobtiming.py
@@ -28,6 +28,7 @@
 FAILURES_TO_ASIDE = 4  # failures in a row that set a worker aside
 ASIDE_MS = 3_000  # a sick worker is tried again after this
 REFUSED_ASIDE_MS = 500  # a worker that refused is tried again after this
+STALL_MS = 1_200  # reports come each second; a stop and a new run pay by then
 PLACE_DELAY_MS = 3  # events within this are placed in one round
 PLACE_RETRY_MS = 500  # what could not be placed is tried again
 
--- a/sesamehall/core/logevents.py
+++ b/sesamehall/core/logevents.py
@@ -110,6 +110,9 @@
     616, "no advice", "Look at the advice service; it is asked again."
 )
 WORKER_PACED = _info(617, "filling tasks paced")
+RUN_STALLED = _warning(
+    618, "run stands still", "If often on one worker, look at it."
+)
 WORKER_REACHED = _info(620, "worker reached")
 WORKER_SILENT = _warning(
     621, "worker silent", "Look at the worker; its tasks restart elsewhere."
--- a/sesamehall/core/managerstate.py
+++ b/sesamehall/core/managerstate.py
@@ -17,6 +17,7 @@
 from sesamehall.core.work import Progress
 from sesamehall.core.work import Size
 from sesamehall.core.workstate import Arrivals
+from sesamehall.core.workstate import Durations
 from sesamehall.core.workstate import Run
 from sesamehall.core.workstate import Ticket
 from sesamehall.core.workstate import Work
@@ -155,11 +156,13 @@
       runs_by_task: Runs that may be going on, while this node leads.
       numbers_by_task: Highest number of a run, of tasks that have run.
       failed_on_by_task: Worker on which a task last failed.
+      stalls_by_task: How often runs of a task were stopped as standing still.
       workers_by_id: Workers, while this node leads.
       worker_ids_by_pool: Their identifiers, mapped to True.
       job_ids_by_pool: Jobs with tasks that may start, mapped to True.
       used_by_team: Room that a team's runs take.
       arrivals_by_queue: How fast jobs come.
+      durations_by_queue: How long tasks take.
       mean_work_by_queue: Processor time of a mean job, in
         core-milliseconds, of the queues that had any.
       dirty_jobs: Jobs whose progress is not stored yet.
@@ -203,11 +206,13 @@
     runs_by_task: Map[str, Run] = EMPTY_MAP
     numbers_by_task: Map[str, int] = EMPTY_MAP
     failed_on_by_task: Map[str, str] = EMPTY_MAP
+    stalls_by_task: Map[str, int] = EMPTY_MAP
     workers_by_id: Map[str, Worker] = EMPTY_MAP
     worker_ids_by_pool: Map[str, Map[str, bool]] = EMPTY_MAP
     job_ids_by_pool: Map[str, Map[str, bool]] = EMPTY_MAP
     used_by_team: Map[str, Size] = EMPTY_MAP
     arrivals_by_queue: Map[str, Arrivals] = EMPTY_MAP
+    durations_by_queue: Map[str, Durations] = EMPTY_MAP
     mean_work_by_queue: Map[str, float] = EMPTY_MAP
     dirty_jobs: Map[str, bool] = EMPTY_MAP
     dirty_workers: Map[str, bool] = EMPTY_MAP
--- a/sesamehall/core/work.py
+++ b/sesamehall/core/work.py
@@ -162,7 +162,8 @@
       task: Identifier of the task.
       number: Number of the run.
       checkpoint: Newest checkpoint, or "".
-      percent: Share of full speed; 100 for a lasting task that serves.
+      percent: Share of its work that is done; of a lasting task the share of
+        full speed, 100 where it serves.
       load: Response time tail in ms of a lasting task, else cores in use.
     """
 
--- a/sesamehall/core/workstate.py
+++ b/sesamehall/core/workstate.py
@@ -66,7 +66,9 @@
       tries: How often the start was sent.
       lease_end_ms: Clock after which the start can no longer take effect.
       checkpoint: Newest checkpoint, or "".
-      percent: Share of full speed as last reported.
+      percent: Share of its work that is done, as last reported; of a lasting
+        task the share of full speed.
+      progressed_ms: Clock at which that share was last seen to change.
       load: Response time tail or processor use as last reported.
       pace: Share of its speed that it was last told to work at.
       lasting: Whether it runs until it is cancelled.
@@ -89,6 +91,7 @@
     lease_end_ms: int = 0
     checkpoint: str = ""
     percent: int = 0
+    progressed_ms: int = 0
     load: float = 0.0
     pace: int = 100
     lasting: bool = False
@@ -165,6 +168,21 @@
     strangers: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class Durations:
+    """How long a queue's tasks take, against what they declare.
+
+    Attributes:
+      count: Tasks that were seen.
+      declared_ms: Mean of the latest declared times.
+      actual_ms: Mean of the latest times from order to end.
+    """
+
+    count: int = 0
+    declared_ms: float = 0.0
+    actual_ms: float = 0.0
+
+
 @dataclass(frozen=True, slots=True)
 class Arrivals:
     """How fast a queue's jobs come.
--- a/sesamehall/reducer/jobs/leading.py
+++ b/sesamehall/reducer/jobs/leading.py
@@ -234,6 +234,7 @@
         runs_by_task=EMPTY_MAP,
         numbers_by_task=EMPTY_MAP,
         failed_on_by_task=EMPTY_MAP,
+        stalls_by_task=EMPTY_MAP,
         workers_by_id=EMPTY_MAP,
         worker_ids_by_pool=EMPTY_MAP,
         job_ids_by_pool=EMPTY_MAP,
--- a/sesamehall/reducer/jobs/orders.py
+++ b/sesamehall/reducer/jobs/orders.py
@@ -44,7 +44,7 @@
     match event.refusal:
         case None:
             if run.answered_ms < 0:
-                run = replace(run, answered_ms=at_ms)
+                run = replace(run, answered_ms=at_ms, progressed_ms=at_ms)
             if run.state is RunState.STARTING:
                 run = replace(run, state=RunState.RUNNING)
             return Step(put_run(manager, run))
--- a/sesamehall/reducer/jobs/placing.py
+++ b/sesamehall/reducer/jobs/placing.py
@@ -21,6 +21,8 @@
 from sesamehall.reducer.jobs.bookkeeping import charge_run
 from sesamehall.reducer.jobs.bookkeeping import pool_of
 from sesamehall.reducer.jobs.bookkeeping import put_worker
+from sesamehall.reducer.jobs.durations import duration_ratio
+from sesamehall.reducer.jobs.durations import mean_duration_ms
 from sesamehall.reducer.jobs.leases import extend_lease
 from sesamehall.reducer.jobs.leases import may_start
 from sesamehall.reducer.jobs.leases import start_lease_until
@@ -161,25 +163,27 @@
             continue
         if may_start(manager, work, at_ms):
             works_by_id[job_id] = work
-    cores = sum(
-        worker.entry.capacity.cpu_milli / 1_000
-        for worker in takers(manager, pool, at_ms)
-    )
+    workers = takers(manager, pool, at_ms)
+    cores = sum(worker.entry.capacity.cpu_milli for worker in workers) / 1_000
+    in_use = sum(worker.used.cpu_milli for worker in workers) / 1_000
+    begun_work = in_use * mean_duration_ms(manager, pool) / 2
     candidates = [_candidate(manager, work) for work in works_by_id.values()]
-    ranked = rank(candidates, cores, at_ms)
+    ranked = rank(candidates, cores, at_ms, begun_work)
     return [works_by_id[job_id] for job_id in ranked]
 
 
 def _candidate(manager, work):
     """Show a job as ranking sees it."""
     queue = manager.manifest.queues_by_name[work.plan.queue]
+    ratio = duration_ratio(manager, queue.name)
+    mean_work = manager.mean_work_by_queue.get(queue.name, 0.0)
     return Candidate(
         job_id=work.plan.job_id,
         priority=queue.priority,
         goal_ms=work.goal_ms,
-        chain_ms=chain_left_ms(work),
-        work=work.work_left,
-        mean_work=manager.mean_work_by_queue.get(queue.name, 0.0),
+        chain_ms=int(ratio * chain_left_ms(work)),
+        work=ratio * work.work_left,
+        mean_work=ratio * mean_work,
         lasting=work.plan.steps[0].lasting,
     )
 
--- a/sesamehall/reducer/jobs/progress.py
+++ b/sesamehall/reducer/jobs/progress.py
@@ -22,6 +22,7 @@
     at_ms: int,
     wall_ms: int,
     inherited: bool,
+    ratio: float = 1.0,
 ) -> Work:
     """Begin to work on a job.
 
@@ -32,12 +33,14 @@
       at_ms: The node's clock.
       wall_ms: Time of day, since 1970.
       inherited: Whether an earlier leader may have started tasks of it.
+      ratio: Factor by which tasks of its queue take longer than declared.
     Returns:
       The job with the tasks that may start.
     """
     stretch = 1.0 if queue is None else queue.stretch
     slack_ms = 0 if queue is None else queue.slack_ms
-    goal_ms = at_ms + int(stretch * longest_chain_ms(plan)) + slack_ms
+    chain_ms = ratio * longest_chain_ms(plan)
+    goal_ms = at_ms + int(stretch * chain_ms) + slack_ms
     work = Work(plan, progress, at_ms, goal_ms, inherited=inherited)
     return replace(
         work, waiting=startable(work, wall_ms), work_left=_work_left(work)
--- a/sesamehall/reducer/jobs/ranking.py
+++ b/sesamehall/reducer/jobs/ranking.py
@@ -40,7 +40,10 @@
 
 
 def rank(
-    candidates: Iterable[Candidate], cores: float, at_ms: int
+    candidates: Iterable[Candidate],
+    cores: float,
+    at_ms: int,
+    begun_work: float = 0.0,
 ) -> list[str]:
     """Rank the jobs of a pool.
 
@@ -48,6 +51,7 @@
       candidates: The jobs with tasks that may start.
       cores: Processor cores of the pool.
       at_ms: The node's clock.
+      begun_work: Work left of the tasks that run, in core-milliseconds.
     Returns:
       Identifiers of the jobs: lasting ones, those that can be done in time,
       and the others, the earliest goal first within each.
@@ -62,7 +66,7 @@
             late.append(candidate)
         else:
             hopeful.append(candidate)
-    timely, put_back = _split(hopeful, cores, at_ms)
+    timely, put_back = _split(hopeful, cores, at_ms, begun_work)
     late += put_back
     late.sort(key=lambda candidate: (-value(candidate), candidate.job_id))
     return [one.job_id for one in lasting + timely + late]
@@ -86,11 +90,11 @@
     return (candidate.priority, candidate.goal_ms, candidate.job_id)
 
 
-def _split(hopeful, cores, at_ms):
+def _split(hopeful, cores, at_ms, begun_work):
     """Tell the jobs that can be done in time together from the others."""
     kept_by_id = {candidate.job_id: candidate for candidate in hopeful}
     heap: list[tuple[float, str]] = []
-    work = 0.0
+    work = begun_work
     for candidate in sorted(hopeful, key=lambda one: one.goal_ms):
         heappush(heap, (value(candidate), candidate.job_id))
         work += candidate.work
--- a/sesamehall/reducer/jobs/reports.py
+++ b/sesamehall/reducer/jobs/reports.py
@@ -26,6 +26,7 @@
 from sesamehall.reducer.jobs.runs import give_up_run
 from sesamehall.reducer.jobs.runs import place_soon
 from sesamehall.reducer.jobs.runs import take_end
+from sesamehall.reducer.jobs.stalls import stop_stalled
 from sesamehall.reducer.jobs.workers import begin_life
 from sesamehall.reducer.jobs.workers import watch_worker
 
@@ -73,6 +74,7 @@
     step = then(step, _take_ends, event)
     step = then(step, _take_active, event)
     step = then(step, _give_up_missing, event)
+    step = then(step, stop_stalled, event.worker_id, at_ms)
     step = then(step, pace_fills, event.worker_id, at_ms)
     if back:
         step = then(step, place_soon, worker.entry.pool, at_ms)
@@ -170,11 +172,15 @@
     answered_ms = run.answered_ms
     if answered_ms < 0:
         answered_ms = event.at_ms
+    progressed_ms = run.progressed_ms
+    if run.answered_ms < 0 or active.percent != run.percent:
+        progressed_ms = event.at_ms
     return put_run(
         manager,
         replace(
             run,
             state=state,
+            progressed_ms=progressed_ms,
             answered_ms=answered_ms,
             checkpoint=active.checkpoint or run.checkpoint,
             percent=active.percent,
@@ -227,6 +233,7 @@
         answered_ms=event.at_ms,
         checkpoint=active.checkpoint,
         percent=active.percent,
+        progressed_ms=event.at_ms,
         load=active.load,
         lasting=plan_step.lasting,
         fills=plan_step.fills,
--- a/sesamehall/reducer/jobs/runs.py
+++ b/sesamehall/reducer/jobs/runs.py
@@ -31,6 +31,8 @@
 from sesamehall.reducer.jobs.bookkeeping import put_work
 from sesamehall.reducer.jobs.bookkeeping import put_worker
 from sesamehall.reducer.jobs.bookkeeping import release_run
+from sesamehall.reducer.jobs.durations import note_duration
+from sesamehall.reducer.jobs.progress import checkpoint_of
 from sesamehall.reducer.jobs.progress import is_task_done
 from sesamehall.reducer.jobs.progress import is_task_known
 from sesamehall.reducer.jobs.progress import newly_startable
@@ -89,6 +91,7 @@
         ended.number,
     )
     if ours:
+        manager = _learn_duration(manager, run, ended, at_ms)
         manager = release_run(manager, run)
     worker = manager.workers_by_id.get(worker_id)
     step = Step(manager, (line,))
@@ -110,6 +113,18 @@
     return step
 
 
+def _learn_duration(manager, run: Run, ended: EndedRun, at_ms: int):
+    """Learn how long a task took that ended well and ran from its start."""
+    work = manager.works_by_id.get(run.job_id)
+    if work is None or ended.end is not RunEnd.DONE or run.lasting:
+        return manager
+    if checkpoint_of(work, run.place):
+        return manager
+    declared_ms = work.plan.steps[run.place.step].estimate_ms
+    took_ms = at_ms - run.sent_ms
+    return note_duration(manager, work.plan.queue, declared_ms, took_ms)
+
+
 def give_up_run(manager: ManagerState, run: Run, why: str, at_ms: int) -> Step:
     """Let a task run anew whose run certainly does not go on.
 
--- /dev/null
+++ b/sesamehall/reducer/jobs/stalls_test.py
@@ -0,0 +1,117 @@
+"""Tests of runs that stand still on workers that look healthy."""
+
+import pytest
+
+from sesamehall.core.jobtiming import STALL_MS
+from sesamehall.core.managereffects import StartRun
+from sesamehall.core.managereffects import StopRun
+from sesamehall.core.replacing import replace
+from sesamehall.core.work import ActiveRun
+from sesamehall.core.work import EndedRun
+from sesamehall.core.work import RunEnd
+from sesamehall.core.workstate import RunState
+from sesamehall.reducer.jobs.reports import take_report
+from sesamehall.reducer.jobs.stalls import is_stalled
+from sesamehall.reducer.jobs.testing import build_leader
+from sesamehall.reducer.jobs.testing import build_plan
+from sesamehall.reducer.jobs.testing import build_report
+from sesamehall.reducer.jobs.testing import build_step
+from sesamehall.reducer.jobs.testing import build_worker
+from sesamehall.reducer.jobs.testing import effects_of
+from sesamehall.reducer.jobs.testing import NOW_MS
+from sesamehall.reducer.jobs.testing import place_all
+from sesamehall.reducer.jobs.testing import take_in
+from sesamehall.reducer.jobs.testing import task
+
+PERIOD_MS = STALL_MS // 2
+
+
+def report(manager, at_ms, active, ended=()):
+    """Take in a report while the role is confirmed."""
+    term = replace(manager.term, confirmed_ms=at_ms)
+    manager = replace(manager, term=term)
+    return take_report(manager, build_report("w1", active, ended, at_ms))
+
+
+def stops_after(percents, **others):
+    """Let the only worker report shares of a run's work; list all stops."""
+    plan = build_plan(build_step(2, **others))
+    manager = take_in(build_leader(build_worker("w1")), plan)
+    manager = place_all(manager).state
+    stops = []
+    at_ms = NOW_MS
+    for percent in percents:
+        active = [
+            ActiveRun(task(index), 1, percent=percent) for index in (0, 1)
+        ]
+        step = report(manager, at_ms, active)
+        manager = step.state
+        stops += effects_of(step, StopRun)
+        at_ms += PERIOD_MS
+    return manager, [stop.task for stop in stops]
+
+
+@pytest.mark.parametrize(
+    ("pattern", "percents", "others", "stopped"),
+    [
+        ("moves", [0, 10, 20, 21, 22], {}, 0),
+        ("never begins", [0, 0, 0], {}, 2),
+        ("stands still", [10, 50, 50, 50], {}, 2),
+        ("not for long yet", [10, 50, 50], {}, 0),
+        ("moves again", [10, 50, 50, 51, 51], {}, 0),
+        ("about to end", [100] * 4, {}, 0),
+        ("lasting", [100] * 4, {"lasting": True}, 0),
+        ("waits for its gang", [0] * 4, {"gang": True}, 0),
+        ("fills, and is paced", [10] * 4, {"fills": True}, 0),
+    ],
+    ids=lambda value: value if isinstance(value, str) else None,
+)
+def test_what_stands_still_is_stopped(pattern, percents, others, stopped):
+    _, stops = stops_after(percents, **others)
+    assert len(set(stops)) == stopped
+
+
+@pytest.mark.parametrize(
+    ("earlier", "after_ms", "stalled"),
+    [
+        (0, STALL_MS - 1, False),
+        (0, STALL_MS, True),
+        (1, STALL_MS, False),
+        (1, 2 * STALL_MS, True),
+        (3, 8 * STALL_MS - 1, False),
+    ],
+)
+def test_patience_grows_with_each_stop(earlier, after_ms, stalled):
+    """A very long task must come to its end some time."""
+    manager = take_in(build_leader(build_worker("w1")), build_plan())
+    manager = place_all(manager).state
+    counts = manager.stalls_by_task.set(task(), earlier)
+    manager = replace(manager, stalls_by_task=counts)
+    run = replace(
+        manager.runs_by_task[task()],
+        state=RunState.RUNNING,
+        progressed_ms=NOW_MS,
+    )
+    assert is_stalled(manager, run, NOW_MS + after_ms) == stalled
+
+
+def test_task_goes_on_elsewhere_once_it_has_stopped():
+    manager, stops = stops_after([0, 0, 0])
+    at_ms = NOW_MS + 3 * PERIOD_MS
+    other = build_worker("w2", seen_ms=at_ms)
+    workers = manager.workers_by_id.set("w2", other)
+    ids = manager.worker_ids_by_pool["a"].set("w2", True)
+    manager = replace(
+        manager,
+        workers_by_id=workers,
+        worker_ids_by_pool=manager.worker_ids_by_pool.set("a", ids),
+        term=replace(manager.term, confirmed_ms=at_ms),
+    )
+    assert not effects_of(place_all(manager, at_ms), StartRun)
+    ended = [
+        EndedRun(number, name, 1, RunEnd.STOPPED)
+        for number, name in enumerate(stops, 1)
+    ]
+    manager = report(manager, at_ms, (), ended).state
+    orders = effects_of(place_all(manager, at_ms), StartRun)
+    assert [order.worker_id for order in orders] == ["w2", "w2"]
--- a/sesamehall/reducer/jobs/works.py
+++ b/sesamehall/reducer/jobs/works.py
@@ -17,6 +17,7 @@
 from sesamehall.reducer.jobs.bookkeeping import let_wait
 from sesamehall.reducer.jobs.bookkeeping import pool_of
 from sesamehall.reducer.jobs.bookkeeping import put_work
+from sesamehall.reducer.jobs.durations import duration_ratio
 from sesamehall.reducer.jobs.progress import begin_work
 from sesamehall.reducer.jobs.progress import is_task_done
 from sesamehall.reducer.jobs.progress import plan_work
@@ -49,7 +50,8 @@
         queue = manager.manifest.queues_by_name.get(plan.queue)
     progress = manager.progress_by_id.get(job_id, Progress(job_id))
     wall_ms = at_ms + manager.wall_offset_ms
-    work = begin_work(plan, progress, queue, at_ms, wall_ms, inherited)
+    ratio = duration_ratio(manager, plan.queue)
+    work = begin_work(plan, progress, queue, at_ms, wall_ms, inherited, ratio)
     manager = put_work(manager, work)
     if not plan.steps[0].lasting:
         manager = _learn_work(manager, plan)
@@ -61,6 +63,7 @@
         team=plan.team,
         tasks=sum(step.count for step in plan.steps),
         goal_ms=work.goal_ms - at_ms,
+        ratio=f"{ratio:.2f}",
         inherited=int(inherited),
     )
     step = Step(manager, (line,))
--- a/sesamehall/reducer/machines/sizing.py
+++ b/sesamehall/reducer/machines/sizing.py
@@ -20,6 +20,7 @@
 from sesamehall.core.workstate import Worker
 from sesamehall.reducer.jobs.arrivals import surge_jobs_per_s
 from sesamehall.reducer.jobs.bookkeeping import pool_of
+from sesamehall.reducer.jobs.durations import duration_ratio
 from sesamehall.reducer.jobs.progress import chain_left_ms
 from sesamehall.reducer.jobs.progress import plan_work
 
@@ -63,7 +64,8 @@
             lasting += _lasting_load(work, room)
             spread = max(spread, _spread(work))
         else:
-            timely += _timely_load(work, room, at_ms)
+            ratio = duration_ratio(manager, work.plan.queue)
+            timely += _timely_load(work, room, at_ms, ratio)
     timely = max(timely, _arriving_load(manager, pool, room, at_ms))
     least = max(ceil(lasting), spread)
     wanted = max(ceil((lasting + timely) * HEADROOM), spread) + SPARE_WORKERS
@@ -140,7 +142,7 @@
     return sum(step.count * _part(step, room) for step in work.plan.steps)
 
 
-def _timely_load(work: Work, room: Size, at_ms: int) -> float:
+def _timely_load(work: Work, room: Size, at_ms: int, ratio: float) -> float:
     """Compute the workers that do the rest of a job by its goal."""
     whole = plan_work(work.plan)
     if not whole or work.progress.phase in TERMINAL_PHASES:
@@ -149,17 +151,17 @@
         step.count * step.estimate_ms * _part(step, room)
         for step in work.plan.steps
     )
-    left_ms = worker_ms * work.work_left / whole
-    return left_ms / _time_for(work, at_ms)
+    left_ms = ratio * worker_ms * work.work_left / whole
+    return left_ms / _time_for(work, at_ms, ratio)
 
 
-def _time_for(work: Work, at_ms: int) -> int:
+def _time_for(work: Work, at_ms: int, ratio: float) -> float:
     """Compute the time in which more machines may do the rest of a job.
 
     They come some time after they are asked for.  A job that cannot be done
     by its goal any more still earns a little up to LATE_GOALS times that.
     """
-    chain_ms = chain_left_ms(work)
+    chain_ms = ratio * chain_left_ms(work)
     end_ms = work.goal_ms - JOINING_MS
     if at_ms + chain_ms > work.goal_ms:
         goal_after_ms = work.goal_ms - work.accepted_ms
@@ -174,6 +176,7 @@
     work_per_s = sum(
         surge_jobs_per_s(manager, name, at_ms)
         * manager.mean_work_by_queue.get(name, 0.0)
+        * duration_ratio(manager, name)
         for name, queue in manager.manifest.queues_by_name.items()
         if queue.pool == pool
     )
