--- a/sesamehall/core/jobtiming.py
+++ b/sesamehall/core/jobtiming.py
@@ -7,7 +7,7 @@
 JOBS_WAIT_MS = 500  # the leader's reads of new jobs wait this long
 JOBS_PERIOD_MS = 1_000  # followers learn of new jobs this late
 PROGRESS_PERIOD_MS = 250  # followers see the leader's heartbeat this late
-WORKERS_PERIOD_MS = 300  # draining workers are noticed this late
+WORKERS_PERIOD_MS = 150  # workers that join or drain are noticed this late
 MANIFEST_FRESH_MS = 1_800  # older knowledge of keys may have been replaced
 
 LEADER_SILENT_MS = 1_200  # a leader without records this long is replaced
--- a/sesamehall/platform/workers.py
+++ b/sesamehall/platform/workers.py
@@ -28,7 +28,7 @@
 WATCH_TIMEOUT_S = 0.8  # a worker that answers later counts as silent
 ORDER_TIMEOUT_S = 0.5  # an order without an answer is sent again after this
 ORDERS_AT_ONCE = 32  # those without an answer must not hold up the others
-CONNECTIONS = 8  # to one worker that are kept; a round places about as many
+CONNECTIONS = 16  # to one worker that are kept; a round fills it at once
 REFUSAL_BY_REASON = {
     "fence": OrderRefusal.FENCED,
     "old": OrderRefusal.OLD_RUN,
