Take lives that no machine has any more for over

Change: a silent worker whose life no machine has, while all machines have another or are between two, is taken for ended, if it was listed before or the list was asked for at least 1 s after the takeover.

--- a/sesamehall/core/managerevents.py
+++ b/sesamehall/core/managerevents.py
@@ -245,10 +245,12 @@
 
     Attributes:
       at_ms: The node's clock.
+      asked_ms: Clock at which it was asked for.
       machines: All of them.
     """
 
     at_ms: int
+    asked_ms: int
     machines: tuple[Machine, ...]
 
 
--- a/sesamehall/core/workstate.py
+++ b/sesamehall/core/workstate.py
@@ -124,6 +124,7 @@
       entry: What it registered.
       listed: Whether it is registered now.
       leased: Whether it is stored that runs may be on it.
+      inherited: Whether an earlier leader may have started runs on it.
       reached: Whether it has answered in this term.
       watching: Whether a call for its lists is under way.
       clock_ms: The worker's clock at its latest answer.
@@ -148,6 +149,7 @@
     entry: WorkerEntry
     listed: bool = True
     leased: bool = False
+    inherited: bool = False
     reached: bool = False
     watching: bool = False
     clock_ms: int = 0
--- a/sesamehall/platform/machines.py
+++ b/sesamehall/platform/machines.py
@@ -52,12 +52,13 @@
         self._executor.submit(self._order, effect)
 
     def _list(self):
+        asked_ms = now_ms()
         try:
             machines = self._read_pages()
         except (PlatformError, DecodeError) as error:
             self._post(MachinesNotListed(now_ms(), str(error)))
             return
-        self._post(MachinesListed(now_ms(), machines))
+        self._post(MachinesListed(now_ms(), asked_ms, machines))
 
     def _read_pages(self) -> tuple[Machine, ...]:
         machines: tuple[Machine, ...] = ()
--- a/sesamehall/reducer/jobs/leading.py
+++ b/sesamehall/reducer/jobs/leading.py
@@ -204,6 +204,7 @@
         entry,
         listed=False,
         leased=True,
+        inherited=True,
         lease_end_ms=lease_end_ms,
         ended=leased.ended,
         ended_stored=leased.ended,
--- a/sesamehall/reducer/machines/fleet.py
+++ b/sesamehall/reducer/machines/fleet.py
@@ -20,6 +20,7 @@
 from sesamehall.core.logevents import MACHINE_ORDERED
 from sesamehall.core.logevents import MACHINE_REFUSED
 from sesamehall.core.logevents import MACHINES_UNLISTED
+from sesamehall.core.logevents import WORKER_GONE
 from sesamehall.core.managereffects import ListMachines
 from sesamehall.core.managereffects import MaintainMachine
 from sesamehall.core.managereffects import MoveMachine
@@ -34,6 +35,7 @@
 from sesamehall.reducer.jobs.bookkeeping import put_worker
 from sesamehall.reducer.jobs.workers import end_life
 from sesamehall.reducer.machines.evacuation import empty_worker
+from sesamehall.reducer.machines.lives import ended_lives
 from sesamehall.reducer.machines.moves import choose_moves
 from sesamehall.reducer.machines.waves import note_maintained
 from sesamehall.reducer.machines.waves import review_waves
@@ -120,7 +122,13 @@
         listing=False,
         orders_by_machine=orders,
     )
-    return Step(replace(manager, fleet=fleet))
+    ended = ended_lives(manager, event)
+    step = Step(replace(manager, fleet=fleet))
+    for worker_id in ended:
+        line = log(WORKER_GONE, worker=worker_id, reason="no machine has it")
+        step = Step(step.state, step.effects + (line,))
+        step = then(step, end_life, worker_id, event.at_ms)
+    return step
 
 
 def _is_carried_out(machine: Machine, order: PendingOrder, at_ms: int) -> bool:
--- a/sesamehall/reducer/machines/fleet_test.py
+++ b/sesamehall/reducer/machines/fleet_test.py
@@ -210,7 +210,7 @@
         at_ms += 1_000
         term = replace(manager.term, confirmed_ms=at_ms)
         manager = replace(manager, term=term)
-        listed = MachinesListed(at_ms, IN_POOL)
+        listed = MachinesListed(at_ms, at_ms, IN_POOL)
         manager = take_machines(manager, listed).state
     assert done == {machine.name for machine in IN_POOL}
     assert [report.status.completed for report in reports] == [False, True]
