Count machines on standby as accounted for

Cause: a trial that printed the list showed that machines on standby are up and have no worker, so a silent worker's life was never taken for over. Test: two rows.

--- a/sesamehall/reducer/machines/lives.py
+++ b/sesamehall/reducer/machines/lives.py
@@ -5,6 +5,7 @@
 now, or is between two, the silent one has ended, and nothing runs on it.
 """
 
+from sesamehall.core.fleet import Machine
 from sesamehall.core.fleet import MachineState
 from sesamehall.core.managerevents import MachinesListed
 from sesamehall.core.managerstate import ManagerState
@@ -24,18 +25,19 @@
       Identifiers of workers, in order; none while a machine is down, since
       its life may be cut off and go on.
     """
-    if not manager.term.epoch or event.asked_ms < manager.term.began_ms:
+    if not manager.term.epoch or manager.manifest is None:
+        return []
+    if event.asked_ms < manager.term.began_ms:
         return []
     alive = {machine.worker_id for machine in event.machines}
     machines = manager.fleet.machines_by_name.values()
     were_alive = {machine.worker_id for machine in machines}
     if event.asked_ms - manager.term.began_ms >= NEW_LIFE_MS:
         were_alive.update(_inherited(manager))
-    unaccounted = any(
-        not machine.worker_id and machine.state not in BETWEEN_LIVES
-        for machine in event.machines
+    accounted = all(
+        _is_accounted(manager, machine) for machine in event.machines
     )
-    if unaccounted or not event.machines:
+    if not accounted or not event.machines:
         return []
     return [
         worker_id
@@ -46,6 +48,18 @@
     ]
 
 
+def _is_accounted(manager: ManagerState, machine: Machine) -> bool:
+    """Tell whether it is known which life a machine has, or that it has none.
+
+    Machines on standby are switched off.
+    """
+    if machine.worker_id or machine.state in BETWEEN_LIVES:
+        return True
+    pool = manager.manifest.pools_by_name.get(machine.pool)
+    up = machine.state is MachineState.UP
+    return up and pool is not None and pool.standby
+
+
 def _inherited(manager: ManagerState) -> list[str]:
     """List the workers on which an earlier leader may have started runs."""
     return [
--- a/sesamehall/reducer/machines/lives_test.py
+++ b/sesamehall/reducer/machines/lives_test.py
@@ -48,6 +48,8 @@
         ("maintained", Machine("m2", "a", MachineState.MAINTENANCE), True),
         ("down, may run on", Machine("m2", "a", MachineState.DOWN), False),
         ("up, without a life", Machine("m2", "a", UP), False),
+        ("switched off", Machine("m2", "spare", UP), True),
+        ("down on standby", Machine("m2", "spare", MachineState.DOWN), False),
         ("still its life", Machine("m2", "a", UP, "w2"), False),
         ("down, its life", Machine("m2", "a", MachineState.DOWN, "w2"), False),
     ],
