Tell stalls by the worker's clock

Cause: read through: after a pause of the leader a report that had waited for it would make its runs seem to have stood still. Test: a late report.

--- a/sesamehall/core/workstate.py
+++ b/sesamehall/core/workstate.py
@@ -68,7 +68,8 @@
       checkpoint: Newest checkpoint, or "".
       percent: Share of its work that is done, as last reported; of a lasting
         task the share of full speed.
-      progressed_ms: Clock at which that share was last seen to change.
+      progressed_ms: The worker's clock when that share was last seen to
+        change; a pause of this node must not look like one of the run.
       load: Response time tail or processor use as last reported.
       pace: Share of its speed that it was last told to work at.
       lasting: Whether it runs until it is cancelled.
--- a/sesamehall/reducer/jobs/orders.py
+++ b/sesamehall/reducer/jobs/orders.py
@@ -20,6 +20,7 @@
 from sesamehall.reducer.jobs.leases import extend_lease
 from sesamehall.reducer.jobs.leases import may_start
 from sesamehall.reducer.jobs.leases import start_lease_until
+from sesamehall.reducer.jobs.leases import worker_clock
 from sesamehall.reducer.jobs.progress import checkpoint_of
 from sesamehall.reducer.jobs.runs import give_up_run
 from sesamehall.reducer.jobs.runs import stop_run
@@ -44,7 +45,11 @@
     match event.refusal:
         case None:
             if run.answered_ms < 0:
-                run = replace(run, answered_ms=at_ms, progressed_ms=at_ms)
+                worker = manager.workers_by_id[run.worker_id]
+                progressed_ms = worker_clock(worker, at_ms)
+                run = replace(
+                    run, answered_ms=at_ms, progressed_ms=progressed_ms
+                )
             if run.state is RunState.STARTING:
                 run = replace(run, state=RunState.RUNNING)
             return Step(put_run(manager, run))
--- a/sesamehall/reducer/jobs/reports.py
+++ b/sesamehall/reducer/jobs/reports.py
@@ -174,7 +174,7 @@
         answered_ms = event.at_ms
     progressed_ms = run.progressed_ms
     if run.answered_ms < 0 or active.percent != run.percent:
-        progressed_ms = event.at_ms
+        progressed_ms = event.clock_ms
     return put_run(
         manager,
         replace(
@@ -233,7 +233,7 @@
         answered_ms=event.at_ms,
         checkpoint=active.checkpoint,
         percent=active.percent,
-        progressed_ms=event.at_ms,
+        progressed_ms=event.clock_ms,
         load=active.load,
         lasting=plan_step.lasting,
         fills=plan_step.fills,
--- a/sesamehall/reducer/jobs/stalls.py
+++ b/sesamehall/reducer/jobs/stalls.py
@@ -35,7 +35,8 @@
     """
     worker = manager.workers_by_id[worker_id]
     runs = [manager.runs_by_task[task] for task in sorted(worker.tasks)]
-    stalled = [run for run in runs if is_stalled(manager, run, at_ms)]
+    clock_ms = worker.clock_ms
+    stalled = [run for run in runs if is_stalled(manager, run, clock_ms)]
     if not stalled:
         return Step(manager)
     aside = replace(worker, aside_until_ms=at_ms + ASIDE_MS)
@@ -47,7 +48,7 @@
             run=run.number,
             worker=worker_id,
             percent=run.percent,
-            still_ms=at_ms - run.progressed_ms,
+            still_ms=clock_ms - run.progressed_ms,
         )
         counts = step.state.stalls_by_task
         counts = counts.set(run.task, counts.get(run.task, 0) + 1)
@@ -57,20 +58,20 @@
     return step
 
 
-def is_stalled(manager: ManagerState, run: Run, at_ms: int) -> bool:
+def is_stalled(manager: ManagerState, run: Run, clock_ms: int) -> bool:
     """Tell whether a run stands still for no reason of its own.
 
     Args:
       manager: State of the leader.
       run: The run.
-      at_ms: The node's clock.
+      clock_ms: The worker's clock at its latest report.
     Returns:
       False for tasks that last, that fill, or that wait for their gang.
     """
     if run.state is not RunState.RUNNING or run.lasting or run.fills:
         return False
     patience_ms = STALL_MS << manager.stalls_by_task.get(run.task, 0)
-    if run.percent >= ALL_DONE or at_ms - run.progressed_ms < patience_ms:
+    if run.percent >= ALL_DONE or clock_ms - run.progressed_ms < patience_ms:
         return False
     work = manager.works_by_id.get(run.job_id)
     return work is not None and not work.plan.steps[run.place.step].gang
--- a/sesamehall/reducer/jobs/stalls_test.py
+++ b/sesamehall/reducer/jobs/stalls_test.py
@@ -95,6 +95,17 @@
     assert is_stalled(manager, run, NOW_MS + after_ms) == stalled
 
 
+def test_a_pause_of_the_leader_is_no_stall():
+    """A report that waited for the leader to wake is as old as its clock."""
+    manager = take_in(build_leader(build_worker("w1")), build_plan())
+    manager = place_all(manager).state
+    active = [ActiveRun(task(), 1, percent=10)]
+    manager = report(manager, NOW_MS, active).state
+    late = build_report("w1", active, at_ms=NOW_MS + 10)
+    late = replace(late, at_ms=NOW_MS + 5_000)
+    assert not effects_of(take_report(manager, late), StopRun)
+
+
 def test_task_goes_on_elsewhere_once_it_has_stopped():
     manager, stops = stops_after([0, 0, 0])
     at_ms = NOW_MS + 3 * PERIOD_MS
