--- a/soak/main.py
+++ b/soak/main.py
@@ -2,6 +2,7 @@
 
 from pathlib import Path
 import random
+import signal
 import sys
 import tempfile
 import threading
@@ -89,6 +90,7 @@
       first: The first seed; 0 draws one.
       seconds: How long jobs and faults come in each.
     """
+    signal.signal(signal.SIGTERM, _end)
     first = first or random.randrange(1, 1 << 30)
     total = 0
     for seed in range(first, first + seeds):
@@ -103,5 +105,10 @@
     sys.exit(1 if total else 0)
 
 
+def _end(number, frame):
+    """End as by an interrupt, so that no manager is left."""
+    raise SystemExit(1)
+
+
 if __name__ == "__main__":
     run(main)
