Count an end as acknowledged only while the lease lasts, as the users' page does

Trace: the way to worker m6 was silent for 3.756 s; line 612 'lease over' at 53.072, the task ordered elsewhere at 53.311, the end of its first run listed at 53.323. The page says that an end is taken note of unless the lease lapsed between the two, so the case is allowed and the check was wrong.

--- a/soak/promises_test.py
+++ b/soak/promises_test.py
@@ -15,7 +15,16 @@
     ID, "quotes", "work 1", (1,), accepted=True, states=[(9.0, "completed")]
 )
 RUN = RunRecord(
-    f"{ID}.0.0.0", 1, 1, "work 1", 500, 1.0, 2.0, "done", 2.0, True
+    f"{ID}.0.0.0",
+    1,
+    1,
+    "work 1",
+    500,
+    1.0,
+    2.0,
+    "done",
+    2.0,
+    acknowledged=True,
 )
 LAPSED = replace(RUN, end="lapsed", acknowledged=False)
 
--- a/standins/jobworker.py
+++ b/standins/jobworker.py
@@ -34,7 +34,8 @@
       due_s: Time at which it will have done its work.
       end: How it ended, or "" while it goes on.
       ended_s: Time of its end.
-      acknowledged: Whether its end was acknowledged.
+      lapsed: Whether the lease ran out between its end and the acknowledging.
+      acknowledged: Whether its end was acknowledged before that.
     """
 
     task: str
@@ -46,6 +47,7 @@
     due_s: float
     end: str = ""
     ended_s: float = 0.0
+    lapsed: bool = False
     acknowledged: bool = False
 
 
@@ -129,6 +131,9 @@
         )
 
     def _extend(self, wish):
+        if self._clock_ms() >= self._deadline_ms:
+            for _, record in self._ended:
+                record.lapsed = True
         until_ms = wish.get("DeadlineMs")
         if until_ms is not None:
             longest_ms = self._clock_ms() + LONGEST_LEASE_MS
@@ -176,7 +181,7 @@
         cursor = wish.get("AckCursor", 0)
         for sequence, record in self._ended:
             if sequence <= cursor:
-                record.acknowledged = True
+                record.acknowledged = not record.lapsed
         self._ended = [row for row in self._ended if row[0] > cursor]
         until_s = time.monotonic() + wish.get("WaitMs", 0) / 1_000
         while not self._ended and self.alive:
