--- a/sesamehall/reducer/jobs/placing.py
+++ b/sesamehall/reducer/jobs/placing.py
@@ -80,12 +80,14 @@
 
 def _ask_advice(manager, pool, at_ms):
     """Ask where the most pressing task that still waits may run."""
-    works = [
-        work
-        for work in _by_rank(manager, pool, at_ms)
-        if is_advised(manager, work)
-    ]
-    return ask_advice(manager, works, takers(manager, pool, at_ms), at_ms)
+    job_ids = manager.job_ids_by_pool.get(pool, EMPTY_MAP)
+    waiting = (manager.works_by_id[job_id] for job_id in job_ids)
+    if not any(is_advised(manager, work) for work in waiting):
+        return Step(manager)
+    workers = takers(manager, pool, at_ms)
+    ranked = _by_rank(manager, pool, workers, at_ms)
+    works = [work for work in ranked if is_advised(manager, work)]
+    return ask_advice(manager, works, workers, at_ms)
 
 
 def choose(manager: ManagerState, pool: str, at_ms: int) -> list[Choice]:
@@ -101,7 +103,7 @@
     workers = takers(manager, pool, at_ms)
     round_ = Round.begin(manager, workers, at_ms)
     choices: list[Choice] = []
-    for work in _by_rank(manager, pool, at_ms):
+    for work in _by_rank(manager, pool, workers, at_ms):
         choices += round_.place_job(work)
         if not round_.free_by_id:
             break
@@ -153,7 +155,9 @@
     return [manager.workers_by_id[worker_id] for worker_id in sorted(ids)]
 
 
-def _by_rank(manager: ManagerState, pool: str, at_ms: int) -> list[Work]:
+def _by_rank(
+    manager: ManagerState, pool: str, workers: list[Worker], at_ms: int
+) -> list[Work]:
     """Order the jobs with waiting tasks by what a wait would cost."""
     unresolved = is_unresolved(manager, pool)
     works_by_id = {}
@@ -163,7 +167,6 @@
             continue
         if may_start(manager, work, at_ms):
             works_by_id[job_id] = work
-    workers = takers(manager, pool, at_ms)
     cores = sum(worker.entry.capacity.cpu_milli for worker in workers) / 1_000
     in_use = sum(worker.used.cpu_milli for worker in workers) / 1_000
     begun_work = in_use * mean_duration_ms(manager, pool) / 2
--- a/sesamehall/reducer/jobs/works.py
+++ b/sesamehall/reducer/jobs/works.py
@@ -13,6 +13,7 @@
 from sesamehall.core.timers import DueTimer
 from sesamehall.core.work import JobPlan
 from sesamehall.core.work import Progress
+from sesamehall.core.work import task_id
 from sesamehall.reducer.jobs.arrivals import note_arrival
 from sesamehall.reducer.jobs.bookkeeping import let_wait
 from sesamehall.reducer.jobs.bookkeeping import pool_of
@@ -114,8 +115,7 @@
     if work is None:
         return Step(manager)
     for place in startable(work, at_ms + manager.wall_offset_ms):
-        task = f"{job_id}.{place.occurrence}.{place.step}.{place.index}"
-        running = task in manager.runs_by_task
+        running = task_id(job_id, place) in manager.runs_by_task
         if not running and not is_task_done(work, place):
             manager = let_wait(manager, job_id, place)
     step = place_soon(manager, pool_of(manager, work), at_ms)
