--- a/sesamehall/platform/streams.py
+++ b/sesamehall/platform/streams.py
@@ -20,10 +20,10 @@
 from sesamehall.core.managerevents import StreamUnread
 from sesamehall.platform.lanes import Lane
 from sesamehall.platform.store import ForgottenError
-from sesamehall.platform.store import LeaderWriter
 from sesamehall.platform.store import STATUS_TOPIC
 from sesamehall.platform.store import StoreClient
 from sesamehall.platform.waves import wave_record
+from sesamehall.platform.writer import LeaderWriter
 from sesamehall.runtime.application import run_thread
 from sesamehall.runtime.interpreter import now_ms
 
