--- a/sesamehall/platform/writer_test.py
+++ b/sesamehall/platform/writer_test.py
@@ -75,18 +75,17 @@
         return answer.body
 
 
-RED = pytest.mark.xfail(strict=True, reason="KNOWN-RED.txt")
 LOSSES = [
     (),
     (Fate.REFUSED,),
-    pytest.param((Fate.ANSWER_LOST,), marks=RED),
+    (Fate.ANSWER_LOST,),
     (Fate.CALL_LOST,),
     (Fate.LATE,),
-    pytest.param((Fate.ANSWER_LOST, Fate.REFUSED), marks=RED),
-    pytest.param((Fate.ANSWER_LOST, Fate.ANSWER_LOST), marks=RED),
-    pytest.param((Fate.CALL_LOST, Fate.ANSWER_LOST), marks=RED),
-    pytest.param((Fate.LATE, Fate.LATE), marks=RED),
-    pytest.param((Fate.LATE, Fate.CALL_LOST, Fate.ANSWER_LOST), marks=RED),
+    (Fate.ANSWER_LOST, Fate.REFUSED),
+    (Fate.ANSWER_LOST, Fate.ANSWER_LOST),
+    (Fate.CALL_LOST, Fate.ANSWER_LOST),
+    (Fate.LATE, Fate.LATE),
+    (Fate.LATE, Fate.CALL_LOST, Fate.ANSWER_LOST),
 ]
 
 
