--- a/sesamehall/core/logevents.py
+++ b/sesamehall/core/logevents.py
@@ -121,11 +121,13 @@
 WORKER_ASIDE = _warning(
     623, "worker set aside", "Look at the worker; it is tried again."
 )
+ENDS_HELD = _info(624, "ends held back")
 TERM_CLAIMED = _info(630, "leadership claimed")
 TERM_BEGUN = _info(631, "leadership begun")
 TERM_ENDED = _warning(
     632, "leadership lost", "Nothing; another node leads. Often: look at both."
 )
+JOBS_CAUGHT_UP = _info(633, "jobs caught up")
 STREAM_SILENT = _warning(
     640, "stream unread", "Look at the platform's store and the way to it."
 )
@@ -135,6 +137,7 @@
 RECORDS_UNSTORED = _warning(
     644, "records not stored", "Look at the platform's store; work goes on."
 )
+RECORDS_STORED = _info(645, "records stored")
 MACHINE_ORDERED = _info(650, "machine ordered")
 MACHINE_REFUSED = _info(651, "machine order refused")
 WAVE_SEEN = _info(652, "wave taken in")
--- a/sesamehall/reducer/jobs/following.py
+++ b/sesamehall/reducer/jobs/following.py
@@ -16,6 +16,7 @@
 from sesamehall.core.jobtiming import PROGRESS_PERIOD_MS
 from sesamehall.core.jobtiming import READ_RETRY_MS
 from sesamehall.core.jobtiming import WORKERS_PERIOD_MS
+from sesamehall.core.logevents import JOBS_CAUGHT_UP
 from sesamehall.core.logevents import MANIFEST_TAKEN
 from sesamehall.core.logevents import STREAM_BACK
 from sesamehall.core.logevents import STREAM_SILENT
@@ -166,14 +167,29 @@
     step = Step(manager, effects)
     for record in event.records:
         step = then(step, _take_record, stream, record, event.at_ms)
-    if stream is Stream.JOBS and not step.state.jobs_known:
-        known = event.known_ms >= step.state.term.began_ms
-        step = Step(replace(step.state, jobs_known=known), step.effects)
+    if stream is Stream.JOBS:
+        step = then(step, _catch_up, event)
     if event.whole and stream is Stream.WORKERS:
         step = then(step, _drop_unlisted, event)
     return step
 
 
+def _catch_up(manager, event):
+    """Note that all jobs of the time before the term are read."""
+    if manager.jobs_known or event.known_ms < manager.term.began_ms:
+        return Step(manager)
+    manager = replace(manager, jobs_known=True)
+    if not manager.term.epoch:
+        return Step(manager)
+    line = log(
+        JOBS_CAUGHT_UP,
+        epoch=manager.term.epoch,
+        jobs=len(manager.works_by_id),
+        after_ms=event.at_ms - manager.term.began_ms,
+    )
+    return Step(manager, (line,))
+
+
 def take_unread(manager: ManagerState, event: StreamUnread) -> Step:
     """Bear that a log could not be read.
 
--- a/sesamehall/reducer/jobs/reports.py
+++ b/sesamehall/reducer/jobs/reports.py
@@ -4,6 +4,7 @@
 from sesamehall.core.effects import log
 from sesamehall.core.effects import SetTimer
 from sesamehall.core.jobtiming import WATCH_UNSTORED_MS
+from sesamehall.core.logevents import ENDS_HELD
 from sesamehall.core.logevents import RUN_ADOPTED
 from sesamehall.core.logevents import WORKER_REACHED
 from sesamehall.core.managereffects import StopRun
@@ -109,7 +110,8 @@
 def _readable_ends(manager, event):
     """List the new ends, up to the first whose job is still to be read."""
     worker = manager.workers_by_id[event.worker_id]
-    new = [end for end in event.ended if end.sequence > worker.ended]
+    ended = sorted(event.ended, key=lambda end: end.sequence)
+    new = [end for end in ended if end.sequence > worker.ended]
     unread = [_is_unread(manager, end.task) for end in new]
     return new[: unread.index(True)] if True in unread else new
 
@@ -118,20 +120,36 @@
     """Take in the ends that are new."""
     worker = manager.workers_by_id[event.worker_id]
     new = _readable_ends(manager, event)
+    last = new[-1].sequence if new else worker.ended
+    effects = _held_line(event, last)
     if not new:
-        return Step(manager)
-    last = max(end.sequence for end in new)
+        return Step(manager, effects)
     manager = put_worker(manager, replace(worker, ended=last))
     manager = replace(
         manager,
         dirty_workers=manager.dirty_workers.set(event.worker_id, True),
     )
-    step = Step(manager)
+    step = Step(manager, effects)
     for end in new:
         step = then(step, take_end, event.worker_id, end, event.at_ms)
     return step
 
 
+def _held_line(event, last):
+    """Tell of ends that wait until their jobs are read."""
+    held = [end for end in event.ended if end.sequence > last]
+    if not held:
+        return ()
+    line = log(
+        ENDS_HELD,
+        worker=event.worker_id,
+        taken=last,
+        held=len(held),
+        task=held[0].task,
+    )
+    return (line,)
+
+
 def _take_active(manager, event):
     """Compare the runs that go on with those that are known."""
     step = Step(manager)
--- a/sesamehall/reducer/jobs/storing.py
+++ b/sesamehall/reducer/jobs/storing.py
@@ -2,6 +2,7 @@
 
 from sesamehall.core.data import EMPTY_MAP
 from sesamehall.core.data import TERMINAL_PHASES
+from sesamehall.core.effects import log
 from sesamehall.core.fleet import Leader
 from sesamehall.core.fleet import LeasedWorker
 from sesamehall.core.fleet import OrderedMachines
@@ -9,6 +10,7 @@
 from sesamehall.core.fleet import WaveRecord
 from sesamehall.core.jobtiming import COMMIT_PERIOD_MS
 from sesamehall.core.jobtiming import HEARTBEAT_MS
+from sesamehall.core.logevents import RECORDS_STORED
 from sesamehall.core.managereffects import StoreProgress
 from sesamehall.core.managerevents import ProgressStored
 from sesamehall.core.managerstate import ManagerState
@@ -163,12 +165,29 @@
     for progress in term.written_jobs:
         manager = keep_progress(manager, progress, event.at_ms)
         manager = forget_ended(manager, progress.job_id)
-    step = Step(manager)
+    step = Step(manager, _stored_line(term, event))
     for leased in term.written_workers:
         step = then(step, _confirm_worker, leased, event.at_ms)
     return then(step, commit, event.at_ms)
 
 
+def _stored_line(term, event):
+    """Tell which ends may be acknowledged; a mere heartbeat needs no line."""
+    if not term.written_jobs and not term.written_workers:
+        return ()
+    ends = ",".join(
+        f"{leased.worker_id}:{leased.ended}" for leased in term.written_workers
+    )
+    line = log(
+        RECORDS_STORED,
+        epoch=term.epoch,
+        jobs=len(term.written_jobs),
+        ends=ends,
+        took_ms=event.at_ms - event.asked_ms,
+    )
+    return (line,)
+
+
 def _with_stored_orders(fleet, machines):
     """Let orders be given whose machines are stored now."""
     orders = fleet.orders_by_machine
