Wait no longer than its lease for unknown runs of a silent worker

Tasks of jobs that a leader inherits wait for runs of unknown jobs on the pool's workers. A worker that went silent with such runs kept its pool waiting for as long as it was registered, though its lease had run out.

Evidence: the new test, red before. Change: with the lease these runs are over.

--- a/sesamehall/reducer/jobs/workers.py
+++ b/sesamehall/reducer/jobs/workers.py
@@ -182,6 +182,7 @@
             reached=False,
             lease_end_ms=0,
             ended=worker.ended_stored,
+            strangers=0,
         )
         return Step(put_worker(step.state, worker), step.effects)
     line = log(WORKER_GONE, worker=worker_id, pool=worker.entry.pool)
--- a/sesamehall/reducer/jobs/workers_test.py
+++ b/sesamehall/reducer/jobs/workers_test.py
@@ -12,6 +12,7 @@
 from sesamehall.core.work import RunEnd
 from sesamehall.reducer.jobs.bookkeeping import put_worker
 from sesamehall.reducer.jobs.leases import extend_lease
+from sesamehall.reducer.jobs.placing import is_unresolved
 from sesamehall.reducer.jobs.reports import take_report
 from sesamehall.reducer.jobs.testing import build_entry
 from sesamehall.reducer.jobs.testing import build_leader
@@ -90,6 +91,24 @@
     assert len(waiting) == confirmed
 
 
+# Guards against inherited tasks that never start: a worker went silent with
+# runs that nobody knew, and its pool waited for them beyond its lease.
+@pytest.mark.parametrize(
+    ("waited_ms", "unresolved"),
+    [(-1, True), (0, False)],
+    ids=["lease lasts", "lease over"],
+)
+def test_unknown_runs_of_a_silent_worker_end_with_its_lease(
+    waited_ms, unresolved
+):
+    worker = build_worker(
+        "w1", strangers=1, silences=3, lease_end_ms=NOW_MS + 500
+    )
+    manager = build_leader(worker, build_worker("w2"))
+    manager = review_workers(manager, NOW_MS + 500 + waited_ms).state
+    assert is_unresolved(manager, "a") == unresolved
+
+
 @pytest.mark.parametrize(
     ("length_ms", "least_ms"),
     [(1_000, 1_020), (3_600, 3_672), (10_000, 10_200)],
