--- /dev/null
+++ b/sesamehall/reducer/jobs/takeover_test.py
@@ -0,0 +1,136 @@
+"""Tests of a takeover while a job is new: all orders of what happens then."""
+
+from itertools import permutations
+
+from immutables import Map
+import pytest
+
+from sesamehall.core.data import JobPhase
+from sesamehall.core.fleet import Leader
+from sesamehall.core.fleet import LeasedWorker
+from sesamehall.core.fleet import StoredRecord
+from sesamehall.core.fleet import Stream
+from sesamehall.core.managereffects import StartRun
+from sesamehall.core.managereffects import StopRun
+from sesamehall.core.managereffects import StoreProgress
+from sesamehall.core.managereffects import WatchWorker
+from sesamehall.core.managerevents import ProgressStored
+from sesamehall.core.managerevents import StoreOutcome
+from sesamehall.core.managerevents import StreamRead
+from sesamehall.core.managerstate import Following
+from sesamehall.core.managerstate import ManagerState
+from sesamehall.core.step import then
+from sesamehall.core.work import ActiveRun
+from sesamehall.core.work import EndedRun
+from sesamehall.core.work import RunEnd
+from sesamehall.reducer.jobs.following import take_read
+from sesamehall.reducer.jobs.leading import consider_claim
+from sesamehall.reducer.jobs.leading import take_stored
+from sesamehall.reducer.jobs.reports import take_report
+from sesamehall.reducer.jobs.storing import commit
+from sesamehall.reducer.jobs.testing import build_entry
+from sesamehall.reducer.jobs.testing import build_manifest
+from sesamehall.reducer.jobs.testing import build_plan
+from sesamehall.reducer.jobs.testing import build_report
+from sesamehall.reducer.jobs.testing import build_step
+from sesamehall.reducer.jobs.testing import effects_of
+from sesamehall.reducer.jobs.testing import JOB_ID
+from sesamehall.reducer.jobs.testing import NOW_MS
+from sesamehall.reducer.jobs.testing import place_all
+from sesamehall.reducer.jobs.testing import task
+from sesamehall.reducer.jobs.workers import take_entry
+
+EPOCH = 4
+JOB_OFFSET = 1
+JOB = build_plan(build_step(count=2))
+# What happens once each before everything settles: the worker whose run ended
+# and the one whose run goes on report, jobs are read, records are stored, and
+# tasks are placed.
+HAPPENINGS = ("ended", "running", "read", "store", "place")
+SETTLING = HAPPENINGS * 3
+
+
+def build_successor(knows_job):
+    """Build a node that takes the role over from one that resigned."""
+    names = ("w1", "w2")
+    leased = {name: LeasedWorker(name, "h:1", "a", 7) for name in names}
+    plans = {JOB_ID: JOB} if knows_job else {}
+    follower = ManagerState(
+        "edge-2",
+        manifest=build_manifest(),
+        leader=Leader("edge-1", EPOCH - 1, resigned=True),
+        jobs=Following(JOB_OFFSET, fresh_ms=NOW_MS),
+        progress=Following(9, fresh_ms=NOW_MS),
+        plans_by_id=Map(plans),
+        team_by_job_id=Map(dict.fromkeys(plans, "guild")),
+        leased_by_id=Map(leased),
+    )
+    claiming = consider_claim(follower, NOW_MS).state
+    step = take_stored(claiming, _stored())
+    for name in names:
+        step = then(step, take_entry, build_entry(name), NOW_MS)
+    return step.state
+
+
+def _stored():
+    return ProgressStored(NOW_MS, NOW_MS, EPOCH, StoreOutcome.STORED)
+
+
+class Takeover:
+    """A successor, and two workers with a run each of a job."""
+
+    def __init__(self, knows_job):
+        self.manager = build_successor(knows_job)
+        self.acknowledged = 0
+        self.orders = []
+
+    def happen(self, happening):
+        """Let the successor take in one thing that happens."""
+        step = self._step(happening)
+        self.manager = step.state
+        self.orders += effects_of(step, StartRun) + effects_of(step, StopRun)
+        for watch in effects_of(step, WatchWorker):
+            if watch.worker_id == "w1":
+                self.acknowledged = watch.acknowledged
+
+    def _step(self, happening):
+        match happening:
+            case "ended":
+                ended = [EndedRun(1, task(0), 1, RunEnd.DONE)]
+                listed = ended[self.acknowledged :]
+                report = build_report("w1", (), listed, epoch=EPOCH)
+                return take_report(self.manager, report)
+            case "running":
+                active = [ActiveRun(task(1), 1)]
+                report = build_report("w2", active, epoch=EPOCH)
+                return take_report(self.manager, report)
+            case "read":
+                records = (StoredRecord(JOB_ID, JOB),)
+                read = StreamRead(
+                    NOW_MS, NOW_MS, 0, Stream.JOBS, records, 2, False
+                )
+                return take_read(self.manager, read)
+            case "store":
+                return self._store()
+        return place_all(self.manager)
+
+    def _store(self):
+        step = commit(self.manager, NOW_MS + 1_000)
+        if not effects_of(step, StoreProgress):
+            return step
+        return then(step, take_stored, _stored())
+
+
+# Guards against tasks that run again after they were done, or twice at once:
+# a successor hears of runs and ends of a job before it has read the job.
+@pytest.mark.parametrize("knows_job", [True, False])
+@pytest.mark.parametrize("order", permutations(HAPPENINGS), ids=",".join)
+def test_run_of_the_predecessor_is_not_repeated(order, knows_job):
+    takeover = Takeover(knows_job)
+    for happening in order + SETTLING:
+        takeover.happen(happening)
+    assert not takeover.orders
+    work = takeover.manager.works_by_id[JOB_ID]
+    assert work.progress.phase is JobPhase.RUNNING
+    assert takeover.manager.progress_by_id[JOB_ID] == work.progress
+    assert takeover.acknowledged == 1
