Order no machine whose worker may have runs not known yet

Cause: the leader was paused while its writes were under way, and a-3 took over. Some workers left calls without an answer, so the new leader had not heard all of them. A worker that it had not heard had no tasks in its state and so passed for idle: 0.2 s into the term its machine was sent to maintenance, and both lasting tasks on it ended at once.

The new test, red before in its four rows of unknown runs.

Change: one predicate tells whether a worker may have runs that are not known; placing had it already. Moves and waves take such a worker as in use, and a decided order waits until it is heard or its lease is over.

--- a/sesamehall/reducer/jobs/leases.py
+++ b/sesamehall/reducer/jobs/leases.py
@@ -24,6 +24,21 @@
     return not worker.silences and at_ms - worker.seen_ms < HEARD_MS
 
 
+def may_hide_runs(worker: Worker) -> bool:
+    """Tell whether a worker may have runs that are not known.
+
+    Args:
+      worker: The worker.
+    Returns:
+      True while a worker on which an earlier leader may have started runs
+      has not answered, or has listed runs that are not taken over.
+    """
+    if not worker.leased or worker.over:
+        return False
+    unheard = not worker.reached and worker.lease_end_ms > 0
+    return unheard or worker.strangers > 0
+
+
 def worker_clock(worker: Worker, at_ms: int) -> int:
     """Estimate a worker's own clock.
 
--- a/sesamehall/reducer/jobs/placing.py
+++ b/sesamehall/reducer/jobs/placing.py
@@ -24,6 +24,7 @@
 from sesamehall.reducer.jobs.durations import duration_ratio
 from sesamehall.reducer.jobs.durations import mean_duration_ms
 from sesamehall.reducer.jobs.leases import extend_lease
+from sesamehall.reducer.jobs.leases import may_hide_runs
 from sesamehall.reducer.jobs.leases import may_start
 from sesamehall.reducer.jobs.leases import start_lease_until
 from sesamehall.reducer.jobs.orders import start_order
@@ -120,17 +121,7 @@
       True while a worker that may have any has not answered, or has runs
       that are neither taken over nor gone.
     """
-    return any(
-        _may_hide_runs(worker)
-        for worker in _workers(manager, pool)
-        if worker.leased and not worker.over
-    )
-
-
-def _may_hide_runs(worker):
-    if worker.strangers:
-        return True
-    return not worker.reached and worker.lease_end_ms > 0
+    return any(may_hide_runs(worker) for worker in _workers(manager, pool))
 
 
 def takers(manager: ManagerState, pool: str, at_ms: int) -> list[Worker]:
--- a/sesamehall/reducer/machines/fleet.py
+++ b/sesamehall/reducer/machines/fleet.py
@@ -1,9 +1,10 @@
 """The fleet's machines: lists, orders, and when each may be given.
 
 An order for a machine ends all that runs on it, so its worker is emptied
-first.  Orders of two leaders for one machine must not cross: it is stored
-which machines may have an order before any is sent, a new leader leaves these
-alone for a while, and none is given without a fresh confirmation of the role.
+first; one that may have runs that are not known is heard before that.  Orders
+of two leaders for one machine must not cross: it is stored which machines may
+have an order before any is sent, a new leader leaves these alone for a while,
+and none is given without a fresh confirmation of the role.
 """
 
 from immutables import Map
@@ -33,6 +34,7 @@
 from sesamehall.core.step import then
 from sesamehall.reducer.counts import drop_key
 from sesamehall.reducer.jobs.bookkeeping import put_worker
+from sesamehall.reducer.jobs.leases import may_hide_runs
 from sesamehall.reducer.jobs.workers import end_life
 from sesamehall.reducer.machines.evacuation import empty_worker
 from sesamehall.reducer.machines.lives import ended_lives
@@ -200,6 +202,8 @@
     if order.sent_ms >= 0 and at_ms - order.sent_ms < ORDER_RETRY_MS:
         return Step(manager)
     worker = manager.workers_by_id.get(order.worker_id)
+    if worker is not None and may_hide_runs(worker):
+        return Step(manager)
     if worker is not None and worker.tasks:
         return empty_worker(manager, order.worker_id, order.since_ms, at_ms)
     touched = manager.fleet.touched_ms_by_machine.set(machine, at_ms)
--- a/sesamehall/reducer/machines/fleet_test.py
+++ b/sesamehall/reducer/machines/fleet_test.py
@@ -18,6 +18,7 @@
 from sesamehall.core.manifest import Wave
 from sesamehall.core.replacing import replace
 from sesamehall.core.workstate import Arrivals
+from sesamehall.reducer.jobs.bookkeeping import put_worker
 from sesamehall.reducer.jobs.storing import write_progress
 from sesamehall.reducer.jobs.testing import build_leader
 from sesamehall.reducer.jobs.testing import build_plan
@@ -190,6 +191,48 @@
     assert len([order for order in decided.values() if order.wave]) == sent
 
 
+UNHEARD = {"reached": False, "lease_end_ms": NOW_MS + 3_000}
+
+
+# Guards against AVAIL: a successor took workers that it had not heard for
+# idle, and its orders for their machines ended lasting tasks of one step.
+@pytest.mark.parametrize(
+    ("worker_change", "within_ms", "sent"),
+    [
+        ({}, 60_000, 3),
+        ({}, 6_000, 4),
+        (UNHEARD, 60_000, 0),
+        (UNHEARD, 6_000, 0),
+        ({"strangers": 2}, 60_000, 0),
+        ({"strangers": 2}, 6_000, 0),
+        ({"reached": False, "lease_end_ms": 0}, 6_000, 4),
+        ({"reached": False, "leased": False}, 6_000, 4),
+        (UNHEARD | {"over": True}, 6_000, 4),
+    ],
+    ids=[
+        "heard",
+        "heard, little time",
+        "not heard",
+        "not heard, little time",
+        "runs of unknown jobs",
+        "runs of unknown jobs, little time",
+        "lease over",
+        "nothing was ever started",
+        "its life is over",
+    ],
+)
+def test_no_order_while_a_worker_may_have_unknown_runs(
+    worker_change, within_ms, sent
+):
+    manager = build_fleet(IN_POOL, waves_by_number=waves(4, within_ms))
+    for worker in manager.workers_by_id.values():
+        manager = put_worker(manager, replace(worker, **worker_change))
+    manager = review_fleet(manager, NOW_MS).state
+    step = review_fleet(store_orders(manager), NOW_MS)
+    orders = effects_of(step, MoveMachine | MaintainMachine)
+    assert len(orders) == sent
+
+
 def test_wave_is_completed_once_all_are_back():
     manager = build_fleet(IN_POOL, waves_by_number=waves(at_once=4))
     pools = manager.manifest.pools_by_name.delete("spare")
--- a/sesamehall/reducer/machines/moves.py
+++ b/sesamehall/reducer/machines/moves.py
@@ -14,6 +14,7 @@
 from sesamehall.core.managerstate import ManagerState
 from sesamehall.core.replacing import replace
 from sesamehall.core.step import Step
+from sesamehall.reducer.jobs.leases import may_hide_runs
 from sesamehall.reducer.machines.orders import decide_order
 from sesamehall.reducer.machines.orders import is_free
 from sesamehall.reducer.machines.sizing import hold_peak
@@ -140,4 +141,5 @@
         and not worker.over
         and not worker.entry.draining
         and not worker.tasks
+        and not may_hide_runs(worker)
     )
--- a/sesamehall/reducer/machines/waves.py
+++ b/sesamehall/reducer/machines/waves.py
@@ -14,6 +14,7 @@
 from sesamehall.core.replacing import replace
 from sesamehall.core.step import Step
 from sesamehall.core.step import then
+from sesamehall.reducer.jobs.leases import may_hide_runs
 from sesamehall.reducer.machines.orders import decide_order
 from sesamehall.reducer.machines.orders import is_free
 
@@ -164,15 +165,22 @@
 
 def _is_in_use(manager, machine):
     worker = manager.workers_by_id.get(machine.worker_id)
-    return worker is not None and bool(worker.tasks)
+    if worker is None:
+        return False
+    return bool(worker.tasks) or may_hide_runs(worker)
 
 
 def _cost(manager: ManagerState, machine: Machine):
     """Rank machines by what their maintenance interrupts."""
     worker = manager.workers_by_id.get(machine.worker_id)
     if worker is None:
-        return (0, 0, machine.name)
-    return (len(worker.tasks), worker.used.cpu_milli, machine.name)
+        return (False, 0, 0, machine.name)
+    return (
+        may_hide_runs(worker),
+        len(worker.tasks),
+        worker.used.cpu_milli,
+        machine.name,
+    )
 
 
 def note_maintained(
