Send no machine order after its leader may have been replaced

Cause: an order for a machine is decided while the role is confirmed, and sent by another thread. A process that is paused between the two sends it when it wakes, when another node may lead and have started tasks on the machine; the cloud interface checks no fence where fences are not required.

Evidence: the new tests, red before (the orders had no end of their time).

An order that is too late counts as one without an answer. It cannot guard against a pause in the call itself.

--- a/sesamehall/core/managereffects.py
+++ b/sesamehall/core/managereffects.py
@@ -194,11 +194,14 @@
       machine: Name of the machine.
       pool: The pool that it shall join.
       epoch: Fencing token.
+      not_after_ms: Clock after which it is not sent any more, since another
+        node may lead by then.
     """
 
     machine: str
     pool: str
     epoch: int
+    not_after_ms: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -209,11 +212,14 @@
       machine: Name of the machine.
       wave: Number of the wave that asks for it.
       epoch: Fencing token.
+      not_after_ms: Clock after which it is not sent any more, since another
+        node may lead by then.
     """
 
     machine: str
     wave: int
     epoch: int
+    not_after_ms: int
 
 
 @dataclass(frozen=True, slots=True)
--- a/sesamehall/platform/application.py
+++ b/sesamehall/platform/application.py
@@ -31,11 +31,13 @@
 from sesamehall.core.state import Identity
 from sesamehall.core.state import State
 from sesamehall.platform.advice import AdviceGate
+from sesamehall.platform.http import Client
 from sesamehall.platform.ingress import Ingress
 from sesamehall.platform.ingress import ReadyPage
 from sesamehall.platform.listening import BACKLOG
 from sesamehall.platform.listening import listen
 from sesamehall.platform.listening import Listeners
+from sesamehall.platform.machines import CALLS_AT_ONCE
 from sesamehall.platform.machines import MachineGate
 from sesamehall.platform.settings import ProcessSettings
 from sesamehall.platform.streams import StoreGate
@@ -84,7 +86,8 @@
         self._store = StoreGate(settings.store, post)
         self._workers = WorkerLines(post)
         self._advice = AdviceGate(settings.advice, post)
-        self._machines = MachineGate(settings.name, settings.machines, post)
+        cloud = Client(settings.machines, CALLS_AT_ONCE)
+        self._machines = MachineGate(settings.name, cloud, post)
         self._front_server = ListeningServer(
             listeners.front, self._ingress, SERVING_THREADS
         )
--- a/sesamehall/platform/machines.py
+++ b/sesamehall/platform/machines.py
@@ -26,16 +26,18 @@
 class MachineGate:
     """Lists machines and gives orders about them."""
 
-    def __init__(self, node: str, address: str, post: Callable[[Event], None]):
+    def __init__(
+        self, node: str, client: Client, post: Callable[[Event], None]
+    ):
         """Prepare the gate.
 
         Args:
           node: Name of this node, which holds the lease on the machines.
-          address: "host:port" of the cloud interface.
+          client: Calls the cloud interface.
           post: Takes the events.
         """
         self._node = node
-        self._client = Client(address, CALLS_AT_ONCE)
+        self._client = client
         self._post = post
         self._executor = ThreadPoolExecutor(CALLS_AT_ONCE, "machines")
 
@@ -44,7 +46,10 @@
         self._executor.submit(self._list)
 
     def order(self, effect: MoveMachine | MaintainMachine) -> None:
-        """Give an order about a machine.
+        """Give an order about a machine, if it is not too late for it.
+
+        The time is looked at last, by the thread that sends: the process may
+        have been paused since the decision.
 
         Args:
           effect: The order.
@@ -91,6 +96,9 @@
         }
         done = False
         refused = False
+        if now_ms() >= effect.not_after_ms:
+            self._post_answer(effect, done, refused, "too late to be sent")
+            return
         try:
             answer = self._client.call_json(
                 "POST", path, content, headers, ANSWER_TIMEOUT_S
@@ -100,12 +108,9 @@
             reason = f"status {answer.status} {answer.body[:80]!r}"
         except PlatformError as error:
             reason = str(error)
+        self._post_answer(effect, done, refused, "" if done else reason)
+
+    def _post_answer(self, effect, done, refused, reason):
         self._post(
-            MachineAnswered(
-                now_ms(),
-                effect.machine,
-                done,
-                refused,
-                "" if done else reason,
-            )
+            MachineAnswered(now_ms(), effect.machine, done, refused, reason)
         )
--- a/sesamehall/reducer/machines/fleet.py
+++ b/sesamehall/reducer/machines/fleet.py
@@ -217,11 +217,12 @@
         waited_ms=at_ms - order.since_ms,
     )
     epoch = manager.term.epoch
+    until_ms = manager.term.confirmed_ms + ORDER_CONFIRMED_MS
     match order.order:
         case MachineOrder.MOVE:
-            effect = MoveMachine(machine, order.pool, epoch)
+            effect = MoveMachine(machine, order.pool, epoch, until_ms)
         case MachineOrder.MAINTENANCE:
-            effect = MaintainMachine(machine, order.wave, epoch)
+            effect = MaintainMachine(machine, order.wave, epoch, until_ms)
     manager = _put_order(manager, machine, replace(order, sent_ms=at_ms))
     fleet = replace(manager.fleet, touched_ms_by_machine=touched)
     return Step(replace(manager, fleet=fleet), (line, effect))
--- a/sesamehall/reducer/machines/fleet_test.py
+++ b/sesamehall/reducer/machines/fleet_test.py
@@ -7,6 +7,7 @@
 from sesamehall.core.fleet import MachineState
 from sesamehall.core.fleetstate import FleetState
 from sesamehall.core.fleetstate import WaveProgress
+from sesamehall.core.fleettiming import ORDER_CONFIRMED_MS
 from sesamehall.core.fleettiming import PEAK_HOLD_MS
 from sesamehall.core.managereffects import MaintainMachine
 from sesamehall.core.managereffects import MoveMachine
@@ -153,6 +154,21 @@
     assert len(moves_of(replace(manager, term=term))) == sent
 
 
+# Guards against AVAIL and ONE: a leader paused before it sends an order must
+# not send it once another may lead and have started tasks there.
+@pytest.mark.parametrize("confirmed_ago_ms", [0, 999])
+def test_order_carries_the_end_of_its_time(confirmed_ago_ms):
+    manager = build_fleet(IN_POOL, waves_by_number=waves())
+    confirmed_ms = NOW_MS - confirmed_ago_ms
+    term = replace(manager.term, confirmed_ms=confirmed_ms)
+    manager = review_fleet(replace(manager, term=term), NOW_MS).state
+    step = review_fleet(store_orders(manager), NOW_MS)
+    orders = effects_of(step, MoveMachine | MaintainMachine)
+    assert {type(order) for order in orders} == {MoveMachine, MaintainMachine}
+    ends_ms = {order.not_after_ms for order in orders}
+    assert ends_ms == {confirmed_ms + ORDER_CONFIRMED_MS}
+
+
 def waves(at_once=2, within_ms=20_000):
     names = tuple(machine.name for machine in IN_POOL)
     wave = Wave(1, names, within_ms, at_once)
