Empty the life that a machine has now, not the one it had

Cause: an order for a machine names the worker that is to be emptied first. A worker that crashes meanwhile is given up, its machine begins another life and gets tasks, and the order was sent since the worker it names has none. A life begun anew under the same name forgot that it leaves, and got new tasks as fast as they were stopped.

Evidence: the new table, red before in four of its rows.

Change: an order that was not sent yet is aimed at the life that its machine has in the newest list, and that worker takes no new tasks. One that was sent is left as it is, since the other life may be what came of it.

--- a/sesamehall/core/fleetstate.py
+++ b/sesamehall/core/fleetstate.py
@@ -29,6 +29,7 @@
       since_ms: Clock at which it was decided.
       sent_ms: Clock at which it was last sent, or -1 while its worker
         empties.
+      tries: How often it was sent.
       done_ms: Clock at which the platform took it, or -1.
       stored: Whether it is stored that the machine may have an order.
     """
@@ -39,6 +40,7 @@
     worker_id: str
     since_ms: int
     sent_ms: int = -1
+    tries: int = 0
     done_ms: int = -1
     stored: bool = False
 
--- a/sesamehall/reducer/machines/fleet.py
+++ b/sesamehall/reducer/machines/fleet.py
@@ -39,6 +39,8 @@
 from sesamehall.reducer.machines.evacuation import empty_worker
 from sesamehall.reducer.machines.lives import ended_lives
 from sesamehall.reducer.machines.moves import choose_moves
+from sesamehall.reducer.machines.orders import aim_order
+from sesamehall.reducer.machines.orders import put_order
 from sesamehall.reducer.machines.waves import note_maintained
 from sesamehall.reducer.machines.waves import review_waves
 
@@ -172,14 +174,14 @@
         return Step(manager)
     if event.done:
         order = replace(order, done_ms=event.at_ms)
-        manager = _put_order(manager, event.machine, order)
+        manager = put_order(manager, event.machine, order)
         if order.order is MachineOrder.MAINTENANCE:
             manager = note_maintained(manager, order.wave, event.machine)
         return end_life(manager, order.worker_id, event.at_ms)
     line = log(MACHINE_REFUSED, machine=event.machine, reason=event.reason)
     if not event.refused:
         unsent = replace(order, sent_ms=-1)
-        return Step(_put_order(manager, event.machine, unsent), (line,))
+        return Step(put_order(manager, event.machine, unsent), (line,))
     manager = _keep_worker(manager, order.worker_id)
     orders = drop_key(manager.fleet.orders_by_machine, event.machine)
     fleet = replace(manager.fleet, orders_by_machine=orders)
@@ -201,6 +203,8 @@
         return Step(manager)
     if order.sent_ms >= 0 and at_ms - order.sent_ms < ORDER_RETRY_MS:
         return Step(manager)
+    manager = aim_order(manager, machine)
+    order = manager.fleet.orders_by_machine[machine]
     worker = manager.workers_by_id.get(order.worker_id)
     if worker is not None and may_hide_runs(worker):
         return Step(manager)
@@ -223,13 +227,7 @@
             effect = MoveMachine(machine, order.pool, epoch, until_ms)
         case MachineOrder.MAINTENANCE:
             effect = MaintainMachine(machine, order.wave, epoch, until_ms)
-    manager = _put_order(manager, machine, replace(order, sent_ms=at_ms))
+    order = replace(order, sent_ms=at_ms, tries=order.tries + 1)
+    manager = put_order(manager, machine, order)
     fleet = replace(manager.fleet, touched_ms_by_machine=touched)
     return Step(replace(manager, fleet=fleet), (line, effect))
-
-
-def _put_order(manager, machine, order):
-    orders = manager.fleet.orders_by_machine.set(machine, order)
-    return replace(
-        manager, fleet=replace(manager.fleet, orders_by_machine=orders)
-    )
--- a/sesamehall/reducer/machines/fleet_test.py
+++ b/sesamehall/reducer/machines/fleet_test.py
@@ -6,6 +6,8 @@
 from sesamehall.core.fleet import Machine
 from sesamehall.core.fleet import MachineState
 from sesamehall.core.fleetstate import FleetState
+from sesamehall.core.fleetstate import MachineOrder
+from sesamehall.core.fleetstate import PendingOrder
 from sesamehall.core.fleetstate import WaveProgress
 from sesamehall.core.fleettiming import ORDER_CONFIRMED_MS
 from sesamehall.core.fleettiming import PEAK_HOLD_MS
@@ -207,6 +209,49 @@
     assert len([order for order in decided.values() if order.wave]) == sent
 
 
+# Guards against AVAIL: a worker crashed as it was emptied, its machine began
+# another life, and the order for the first life ended what ran on the second.
+@pytest.mark.parametrize(
+    ("worker_id", "pool", "tries", "plans", "sent", "leaving"),
+    [
+        ("w1", "", 0, [], 1, True),
+        ("w1", "", 0, [APART], 0, True),
+        ("w9", "", 0, [], 1, True),
+        ("w9", "", 0, [APART], 0, True),
+        ("w9", "", 1, [APART], 1, False),
+        ("w9", "spare", 0, [APART], 0, True),
+        ("w9", "a", 0, [APART], 1, False),
+    ],
+    ids=[
+        "same life, idle",
+        "same life begun anew",
+        "other life, idle",
+        "other life in use",
+        "other life, perhaps by the order",
+        "other life in use, to be moved",
+        "other life, moved already",
+    ],
+)
+def test_order_is_for_the_life_that_its_machine_has(
+    worker_id, pool, tries, plans, sent, leaving
+):
+    machine = Machine("m1", "a", UP, worker_id)
+    manager = build_fleet([machine], plans)
+    order = PendingOrder(
+        MachineOrder.MOVE if pool else MachineOrder.MAINTENANCE,
+        pool,
+        wave=0 if pool else 1,
+        worker_id="w1",
+        since_ms=NOW_MS,
+        tries=tries,
+        stored=True,
+    )
+    fleet = replace(manager.fleet, orders_by_machine=Map(m1=order))
+    step = review_fleet(replace(manager, fleet=fleet), NOW_MS)
+    assert len(effects_of(step, MoveMachine | MaintainMachine)) == sent
+    assert step.state.workers_by_id[worker_id].leaving == leaving
+
+
 UNHEARD = {"reached": False, "lease_end_ms": NOW_MS + 3_000}
 
 
--- a/sesamehall/reducer/machines/orders.py
+++ b/sesamehall/reducer/machines/orders.py
@@ -45,6 +45,50 @@
     return put_worker(manager, replace(worker, leaving=True))
 
 
+def aim_order(manager: ManagerState, name: str) -> ManagerState:
+    """Aim an order at the life that its machine has now.
+
+    The worker that was to be emptied may have crashed, and another life of
+    the machine begun.  Another life may also be what came of an order that
+    was sent, by this leader or an earlier one; it is left alone.
+
+    Args:
+      manager: State of the leader.
+      name: Name of a machine with an order.
+    Returns:
+      The state; nothing new is started on the machine's worker.
+    """
+    order = manager.fleet.orders_by_machine[name]
+    machine = manager.fleet.machines_by_name.get(name)
+    moved = machine is not None and machine.pool == order.pool
+    if order.tries or moved:
+        return manager
+    if machine is not None and machine.worker_id:
+        order = replace(order, worker_id=machine.worker_id)
+        manager = put_order(manager, name, order)
+    worker = manager.workers_by_id.get(order.worker_id)
+    if worker is None or worker.leaving:
+        return manager
+    return put_worker(manager, replace(worker, leaving=True))
+
+
+def put_order(
+    manager: ManagerState, name: str, order: PendingOrder
+) -> ManagerState:
+    """Keep an order for a machine.
+
+    Args:
+      manager: State of the leader.
+      name: Name of the machine.
+      order: The order.
+    Returns:
+      The state with the order.
+    """
+    orders = manager.fleet.orders_by_machine.set(name, order)
+    fleet = replace(manager.fleet, orders_by_machine=orders)
+    return replace(manager, fleet=fleet)
+
+
 def is_free(manager: ManagerState, machine: Machine) -> bool:
     """Tell whether a machine may get an order.
 
