Keep the highest number of a task's runs when an older run is taken over

Evidence: workers_test.py, red before: after a run with a lower number was taken over, the next number could be one that was given already.

--- a/sesamehall/reducer/jobs/bookkeeping.py
+++ b/sesamehall/reducer/jobs/bookkeeping.py
@@ -159,12 +159,13 @@
     )
     manager = put_run(put_worker(manager, worker), run)
     used = manager.used_by_team.get(run.team, NO_SIZE)
+    number = max(manager.numbers_by_task.get(run.task, 0), run.number)
     manager = replace(
         manager,
         used_by_team=manager.used_by_team.set(
             run.team, add_size(used, run.size)
         ),
-        numbers_by_task=manager.numbers_by_task.set(run.task, run.number),
+        numbers_by_task=manager.numbers_by_task.set(run.task, number),
     )
     work = manager.works_by_id.get(run.job_id)
     if work is None:
