Log what the tasks of a pool wait for, once a second

Jobs of the grown deployments were accepted and came late, and no line told what their tasks had waited for: whether the pool had no worker that took tasks, was unresolved after a change of leader, was full, or whether ranking had put the job back. Ranking returns its classes for that; what ranks waiting jobs moved from placing into a module of its own. No decision has changed.

--- a/sesamehall/core/jobtiming.py
+++ b/sesamehall/core/jobtiming.py
@@ -31,6 +31,7 @@
 STALL_MS = 1_200  # reports come each second; a stop and a new run pay by then
 PLACE_DELAY_MS = 3  # events within this are placed in one round
 PLACE_RETRY_MS = 500  # what could not be placed is tried again
+WAITS_TOLD_MS = 1_000  # a pool's waiting is logged this often at most
 
 PACE_SETTLE_MS = 700  # a tail covers half a second, a pace counts after 0.1
 TICKET_RESERVE_MS = 500  # an order may take this long to reach its worker
--- a/sesamehall/core/logevents.py
+++ b/sesamehall/core/logevents.py
@@ -113,6 +113,7 @@
 RUN_STALLED = _warning(
     618, "run stands still", "If often on one worker, look at it."
 )
+TASKS_WAITING = _info(619, "tasks waiting")
 WORKER_REACHED = _info(620, "worker reached")
 WORKER_SILENT = _warning(
     621, "worker silent", "Look at the worker; its tasks restart elsewhere."
--- a/sesamehall/core/managerstate.py
+++ b/sesamehall/core/managerstate.py
@@ -178,6 +178,7 @@
       maintained_by_wave: Machines whose maintenance in a wave has begun.
       ended_now: Whether a job's end waits to be stored.
       placing_pools: Pools whose next round of placing is due.
+      waits_told_by_pool: Clock at which a pool's waiting was last logged.
       tickets_by_step: What the advice service has said, by step and worker.
       advising: Step that the advice service is being asked about, or "".
       wall_offset_ms: Time of day less the node's clock.
@@ -228,6 +229,7 @@
     maintained_by_wave: Map[int, tuple[str, ...]] = EMPTY_MAP
     ended_now: bool = False
     placing_pools: Map[str, bool] = EMPTY_MAP
+    waits_told_by_pool: Map[str, int] = EMPTY_MAP
     tickets_by_step: Map[str, Map[str, Ticket]] = EMPTY_MAP
     advising: str = ""
     wall_offset_ms: int = 0
--- a/sesamehall/reducer/jobs/placing.py
+++ b/sesamehall/reducer/jobs/placing.py
@@ -13,28 +13,21 @@
 from sesamehall.core.work import task_id
 from sesamehall.core.workstate import Run
 from sesamehall.core.workstate import RunState
-from sesamehall.core.workstate import Work
-from sesamehall.core.workstate import Worker
 from sesamehall.reducer.counts import drop_key
 from sesamehall.reducer.jobs.advice import ask_advice
 from sesamehall.reducer.jobs.advice import is_advised
 from sesamehall.reducer.jobs.bookkeeping import charge_run
 from sesamehall.reducer.jobs.bookkeeping import pool_of
 from sesamehall.reducer.jobs.bookkeeping import put_worker
-from sesamehall.reducer.jobs.durations import duration_ratio
-from sesamehall.reducer.jobs.durations import mean_duration_ms
 from sesamehall.reducer.jobs.leases import extend_lease
-from sesamehall.reducer.jobs.leases import may_hide_runs
-from sesamehall.reducer.jobs.leases import may_start
 from sesamehall.reducer.jobs.leases import start_lease_until
 from sesamehall.reducer.jobs.orders import start_order
-from sesamehall.reducer.jobs.progress import chain_left_ms
-from sesamehall.reducer.jobs.ranking import Candidate
-from sesamehall.reducer.jobs.ranking import rank
+from sesamehall.reducer.jobs.queueing import by_rank
+from sesamehall.reducer.jobs.queueing import takers
 from sesamehall.reducer.jobs.rounds import Choice
 from sesamehall.reducer.jobs.rounds import Round
-from sesamehall.reducer.jobs.rounds import takes_tasks
 from sesamehall.reducer.jobs.runs import place_soon
+from sesamehall.reducer.jobs.waiting import tell_waiting
 
 
 def place_tasks(manager: ManagerState, pool: str, at_ms: int) -> Step:
@@ -59,6 +52,7 @@
     if not step.state.job_ids_by_pool.get(pool):
         return step
     step = then(step, _ask_advice, pool, at_ms)
+    step = then(step, tell_waiting, pool, at_ms)
     timer = SetTimer(PlaceTimer(pool), at_ms + PLACE_RETRY_MS)
     return Step(step.state, step.effects + (timer,))
 
@@ -86,8 +80,11 @@
     if not any(is_advised(manager, work) for work in waiting):
         return Step(manager)
     workers = takers(manager, pool, at_ms)
-    ranked = _by_rank(manager, pool, workers, at_ms)
-    works = [work for work in ranked if is_advised(manager, work)]
+    works = [
+        work
+        for work in by_rank(manager, pool, workers, at_ms)
+        if is_advised(manager, work)
+    ]
     return ask_advice(manager, works, workers, at_ms)
 
 
@@ -104,84 +101,13 @@
     workers = takers(manager, pool, at_ms)
     round_ = Round.begin(manager, workers, at_ms)
     choices: list[Choice] = []
-    for work in _by_rank(manager, pool, workers, at_ms):
+    for work in by_rank(manager, pool, workers, at_ms):
         choices += round_.place_job(work)
         if not round_.free_by_id:
             break
     return choices
 
 
-def is_unresolved(manager: ManagerState, pool: str) -> bool:
-    """Tell whether a pool may have runs of an earlier leader not known yet.
-
-    Args:
-      manager: State of the leader.
-      pool: Name of the pool.
-    Returns:
-      True while a worker that may have any has not answered, or has runs
-      that are neither taken over nor gone.
-    """
-    return any(may_hide_runs(worker) for worker in _workers(manager, pool))
-
-
-def takers(manager: ManagerState, pool: str, at_ms: int) -> list[Worker]:
-    """List the workers of a pool that take new tasks.
-
-    Args:
-      manager: State of the leader.
-      pool: Name of the pool.
-      at_ms: The node's clock.
-    Returns:
-      The workers, in the order of their identifiers.
-    """
-    return [
-        worker
-        for worker in _workers(manager, pool)
-        if takes_tasks(worker, at_ms)
-    ]
-
-
-def _workers(manager, pool):
-    ids = manager.worker_ids_by_pool.get(pool, EMPTY_MAP)
-    return [manager.workers_by_id[worker_id] for worker_id in sorted(ids)]
-
-
-def _by_rank(
-    manager: ManagerState, pool: str, workers: list[Worker], at_ms: int
-) -> list[Work]:
-    """Order the jobs with waiting tasks by what a wait would cost."""
-    unresolved = is_unresolved(manager, pool)
-    works_by_id = {}
-    for job_id in manager.job_ids_by_pool.get(pool, EMPTY_MAP):
-        work = manager.works_by_id[job_id]
-        if unresolved and work.inherited:
-            continue
-        if may_start(manager, work, at_ms):
-            works_by_id[job_id] = work
-    cores = sum(worker.entry.capacity.cpu_milli for worker in workers) / 1_000
-    in_use = sum(worker.used.cpu_milli for worker in workers) / 1_000
-    begun_work = in_use * mean_duration_ms(manager, pool) / 2
-    candidates = [_candidate(manager, work) for work in works_by_id.values()]
-    ranked = rank(candidates, cores, at_ms, begun_work)
-    return [works_by_id[job_id] for job_id in ranked]
-
-
-def _candidate(manager, work):
-    """Show a job as ranking sees it."""
-    queue = manager.manifest.queues_by_name[work.plan.queue]
-    ratio = duration_ratio(manager, queue.name)
-    mean_work = manager.mean_work_by_queue.get(queue.name, 0.0)
-    return Candidate(
-        job_id=work.plan.job_id,
-        priority=queue.priority,
-        goal_ms=work.goal_ms,
-        chain_ms=int(ratio * chain_left_ms(work)),
-        work=ratio * work.work_left,
-        mean_work=ratio * mean_work,
-        lasting=work.plan.steps[0].lasting,
-    )
-
-
 def _start(manager: ManagerState, choice: Choice, at_ms: int) -> Step:
     """Order a worker to start a task."""
     work = choice.work
--- /dev/null
+++ b/sesamehall/reducer/jobs/queueing.py
@@ -0,0 +1,131 @@
+"""Queueing: which waiting jobs of a pool may start, and in which order."""
+
+from sesamehall.core.data import EMPTY_MAP
+from sesamehall.core.managerstate import ManagerState
+from sesamehall.core.workstate import Work
+from sesamehall.core.workstate import Worker
+from sesamehall.reducer.jobs.durations import duration_ratio
+from sesamehall.reducer.jobs.durations import mean_duration_ms
+from sesamehall.reducer.jobs.leases import may_hide_runs
+from sesamehall.reducer.jobs.leases import may_start
+from sesamehall.reducer.jobs.progress import chain_left_ms
+from sesamehall.reducer.jobs.ranking import Candidate
+from sesamehall.reducer.jobs.ranking import rank
+from sesamehall.reducer.jobs.ranking import Ranking
+from sesamehall.reducer.jobs.rounds import takes_tasks
+
+
+def is_unresolved(manager: ManagerState, pool: str) -> bool:
+    """Tell whether a pool may have runs of an earlier leader not known yet.
+
+    Args:
+      manager: State of the leader.
+      pool: Name of the pool.
+    Returns:
+      True while a worker that may have any has not answered, or has runs
+      that are neither taken over nor gone.
+    """
+    return any(may_hide_runs(worker) for worker in workers_in(manager, pool))
+
+
+def takers(manager: ManagerState, pool: str, at_ms: int) -> list[Worker]:
+    """List the workers of a pool that take new tasks.
+
+    Args:
+      manager: State of the leader.
+      pool: Name of the pool.
+      at_ms: The node's clock.
+    Returns:
+      The workers, in the order of their identifiers.
+    """
+    return [
+        worker
+        for worker in workers_in(manager, pool)
+        if takes_tasks(worker, at_ms)
+    ]
+
+
+def workers_in(manager: ManagerState, pool: str) -> list[Worker]:
+    """List all workers of a pool, whether they take tasks or not.
+
+    Args:
+      manager: State of the leader.
+      pool: Name of the pool.
+    Returns:
+      The workers, in the order of their identifiers.
+    """
+    ids = manager.worker_ids_by_pool.get(pool, EMPTY_MAP)
+    return [manager.workers_by_id[worker_id] for worker_id in sorted(ids)]
+
+
+def by_rank(
+    manager: ManagerState, pool: str, workers: list[Worker], at_ms: int
+) -> list[Work]:
+    """Order the jobs with waiting tasks by what a wait would cost.
+
+    Args:
+      manager: State of the leader.
+      pool: Name of the pool.
+      workers: Its workers that take tasks.
+      at_ms: The node's clock.
+    Returns:
+      The jobs that may start, in the order in which they get room.
+    """
+    ranking = rank_waiting(manager, pool, workers, at_ms)
+    return [manager.works_by_id[job_id] for job_id in ranking.job_ids()]
+
+
+def rank_waiting(
+    manager: ManagerState, pool: str, workers: list[Worker], at_ms: int
+) -> Ranking:
+    """Rank the jobs with waiting tasks that may start.
+
+    Args:
+      manager: State of the leader.
+      pool: Name of the pool.
+      workers: Its workers that take tasks.
+      at_ms: The node's clock.
+    Returns:
+      The ranking.
+    """
+    unresolved = is_unresolved(manager, pool)
+    works = [
+        work
+        for work in waiting_in(manager, pool)
+        if not (unresolved and work.inherited)
+        and may_start(manager, work, at_ms)
+    ]
+    cores = sum(worker.entry.capacity.cpu_milli for worker in workers) / 1_000
+    in_use = sum(worker.used.cpu_milli for worker in workers) / 1_000
+    begun_work = in_use * mean_duration_ms(manager, pool) / 2
+    candidates = [_candidate(manager, work) for work in works]
+    return rank(candidates, cores, at_ms, begun_work)
+
+
+def waiting_in(manager: ManagerState, pool: str) -> list[Work]:
+    """List the jobs of a pool with tasks that may start.
+
+    Args:
+      manager: State of the leader.
+      pool: Name of the pool.
+    Returns:
+      The jobs, in no order.
+    """
+    job_ids = manager.job_ids_by_pool.get(pool, EMPTY_MAP)
+    return [manager.works_by_id[job_id] for job_id in job_ids]
+
+
+def _candidate(manager, work):
+    """Show a job as ranking sees it."""
+    queue = manager.manifest.queues_by_name[work.plan.queue]
+    ratio = duration_ratio(manager, queue.name)
+    mean_work = manager.mean_work_by_queue.get(queue.name, 0.0)
+    return Candidate(
+        job_id=work.plan.job_id,
+        priority=queue.priority,
+        goal_ms=work.goal_ms,
+        chain_ms=int(ratio * chain_left_ms(work)),
+        work=ratio * work.work_left,
+        mean_work=ratio * mean_work,
+        lasting=work.plan.steps[0].lasting,
+    )
--- a/sesamehall/reducer/jobs/ranking.py
+++ b/sesamehall/reducer/jobs/ranking.py
@@ -39,12 +39,38 @@
     lasting: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class Ranking:
+    """The jobs of a pool, sorted by what a wait would cost.
+
+    Attributes:
+      lasting: Jobs whose tasks last, the earliest goal first.
+      timely: Jobs that can be done in time, the earliest goal first.
+      put_back: Jobs that could be, were it not for the timely ones.
+      late: Jobs that cannot be done in time any more.
+    """
+
+    lasting: tuple[Candidate, ...] = ()
+    timely: tuple[Candidate, ...] = ()
+    put_back: tuple[Candidate, ...] = ()
+    late: tuple[Candidate, ...] = ()
+
+    def job_ids(self) -> list[str]:
+        """List the jobs in the order in which they get room."""
+        rest = sorted(
+            self.late + self.put_back,
+            key=lambda candidate: (-value(candidate), candidate.job_id),
+        )
+        ordered = self.lasting + self.timely + tuple(rest)
+        return [candidate.job_id for candidate in ordered]
+
+
 def rank(
     candidates: Iterable[Candidate],
     cores: float,
     at_ms: int,
     begun_work: float = 0.0,
-) -> list[str]:
+) -> Ranking:
     """Rank the jobs of a pool.
 
     Args:
@@ -53,8 +79,7 @@
       at_ms: The node's clock.
       begun_work: Work left of the tasks that run, in core-milliseconds.
     Returns:
-      Identifiers of the jobs: lasting ones, those that can be done in time,
-      and the others, the earliest goal first within each.
+      The ranking.
     """
     lasting: list[Candidate] = []
     hopeful: list[Candidate] = []
@@ -67,9 +92,7 @@
         else:
             hopeful.append(candidate)
     timely, put_back = _split(hopeful, cores, at_ms, begun_work)
-    late += put_back
-    late.sort(key=lambda candidate: (-value(candidate), candidate.job_id))
-    return [one.job_id for one in lasting + timely + late]
+    return Ranking(tuple(lasting), tuple(timely), tuple(put_back), tuple(late))
 
 
 def value(candidate: Candidate) -> float:
--- a/sesamehall/reducer/jobs/ranking_test.py
+++ b/sesamehall/reducer/jobs/ranking_test.py
@@ -65,7 +65,7 @@
     ],
 )
 def test_rank(pattern, candidates, cores, expected):
-    assert rank(candidates, cores, 0) == expected
+    assert rank(candidates, cores, 0).job_ids() == expected
 
 
 @pytest.mark.parametrize(
@@ -75,4 +75,4 @@
 def test_tasks_that_run_take_time_from_those_that_wait(begun_work, expected):
     """In an overload the first to be put back earns least for its work."""
     jobs = [job("a", 2_000, work=3_000), job("b", 2_500, work=2_000)]
-    assert rank(jobs, 4, 0, begun_work) == expected
+    assert rank(jobs, 4, 0, begun_work).job_ids() == expected
--- a/sesamehall/reducer/jobs/rounds.py
+++ b/sesamehall/reducer/jobs/rounds.py
@@ -1,6 +1,7 @@
 """Rounds of placing: room, ceilings, and the worker that fits best."""
 
 from dataclasses import dataclass
+from enum import Enum
 
 from sesamehall.core.jobtiming import RUN_NUMBERS_A_TERM
 from sesamehall.core.managerstate import ManagerState
@@ -22,6 +23,19 @@
 RESERVED_MOST = 2  # workers kept free for tasks that found no room
 
 
+class Obstacle(Enum):
+    """Why a worker gets no new tasks."""
+
+    UNLISTED = "unlisted"
+    UNREACHED = "unreached"
+    UNSTORED = "unstored"
+    SILENT = "silent"
+    DRAINING = "draining"
+    LEAVING = "leaving"
+    STRANGERS = "strangers"
+    ASIDE = "aside"
+
+
 @dataclass(frozen=True, slots=True)
 class Choice:
     """A task and the worker that it shall run on.
@@ -179,11 +193,8 @@
             )
 
     def _within_ceiling(self, team, size):
-        quota = self.manager.manifest.quotas_by_team.get(team)
-        if quota is None:
-            return True
-        used = add_size(self.used_by_team.get(team, NO_SIZE), size)
-        return fits(_limited(used, quota.ceiling), quota.ceiling)
+        used = self.used_by_team.get(team, NO_SIZE)
+        return within_ceiling(self.manager, team, add_size(used, size))
 
     def _count_spread(self, work):
         """Count a job's tasks on each worker, where that is bounded."""
@@ -202,6 +213,22 @@
                 self.count_by_worker_step[key] = count + 1
 
 
+def within_ceiling(manager: ManagerState, team: str, used: Size) -> bool:
+    """Tell whether a team may take so much room.
+
+    Args:
+      manager: State of the leader.
+      team: The team.
+      used: Room that its runs would take.
+    Returns:
+      False above its ceiling; a ceiling of 0 limits nothing.
+    """
+    quota = manager.manifest.quotas_by_team.get(team)
+    if quota is None:
+        return True
+    return fits(_limited(used, quota.ceiling), quota.ceiling)
+
+
 def takes_tasks(worker: Worker, at_ms: int) -> bool:
     """Tell whether new tasks may be started on a worker.
 
@@ -211,17 +238,35 @@
     Returns:
       False for one that leaves, is silent, sick or not known enough.
     """
-    return (
-        worker.listed
-        and worker.reached
-        and worker.leased
-        and is_heard(worker, at_ms)
-        and not worker.entry.draining
-        and not worker.leaving
-        and not worker.over
-        and not worker.strangers
-        and worker.aside_until_ms <= at_ms
-    )
+    return obstacle(worker, at_ms) is None
+
+
+def obstacle(worker: Worker, at_ms: int) -> Obstacle | None:
+    """Find the first reason why a worker gets no new tasks.
+
+    Args:
+      worker: The worker.
+      at_ms: The node's clock.
+    Returns:
+      The reason, or None for a worker that gets tasks.
+    """
+    if not worker.listed:
+        return Obstacle.UNLISTED
+    if not worker.reached:
+        return Obstacle.UNREACHED
+    if not worker.leased:
+        return Obstacle.UNSTORED
+    if not is_heard(worker, at_ms):
+        return Obstacle.SILENT
+    if worker.entry.draining:
+        return Obstacle.DRAINING
+    if worker.leaving or worker.over:
+        return Obstacle.LEAVING
+    if worker.strangers:
+        return Obstacle.STRANGERS
+    if worker.aside_until_ms > at_ms:
+        return Obstacle.ASIDE
+    return None
 
 
 def _limited(used, ceiling):
--- /dev/null
+++ b/sesamehall/reducer/jobs/waiting.py
@@ -0,0 +1,82 @@
+"""Waiting: tells in the log what the tasks of a pool wait for."""
+
+from sesamehall.core.effects import log
+from sesamehall.core.jobtiming import WAITS_TOLD_MS
+from sesamehall.core.logevents import TASKS_WAITING
+from sesamehall.core.managerstate import ManagerState
+from sesamehall.core.replacing import replace
+from sesamehall.core.step import Step
+from sesamehall.core.work import add_size
+from sesamehall.core.work import NO_SIZE
+from sesamehall.core.workstate import Work
+from sesamehall.reducer.jobs.leases import may_start
+from sesamehall.reducer.jobs.queueing import is_unresolved
+from sesamehall.reducer.jobs.queueing import rank_waiting
+from sesamehall.reducer.jobs.queueing import takers
+from sesamehall.reducer.jobs.queueing import waiting_in
+from sesamehall.reducer.jobs.queueing import workers_in
+from sesamehall.reducer.jobs.rounds import obstacle
+from sesamehall.reducer.jobs.rounds import within_ceiling
+
+
+def tell_waiting(manager: ManagerState, pool: str, at_ms: int) -> Step:
+    """Log why tasks of a pool wait, once in a while.
+
+    Args:
+      manager: State of the leader after a round of placing.
+      pool: Name of a pool with tasks that found no room.
+      at_ms: The node's clock.
+    Returns:
+      A Step with one line, or without effects.
+    """
+    told_ms = manager.waits_told_by_pool.get(pool)
+    if told_ms is not None and at_ms - told_ms < WAITS_TOLD_MS:
+        return Step(manager)
+    told = manager.waits_told_by_pool.set(pool, at_ms)
+    works = waiting_in(manager, pool)
+    workers = takers(manager, pool, at_ms)
+    ranking = rank_waiting(manager, pool, workers, at_ms)
+    rooms = [worker.entry.capacity.cpu_milli for worker in workers]
+    free = [
+        worker.entry.capacity.cpu_milli - worker.used.cpu_milli
+        for worker in workers
+    ]
+    line = log(
+        TASKS_WAITING,
+        pool=pool,
+        jobs=len(works),
+        tasks=sum(len(work.waiting) for work in works),
+        oldest_ms=max(at_ms - work.accepted_ms for work in works),
+        lasting=len(ranking.lasting),
+        timely=len(ranking.timely),
+        put_back=len(ranking.put_back),
+        late=len(ranking.late),
+        inherited=sum(work.inherited for work in works),
+        unconfirmed=sum(not may_start(manager, work, at_ms) for work in works),
+        at_ceiling=sum(_is_at_ceiling(manager, work) for work in works),
+        unresolved=int(is_unresolved(manager, pool)),
+        takers=len(workers),
+        cpu=sum(rooms),
+        free_cpu=sum(free),
+        most_free_cpu=max(free, default=0),
+        others=_others(manager, pool, at_ms),
+    )
+    return Step(replace(manager, waits_told_by_pool=told), (line,))
+
+
+def _is_at_ceiling(manager: ManagerState, work: Work) -> bool:
+    """Tell whether a team's ceiling keeps a job's next task waiting."""
+    team = work.plan.team
+    size = work.plan.steps[work.waiting[0].step].size
+    used = manager.used_by_team.get(team, NO_SIZE)
+    return not within_ceiling(manager, team, add_size(used, size))
+
+
+def _others(manager: ManagerState, pool: str, at_ms: int) -> str:
+    """Count the workers that get no tasks, by the reason."""
+    counts: dict[str, int] = {}
+    for worker in workers_in(manager, pool):
+        reason = obstacle(worker, at_ms)
+        if reason is not None:
+            counts[reason.value] = counts.get(reason.value, 0) + 1
+    return ",".join(f"{name}:{counts[name]}" for name in sorted(counts))
--- a/sesamehall/reducer/jobs/workers_test.py
+++ b/sesamehall/reducer/jobs/workers_test.py
@@ -15,7 +15,7 @@
 from sesamehall.core.work import RunEnd
 from sesamehall.reducer.jobs.bookkeeping import put_worker
 from sesamehall.reducer.jobs.leases import extend_lease
-from sesamehall.reducer.jobs.placing import is_unresolved
+from sesamehall.reducer.jobs.queueing import is_unresolved
 from sesamehall.reducer.jobs.reports import take_report
 from sesamehall.reducer.jobs.rounds import next_number
 from sesamehall.reducer.jobs.testing import build_entry
--- a/sesamehall/reducer/machines/lives_test.py
+++ b/sesamehall/reducer/machines/lives_test.py
@@ -8,7 +8,7 @@
 from sesamehall.core.fleetstate import FleetState
 from sesamehall.core.managereffects import StartRun
 from sesamehall.core.managerevents import MachinesListed
-from sesamehall.reducer.jobs.placing import is_unresolved
+from sesamehall.reducer.jobs.queueing import is_unresolved
 from sesamehall.reducer.jobs.testing import build_leader
 from sesamehall.reducer.jobs.testing import build_plan
 from sesamehall.reducer.jobs.testing import build_worker
