Learn what tasks take by the workers' clocks, apart from the leader's lag

Callers saw: in a surge on a large deployment nearly all jobs of a queue came late, not only those that there was no room for.

Cause: the time of a task was learnt from its order to the moment at which its end was known. Goals are that ratio times the chain, so late jobs looked timely, were started before those that could still come in time, and pools were sized for several times the work.

Change: the answer to an order names the worker's clock, and so do its lists. A run's time is taken from these: to its end where a call was waiting for it, else from its pace when it was last seen; other runs teach nothing. What passes beside it is learnt as a delay, which takes room and time when jobs are ranked, and moves no goal.

--- a/sesamehall/core/managerevents.py
+++ b/sesamehall/core/managerevents.py
@@ -172,6 +172,7 @@
       task: Identifier of the task.
       number: Number of the run.
       refusal: None when the run is there.
+      clock_ms: The worker's own clock as it answered, or -1.
     """
 
     at_ms: int
@@ -180,6 +181,7 @@
     task: str
     number: int
     refusal: OrderRefusal | None
+    clock_ms: int = -1
 
 
 @dataclass(frozen=True, slots=True)
--- a/sesamehall/core/workstate.py
+++ b/sesamehall/core/workstate.py
@@ -63,6 +63,8 @@
       state: How far the order has come.
       sent_ms: Clock at which the start was first sent.
       answered_ms: Clock at which the worker confirmed it, or -1.
+      started_clock_ms: The worker's clock when it confirmed the only order,
+        or -1 where it is not known when the run began.
       tries: How often the start was sent.
       lease_end_ms: Clock after which the start can no longer take effect.
       checkpoint: Newest checkpoint, or "".
@@ -88,6 +90,7 @@
     state: RunState
     sent_ms: int
     answered_ms: int = -1
+    started_clock_ms: int = -1
     tries: int = 1
     lease_end_ms: int = 0
     checkpoint: str = ""
@@ -178,12 +181,15 @@
     Attributes:
       count: Tasks that were seen.
       declared_ms: Mean of the latest declared times.
-      actual_ms: Mean of the latest times from order to end.
+      actual_ms: Mean of the latest times from start to end on the worker.
+      delay_ms: Mean of the latest times from order to start and from the end
+        until it was known.
     """
 
     count: int = 0
     declared_ms: float = 0.0
     actual_ms: float = 0.0
+    delay_ms: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/sesamehall/platform/workers.py
+++ b/sesamehall/platform/workers.py
@@ -119,23 +119,18 @@
         try:
             answer = self._call(path, content, ORDER_TIMEOUT_S)
             refusal = _refusal(answer)
+            clock_ms = decode_clock_ms(answer)
         except PlatformError:
             refusal = OrderRefusal.SILENT
-        event_type = RunAnswered
-        if isinstance(effect, StopRun):
-            event_type = StopAnswered
-        if isinstance(effect, PaceRun):
-            return  # the next report shows the pace that is kept
-        self._post(
-            event_type(
-                now_ms(),
-                effect.worker_id,
-                effect.epoch,
-                effect.task,
-                effect.number,
-                refusal,
-            )
-        )
+            clock_ms = -1
+        names = (effect.worker_id, effect.epoch, effect.task, effect.number)
+        match effect:
+            case StartRun():
+                self._post(RunAnswered(now_ms(), *names, refusal, clock_ms))
+            case StopRun():
+                self._post(StopAnswered(now_ms(), *names, refusal))
+            case PaceRun():
+                pass  # the next report shows the pace that is kept
 
 
 class WorkerLines:
@@ -227,6 +222,23 @@
     return OrderRefusal.MALFORMED
 
 
+def decode_clock_ms(answer: Answer) -> int:
+    """Read the worker's clock from its answer to an order.
+
+    Args:
+      answer: The answer.
+    Returns:
+      The clock, or -1 where the answer names none.
+    """
+    if answer.status != 200:
+        return -1
+    try:
+        clock_ms = answer.json().get("ClockMs")
+    except PlatformError:
+        return -1
+    return clock_ms if type(clock_ms) is int else -1
+
+
 def _decode_report(effect, asked_ms, answer) -> WorkerReported:
     content = answer.json()
     born_ms = content.get("born")
--- a/sesamehall/reducer/jobs/orders.py
+++ b/sesamehall/reducer/jobs/orders.py
@@ -44,6 +44,8 @@
     at_ms = event.at_ms
     match event.refusal:
         case None:
+            if run.tries == 1:
+                run = replace(run, started_clock_ms=event.clock_ms)
             if run.answered_ms < 0:
                 worker = manager.workers_by_id[run.worker_id]
                 progressed_ms = worker_clock(worker, at_ms)
--- a/sesamehall/reducer/jobs/progress.py
+++ b/sesamehall/reducer/jobs/progress.py
@@ -78,23 +78,27 @@
     return left
 
 
-def chain_left_ms(work: Work) -> int:
-    """Compute the declared time of the longest chain that is not done.
+def chain_left_ms(
+    work: Work, ratio: float = 1.0, delay_ms: float = 0.0
+) -> int:
+    """Compute the time of the longest chain that is not done.
 
     Args:
       work: The job.
+      ratio: Factor by which its tasks take longer than declared.
+      delay_ms: Time that passes beside the tasks of each step.
     Returns:
       Milliseconds; for a job with occurrences that of one.
     """
     plan = work.plan
     steps = steps_of(work.progress, plan, 0)
-    ends_ms: list[int] = []
+    ends_ms: list[float] = []
     for number, step in enumerate(plan.steps):
         earlier = [ends_ms[after] for after in step.after]
         done = is_step_done(plan, steps, number)
-        own_ms = 0 if done else step.estimate_ms
-        ends_ms.append(max(earlier, default=0) + own_ms)
-    return max(ends_ms, default=0)
+        own_ms = 0.0 if done else ratio * step.estimate_ms + delay_ms
+        ends_ms.append(max(earlier, default=0.0) + own_ms)
+    return int(max(ends_ms, default=0.0))
 
 
 def longest_chain_ms(plan: JobPlan) -> int:
--- a/sesamehall/reducer/jobs/queueing.py
+++ b/sesamehall/reducer/jobs/queueing.py
@@ -4,8 +4,10 @@
 from sesamehall.core.managerstate import ManagerState
 from sesamehall.core.workstate import Work
 from sesamehall.core.workstate import Worker
+from sesamehall.reducer.jobs.durations import delay_ms
 from sesamehall.reducer.jobs.durations import duration_ratio
 from sesamehall.reducer.jobs.durations import mean_duration_ms
+from sesamehall.reducer.jobs.durations import occupied_ratio
 from sesamehall.reducer.jobs.leases import may_hide_runs
 from sesamehall.reducer.jobs.leases import may_start
 from sesamehall.reducer.jobs.progress import chain_left_ms
@@ -119,13 +121,14 @@
     """Show a job as ranking sees it."""
     queue = manager.manifest.queues_by_name[work.plan.queue]
     ratio = duration_ratio(manager, queue.name)
+    occupied = occupied_ratio(manager, queue.name)
     mean_work = manager.mean_work_by_queue.get(queue.name, 0.0)
     return Candidate(
         job_id=work.plan.job_id,
         priority=queue.priority,
         goal_ms=work.goal_ms,
-        chain_ms=int(ratio * chain_left_ms(work)),
-        work=ratio * work.work_left,
-        mean_work=ratio * mean_work,
+        chain_ms=chain_left_ms(work, ratio, delay_ms(manager, queue.name)),
+        work=occupied * work.work_left,
+        mean_work=occupied * mean_work,
         lasting=work.plan.steps[0].lasting,
     )
--- a/sesamehall/reducer/jobs/reports.py
+++ b/sesamehall/reducer/jobs/reports.py
@@ -21,6 +21,7 @@
 from sesamehall.reducer.jobs.bookkeeping import charge_run
 from sesamehall.reducer.jobs.bookkeeping import put_run
 from sesamehall.reducer.jobs.bookkeeping import put_worker
+from sesamehall.reducer.jobs.durations import run_time_ms
 from sesamehall.reducer.jobs.pacing import pace_fills
 from sesamehall.reducer.jobs.progress import is_task_done
 from sesamehall.reducer.jobs.progress import is_task_known
@@ -131,7 +132,8 @@
     )
     step = Step(manager, effects)
     for end in new:
-        step = then(step, take_end, event.worker_id, end, event.at_ms)
+        own_ms = run_time_ms(step.state.runs_by_task.get(end.task), event)
+        step = then(step, take_end, event.worker_id, end, own_ms, event.at_ms)
     return step
 
 
--- a/sesamehall/reducer/jobs/runs.py
+++ b/sesamehall/reducer/jobs/runs.py
@@ -59,7 +59,11 @@
 
 
 def take_end(
-    manager: ManagerState, worker_id: str, ended: EndedRun, at_ms: int
+    manager: ManagerState,
+    worker_id: str,
+    ended: EndedRun,
+    own_ms: int,
+    at_ms: int,
 ) -> Step:
     """Take in the end of a run, as its worker reports it.
 
@@ -70,6 +74,7 @@
       manager: State of the leader.
       worker_id: The worker.
       ended: The end.
+      own_ms: Time that the run took on the worker, or 0 where unknown.
       at_ms: The node's clock.
     Returns:
       A Step.
@@ -91,7 +96,7 @@
         ended.number,
     )
     if ours:
-        manager = _learn_duration(manager, run, ended, at_ms)
+        manager = _learn_duration(manager, run, ended, own_ms, at_ms)
         manager = release_run(manager, run)
     worker = manager.workers_by_id.get(worker_id)
     step = Step(manager, (line,))
@@ -113,16 +118,18 @@
     return step
 
 
-def _learn_duration(manager, run: Run, ended: EndedRun, at_ms: int):
+def _learn_duration(manager, run: Run, ended: EndedRun, own_ms, at_ms):
     """Learn how long a task took that ended well and ran from its start."""
     work = manager.works_by_id.get(run.job_id)
     if work is None or ended.end is not RunEnd.DONE or run.lasting:
         return manager
-    if checkpoint_of(work, run.place):
+    if own_ms <= 0 or checkpoint_of(work, run.place):
         return manager
     declared_ms = work.plan.steps[run.place.step].estimate_ms
-    took_ms = at_ms - run.sent_ms
-    return note_duration(manager, work.plan.queue, declared_ms, took_ms)
+    delay_ms = max(at_ms - run.sent_ms - own_ms, 0)
+    return note_duration(
+        manager, work.plan.queue, declared_ms, own_ms, delay_ms
+    )
 
 
 def give_up_run(manager: ManagerState, run: Run, why: str, at_ms: int) -> Step:
