Keep the goals of jobs over a change of leader

Callers saw: after a leader was lost, new jobs came late behind jobs that were late already.

Cause: a new leader counted the goal of each job from its own beginning.

Change: a node keeps the clock at which it first read a job while it followed, and goals count from there; no clock of another node is needed. Jobs that are past the time in which they earn anything are still done but ask for no machine in a hurry.

--- a/sesamehall/core/managerstate.py
+++ b/sesamehall/core/managerstate.py
@@ -142,6 +142,7 @@
       manifest: The newest manifest, or None before the first.
       operator, workers, jobs, progress: How far each log was read.
       plans_by_id: Jobs as handed in; of ended ones only while they are new.
+      seen_ms_by_job_id: Clock at which this node first read each of them.
       team_by_job_id: Team of every known job.
       queue_by_job_id: Queue of every known job.
       phase_by_job_id: Stored phase of the jobs that have progress.
@@ -197,6 +198,7 @@
     jobs: Following = Following()
     progress: Following = Following()
     plans_by_id: Map[str, JobPlan] = EMPTY_MAP
+    seen_ms_by_job_id: Map[str, int] = EMPTY_MAP
     team_by_job_id: Map[str, str] = EMPTY_MAP
     queue_by_job_id: Map[str, str] = EMPTY_MAP
     phase_by_job_id: Map[str, JobPhase] = EMPTY_MAP
--- a/sesamehall/reducer/jobs/following.py
+++ b/sesamehall/reducer/jobs/following.py
@@ -315,8 +315,11 @@
     )
     if manager.phase_by_job_id.get(job_id) in TERMINAL_PHASES:
         return Step(manager)
-    plans = manager.plans_by_id.set(job_id, plan)
-    manager = replace(manager, plans_by_id=plans)
+    manager = replace(
+        manager,
+        plans_by_id=manager.plans_by_id.set(job_id, plan),
+        seen_ms_by_job_id=manager.seen_ms_by_job_id.set(job_id, at_ms),
+    )
     inherited = not manager.jobs_known
     return _while_leading(manager, begin_job, job_id, inherited, at_ms)
 
--- a/sesamehall/reducer/jobs/leading_test.py
+++ b/sesamehall/reducer/jobs/leading_test.py
@@ -27,13 +27,17 @@
 from sesamehall.core.replacing import replace
 from sesamehall.core.work import ActiveRun
 from sesamehall.core.work import EndedRun
+from sesamehall.core.work import Progress
 from sesamehall.core.work import RunEnd
 from sesamehall.reducer.jobs.following import take_read
 from sesamehall.reducer.jobs.leading import consider_claim
 from sesamehall.reducer.jobs.leading import take_stored
 from sesamehall.reducer.jobs.orders import take_start_answer
+from sesamehall.reducer.jobs.queueing import rank_waiting
+from sesamehall.reducer.jobs.queueing import takers
 from sesamehall.reducer.jobs.reports import take_report
 from sesamehall.reducer.jobs.storing import commit
+from sesamehall.reducer.jobs.storing import keep_progress
 from sesamehall.reducer.jobs.storing import write_progress
 from sesamehall.reducer.jobs.testing import build_entry
 from sesamehall.reducer.jobs.testing import build_leader
@@ -137,6 +141,27 @@
     return claimed(manager)
 
 
+@pytest.mark.parametrize(
+    ("age_ms", "late"), [(0, False), (400, False), (501, True)]
+)
+def test_goals_do_not_begin_anew_with_a_leader(age_ms, late):
+    """After a takeover jobs that were late already held up the others."""
+    seen_ms = NOW_MS - age_ms
+    plan = build_plan(job_id=OTHER_JOB_ID)
+    record = StoredRecord(OTHER_JOB_ID, plan)
+    read = StreamRead(seen_ms, seen_ms, 0, Stream.JOBS, (record,), 2, False)
+    follower = take_read(build_follower(OTHER, 2_000), read).state
+    manager = claimed(follower).state
+    work = manager.works_by_id[OTHER_JOB_ID]
+    assert (work.accepted_ms, work.goal_ms) == (seen_ms, seen_ms + 500)
+    manager = reach(manager, "w1")
+    ranking = rank_waiting(manager, "a", takers(manager, "a", NOW_MS), NOW_MS)
+    assert bool(ranking.late) == (age_ms > 0)
+    assert (work.goal_ms < NOW_MS) == late
+    ended = Progress(OTHER_JOB_ID, JobPhase.DONE)
+    assert not keep_progress(follower, ended, NOW_MS).seen_ms_by_job_id
+
+
 def reach(manager, name, active=(), ended=()):
     """Let a worker register and report to a new leader."""
     entry = build_entry(name)
--- a/sesamehall/reducer/jobs/progress.py
+++ b/sesamehall/reducer/jobs/progress.py
@@ -19,7 +19,7 @@
     plan: JobPlan,
     progress: Progress,
     queue: Queue | None,
-    at_ms: int,
+    seen_ms: int,
     wall_ms: int,
     inherited: bool,
     ratio: float = 1.0,
@@ -30,7 +30,7 @@
       plan: The job.
       progress: What is stored of it.
       queue: Its queue, or None where no manifest names it.
-      at_ms: The node's clock.
+      seen_ms: Clock at which this node first saw it, while it followed.
       wall_ms: Time of day, since 1970.
       inherited: Whether an earlier leader may have started tasks of it.
       ratio: Factor by which tasks of its queue take longer than declared.
@@ -40,8 +40,8 @@
     stretch = 1.0 if queue is None else queue.stretch
     slack_ms = 0 if queue is None else queue.slack_ms
     chain_ms = ratio * longest_chain_ms(plan)
-    goal_ms = at_ms + int(stretch * chain_ms) + slack_ms
-    work = Work(plan, progress, at_ms, goal_ms, inherited=inherited)
+    goal_ms = seen_ms + int(stretch * chain_ms) + slack_ms
+    work = Work(plan, progress, seen_ms, goal_ms, inherited=inherited)
     return replace(
         work, waiting=startable(work, wall_ms), work_left=_work_left(work)
     )
--- a/sesamehall/reducer/jobs/storing.py
+++ b/sesamehall/reducer/jobs/storing.py
@@ -246,4 +246,5 @@
         ended_ms_by_job_id=ended,
         progress_by_id=drop_key(manager.progress_by_id, job_id),
         plans_by_id=drop_key(manager.plans_by_id, job_id),
+        seen_ms_by_job_id=drop_key(manager.seen_ms_by_job_id, job_id),
     )
--- a/sesamehall/reducer/jobs/works.py
+++ b/sesamehall/reducer/jobs/works.py
@@ -52,7 +52,10 @@
     progress = manager.progress_by_id.get(job_id, Progress(job_id))
     wall_ms = at_ms + manager.wall_offset_ms
     ratio = duration_ratio(manager, plan.queue)
-    work = begin_work(plan, progress, queue, at_ms, wall_ms, inherited, ratio)
+    seen_ms = manager.seen_ms_by_job_id.get(job_id, at_ms)
+    work = begin_work(
+        plan, progress, queue, seen_ms, wall_ms, inherited, ratio
+    )
     manager = put_work(manager, work)
     if not plan.steps[0].lasting:
         manager = _learn_work(manager, plan)
@@ -63,7 +66,8 @@
         queue=plan.queue,
         team=plan.team,
         tasks=sum(step.count for step in plan.steps),
-        goal_ms=work.goal_ms - at_ms,
+        goal_ms=work.goal_ms - seen_ms,
+        age_ms=at_ms - seen_ms,
         ratio=f"{ratio:.2f}",
         inherited=int(inherited),
     )
--- a/sesamehall/reducer/machines/sizing.py
+++ b/sesamehall/reducer/machines/sizing.py
@@ -159,13 +159,16 @@
     """Compute the time in which more machines may do the rest of a job.
 
     They come some time after they are asked for.  A job that cannot be done
-    by its goal any more still earns a little up to LATE_GOALS times that.
+    by its goal any more still earns a little up to LATE_GOALS times that;
+    from then on there is no hurry.
     """
     chain_ms = ratio * chain_left_ms(work)
     end_ms = work.goal_ms - JOINING_MS
     if at_ms + chain_ms > work.goal_ms:
-        goal_after_ms = work.goal_ms - work.accepted_ms
-        end_ms = work.accepted_ms + LATE_GOALS * goal_after_ms
+        late_after_ms = LATE_GOALS * (work.goal_ms - work.accepted_ms)
+        end_ms = work.accepted_ms + late_after_ms
+        if at_ms >= end_ms:
+            end_ms = at_ms + late_after_ms
     return max(end_ms - at_ms, chain_ms, LEAST_TIME_MS)
 
 
--- a/sesamehall/reducer/machines/sizing_test.py
+++ b/sesamehall/reducer/machines/sizing_test.py
@@ -49,11 +49,21 @@
 
 @pytest.mark.parametrize(
     ("accepted_ms", "goal_ms", "wanted"),
-    [(0, 10_000, 2), (0, 4_000, 5), (0, 2_400, 8), (-1_000, 0, 5)],
-    ids=["much time", "less", "none to lose", "late"],
+    [
+        (0, 10_000, 2),
+        (0, 4_000, 5),
+        (0, 2_400, 8),
+        (-1_000, 0, 5),
+        (-5_999, -3_999, 8),
+        (-6_000, -4_000, 3),
+    ],
+    ids=["much time", "less", "none to lose", "late", "last", "too late"],
 )
 def test_need_follows_the_time_that_is_left(accepted_ms, goal_ms, wanted):
-    """Machines take a while to join; a late job is no longer urgent."""
+    """Machines take a while to join; a late job is no longer urgent.
+
+    After a takeover jobs too late to earn anything kept most machines.
+    """
     manager = build_leader(build_worker("w1"), build_worker("w2"))
     manager = take_in(manager, build_plan(build_step(40, CORE)))
     work = replace(
