Place a pool the more rarely, the more of its jobs wait

Cause: each end of a task had all waiting jobs of its pool ranked and tried again 3 ms later.

Change: a round waits 1 ms more for every 10 jobs that wait, so it takes up the ends of that time together. The longest chain of a job is kept with it, not computed for each round.

--- a/sesamehall/core/jobtiming.py
+++ b/sesamehall/core/jobtiming.py
@@ -30,6 +30,7 @@
 REFUSED_ASIDE_MS = 500  # a worker that refused is tried again after this
 STALL_MS = 1_200  # reports come each second; a stop and a new run pay by then
 PLACE_DELAY_MS = 3  # events within this are placed in one round
+PLACE_JOBS_A_MS = 10  # a round may wait 1 ms more for so many waiting jobs
 PLACE_RETRY_MS = 500  # what could not be placed is tried again
 WAITS_TOLD_MS = 1_000  # a pool's waiting is logged this often at most
 
--- a/sesamehall/core/workstate.py
+++ b/sesamehall/core/workstate.py
@@ -14,6 +14,19 @@
 from sesamehall.core.work import TaskPlace
 
 
+@dataclass(frozen=True, slots=True)
+class Chain:
+    """The longest chain of steps of a job that are not done.
+
+    Attributes:
+      declared_ms: Time that its tasks declare.
+      steps: Number of its steps.
+    """
+
+    declared_ms: int = 0
+    steps: int = 0
+
+
 @dataclass(frozen=True, slots=True)
 class Work:
     """A job that has not ended, as the leader works on it.
@@ -28,6 +41,7 @@
       inherited: Whether an earlier leader may have started tasks of it.
       work_left: Declared processor time of the tasks that are not done, in
         core-milliseconds.
+      chain: Its longest chain of steps that are not done.
     """
 
     plan: JobPlan
@@ -38,6 +52,7 @@
     running: int = 0
     inherited: bool = False
     work_left: float = 0.0
+    chain: Chain = Chain()
 
 
 class RunState(Enum):
--- a/sesamehall/reducer/jobs/placing_test.py
+++ b/sesamehall/reducer/jobs/placing_test.py
@@ -1,5 +1,6 @@
 """Tests of placing: what may run where, and within which ceilings."""
 
+from immutables import Map
 import pytest
 
 from sesamehall.core.managereffects import StartRun
@@ -8,6 +9,7 @@
 from sesamehall.core.work import Size
 from sesamehall.reducer.jobs.placing import place_tasks
 from sesamehall.reducer.jobs.reports import take_report
+from sesamehall.reducer.jobs.runs import place_soon
 from sesamehall.reducer.jobs.testing import build_entry
 from sesamehall.reducer.jobs.testing import build_leader
 from sesamehall.reducer.jobs.testing import build_manifest
@@ -127,3 +129,18 @@
     step = take_report(manager, build_report("w1", active))
     assert len(step.state.runs_by_task) == len(adopted)
     assert len(places_of(place_all(step.state))) == starts
+
+
+@pytest.mark.parametrize(
+    ("jobs", "after_ms"), [(0, 3), (9, 3), (10, 4), (300, 33)]
+)
+def test_rounds_are_rarer_the_more_jobs_wait(jobs, after_ms):
+    """In a surge each end of a task had all waiting jobs ranked again.
+
+    The rounds took all of the leader's processor time, and its orders came
+    seconds late.
+    """
+    names = Map((f"{number:016x}", True) for number in range(jobs))
+    manager = build_leader(job_ids_by_pool=Map({"a": names}))
+    (timer,) = place_soon(manager, "a", NOW_MS).effects
+    assert timer.at_ms - NOW_MS == after_ms
--- a/sesamehall/reducer/jobs/progress.py
+++ b/sesamehall/reducer/jobs/progress.py
@@ -12,6 +12,7 @@
 from sesamehall.core.work import StepProgress
 from sesamehall.core.work import TaskPlace
 from sesamehall.core.work import with_bit
+from sesamehall.core.workstate import Chain
 from sesamehall.core.workstate import Work
 
 
@@ -43,7 +44,10 @@
     goal_ms = seen_ms + int(stretch * chain_ms) + slack_ms
     work = Work(plan, progress, seen_ms, goal_ms, inherited=inherited)
     return replace(
-        work, waiting=startable(work, wall_ms), work_left=_work_left(work)
+        work,
+        waiting=startable(work, wall_ms),
+        work_left=_work_left(work),
+        chain=_chain_left(work),
     )
 
 
@@ -90,15 +94,23 @@
     Returns:
       Milliseconds; for a job with occurrences that of one.
     """
+    return int(ratio * work.chain.declared_ms + delay_ms * work.chain.steps)
+
+
+def _chain_left(work: Work) -> Chain:
+    """Find the longest chain of steps that are not done."""
     plan = work.plan
     steps = steps_of(work.progress, plan, 0)
-    ends_ms: list[float] = []
+    ends: list[tuple[int, int]] = []
     for number, step in enumerate(plan.steps):
-        earlier = [ends_ms[after] for after in step.after]
-        done = is_step_done(plan, steps, number)
-        own_ms = 0.0 if done else ratio * step.estimate_ms + delay_ms
-        ends_ms.append(max(earlier, default=0.0) + own_ms)
-    return int(max(ends_ms, default=0.0))
+        end_ms, count = max(
+            (ends[after] for after in step.after), default=(0, 0)
+        )
+        if not is_step_done(plan, steps, number):
+            end_ms += step.estimate_ms
+            count += 1
+        ends.append((end_ms, count))
+    return Chain(*max(ends, default=(0, 0)))
 
 
 def longest_chain_ms(plan: JobPlan) -> int:
@@ -265,6 +277,8 @@
     changed = _with_steps(work, place.occurrence, tuple(steps))
     spent = len(indexes) * task_work(plan.steps[place.step])
     changed = replace(changed, work_left=max(work.work_left - spent, 0.0))
+    if is_step_done(plan, steps, place.step):
+        changed = replace(changed, chain=_chain_left(changed))
     if not _all_done(changed):
         return changed
     progress = replace(changed.progress, phase=JobPhase.DONE)
--- a/sesamehall/reducer/jobs/runs.py
+++ b/sesamehall/reducer/jobs/runs.py
@@ -1,5 +1,6 @@
 """Ends of runs, and what a job comes to by them."""
 
+from sesamehall.core.data import EMPTY_MAP
 from sesamehall.core.data import JobPhase
 from sesamehall.core.data import TERMINAL_PHASES
 from sesamehall.core.effects import log
@@ -7,6 +8,7 @@
 from sesamehall.core.jobtiming import ASIDE_MS
 from sesamehall.core.jobtiming import FAILURES_TO_ASIDE
 from sesamehall.core.jobtiming import PLACE_DELAY_MS
+from sesamehall.core.jobtiming import PLACE_JOBS_A_MS
 from sesamehall.core.logevents import JOB_FINISHED
 from sesamehall.core.logevents import RUN_ENDED
 from sesamehall.core.logevents import RUN_STOPPED
@@ -44,6 +46,8 @@
 def place_soon(manager: ManagerState, pool: str, at_ms: int) -> Step:
     """Have waiting tasks of a pool placed, together with others.
 
+    A round looks at all jobs that wait, so the more do, the rarer it is.
+
     Args:
       manager: State of the leader.
       pool: Name of the pool.
@@ -54,7 +58,9 @@
     if pool in manager.placing_pools:
         return Step(manager)
     pools = manager.placing_pools.set(pool, True)
-    timer = SetTimer(PlaceTimer(pool), at_ms + PLACE_DELAY_MS)
+    jobs = len(manager.job_ids_by_pool.get(pool, EMPTY_MAP))
+    due_ms = at_ms + PLACE_DELAY_MS + jobs // PLACE_JOBS_A_MS
+    timer = SetTimer(PlaceTimer(pool), due_ms)
     return Step(replace(manager, placing_pools=pools), (timer,))
 
 
