Tell how late a process takes its events, and what takes the time

Change: line 903, at most once a second, while a process leads or an event waited 250 ms: events, their greatest and mean age, how many waited, the time of decisions, orders to workers, and the kinds of event that took the most time. The metrics address has histograms of the greatest age and of the time of decisions by second.

--- a/sesamehall/core/logevents.py
+++ b/sesamehall/core/logevents.py
@@ -151,6 +151,11 @@
 NODE_STARTED = _info(900, "node started")
 NODE_STOPPING = _info(901, "node stopping")
 NODE_STOPPED = _info(902, "node stopped")
+DECISIONS_TALLIED = _info(
+    903,
+    "decisions tallied",
+    "If oldest_ms grows, this node's processor is the bound.",
+)
 LINES_DROPPED = _warning(
     910, "log lines dropped", "Read standard output faster."
 )
--- a/sesamehall/runtime/interpreter.py
+++ b/sesamehall/runtime/interpreter.py
@@ -15,11 +15,15 @@
 from sesamehall.core.events import Event
 from sesamehall.core.events import TimerFired
 from sesamehall.core.logevents import INTERNAL_ERROR
+from sesamehall.core.managereffects import StartRun
+from sesamehall.core.managereffects import StopRun
 from sesamehall.core.state import State
 from sesamehall.core.timers import Timer
 from sesamehall.reducer.reduce import reduce
+from sesamehall.runtime.tallies import Taken
 
 LOGGER = logging.getLogger("sesamehall")
+ORDERS = (StartRun, StopRun)
 
 
 def now_ms() -> int:
@@ -43,6 +47,7 @@
         state: State,
         perform: Callable[[Effect], None],
         record: Callable[[Event], None] | None = None,
+        observe: Callable[[Taken], None] | None = None,
     ):
         """Take over a state.
 
@@ -50,10 +55,12 @@
           state: State of a node that has not done anything.
           perform: Carries out an effect; it must not block.
           record: Takes every event before it is reduced, or None.
+          observe: Takes what each event cost, or None.
         """
         self.state = state
         self._perform = perform
         self._record = record
+        self._observe = observe
         self._events: SimpleQueue[Event] = SimpleQueue()
         self._due: list[tuple[int, int, Timer]] = []
         self._times_by_timer: dict[Timer, int] = {}
@@ -72,8 +79,12 @@
         """Reduce events until a decision ends the process."""
         while self._running:
             event = self._next_event()
-            if event is not None:
+            if event is None:
+                continue
+            if self._observe is None:
                 self._reduce(event)
+            else:
+                self._observe(self._reduce_timed(event))
 
     def _next_event(self) -> Event | None:
         """Wait for an event, but no longer than the next timer."""
@@ -97,7 +108,23 @@
                 return TimerFired(now_ms(), timer)
         return None
 
-    def _reduce(self, event: Event) -> None:
+    def _reduce_timed(self, event: Event) -> Taken:
+        """Reduce an event, and tell how late it was and what it cost."""
+        at_ms = now_ms()
+        waiting = self._events.qsize()
+        began_ns = time.perf_counter_ns()
+        orders = self._reduce(event)
+        return Taken(
+            kind=type(event).__name__,
+            at_ms=at_ms,
+            age_ms=at_ms - event.at_ms,
+            waiting=waiting,
+            took_us=(time.perf_counter_ns() - began_ns) // 1_000,
+            orders=orders,
+        )
+
+    def _reduce(self, event: Event) -> int:
+        """Reduce an event; returns the number of orders to workers."""
         if self._record is not None:
             self._record(event)
         try:
@@ -105,10 +132,11 @@
         except Exception:
             LOGGER.exception("reducing %s", type(event).__name__)
             self._perform(log(INTERNAL_ERROR, event=type(event).__name__))
-            return
+            return 0
         self.state = step.state
         for effect in step.effects:
             self._carry_out(effect)
+        return sum(isinstance(effect, ORDERS) for effect in step.effects)
 
     def _carry_out(self, effect: Effect) -> None:
         match effect:
--- a/sesamehall/runtime/metrics.py
+++ b/sesamehall/runtime/metrics.py
@@ -15,6 +15,7 @@
 from sesamehall.core.effects import Log
 from sesamehall.core.logevents import CALL_ANSWERED
 from sesamehall.core.logevents import CALL_REJECTED
+from sesamehall.core.logevents import DECISIONS_TALLIED
 from sesamehall.core.logevents import JOB_FINISHED
 from sesamehall.core.logevents import RUN_ORDERED
 
@@ -24,6 +25,18 @@
     (CALL_REJECTED, "took_ms", "call_rejected", "Time to a call's rejection."),
     (RUN_ORDERED, "waited_ms", "task_waited", "From a job's arrival."),
     (JOB_FINISHED, "took_ms", "job_took", "From a job's arrival to its end."),
+    (
+        DECISIONS_TALLIED,
+        "oldest_ms",
+        "event_age",
+        "Greatest age of an event when it was taken, by second.",
+    ),
+    (
+        DECISIONS_TALLIED,
+        "busy_ms",
+        "deciding",
+        "Time spent on decisions in a second.",
+    ),
 )
 
 
@@ -39,32 +52,27 @@
             ["number", "name"],
             registry=self._registry,
         )
-        self._histograms_by_event = {
-            event: (
-                detail,
-                Histogram(
-                    f"sesamehall_{name}_seconds",
-                    text,
-                    buckets=BUCKETS_S,
-                    registry=self._registry,
-                ),
+        self._histograms_by_detail = {
+            (event, detail): Histogram(
+                f"sesamehall_{name}_seconds",
+                text,
+                buckets=BUCKETS_S,
+                registry=self._registry,
             )
             for event, detail, name, text in HISTOGRAMS
         }
 
     def count(self, effect: Log) -> None:
-        """Count a log line, and the time that it carries.
+        """Count a log line, and the times that it carries.
 
         Args:
           effect: The line.
         """
         event = effect.event
         self._events.labels(str(event.number), event.name).inc()
-        if event not in self._histograms_by_event:
-            return
-        name, histogram = self._histograms_by_event[event]
         for detail in effect.details:
-            if detail.name == name:
+            histogram = self._histograms_by_detail.get((event, detail.name))
+            if histogram is not None:
                 histogram.observe(detail.value / 1_000)
 
     def __call__(self, environ: dict, start_response) -> Iterable[bytes]:
--- a/sesamehall/runtime/metrics_test.py
+++ b/sesamehall/runtime/metrics_test.py
@@ -3,6 +3,7 @@
 import pytest
 
 from sesamehall.core.effects import log
+from sesamehall.core.logevents import DECISIONS_TALLIED
 from sesamehall.core.logevents import JOB_FINISHED
 from sesamehall.core.logevents import RUN_ORDERED
 from sesamehall.core.logevents import WORKER_SILENT
@@ -33,8 +34,23 @@
             "sesamehall_task_waited_seconds_sum 0.04",
         ),
         ([log(JOB_FINISHED, job="j")], "sesamehall_job_took_seconds_sum 0.0"),
+        (
+            [log(DECISIONS_TALLIED, oldest_ms=420, busy_ms=30)],
+            "sesamehall_event_age_seconds_sum 0.42",
+        ),
+        (
+            [log(DECISIONS_TALLIED, oldest_ms=420, busy_ms=30)],
+            "sesamehall_deciding_seconds_sum 0.03",
+        ),
+    ],
+    ids=[
+        "counter",
+        "bucket",
+        "sum",
+        "line without its time",
+        "first of two times",
+        "second of two times",
     ],
-    ids=["counter", "bucket", "sum", "line without its time"],
 )
 def test_metrics(lines, expected):
     metrics = Metrics()
--- /dev/null
+++ b/sesamehall/runtime/tallies_test.py
@@ -0,0 +1,69 @@
+"""Tests of the tallies of a process's decisions.
+
+Guards against a leader that is the bound without a line or metric saying so.
+"""
+
+import pytest
+
+from sesamehall.core.effects import log
+from sesamehall.core.logevents import DECISIONS_TALLIED
+from sesamehall.runtime.tallies import add_taken
+from sesamehall.runtime.tallies import is_over
+from sesamehall.runtime.tallies import line_of
+from sesamehall.runtime.tallies import Taken
+from sesamehall.runtime.tallies import Tally
+
+PROMPT = Taken("RunAnswered", 1_100, 2, 0, 800)
+LATE = Taken("WorkerReported", 1_400, 300, 40, 2_500, orders=3)
+LATE_LINE = log(
+    DECISIONS_TALLIED,
+    events=2,
+    oldest_ms=300,
+    mean_ms=151,
+    waiting=40,
+    busy_ms=3,
+    orders=3,
+    kinds="WorkerReported:2,RunAnswered:0",
+)
+PROMPT_LINE = log(
+    DECISIONS_TALLIED,
+    events=1,
+    oldest_ms=2,
+    mean_ms=2,
+    waiting=0,
+    busy_ms=0,
+    orders=0,
+    kinds="RunAnswered:0",
+)
+
+
+@pytest.mark.parametrize(
+    ("taken", "leads", "expected"),
+    [
+        ([], True, ()),
+        ([PROMPT], False, ()),
+        ([PROMPT], True, (PROMPT_LINE,)),
+        ([PROMPT, LATE], False, (LATE_LINE,)),
+        ([PROMPT, LATE], True, (LATE_LINE,)),
+    ],
+    ids=[
+        "nothing taken",
+        "a prompt follower",
+        "a prompt leader",
+        "a late follower",
+        "a late leader",
+    ],
+)
+def test_line(taken, leads, expected):
+    tally = Tally(1_000)
+    for one in taken:
+        tally = add_taken(tally, one)
+    assert line_of(tally, leads) == expected
+
+
+@pytest.mark.parametrize(
+    ("at_ms", "expected"),
+    [(1_000, False), (1_999, False), (2_000, True)],
+)
+def test_one_line_a_second(at_ms, expected):
+    assert is_over(Tally(1_000), at_ms) is expected
