Let a timer wait for what happened before it was due

What callers saw: short jobs late in each surge of a large deployment.

Cause: a report asks for a round of placing 3 ms after it came, so that what happens within this is placed in one round. The interpreter took timers before events. Once the leader was 0.2 s behind, the timer of an event that old was due at once, so each report had a round of its own where one would have served many, and the leader fell further behind for as long as the surge lasted.

Change: a timer that is due waits for the events that came before it was due.

Test: runtime/interpreter_test.py, two of four orders fail before.

--- a/sesamehall/runtime/interpreter.py
+++ b/sesamehall/runtime/interpreter.py
@@ -62,6 +62,7 @@
         self._record = record
         self._observe = observe
         self._events: SimpleQueue[Event] = SimpleQueue()
+        self._held: Event | None = None
         self._due: list[tuple[int, int, Timer]] = []
         self._times_by_timer: dict[Timer, int] = {}
         self._serial = 0
@@ -87,25 +88,48 @@
                 self._observe(self._reduce_timed(event))
 
     def _next_event(self) -> Event | None:
-        """Wait for an event, but no longer than the next timer."""
-        timer_event = self._pop_due()
-        if timer_event is not None:
-            return timer_event
+        """Take what happened first, or wait, but no longer than a timer.
+
+        A timer does not overtake events that came before it was due: a
+        process that is behind would do for each of them what it can do once
+        for all.
+        """
+        due_ms = self._next_due_ms()
+        if due_ms is None or due_ms > now_ms():
+            return self._await_event(due_ms)
+        if self._held is None and not self._events.empty():
+            self._held = self._events.get()
+        if self._held is not None and self._held.at_ms <= due_ms:
+            return self._take_held()
+        _, _, timer = heapq.heappop(self._due)
+        del self._times_by_timer[timer]
+        return TimerFired(now_ms(), timer)
+
+    def _await_event(self, due_ms: int | None) -> Event | None:
+        """Wait for an event until a timer is due."""
+        if self._held is not None:
+            return self._take_held()
         timeout_s = None
-        if self._due:
-            timeout_s = max(self._due[0][0] - now_ms(), 0) / 1000 + 0.0005
+        if due_ms is not None:
+            timeout_s = max(due_ms - now_ms(), 0) / 1000 + 0.0005
         try:
             return self._events.get(timeout=timeout_s)
         except Empty:
             return None
 
-    def _pop_due(self) -> Event | None:
-        """Take a timer that is due, skipping those set anew since."""
-        while self._due and self._due[0][0] <= now_ms():
-            at_ms, _, timer = heapq.heappop(self._due)
+    def _take_held(self) -> Event:
+        """Take the event that was compared with a timer."""
+        event = self._held
+        self._held = None
+        return event
+
+    def _next_due_ms(self) -> int | None:
+        """Find when the next timer is due, skipping those set anew since."""
+        while self._due:
+            at_ms, _, timer = self._due[0]
             if self._times_by_timer.get(timer) == at_ms:
-                del self._times_by_timer[timer]
-                return TimerFired(now_ms(), timer)
+                return at_ms
+            heapq.heappop(self._due)
         return None
 
     def _reduce_timed(self, event: Event) -> Taken:
@@ -114,8 +138,9 @@
         waiting = self._events.qsize()
         began_ns = time.perf_counter_ns()
         orders = self._reduce(event)
+        named = event.timer if isinstance(event, TimerFired) else event
         return Taken(
-            kind=type(event).__name__,
+            kind=type(named).__name__,
             at_ms=at_ms,
             age_ms=at_ms - event.at_ms,
             waiting=waiting,
--- /dev/null
+++ b/sesamehall/runtime/interpreter_test.py
@@ -0,0 +1,77 @@
+"""Tests of the order in which the interpreter takes events and timers.
+
+Guards against a process that falls behind for good: a timer that is due must
+not overtake what has happened before it, else each late event has a round of
+its own where one round would serve many.
+"""
+
+import pytest
+
+from sesamehall.core.data import Node
+from sesamehall.core.data import NodeKind
+from sesamehall.core.events import Started
+from sesamehall.core.events import TimerFired
+from sesamehall.core.fleet import Stream
+from sesamehall.core.jobtiming import MANAGER_BEAT_MS
+from sesamehall.core.managerevents import StreamUnread
+from sesamehall.core.managerstate import ManagerState
+from sesamehall.core.state import Identity
+from sesamehall.core.state import State
+from sesamehall.runtime.interpreter import Interpreter
+from sesamehall.runtime.interpreter import now_ms
+
+BEHIND_MS = 10_000
+
+
+class EnoughError(Exception):
+    """As many events were taken as the test wants."""
+
+
+def take(ages_ms, count):
+    """List what an interpreter takes that is behind.
+
+    Its first beat is due MANAGER_BEAT_MS after its start, which is
+    BEHIND_MS ago; the others are set by the clock.
+    """
+    node = Node("edge-1", NodeKind.MANAGER, "dc", "10.0.0.1:80")
+    state = State(Identity(node, "edge-1:1"), manager=ManagerState("edge-1"))
+    taken = []
+
+    def record(event):
+        if len(taken) == count:
+            raise EnoughError
+        is_timer = isinstance(event, TimerFired)
+        taken.append("beat" if is_timer else event.at_ms - start_ms)
+
+    interpreter = Interpreter(state, lambda effect: None, record)
+    start_ms = now_ms() - BEHIND_MS
+    interpreter.post(Started(start_ms))
+    for age_ms in ages_ms:
+        interpreter.post(
+            StreamUnread(start_ms + age_ms, Stream.JOBS, "test", False)
+        )
+    with pytest.raises(EnoughError):
+        interpreter.run()
+    return taken
+
+
+@pytest.mark.parametrize(
+    ("ages_ms", "expected"),
+    [
+        ([], [0, "beat"]),
+        ([1, 2, 3], [0, 1, 2, 3, "beat"]),
+        (
+            [50, MANAGER_BEAT_MS, MANAGER_BEAT_MS + 1],
+            [0, 50, MANAGER_BEAT_MS, "beat", MANAGER_BEAT_MS + 1],
+        ),
+        ([200, 300], [0, "beat", 200, 300]),
+    ],
+    ids=[
+        "only a timer",
+        "events before the timer",
+        "events on both sides of the timer",
+        "events after the timer",
+    ],
+)
+def test_order_of_events_and_timers(ages_ms, expected):
+    assert take(ages_ms, len(expected)) == expected
