Copy the state by its whole dictionary, not field by field

What callers saw: short jobs late in each surge of a large deployment.

Cause: an event of the leader takes dozens of copies of its state and of runs and workers (55 for each task in a synthetic surge), each field by field; they were 0.4 of the time of decisions.

Change: the classes that decisions change most have no slots; a copy takes their dictionary at once. They stay frozen.

--- a/sesamehall/core/fleetstate.py
+++ b/sesamehall/core/fleetstate.py
@@ -75,7 +75,7 @@
     at_ms: int
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(frozen=True)
 class FleetState:
     """Machines, and what is to happen to them.
 
--- a/sesamehall/core/managerstate.py
+++ b/sesamehall/core/managerstate.py
@@ -47,7 +47,7 @@
     status_ms: int = 120_000
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(frozen=True)
 class Following:
     """How far a log was read.
 
@@ -66,7 +66,7 @@
     grown_ms: int = 0
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(frozen=True)
 class Term:
     """This node's own time as the leader.
 
@@ -128,7 +128,7 @@
     ends_ms: int
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(frozen=True)
 class ManagerState:
     """Everything that a manager knows.
 
--- a/sesamehall/core/replacing.py
+++ b/sesamehall/core/replacing.py
@@ -1,7 +1,9 @@
 """Copies of frozen data classes with some fields changed.
 
 The same as the standard library's `replace` for classes without init-only
-fields, in about half its time: decisions spend most of theirs on copies.
+fields, in less time: decisions spend most of theirs on copies.  The classes
+that decisions change most keep their fields in a dictionary instead of slots,
+since a whole dictionary is copied at once.
 """
 
 from dataclasses import fields
@@ -24,6 +26,21 @@
       KeyError: A name is not a field of the class.
     """
     cls = type(value)
+    try:
+        content = value.__dict__
+    except AttributeError:
+        return _replace_slots(cls, value, changes)
+    copy = object.__new__(cls)
+    copied = copy.__dict__
+    copied.update(content)
+    copied.update(changes)
+    if len(copied) != len(content):
+        raise KeyError(*(changes.keys() - content.keys()))
+    return copy
+
+
+def _replace_slots(cls, value, changes):
+    """Copy a class with slots, field by field."""
     read_all, places_by_name = _layout(cls)
     values = list(read_all(value))
     for name, changed in changes.items():
--- a/sesamehall/core/state.py
+++ b/sesamehall/core/state.py
@@ -334,7 +334,7 @@
     tasks_by_job_id: Map[str, TaskWatch] = EMPTY_MAP
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(frozen=True)
 class State:
     """Everything that a node knows.
 
--- a/sesamehall/core/workstate.py
+++ b/sesamehall/core/workstate.py
@@ -27,7 +27,7 @@
     steps: int = 0
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(frozen=True)
 class Work:
     """A job that has not ended, as the leader works on it.
 
@@ -63,7 +63,7 @@
     STOPPING = "stopping"
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(frozen=True)
 class Run:
     """A task on a worker, or on its way there.
 
@@ -135,7 +135,7 @@
     until_ms: int
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(frozen=True)
 class Worker:
     """A worker as the leader knows it.
 
