Compare workers once for a step, and drop what cannot find room

What callers saw: short jobs late in each surge of a large deployment.

Cause: a round of placing compared each waiting task with each worker of the pool, also where the job before it had found no room for as little; and the spread of a job's tasks was counted over all runs of the pool in each round, also where it asked for no placing.

Change: workers are ranked once for all tasks of a step; what needs as much room as something that found none in this round is passed over; tasks that must be spread are counted where they are placed.

--- a/sesamehall/reducer/jobs/rounds.py
+++ b/sesamehall/reducer/jobs/rounds.py
@@ -2,6 +2,9 @@
 
 from dataclasses import dataclass
 from enum import Enum
+from heapq import heapify
+from heapq import heappop
+from heapq import heappush
 
 from sesamehall.core.jobtiming import RUN_NUMBERS_A_TERM
 from sesamehall.core.managerstate import ManagerState
@@ -55,6 +58,30 @@
     ticket: str = ""
 
 
+@dataclass(frozen=True, slots=True)
+class Offers:
+    """The workers that may run a step, the one that fits best first.
+
+    All tasks of a step ask for the same, so the workers are compared once
+    for all of them; only the worker that gets a task changes by it.
+
+    Attributes:
+      work: The job.
+      step: The step.
+      name: Name of the step.
+      room: Room that a task of it takes on a worker.
+      advised: Whether a worker needs a ticket.
+      ranked: A heap of orders of preference and identifiers.
+    """
+
+    work: Work
+    step: StepPlan
+    name: str
+    room: Size
+    advised: bool
+    ranked: list[tuple[tuple, str]]
+
+
 @dataclass(frozen=True, slots=True)
 class Round:
     """One round of placing; its tables change as tasks are placed.
@@ -67,6 +94,7 @@
       used_by_team: Room that teams take.
       count_by_worker_step: Tasks of a step on a worker, where it is bounded.
       reserved: Workers kept for tasks that found no room.
+      refused: Rooms that no worker had left.
     """
 
     manager: ManagerState
@@ -76,6 +104,7 @@
     used_by_team: dict[str, Size]
     count_by_worker_step: dict[tuple[str, str], int]
     reserved: list[str]
+    refused: list[Size]
 
     @classmethod
     def begin(cls, manager, workers, at_ms):
@@ -86,18 +115,22 @@
             for worker_id, worker in workers.items()
         }
         used = dict(manager.used_by_team)
-        return cls(manager, at_ms, workers, free, used, {}, [])
+        return cls(manager, at_ms, workers, free, used, {}, [], [])
 
     def place_job(self, work: Work) -> list[Choice]:
         """Place the waiting tasks of a job, as far as there is room."""
         choices: list[Choice] = []
-        self._count_spread(work)
+        if self._is_hopeless(work):
+            return choices
         for step, places in _by_step(work):
             if step.gang:
                 choices += self._place_gang(work, step, places)
                 continue
+            offers = self._offers(work, step, places[0])
+            if not offers.ranked and _asks_only_room(offers):
+                self._refuse(offers.room)
             for place in places:
-                choice = self._place(work, step, place)
+                choice = self._place(offers, place)
                 if choice is None:
                     break
                 choices.append(choice)
@@ -109,7 +142,8 @@
             return []
         free = dict(self.free_by_id)
         used = self.used_by_team.get(work.plan.team, NO_SIZE)
-        choices = [self._place(work, step, place) for place in places]
+        offers = self._offers(work, step, places[0])
+        choices = [self._place(offers, place) for place in places]
         if None not in choices:
             number = max(choice.number for choice in choices)
             return [replace(choice, number=number) for choice in choices]
@@ -117,53 +151,114 @@
         self.used_by_team[work.plan.team] = used
         return []
 
-    def _place(self, work, step, place):
+    def _offers(self, work, step, place) -> Offers:
+        """Compare the workers for the tasks of a step."""
+        room = _room(step)
+        name = step_name(work, place)
+        advised = is_advised(self.manager, work)
+        offers = Offers(work, step, name, room, advised, [])
+        if self._is_refused(room):
+            return offers
+        if step.most_per_worker:
+            self._count_spread(work, place.step)
+        offers.ranked.extend(
+            (self._order(offers, worker_id), worker_id)
+            for worker_id, free in self.free_by_id.items()
+            if fits(room, free) and self._may_run(offers, worker_id)
+        )
+        heapify(offers.ranked)
+        return offers
+
+    def _refuse(self, room):
+        """Note that no worker has this room left in this round.
+
+        Room only shrinks within a round, but for that of a gang that was
+        placed in part; none is noted while a gang is placed.
+        """
+        if not self._is_refused(room):
+            self.refused.append(room)
+
+    def _is_refused(self, room):
+        """Tell whether no worker had even less room left."""
+        return any(fits(refused, room) for refused in self.refused)
+
+    def _is_hopeless(self, work):
+        """Tell whether no task of a job can find room, nor reserve any."""
+        if not self.refused or len(self.reserved) < RESERVED_MOST:
+            return False
+        steps = work.plan.steps
+        return all(
+            self._is_refused(_room(steps[number]))
+            for number in {place.step for place in work.waiting}
+        )
+
+    def _may_run(self, offers, worker_id):
+        """Tell whether a worker with enough room may run a task."""
+        if worker_id in self.reserved:
+            return False
+        step = offers.step
+        worker = self.workers_by_id[worker_id]
+        if step.label and step.label not in worker.entry.labels:
+            return False
+        if step.most_per_worker:
+            key = (worker_id, offers.name)
+            count = self.count_by_worker_step.get(key, 0)
+            if count >= step.most_per_worker:
+                return False
+        return not offers.advised or bool(self._ticket(offers.name, worker))
+
+    def _place(self, offers, place):
         """Place one task on the worker that it fits best."""
+        work = offers.work
+        step = offers.step
         if not self._within_ceiling(work.plan.team, step.size):
             return None
-        room = step.size
-        if step.fills:
-            room = replace(room, cpu_milli=0)
-        name = step_name(work, place)
-        advised = is_advised(self.manager, work)
-        best = None
-        best_order = None
-        for worker_id, free in self.free_by_id.items():
-            if worker_id in self.reserved or not fits(room, free):
-                continue
-            worker = self.workers_by_id[worker_id]
-            if step.label and step.label not in worker.entry.labels:
-                continue
-            count = self.count_by_worker_step.get((worker_id, name), 0)
-            if step.most_per_worker and count >= step.most_per_worker:
-                continue
-            if advised and not self._ticket(name, worker):
-                continue
-            order = self._order(worker, free, step, work, place)
-            if best_order is None or order < best_order:
-                best = worker_id
-                best_order = order
-        if best is None:
+        if not offers.ranked:
             self._reserve(step, work)
             return None
-        self._take(best, name, work.plan.team, step.size, room)
-        number = next_number(self.manager, task_id(work.plan.job_id, place))
-        ticket = (
-            self._ticket(name, self.workers_by_id[best]) if advised else ""
-        )
+        task = task_id(work.plan.job_id, place)
+        best = self._take_best(offers, place)
+        self._take(best, offers.name, work.plan.team, step.size, offers.room)
+        self._offer_again(offers, best)
+        number = next_number(self.manager, task)
+        ticket = ""
+        if offers.advised:
+            ticket = self._ticket(offers.name, self.workers_by_id[best])
         return Choice(work, place, best, number, ticket)
 
+    def _take_best(self, offers, place):
+        """Take the best worker, but not where the task failed if another is.
+
+        The one where it failed stays on offer for the others.
+        """
+        best = heappop(offers.ranked)
+        failed_on = self.manager.failed_on_by_task.get(
+            f"{offers.work.plan.job_id}.{place.step}.{place.index}"
+        )
+        if best[1] != failed_on or not offers.ranked:
+            return best[1]
+        other = heappop(offers.ranked)
+        heappush(offers.ranked, best)
+        return other[1]
+
+    def _offer_again(self, offers, worker_id):
+        """Offer a worker that got a task for the next one, if it may."""
+        if not fits(offers.room, self.free_by_id[worker_id]):
+            return
+        if self._may_run(offers, worker_id):
+            order = self._order(offers, worker_id)
+            heappush(offers.ranked, (order, worker_id))
+
     def _ticket(self, name, worker):
         return ticket_for(self.manager, name, worker, self.at_ms)
 
-    def _order(self, worker, free, step, work, place):
-        """Rank a worker: data's rack, not where it failed, least room."""
+    def _order(self, offers, worker_id):
+        """Rank a worker: data's rack, no failures, least room."""
+        step = offers.step
+        worker = self.workers_by_id[worker_id]
         far = bool(step.rack) and worker.entry.rack != step.rack
-        failed_on = self.manager.failed_on_by_task.get(
-            f"{work.plan.job_id}.{place.step}.{place.index}"
-        )
-        again = failed_on == worker.entry.worker_id
-        return (again, far, worker.failures > 0, free.cpu_milli)
+        free = self.free_by_id[worker_id]
+        return (far, worker.failures > 0, free.cpu_milli)
 
     def _take(self, worker_id, name, team, size, room):
         free = self.free_by_id[worker_id]
@@ -196,21 +291,21 @@
         used = self.used_by_team.get(team, NO_SIZE)
         return within_ceiling(self.manager, team, add_size(used, size))
 
-    def _count_spread(self, work):
-        """Count a job's tasks on each worker, where that is bounded."""
-        if not any(step.most_per_worker for step in work.plan.steps):
-            return
+    def _count_spread(self, work, number):
+        """Count a step's tasks that run on each worker."""
         if not work.running:
             return
-        job_id = work.plan.job_id
+        prefix = f"{work.plan.job_id}."
+        runs = self.manager.runs_by_task
         for worker_id, worker in self.workers_by_id.items():
             for task in worker.tasks:
-                run = self.manager.runs_by_task[task]
-                if run.job_id != job_id:
+                if not task.startswith(prefix):
                     continue
-                key = (worker_id, step_name(work, run.place))
-                count = self.count_by_worker_step.get(key, 0)
-                self.count_by_worker_step[key] = count + 1
+                place = runs[task].place
+                if place.step == number:
+                    key = (worker_id, step_name(work, place))
+                    count = self.count_by_worker_step.get(key, 0)
+                    self.count_by_worker_step[key] = count + 1
 
 
 def within_ceiling(manager: ManagerState, team: str, used: Size) -> bool:
@@ -269,6 +364,19 @@
     return None
 
 
+def _room(step: StepPlan) -> Size:
+    """Compute the room that a task of a step takes on a worker."""
+    if step.fills:
+        return replace(step.size, cpu_milli=0)
+    return step.size
+
+
+def _asks_only_room(offers):
+    """Tell whether nothing but room keeps a step off a worker."""
+    step = offers.step
+    return not (step.label or step.most_per_worker or offers.advised)
+
+
 def _limited(used, ceiling):
     """Leave out what a ceiling does not limit."""
     return Size(
