Copy the state once for all runs of a report

What callers saw: short jobs late in each surge of a large deployment.

Cause: each report of a worker lists all its runs, and the whole state was copied for each of them.

Change: the runs of a report are noted together.

Test: reducer/jobs/reports_test.py fails before for 10 and 40 runs.

--- a/sesamehall/reducer/jobs/reports.py
+++ b/sesamehall/reducer/jobs/reports.py
@@ -19,7 +19,6 @@
 from sesamehall.core.workstate import Run
 from sesamehall.core.workstate import RunState
 from sesamehall.reducer.jobs.bookkeeping import charge_run
-from sesamehall.reducer.jobs.bookkeeping import put_run
 from sesamehall.reducer.jobs.bookkeeping import put_worker
 from sesamehall.reducer.jobs.durations import run_time_ms
 from sesamehall.reducer.jobs.pacing import pace_fills
@@ -154,21 +153,13 @@
 
 def _take_active(manager, event):
     """Compare the runs that go on with those that are known."""
-    step = Step(manager)
     strangers = sum(_is_unread(manager, end.task) for end in event.ended)
-    for active in event.active:
-        run = step.state.runs_by_task.get(active.task)
-        ours = run is not None and (run.worker_id, run.number) == (
-            event.worker_id,
-            active.number,
-        )
-        if ours:
-            refreshed = _refresh_run(step.state, run, active, event)
-            step = Step(refreshed, step.effects)
-        elif not _is_ended_in(event, active):
-            step = then(step, _adopt_or_stop, run, active, event)
-            strangers += active.task not in step.state.runs_by_task
-            strangers += run is not None
+    ours, others = _tell_apart(manager, event)
+    step = Step(_refresh_runs(manager, ours, event))
+    for run, active in others:
+        step = then(step, _adopt_or_stop, run, active, event)
+        strangers += active.task not in step.state.runs_by_task
+        strangers += run is not None
     worker = step.state.workers_by_id[event.worker_id]
     if worker.strangers == strangers:
         return step
@@ -177,6 +168,22 @@
     return then(step, place_soon, worker.entry.pool, event.at_ms)
 
 
+def _tell_apart(manager, event):
+    """Tell the runs that are known from others that have not ended."""
+    ours = []
+    others = []
+    for active in event.active:
+        run = manager.runs_by_task.get(active.task)
+        if run is not None and (run.worker_id, run.number) == (
+            event.worker_id,
+            active.number,
+        ):
+            ours.append((run, active))
+        elif not _is_ended_in(event, active):
+            others.append((run, active))
+    return ours, others
+
+
 def _is_ended_in(event, active):
     return any(
         (end.task, end.number) == (active.task, active.number)
@@ -184,7 +191,18 @@
     )
 
 
-def _refresh_run(manager, run, active, event):
+def _refresh_runs(manager, ours, event):
+    """Note what a worker says of its runs, of all of them at once."""
+    refreshed = {
+        run.task: _refreshed(run, active, event) for run, active in ours
+    }
+    if not refreshed:
+        return manager
+    runs = manager.runs_by_task.update(refreshed)
+    return replace(manager, runs_by_task=runs)
+
+
+def _refreshed(run, active, event):
     """Note what a worker says of a run; a late start counts as answered."""
     state = run.state
     if state is RunState.STARTING:
@@ -195,17 +213,14 @@
     progressed_ms = run.progressed_ms
     if run.answered_ms < 0 or active.percent != run.percent:
         progressed_ms = event.clock_ms
-    return put_run(
-        manager,
-        replace(
-            run,
-            state=state,
-            progressed_ms=progressed_ms,
-            answered_ms=answered_ms,
-            checkpoint=active.checkpoint or run.checkpoint,
-            percent=active.percent,
-            load=active.load,
-        ),
+    return replace(
+        run,
+        state=state,
+        progressed_ms=progressed_ms,
+        answered_ms=answered_ms,
+        checkpoint=active.checkpoint or run.checkpoint,
+        percent=active.percent,
+        load=active.load,
     )
 
 
--- /dev/null
+++ b/sesamehall/reducer/jobs/reports_test.py
@@ -0,0 +1,53 @@
+"""Tests of what a worker's report costs.
+
+Guards against a leader that copies its whole state for each run that goes on:
+each report lists all of them.
+"""
+
+import pytest
+
+from sesamehall.core import replacing
+from sesamehall.core.managereffects import StartRun
+from sesamehall.core.managerstate import ManagerState
+from sesamehall.core.work import ActiveRun
+from sesamehall.core.work import Size
+from sesamehall.reducer.jobs import bookkeeping
+from sesamehall.reducer.jobs import reports
+from sesamehall.reducer.jobs import workers
+from sesamehall.reducer.jobs.testing import build_leader
+from sesamehall.reducer.jobs.testing import build_plan
+from sesamehall.reducer.jobs.testing import build_report
+from sesamehall.reducer.jobs.testing import build_step
+from sesamehall.reducer.jobs.testing import build_worker
+from sesamehall.reducer.jobs.testing import effects_of
+from sesamehall.reducer.jobs.testing import place_all
+from sesamehall.reducer.jobs.testing import take_in
+from sesamehall.reducer.jobs.testing import task
+
+COPIES_MOST = 4  # of the whole state for one report without news
+TINY = Size(10, 10)
+
+
+@pytest.mark.parametrize("count", [1, 10, 40])
+def test_copies_of_the_state_do_not_grow_with_the_runs(monkeypatch, count):
+    leader = build_leader(build_worker("w"))
+    leader = take_in(leader, build_plan(build_step(count, size=TINY)))
+    step = place_all(leader)
+    assert len(effects_of(step, StartRun)) == count
+    active = [
+        ActiveRun(task(index), 1, "", percent=40) for index in range(count)
+    ]
+    copies = []
+
+    def count_copies(value, **changes):
+        if isinstance(value, ManagerState):
+            copies.append(sorted(changes))
+        return replacing.replace(value, **changes)
+
+    for module in (bookkeeping, reports, workers):
+        monkeypatch.setattr(module, "replace", count_copies)
+    step = reports.take_report(step.state, build_report("w", active))
+    assert [run.percent for run in step.state.runs_by_task.values()] == (
+        [40] * count
+    )
+    assert len(copies) <= COPIES_MOST
