Begin a wave with the machines whose tasks never end

Cause: while a wave had time, only machines that nobody used were taken. Tasks that last never leave, so their machines had to wait until the wave was pressed for time, at 17 s of 28. A step can spare one of them at a time, and each takes 1.2 s to move: the last machine waited 17 s for its tasks' turn.

Change: machines with lasting tasks come first, one of each pool at a time, from the beginning of the wave. Tasks that end by themselves are waited for as before.

--- a/sesamehall/reducer/machines/waves.py
+++ b/sesamehall/reducer/machines/waves.py
@@ -47,16 +47,10 @@
     if not left and not busy:
         return then(step, _complete, progress, at_ms)
     room = at_once_now(progress, len(left), at_ms) - len(busy)
-    pressed = is_pressed(progress, len(left), at_ms)
-    free = [
-        machine
-        for machine in left
-        if is_free(step.state, machine)
-        and (pressed or not _is_in_use(step.state, machine))
-    ]
-    free.sort(key=lambda machine: _cost(step.state, machine))
     state = step.state
-    for machine in free[: max(room, 0)]:
+    pressed = is_pressed(progress, len(left), at_ms)
+    chosen = _choose(state, left, pressed)
+    for machine in chosen[: max(room, 0)]:
         state = decide_order(
             state, machine, MachineOrder.MAINTENANCE, "", wave.number, at_ms
         )
@@ -163,6 +157,44 @@
     )
 
 
+def _choose(manager, left, pressed) -> list[Machine]:
+    """List the machines that may be next, in this order.
+
+    Tasks that end by themselves are waited for while there is time.  Lasting
+    ones never leave, and a step's have to move one after the other, so their
+    machines come first, one of each pool at a time.
+    """
+    free = [machine for machine in left if is_free(manager, machine)]
+    free.sort(key=lambda machine: _cost(manager, machine))
+    if pressed:
+        return free
+    idle = [machine for machine in free if not _is_in_use(manager, machine)]
+    return _next_with_lasting(manager, free) + idle
+
+
+def _next_with_lasting(manager, free) -> list[Machine]:
+    """List the next machine of each pool that only emptying can free."""
+    machines = manager.fleet.machines_by_name
+    emptied = {
+        machines[name].pool
+        for name in manager.fleet.orders_by_machine
+        if name in machines and _has_lasting(manager, machines[name])
+    }
+    next_by_pool: dict[str, Machine] = {}
+    for machine in free:
+        if machine.pool not in emptied and _has_lasting(manager, machine):
+            next_by_pool.setdefault(machine.pool, machine)
+    return list(next_by_pool.values())
+
+
+def _has_lasting(manager, machine):
+    """Tell whether lasting tasks are on a machine's worker."""
+    worker = manager.workers_by_id.get(machine.worker_id)
+    return worker is not None and any(
+        manager.runs_by_task[task].lasting for task in worker.tasks
+    )
+
+
 def _is_in_use(manager, machine):
     worker = manager.workers_by_id.get(machine.worker_id)
     if worker is None:
