Let stronger nodes claim the role first

What callers saw: little served where the role changes on a deployment whose machines differ: 36 of the grown Guild's 44 have half a core, 8 about two.

Cause: claims were spread by chance alone, so mostly a weak machine led after a change; a leader of 170 workers needs half a core and more in a surge.

Change: the part of the spread that is not left to chance follows from the processor that the settings name; a node with two cores or more does not wait. The greatest wait stays 300 ms.

--- a/sesamehall/core/jobtiming.py
+++ b/sesamehall/core/jobtiming.py
@@ -12,6 +12,10 @@
 
 LEADER_SILENT_MS = 1_200  # a leader without records this long is replaced
 CLAIM_SPREAD_MS = 300  # claims of several nodes are spread over this
+CLAIM_CHANCE_MS = (
+    120  # part of it that is left to chance; the rest is by power
+)
+LEADER_CORES = 2.0  # a node with this much processor claims without delay
 HEARTBEAT_MS = 250  # several of these fit into the silence allowed
 COMMIT_PERIOD_MS = 40  # ends of tasks wait this long for others
 START_CONFIRMED_MS = 900  # below LEADER_SILENT_MS, so terms never overlap
--- a/sesamehall/core/managerstate.py
+++ b/sesamehall/core/managerstate.py
@@ -12,6 +12,7 @@
 from sesamehall.core.fleet import LeasedWorker
 from sesamehall.core.fleet import OrderedMachines
 from sesamehall.core.fleetstate import FleetState
+from sesamehall.core.jobtiming import LEADER_CORES
 from sesamehall.core.manifest import Manifest
 from sesamehall.core.work import JobPlan
 from sesamehall.core.work import Progress
@@ -135,6 +136,7 @@
     Attributes:
       name: Name of the node.
       rank: Number drawn at the start; spreads the nodes' claims of the role.
+      cores: Processor cores that the node may use.
       timing: Bounds that the platform sets.
       stopping: Whether it was asked to stop.
       stopping_ms: Clock at which it was.
@@ -188,6 +190,7 @@
 
     name: str
     rank: int = 0
+    cores: float = LEADER_CORES
     timing: Timing = Timing()
     stopping: bool = False
     stopping_ms: int = 0
--- a/sesamehall/platform/application.py
+++ b/sesamehall/platform/application.py
@@ -79,7 +79,10 @@
         state = State(
             Identity(node, new_incarnation(settings.name)),
             manager=ManagerState(
-                settings.name, rank=rank, timing=settings.timing
+                settings.name,
+                rank=rank,
+                cores=settings.cores,
+                timing=settings.timing,
             ),
         )
         self._logbook = Logbook(settings.name, "")
--- a/sesamehall/platform/settings.py
+++ b/sesamehall/platform/settings.py
@@ -8,6 +8,7 @@
 from sesamehall.core.codes import SettingsError
 from sesamehall.core.data import Problem
 from sesamehall.core.data import Source
+from sesamehall.core.jobtiming import LEADER_CORES
 from sesamehall.core.managerstate import Timing
 from sesamehall.platform.listening import SETTINGS_VARIABLE
 
@@ -28,6 +29,7 @@
       machines: "host:port" of the platform's cloud interface, or "".
       advice: "host:port" of the advice service, or "".
       timing: Bounds that the platform sets.
+      cores: Processor cores that the process may use.
     """
 
     name: str
@@ -39,6 +41,7 @@
     machines: str
     advice: str
     timing: Timing
+    cores: float = LEADER_CORES
 
 
 def load_settings(environment: Mapping[str, str]) -> ProcessSettings:
@@ -89,7 +92,7 @@
         value = _look_up(content, ("Bounds", name))
         if value is None:
             return default
-        if isinstance(value, bool) or not isinstance(value, int | float):
+        if not _is_number(value):
             message = "must be a number"
             problems.append(
                 Problem(Source(file, 1), f"Bounds.{name}", message)
@@ -97,6 +100,18 @@
             return default
         return int(value * factor)
 
+    def cores() -> float:
+        share = _look_up(content, ("Limits", "CpuShare"))
+        speed = _look_up(content, ("Limits", "Cores"))
+        if share is None:
+            return LEADER_CORES
+        if not _is_number(share) or not _is_number(speed or 1):
+            problems.append(
+                Problem(Source(file, 1), "Limits", "must hold numbers")
+            )
+            return LEADER_CORES
+        return share * (speed or 1)
+
     usual = Timing()
     settings = ProcessSettings(
         name=text("Node"),
@@ -118,12 +133,17 @@
             ),
             status_ms=milliseconds("status_s", usual.status_ms, 1_000),
         ),
+        cores=cores(),
     )
     if problems:
         raise SettingsError(problems)
     return settings
 
 
+def _is_number(value):
+    return isinstance(value, int | float) and not isinstance(value, bool)
+
+
 def _look_up(content, names):
     for name in names:
         if not isinstance(content, dict):
--- a/sesamehall/reducer/jobs/leading.py
+++ b/sesamehall/reducer/jobs/leading.py
@@ -6,8 +6,10 @@
 from sesamehall.core.fleet import StoredRecord
 from sesamehall.core.fleet import WorkerEntry
 from sesamehall.core.fleetstate import FleetState
+from sesamehall.core.jobtiming import CLAIM_CHANCE_MS
 from sesamehall.core.jobtiming import CLAIM_SPREAD_MS
 from sesamehall.core.jobtiming import CLOCK_SLACK_PERCENT
+from sesamehall.core.jobtiming import LEADER_CORES
 from sesamehall.core.jobtiming import LEADER_SILENT_MS
 from sesamehall.core.jobtiming import LEASE_MS
 from sesamehall.core.jobtiming import RENEW_CONFIRMED_MS
@@ -71,7 +73,7 @@
     if progress.next_offset < 0 or progress.fresh_ms < 0:
         return False
     silent_ms = progress.fresh_ms - progress.grown_ms
-    spread_ms = manager.rank % CLAIM_SPREAD_MS
+    spread_ms = _spread_ms(manager)
     leader = manager.leader
     if leader is None or leader.resigned:
         return silent_ms >= spread_ms
@@ -80,6 +82,17 @@
     return silent_ms >= LEADER_SILENT_MS + spread_ms
 
 
+def _spread_ms(manager: ManagerState) -> int:
+    """Choose how long this node lets others go first.
+
+    The leader decides for all workers, so a node with more processor goes
+    before others; of equal ones chance decides.
+    """
+    lacking = max(LEADER_CORES - manager.cores, 0.0) / LEADER_CORES
+    by_power_ms = int(lacking * (CLAIM_SPREAD_MS - CLAIM_CHANCE_MS))
+    return by_power_ms + manager.rank % CLAIM_CHANCE_MS
+
+
 def take_stored(manager: ManagerState, event: ProgressStored) -> Step:
     """Take in what became of the leader's records, or of a claim.
 
--- a/sesamehall/reducer/jobs/leading_test.py
+++ b/sesamehall/reducer/jobs/leading_test.py
@@ -71,6 +71,46 @@
 OTHER = Leader("edge-1", 3)
 
 
+@pytest.mark.parametrize(
+    ("leader", "cores", "rank", "silent_ms", "claims"),
+    [
+        (OTHER, 2.15, 0, 1_200, True),
+        (OTHER, 2.15, 119, 1_318, False),
+        (OTHER, 2.15, 119, 1_319, True),
+        (OTHER, 2.15, 240, 1_200, True),
+        (OTHER, 0.5, 0, 1_319, False),
+        (OTHER, 0.5, 0, 1_335, True),
+        (OTHER, 0.0, 119, 1_499, True),
+        (OTHER, 1.0, 0, 1_289, False),
+        (OTHER, 1.0, 0, 1_290, True),
+        (Leader("edge-1", 3, resigned=True), 0.5, 0, 100, False),
+        (Leader("edge-1", 3, resigned=True), 2.15, 0, 0, True),
+        (None, 0.5, 0, 100, False),
+        (Leader("edge-2", 3), 0.5, 119, 0, True),
+    ],
+    ids=[
+        "a strong node at once",
+        "a strong node lets another go first",
+        "a strong node in its turn",
+        "chance has its bound",
+        "a weak node after all strong ones",
+        "a weak node in its turn",
+        "none later than the spread",
+        "a node between them waits",
+        "a node between them in its turn",
+        "resigned, a weak node",
+        "resigned, a strong node",
+        "never any, a weak node",
+        "an earlier start of a weak node",
+    ],
+)
+def test_stronger_nodes_claim_first(leader, cores, rank, silent_ms, claims):
+    """Guards against a leader on a machine too weak for a large fleet."""
+    manager = build_follower(leader, silent_ms, cores=cores, rank=rank)
+    step = consider_claim(manager, NOW_MS)
+    assert bool(effects_of(step, StoreProgress)) is claims
+
+
 @pytest.mark.parametrize(
     ("leader", "silent_ms", "change", "epoch"),
     [
