Drive managers' reducers through seeded job histories

Callers see nothing of it yet. Two to four managers lead a few workers in turn on a modelled store and modelled workers, while they are stopped, killed, paused and cut off, workers restart under the same or another identifier, the store is down, and calls are lost, late and doubled. What workers and callers see is checked: tasks that run twice, before their turn or beyond their attempts, jobs shown wrongly, not known or never ended.

Seven guards taken out one by one are found (bench/jobhistories_test.py).

--- /dev/null
+++ b/bench/jobhistories_test.py
@@ -0,0 +1,86 @@
+"""Tests that the job histories find guards taken out, and nothing else."""
+
+import os
+import subprocess
+import sys
+
+import pytest
+
+from bench import job_histories
+from sesamehall.reducer.jobs import leases
+from sesamehall.reducer.jobs import orders
+from sesamehall.reducer.jobs import placing
+from sesamehall.reducer.jobs import reports
+from sesamehall.reducer.jobs import workers
+
+
+@pytest.fixture(autouse=True)
+def whole_guards(monkeypatch):
+    """Put back every guard that a history takes out."""
+    for module, name in (
+        (reports, "_is_unread"),
+        (reports, "_take_ends"),
+        (placing, "is_unresolved"),
+        (placing, "extend_lease"),
+        (orders, "extend_lease"),
+        (workers, "extend_lease"),
+        (leases, "is_resigning"),
+        (leases, "START_CONFIRMED_MS"),
+    ):
+        monkeypatch.setattr(module, name, getattr(module, name))
+
+
+@pytest.mark.parametrize(
+    ("seed", "without", "found"),
+    [
+        (0, "", False),
+        (1, "", False),
+        (13, "", False),
+        (14, "", False),
+        (13, "unread", True),
+        (0, "unresolved", True),
+        (1, "resigning", True),
+        (5, "stored", True),
+        (11, "lease", True),
+        (1, "confirmed", True),
+        (14, "sequence", True),
+    ],
+)
+def test_promises_hold_unless_a_guard_is_out(seed, without, found):
+    result = job_histories.run_history(seed, without)
+    assert result.starts > 30 and result.terms > 1
+    assert bool(result.violations) == found
+
+
+def test_every_guard_is_named():
+    for guard in job_histories.GUARDS:
+        job_histories.take_guard_out(guard)
+    with pytest.raises(SystemExit):
+        job_histories.take_guard_out("another")
+
+
+HISTORY = """
+from bench import job_histories
+world = job_histories.build_world(7)
+caller = job_histories.Caller(world)
+job_histories.plan_jobs(world, caller)
+job_histories.plan_faults(world)
+world.run(6_000)
+lengths = [len(log) for log in world.store.records_by_stream.values()]
+print(lengths, world.checker.starts, world.checker.ends)
+"""
+
+
+def test_same_seed_gives_the_same_history_in_any_process():
+    outputs = {
+        subprocess.run(
+            [sys.executable, "-c", HISTORY],
+            capture_output=True,
+            text=True,
+            timeout=60,
+            check=True,
+            env=os.environ | {"PYTHONHASHSEED": hash_seed},
+        ).stdout
+        for hash_seed in ("1", "2", "3")
+    }
+    assert len(outputs) == 1
