Count a restarted worker's ends anew whoever tells of it first

Callers saw tasks run again after they were done, and jobs that never ended.

Cause: a worker may start again under its identifier, with its counts of ends anew. Where its new entry was read before its first report of the term, or after its lease had run out, the entry's time of start was taken over without beginning the new life. The report then showed no new life, so the new ends up to the earlier count were passed over as known, and acknowledged.

Change: an entry of a later start begins the new life in every case.

Test: test_ends_of_a_new_life_are_counted_anew.

--- a/sesamehall/reducer/jobs/workers.py
+++ b/sesamehall/reducer/jobs/workers.py
@@ -50,8 +50,7 @@
         )
         return watch_worker(manager, entry.worker_id, at_ms)
     step = Step(manager)
-    reborn = worker.entry.born_ms and entry.born_ms != worker.entry.born_ms
-    if reborn and worker.reached and entry.born_ms > worker.entry.born_ms:
+    if 0 < worker.entry.born_ms < entry.born_ms:
         step = begin_life(manager, worker, entry.born_ms, at_ms)
         worker = step.state.workers_by_id[entry.worker_id]
     worker = replace(
