Acknowledge no end to a worker whose life was not heard

Callers saw tasks run again after they were done.

Cause: the first call of a term, and calls after a silence, carried the count of ends that was stored of the worker. It may have started again under its identifier meanwhile, with its counts anew; then ends that nobody had seen were forgotten. A successor met this whenever its predecessor had started tasks on the new life and had not stored that life yet, or the store was down.

Change: ends are acknowledged only while the worker is heard, so after its lists have shown which life it is in; the call before that acknowledges none, which does no harm, since what is not acknowledged is listed again.

Test: test_ends_are_acknowledged_to_a_life_that_was_heard.

--- a/sesamehall/reducer/jobs/workers.py
+++ b/sesamehall/reducer/jobs/workers.py
@@ -84,7 +84,9 @@
     """Ask a worker for its lists, and renew its lease if that is allowed.
 
     The lease of a silent worker is left to run out, so that its tasks can
-    run elsewhere.
+    run elsewhere.  One that was not heard of late may have started again
+    under its identifier, with its counts anew: no end is acknowledged to it
+    before its lists show which life it is in.
 
     Args:
       manager: State of the leader.
@@ -106,7 +108,7 @@
         worker_id=worker_id,
         address=worker.entry.address,
         epoch=manager.term.epoch,
-        acknowledged=worker.ended_stored,
+        acknowledged=worker.ended_stored if known else 0,
         lease_until_ms=lease_until_ms,
         wait_ms=wait_ms,
     )
