Claim the role only with a manifest to judge failed runs by

Callers saw jobs that never ended: a worker was not asked for its lists any more during a term.

Cause: a manager that starts claims the role at once where its name held it, and may have read jobs and progress before the manifest. The first failed run that a worker listed then raised an error, its lists were dropped, and the call after them was never made.

Change: no claim before a manifest is known; such a leader could start nothing anyway.

Test: test_claim, 'no manifest to judge failed runs by'.

--- a/sesamehall/reducer/jobs/leading.py
+++ b/sesamehall/reducer/jobs/leading.py
@@ -47,7 +47,9 @@
     term = manager.term
     if term.epoch or term.claiming or manager.stopping:
         return Step(manager)
-    if manager.jobs.next_offset < 0 or not _is_vacant(manager):
+    if manager.manifest is None or manager.jobs.next_offset < 0:
+        return Step(manager)
+    if not _is_vacant(manager):
         return Step(manager)
     previous = 0 if manager.leader is None else manager.leader.epoch
     epoch = previous + 1
--- a/sesamehall/reducer/jobs/leading_test.py
+++ b/sesamehall/reducer/jobs/leading_test.py
@@ -124,6 +124,7 @@
         (OTHER, 9_000, {"jobs": Following()}, None),
         (OTHER, 9_000, {"progress": Following()}, None),
         (OTHER, 9_000, {"term": Term(claiming=4)}, None),
+        (OTHER, 9_000, {"manifest": None}, None),
     ],
     ids=[
         "writes",
@@ -136,6 +137,7 @@
         "jobs not read",
         "progress not read",
         "claimed already",
+        "no manifest to judge failed runs by",
     ],
 )
 def test_claim(leader, silent_ms, change, epoch):
