Ask a restarted worker for what may be on its way to it

Callers saw two runs of a task at once.

Cause: when a worker had started again under its identifier, every run that was ordered on it was given up and started elsewhere. An order sent between its start and the first lists of the new life reaches that life: it knows no fence, and the order's lease counts on the earlier clock, so time does not make it void either.

Change: runs are compared with the new life's lists as at any report. One whose order has no answer and that is not listed is stopped; a worker that was told to stop a run does not start it later, so it is given up at the first lists asked for after the answer. The lease of a worker that has restarted counts as the longest.

Tests: test_run_that_a_new_life_may_have, test_run_on_its_way_is_given_up_ once_it_is_void. test_new_life_ends_what_ran meant a run that was on the worker, and built one without an answer; it has one now.

--- a/bench/jobworkers.py
+++ b/bench/jobworkers.py
@@ -16,6 +16,10 @@
 LONGEST_LEASE_MS = 6_000
 STOP_MS = 200
 FAILS = 0.12  # share of the runs that fail
+LASTS = 0.25  # share of the runs that outlast most leases
+FAILING_MS = (2, 300)
+SHORT_MS = (60, 900)
+LONG_MS = (1_000, 5_000)
 
 
 @dataclass(slots=True, eq=False)
@@ -27,6 +31,7 @@
       number: Number of the run.
       worker_id: The worker.
       began_ms: Time of its start.
+      took_ms: How long it takes unless it is stopped.
       end: How it ended, or None while it goes on.
       ended_ms: Time of its end.
       sequence: Place in the worker's list of ends.
@@ -38,6 +43,7 @@
     number: int
     worker_id: str
     began_ms: int
+    took_ms: int
     end: RunEnd | None = None
     ended_ms: int = -1
     sequence: int = 0
@@ -144,7 +150,7 @@
           The lists.
         """
         active = tuple(
-            ActiveRun(run.task, run.number)
+            ActiveRun(run.task, run.number, percent=self._percent(run))
             for run in self.active_by_task.values()
         )
         ended = tuple(
@@ -153,6 +159,9 @@
         )
         return Lists(self.clock_ms(), self.born_ms, active, ended)
 
+    def _percent(self, run):
+        return 100 * (self.now() - run.began_ms) // run.took_ms
+
     def _extend(self, until_ms):
         if until_ms < 0:
             return
@@ -183,18 +192,24 @@
         if effect.number <= self.highest_by_task.get(effect.task, 0):
             return OrderRefusal.OLD_RUN
         self.highest_by_task[effect.task] = effect.number
-        run = ModelRun(effect.task, effect.number, self.worker_id, self.now())
+        how, took_ms = self._draw_end()
+        run = ModelRun(
+            effect.task, effect.number, self.worker_id, self.now(), took_ms
+        )
         if active is not None:
             self._end(active, RunEnd.STOPPED)
         self.active_by_task[effect.task] = run
         self.checker.start(run)
-        failed = self.random.random() < FAILS
-        least_ms, most_ms = (2, 300) if failed else (60, 900)
-        how = RunEnd.FAILED if failed else RunEnd.DONE
-        took_ms = self.random.randint(least_ms, most_ms)
         self.plan(took_ms, self._end, run, how)
         return None
 
+    def _draw_end(self):
+        chance = self.random.random()
+        if chance < FAILS:
+            return RunEnd.FAILED, self.random.randint(*FAILING_MS)
+        span_ms = LONG_MS if chance > 1 - LASTS else SHORT_MS
+        return RunEnd.DONE, self.random.randint(*span_ms)
+
     def _stop(self, effect):
         highest = self.highest_by_task.get(effect.task, 0)
         self.highest_by_task[effect.task] = max(highest, effect.number)
--- a/sesamehall/core/workstate.py
+++ b/sesamehall/core/workstate.py
@@ -145,6 +145,8 @@
       leased: Whether it is stored that runs may be on it.
       inherited: Whether an earlier leader may have started runs on it.
       reached: Whether it has answered in this term.
+      met_ms: Clock at which its present life first answered in this term,
+        or -1.
       watching: Whether a call for its lists is under way.
       clock_ms: The worker's clock at its latest answer.
       seen_ms: Clock of this node at that answer.
@@ -170,6 +172,7 @@
     leased: bool = False
     inherited: bool = False
     reached: bool = False
+    met_ms: int = -1
     watching: bool = False
     clock_ms: int = 0
     seen_ms: int = -1
--- a/sesamehall/reducer/jobs/lives_test.py
+++ b/sesamehall/reducer/jobs/lives_test.py
@@ -3,9 +3,15 @@
 import pytest
 
 from sesamehall.core.data import JobPhase
+from sesamehall.core.managereffects import StopRun
 from sesamehall.core.managereffects import WatchWorker
+from sesamehall.core.managerevents import StopAnswered
+from sesamehall.core.replacing import replace
+from sesamehall.core.work import ActiveRun
 from sesamehall.core.work import EndedRun
 from sesamehall.core.work import RunEnd
+from sesamehall.reducer.jobs.bookkeeping import put_run
+from sesamehall.reducer.jobs.orders import take_stop_answer
 from sesamehall.reducer.jobs.reports import take_report
 from sesamehall.reducer.jobs.testing import build_entry
 from sesamehall.reducer.jobs.testing import build_leader
@@ -15,6 +21,7 @@
 from sesamehall.reducer.jobs.testing import effects_of
 from sesamehall.reducer.jobs.testing import JOB_ID
 from sesamehall.reducer.jobs.testing import NOW_MS
+from sesamehall.reducer.jobs.testing import place_all
 from sesamehall.reducer.jobs.testing import take_in
 from sesamehall.reducer.jobs.testing import task
 from sesamehall.reducer.jobs.workers import take_entry
@@ -48,3 +55,48 @@
     step = watch_worker(build_leader(worker), "w1", NOW_MS)
     (watch,) = effects_of(step, WatchWorker)
     assert watch.acknowledged == acknowledged
+
+
+def leader_with_run(answered_ms=-1):
+    """Build a leader that has started a task on w1."""
+    manager = take_in(build_leader(build_worker("w1")), build_plan())
+    manager = place_all(manager).state
+    run = replace(manager.runs_by_task[task()], answered_ms=answered_ms)
+    return put_run(manager, run)
+
+
+def report_of_new_life(active=(), at_ms=NOW_MS + 20, asked_ms=NOW_MS + 10):
+    return build_report(
+        "w1", active, at_ms=at_ms, asked_ms=asked_ms, born_ms=8
+    )
+
+
+@pytest.mark.parametrize(
+    ("answered_ms", "active", "kept", "stops"),
+    [
+        (NOW_MS + 5, (), False, 0),
+        (NOW_MS + 15, (), True, 0),
+        (-1, (), True, 1),
+        (-1, (ActiveRun(task(), 1),), True, 0),
+    ],
+    ids=["of the earlier life", "answered since", "on its way", "arrived"],
+)
+def test_run_that_a_new_life_may_have(answered_ms, active, kept, stops):
+    """A task whose order reaches the new life runs twice if given up."""
+    manager = leader_with_run(answered_ms)
+    step = take_report(manager, report_of_new_life(active))
+    assert (task() in step.state.runs_by_task) == kept
+    assert len(effects_of(step, StopRun)) == stops
+
+
+@pytest.mark.parametrize(
+    ("asked_ms", "kept"), [(NOW_MS + 25, True), (NOW_MS + 35, False)]
+)
+def test_run_on_its_way_is_given_up_once_it_is_void(asked_ms, kept):
+    """What a worker was told to stop does not start there later."""
+    manager = take_report(leader_with_run(), report_of_new_life()).state
+    answer = StopAnswered(NOW_MS + 30, "w1", 1, task(), 1, None)
+    manager = take_stop_answer(manager, answer).state
+    report = report_of_new_life((), NOW_MS + 40, asked_ms)
+    manager = take_report(manager, report).state
+    assert (task() in manager.runs_by_task) == kept
--- a/sesamehall/reducer/jobs/orders.py
+++ b/sesamehall/reducer/jobs/orders.py
@@ -78,6 +78,9 @@
 def take_stop_answer(manager: ManagerState, event: StopAnswered) -> Step:
     """Send an order to stop again while it has no answer.
 
+    A run that was stopped before it was there is never there, so lists that
+    are asked for from now on have it or its end, or it is void.
+
     Args:
       manager: State of the leader.
       event: The answer.
@@ -85,9 +88,15 @@
       A Step.
     """
     run = _find_run(manager, event)
-    if run is None or event.refusal is not OrderRefusal.SILENT:
+    if run is None:
         return Step(manager)
-    return stop_run(manager, run, "no answer")
+    match event.refusal:
+        case None if run.answered_ms < 0:
+            run = replace(run, answered_ms=event.at_ms)
+            return Step(put_run(manager, run))
+        case OrderRefusal.SILENT:
+            return stop_run(manager, run, "no answer")
+    return Step(manager)
 
 
 def start_order(
--- a/sesamehall/reducer/jobs/reports.py
+++ b/sesamehall/reducer/jobs/reports.py
@@ -26,6 +26,7 @@
 from sesamehall.reducer.jobs.progress import is_task_known
 from sesamehall.reducer.jobs.runs import give_up_run
 from sesamehall.reducer.jobs.runs import place_soon
+from sesamehall.reducer.jobs.runs import stop_run
 from sesamehall.reducer.jobs.runs import take_end
 from sesamehall.reducer.jobs.stalls import stop_stalled
 from sesamehall.reducer.jobs.workers import begin_life
@@ -51,11 +52,13 @@
         step = begin_life(manager, worker, event.born_ms, at_ms)
         worker = step.state.workers_by_id[event.worker_id]
     first = not worker.reached
+    met = worker.met_ms < 0
     back = first or worker.silences > 0
     worker = replace(
         worker,
         entry=replace(worker.entry, born_ms=event.born_ms or born_ms),
         reached=True,
+        met_ms=at_ms if met else worker.met_ms,
         watching=False,
         clock_ms=event.clock_ms,
         seen_ms=at_ms,
@@ -75,6 +78,8 @@
     step = then(step, _take_ends, event)
     step = then(step, _take_active, event)
     step = then(step, _give_up_missing, event)
+    if met:
+        step = then(step, _stop_unanswered, event.worker_id)
     step = then(step, stop_stalled, event.worker_id, at_ms)
     step = then(step, pace_fills, event.worker_id, at_ms)
     if back:
@@ -301,6 +306,20 @@
     return step
 
 
+def _stop_unanswered(manager, worker_id):
+    """Stop runs whose order may still reach a life that was just met.
+
+    The order counts on the clock of the earlier life, so time does not make
+    it void; a worker that was told to stop a run does not start it later.
+    """
+    step = Step(manager)
+    for task in sorted(manager.workers_by_id[worker_id].tasks):
+        run = manager.runs_by_task[task]
+        if run.answered_ms < 0:
+            step = then(step, stop_run, run, "worker restarted")
+    return step
+
+
 def _should_be_listed(run, event):
     """Tell whether a run must be in lists that were asked for later."""
     if run.answered_ms >= 0:
--- a/sesamehall/reducer/jobs/workers.py
+++ b/sesamehall/reducer/jobs/workers.py
@@ -1,10 +1,9 @@
 """Workers: their entries, their silence, and the end of their lives."""
 
-from immutables import Map
-
 from sesamehall.core.effects import log
 from sesamehall.core.effects import SetTimer
 from sesamehall.core.fleet import WorkerEntry
+from sesamehall.core.jobtiming import CLOCK_SLACK_PERCENT
 from sesamehall.core.jobtiming import WATCH_RETRY_MS
 from sesamehall.core.jobtiming import WATCH_WAIT_MS
 from sesamehall.core.logevents import WORKER_GONE
@@ -18,7 +17,6 @@
 from sesamehall.core.step import Step
 from sesamehall.core.step import then
 from sesamehall.core.timers import WatchTimer
-from sesamehall.core.work import NO_SIZE
 from sesamehall.core.workstate import Worker
 from sesamehall.reducer.jobs.bookkeeping import drop_worker
 from sesamehall.reducer.jobs.bookkeeping import put_worker
@@ -180,6 +178,7 @@
         worker = replace(
             worker,
             reached=False,
+            met_ms=-1,
             lease_end_ms=0,
             ended=worker.ended_stored,
             strangers=0,
@@ -238,7 +237,11 @@
 def begin_life(
     manager: ManagerState, worker: Worker, born_ms: int, at_ms: int
 ) -> Step:
-    """Give up what ran in a worker's earlier life.
+    """Note that a worker has started again under its identifier.
+
+    What ran in its earlier life is gone, but the new one may have got orders
+    that were meant for the earlier one; its lists will tell.  The lease that
+    such an order carries counts on another clock, so it may be the longest.
 
     Args:
       manager: State of the leader.
@@ -246,24 +249,21 @@
       born_ms: Time of its new start, since 1970.
       at_ms: The node's clock.
     Returns:
-      A Step with an empty worker.
+      A Step with a worker of which no end is known.
     """
-    step = Step(manager)
-    for task in sorted(worker.tasks):
-        run = step.state.runs_by_task[task]
-        step = then(step, give_up_run, run, "worker restarted", at_ms)
-    worker = step.state.workers_by_id[worker.entry.worker_id]
+    longest_ms = manager.timing.longest_lease_ms
+    slow_ms = longest_ms * (100 + CLOCK_SLACK_PERCENT) // 100
     worker = replace(
         worker,
         entry=replace(worker.entry, born_ms=born_ms),
+        met_ms=-1,
+        lease_end_ms=max(worker.lease_end_ms, at_ms + slow_ms),
         ended=0,
         ended_stored=0,
-        tasks=Map(),
-        used=NO_SIZE,
         failures=0,
         leaving=False,
         over=False,
     )
-    manager = put_worker(step.state, worker)
+    manager = put_worker(manager, worker)
     dirty = manager.dirty_workers.set(worker.entry.worker_id, True)
-    return Step(replace(manager, dirty_workers=dirty), step.effects)
+    return Step(replace(manager, dirty_workers=dirty))
--- a/sesamehall/reducer/jobs/workers_test.py
+++ b/sesamehall/reducer/jobs/workers_test.py
@@ -13,6 +13,7 @@
 from sesamehall.core.work import ActiveRun
 from sesamehall.core.work import EndedRun
 from sesamehall.core.work import RunEnd
+from sesamehall.reducer.jobs.bookkeeping import put_run
 from sesamehall.reducer.jobs.bookkeeping import put_worker
 from sesamehall.reducer.jobs.leases import extend_lease
 from sesamehall.reducer.jobs.queueing import is_unresolved
@@ -201,6 +202,8 @@
 )
 def test_new_life_ends_what_ran(born_ms, kept):
     manager = leader_with_run()
+    run = replace(manager.runs_by_task[task()], answered_ms=NOW_MS - 1)
+    manager = put_run(manager, run)
     report = build_report(
         "w1", [ActiveRun(task(), 1)] if kept else [], born_ms=born_ms
     )
