Start nothing on a life that was met without confirmation

Callers saw a task run again after it was done.

A successor had taken its fence at a worker and the end of a run there; then the worker started again, and a new life knows no fence. The old leader heard it, took the run for lost with the earlier life and started its task again.

Change: without confirmation of the role, a leader starts nothing on a life that it met after its latest confirmation had run out, nor on one that is only registered, and gives nothing up by that life's lists.

--- a/bench/job_histories.py
+++ b/bench/job_histories.py
@@ -44,6 +44,7 @@
 from sesamehall.reducer.jobs import leases
 from sesamehall.reducer.jobs import orders
 from sesamehall.reducer.jobs import placing
+from sesamehall.reducer.jobs import queueing
 from sesamehall.reducer.jobs import reports
 from sesamehall.reducer.jobs import workers
 
@@ -324,7 +325,7 @@
       world: The world.
       lasts_ms: How long no call is answered.
     """
-    muted_ms = world.random.randint(1, 400)
+    muted_ms = world.random.randint(1, min(400, lasts_ms))
     world.store.muted = True
     world.at(muted_ms, setattr, world.store, "down", True)
     world.at(lasts_ms, setattr, world.store, "muted", False)
@@ -395,7 +396,7 @@
         case "unread":
             reports._is_unread = lambda manager, task: False
         case "unresolved":
-            placing.is_unresolved = lambda manager, pool: False
+            queueing.is_unresolved = lambda manager, pool: False
         case "resigning":
             leases.is_resigning = lambda manager: False
         case "stored":
--- a/sesamehall/reducer/jobs/leases.py
+++ b/sesamehall/reducer/jobs/leases.py
@@ -144,6 +144,28 @@
     return not is_resigning(manager) and since_ms < RENEW_CONFIRMED_MS
 
 
+def knows_life(manager: ManagerState, worker: Worker, at_ms: int) -> bool:
+    """Tell whether no other leader can have met a worker's life before.
+
+    A later leader takes its fence at every worker; one that starts again
+    knows no fence.  So a leader without confirmation that meets a new life
+    can't tell what another one has learnt from the earlier life, or has
+    started elsewhere since.
+
+    Args:
+      manager: State of a leader.
+      worker: The worker.
+      at_ms: The node's clock.
+    Returns:
+      True where the life was met while the role was confirmed.
+    """
+    if worker.met_ms < 0:
+        return False
+    confirmed_ms = manager.term.confirmed_ms
+    met_in_time = worker.met_ms < confirmed_ms + START_CONFIRMED_MS
+    return met_in_time or is_confirmed(manager, at_ms)
+
+
 def lease_length_ms(manager: ManagerState) -> int:
     """Choose how long a renewed lease lasts.
 
--- a/sesamehall/reducer/jobs/lives_test.py
+++ b/sesamehall/reducer/jobs/lives_test.py
@@ -3,6 +3,7 @@
 import pytest
 
 from sesamehall.core.data import JobPhase
+from sesamehall.core.managereffects import StartRun
 from sesamehall.core.managereffects import StopRun
 from sesamehall.core.managereffects import WatchWorker
 from sesamehall.core.managerevents import StopAnswered
@@ -100,3 +101,37 @@
     report = report_of_new_life((), NOW_MS + 40, asked_ms)
     manager = take_report(manager, report).state
     assert (task() in manager.runs_by_task) == kept
+
+
+def unconfirmed(manager, for_ms):
+    """Let the latest confirmation of the role be so long ago."""
+    term = replace(manager.term, confirmed_ms=NOW_MS - for_ms)
+    return replace(manager, term=term)
+
+
+@pytest.mark.parametrize(
+    ("for_ms", "kept"), [(0, False), (800, False), (2_000, True)]
+)
+def test_run_of_an_earlier_life_without_confirmation(for_ms, kept):
+    """Another leader may know its end, and the new life no fence."""
+    manager = unconfirmed(leader_with_run(NOW_MS + 5), for_ms)
+    manager = take_report(manager, report_of_new_life()).state
+    assert (task() in manager.runs_by_task) == kept
+
+
+@pytest.mark.parametrize(
+    ("met_ago_ms", "for_ms", "starts"),
+    [(5_000, 2_000, 1), (500, 2_000, 0), (500, 100, 1), (-1, 100, 0)],
+    ids=["met before", "met since", "confirmed", "registered only"],
+)
+def test_starts_on_a_new_life_without_confirmation(met_ago_ms, for_ms, starts):
+    """Another leader may have started the task where this one cannot see."""
+    met_ms = NOW_MS - met_ago_ms if met_ago_ms >= 0 else -1
+    manager = build_leader(build_worker("w1", met_ms=met_ms))
+    manager = unconfirmed(take_in(manager, build_plan()), for_ms)
+    work = manager.works_by_id[JOB_ID]
+    works = manager.works_by_id.set(
+        JOB_ID, replace(work, accepted_ms=NOW_MS - 9_000)
+    )
+    step = place_all(replace(manager, works_by_id=works))
+    assert len(effects_of(step, StartRun)) == starts
--- a/sesamehall/reducer/jobs/queueing.py
+++ b/sesamehall/reducer/jobs/queueing.py
@@ -8,6 +8,7 @@
 from sesamehall.reducer.jobs.durations import duration_ratio
 from sesamehall.reducer.jobs.durations import mean_duration_ms
 from sesamehall.reducer.jobs.durations import occupied_ratio
+from sesamehall.reducer.jobs.leases import knows_life
 from sesamehall.reducer.jobs.leases import may_hide_runs
 from sesamehall.reducer.jobs.leases import may_start
 from sesamehall.reducer.jobs.progress import chain_left_ms
@@ -43,7 +44,7 @@
     return [
         worker
         for worker in workers_in(manager, pool)
-        if takes_tasks(worker, at_ms)
+        if takes_tasks(worker, at_ms) and knows_life(manager, worker, at_ms)
     ]
 
 
--- a/sesamehall/reducer/jobs/reports.py
+++ b/sesamehall/reducer/jobs/reports.py
@@ -21,6 +21,7 @@
 from sesamehall.reducer.jobs.bookkeeping import charge_run
 from sesamehall.reducer.jobs.bookkeeping import put_worker
 from sesamehall.reducer.jobs.durations import run_time_ms
+from sesamehall.reducer.jobs.leases import knows_life
 from sesamehall.reducer.jobs.pacing import pace_fills
 from sesamehall.reducer.jobs.progress import is_task_done
 from sesamehall.reducer.jobs.progress import is_task_known
@@ -289,9 +290,13 @@
 
 
 def _give_up_missing(manager, event):
-    """Give up runs that should be in the lists and are not."""
+    """Give up runs that should be in the lists and are not.
+
+    Not by the lists of a life that another leader may know better: the task
+    may have run elsewhere since, or its end may be stored.
+    """
     worker = manager.workers_by_id[event.worker_id]
-    if not worker.tasks:
+    if not worker.tasks or not knows_life(manager, worker, event.at_ms):
         return Step(manager)
     active = {(row.task, row.number) for row in event.active}
     step = Step(manager)
--- a/sesamehall/reducer/jobs/testing.py
+++ b/sesamehall/reducer/jobs/testing.py
@@ -70,6 +70,7 @@
     fields = {
         "leased": True,
         "reached": True,
+        "met_ms": NOW_MS - 60_000,
         "clock_ms": 50_000,
         "seen_ms": NOW_MS,
         "lease_end_ms": NOW_MS,
