Pause before an order to stop is sent again

One cause among others: an order to stop that got no answer was sent again at once.

Change: it is sent again after 300 ms, while the run is still to be stopped there. The tests fail on the code before.

--- a/sesamehall/core/jobtiming.py
+++ b/sesamehall/core/jobtiming.py
@@ -27,6 +27,7 @@
 WATCH_WAIT_MS = 1_000  # a worker's silence is noticed soon after this
 HEARD_MS = 1_400  # a worker that has not answered for this may be silent
 WATCH_RETRY_MS = 300  # pause after a worker's silence
+STOP_RETRY_MS = 300  # pause before an order to stop is sent again
 WATCH_UNSTORED_MS = 80  # a worker with ends to acknowledge answers at once
 RUN_NUMBERS_A_TERM = 16  # runs of a task that one leader may number
 FAILURES_TO_ASIDE = 4  # failures in a row that set a worker aside
--- a/sesamehall/core/timers.py
+++ b/sesamehall/core/timers.py
@@ -138,6 +138,21 @@
     worker_id: str
 
 
+@dataclass(frozen=True, slots=True)
+class StopTimer:
+    """An order to stop a run that got no answer is sent again.
+
+    Attributes:
+      worker_id: Identifier of the worker.
+      task: Identifier of the task.
+      number: Number of the run.
+    """
+
+    worker_id: str
+    task: str
+    number: int
+
+
 Timer = (
     BeatTimer
     | LoadTimer
@@ -154,4 +169,5 @@
     | PlaceTimer
     | DueTimer
     | WatchTimer
+    | StopTimer
 )
--- a/sesamehall/reducer/jobs/orders.py
+++ b/sesamehall/reducer/jobs/orders.py
@@ -1,7 +1,9 @@
 """Answers of workers to orders, and orders that are sent again."""
 
 from sesamehall.core.effects import log
+from sesamehall.core.effects import SetTimer
 from sesamehall.core.jobtiming import REFUSED_ASIDE_MS
+from sesamehall.core.jobtiming import STOP_RETRY_MS
 from sesamehall.core.logevents import RUN_REFUSED
 from sesamehall.core.managereffects import StartRun
 from sesamehall.core.managerevents import OrderRefusal
@@ -11,6 +13,7 @@
 from sesamehall.core.replacing import replace
 from sesamehall.core.step import Step
 from sesamehall.core.step import then
+from sesamehall.core.timers import StopTimer
 from sesamehall.core.workstate import Run
 from sesamehall.core.workstate import RunState
 from sesamehall.reducer.jobs.advice import drop_ticket
@@ -76,7 +79,10 @@
 
 
 def take_stop_answer(manager: ManagerState, event: StopAnswered) -> Step:
-    """Send an order to stop again while it has no answer.
+    """Send an order to stop again later while it has no answer.
+
+    A worker that refuses connections fails each order at once, so there is a
+    pause between them.
 
     A run that was stopped before it was there is never there, so lists that
     are asked for from now on have it or its end, or it is void.
@@ -95,10 +101,29 @@
             run = replace(run, answered_ms=event.at_ms)
             return Step(put_run(manager, run))
         case OrderRefusal.SILENT:
-            return stop_run(manager, run, "no answer")
+            timer = StopTimer(run.worker_id, run.task, run.number)
+            due_ms = event.at_ms + STOP_RETRY_MS
+            return Step(manager, (SetTimer(timer, due_ms),))
     return Step(manager)
 
 
+def repeat_stop(manager: ManagerState, timer: StopTimer) -> Step:
+    """Send an order to stop again, if the run is still there.
+
+    Args:
+      manager: State of a manager.
+      timer: Names the run.
+    Returns:
+      A Step.
+    """
+    run = manager.runs_by_task.get(timer.task)
+    if run is None or run.state is not RunState.STOPPING:
+        return Step(manager)
+    if (run.worker_id, run.number) != (timer.worker_id, timer.number):
+        return Step(manager)
+    return stop_run(manager, run, "no answer")
+
+
 def start_order(
     manager: ManagerState, run: Run, command: str, lease_until_ms: int
 ) -> StartRun:
--- /dev/null
+++ b/sesamehall/reducer/jobs/orders_test.py
@@ -0,0 +1,70 @@
+"""Tests of orders that get no answer."""
+
+import pytest
+
+from sesamehall.core.effects import SetTimer
+from sesamehall.core.jobtiming import STOP_RETRY_MS
+from sesamehall.core.managereffects import StopRun
+from sesamehall.core.managerevents import OrderRefusal
+from sesamehall.core.managerevents import StopAnswered
+from sesamehall.core.replacing import replace
+from sesamehall.core.timers import StopTimer
+from sesamehall.core.workstate import RunState
+from sesamehall.reducer.jobs.orders import repeat_stop
+from sesamehall.reducer.jobs.orders import take_stop_answer
+from sesamehall.reducer.jobs.runs import stop_run
+from sesamehall.reducer.jobs.testing import build_leader
+from sesamehall.reducer.jobs.testing import build_plan
+from sesamehall.reducer.jobs.testing import build_worker
+from sesamehall.reducer.jobs.testing import effects_of
+from sesamehall.reducer.jobs.testing import NOW_MS
+from sesamehall.reducer.jobs.testing import place_all
+from sesamehall.reducer.jobs.testing import take_in
+from sesamehall.reducer.jobs.testing import task
+
+TIMER = StopTimer("w1", task(), 1)
+
+
+def stopping():
+    """Build a leader that has ordered a run to stop."""
+    manager = take_in(build_leader(build_worker("w1")), build_plan())
+    manager = place_all(manager).state
+    return stop_run(manager, manager.runs_by_task[task()], "cancelled").state
+
+
+@pytest.mark.parametrize(
+    ("refusal", "timers"),
+    [
+        (None, []),
+        (OrderRefusal.SILENT, [SetTimer(TIMER, NOW_MS + STOP_RETRY_MS)]),
+        (OrderRefusal.OLD_RUN, []),
+    ],
+)
+def test_stop_without_answer_is_repeated_after_a_pause(refusal, timers):
+    """A worker that reset connections got 530 orders in a second."""
+    answer = StopAnswered(NOW_MS, "w1", 1, task(), 1, refusal)
+    step = take_stop_answer(stopping(), answer)
+    assert effects_of(step, SetTimer) == timers
+    assert not effects_of(step, StopRun)
+
+
+@pytest.mark.parametrize(
+    ("change", "stops"),
+    [
+        ({}, 1),
+        ({"number": 2}, 0),
+        ({"worker_id": "w2"}, 0),
+        ({"state": RunState.RUNNING}, 0),
+    ],
+    ids=["still there", "later run", "elsewhere", "wanted again"],
+)
+def test_only_a_run_that_is_still_to_stop_is_stopped_again(change, stops):
+    manager = stopping()
+    run = replace(manager.runs_by_task[task()], **change)
+    runs = manager.runs_by_task.set(task(), run)
+    step = repeat_stop(replace(manager, runs_by_task=runs), TIMER)
+    assert len(effects_of(step, StopRun)) == stops
+
+
+def test_a_run_that_has_ended_is_not_stopped_again():
+    assert not repeat_stop(build_leader(), TIMER).effects
--- a/sesamehall/reducer/managing.py
+++ b/sesamehall/reducer/managing.py
@@ -39,6 +39,7 @@
 from sesamehall.core.timers import DueTimer
 from sesamehall.core.timers import ManagerTimer
 from sesamehall.core.timers import PlaceTimer
+from sesamehall.core.timers import StopTimer
 from sesamehall.core.timers import WatchTimer
 from sesamehall.reducer.jobs.advice import take_advice
 from sesamehall.reducer.jobs.advice import take_no_advice
@@ -52,6 +53,7 @@
 from sesamehall.reducer.jobs.leading import consider_claim
 from sesamehall.reducer.jobs.leading import end_term
 from sesamehall.reducer.jobs.leading import take_stored
+from sesamehall.reducer.jobs.orders import repeat_stop
 from sesamehall.reducer.jobs.orders import take_start_answer
 from sesamehall.reducer.jobs.orders import take_stop_answer
 from sesamehall.reducer.jobs.placing import place_step
@@ -143,6 +145,8 @@
             return place_tasks(manager, pool, at_ms)
         case WatchTimer(worker_id):
             return watch_worker(manager, worker_id, at_ms)
+        case StopTimer():
+            return repeat_stop(manager, event.timer)
         case DueTimer(job_id):
             return start_due(manager, job_id, at_ms)
     raise TypeError(f"no decision for {type(event.timer).__name__}")
