--- a/bench/job_histories.py
+++ b/bench/job_histories.py
@@ -251,7 +251,7 @@
       world: The world.
     """
     host = world.leader()
-    if host is None:
+    if host is None or world.weather is CALM:
         return
     random = world.random
     lasts_ms = random.randint(500, 13_000)
