--- a/sesamehall/core/managerevents.py
+++ b/sesamehall/core/managerevents.py
@@ -161,6 +161,19 @@
     refusal: OrderRefusal
 
 
+@dataclass(frozen=True, slots=True)
+class OrderTiming:
+    """How an order came to its worker.
+
+    Attributes:
+      given_ms: Clock at which it was given.
+      sent_ms: Clock at which a thread began to send it.
+    """
+
+    given_ms: int
+    sent_ms: int
+
+
 @dataclass(frozen=True, slots=True)
 class RunAnswered:
     """A worker answered an order to start a run.
@@ -173,6 +186,7 @@
       number: Number of the run.
       refusal: None when the run is there.
       clock_ms: The worker's own clock as it answered, or -1.
+      timing: When the order was given and sent.
     """
 
     at_ms: int
@@ -182,6 +196,7 @@
     number: int
     refusal: OrderRefusal | None
     clock_ms: int = -1
+    timing: OrderTiming | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -195,6 +210,7 @@
       task: Identifier of the task.
       number: Number of the run.
       refusal: None when the order was taken.
+      timing: When the order was given and sent.
     """
 
     at_ms: int
@@ -203,6 +219,7 @@
     task: str
     number: int
     refusal: OrderRefusal | None
+    timing: OrderTiming | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/sesamehall/platform/workers.py
+++ b/sesamehall/platform/workers.py
@@ -13,6 +13,7 @@
 from sesamehall.core.managereffects import StopRun
 from sesamehall.core.managereffects import WatchWorker
 from sesamehall.core.managerevents import OrderRefusal
+from sesamehall.core.managerevents import OrderTiming
 from sesamehall.core.managerevents import RunAnswered
 from sesamehall.core.managerevents import StopAnswered
 from sesamehall.core.managerevents import WorkerNotReported
@@ -77,7 +78,7 @@
         Args:
           effect: The order.
         """
-        self._executor.submit(self._order, effect)
+        self._executor.submit(self._order, effect, now_ms())
 
     def close(self) -> None:
         """End the thread and close the connections."""
@@ -114,7 +115,10 @@
             )
         )
 
-    def _order(self, effect: StartRun | StopRun | PaceRun) -> None:
+    def _order(
+        self, effect: StartRun | StopRun | PaceRun, given_ms: int
+    ) -> None:
+        timing = OrderTiming(given_ms, sent_ms=now_ms())
         path, content = _encode_order(effect)
         try:
             answer = self._call(path, content, ORDER_TIMEOUT_S)
@@ -126,9 +130,11 @@
         names = (effect.worker_id, effect.epoch, effect.task, effect.number)
         match effect:
             case StartRun():
-                self._post(RunAnswered(now_ms(), *names, refusal, clock_ms))
+                self._post(
+                    RunAnswered(now_ms(), *names, refusal, clock_ms, timing)
+                )
             case StopRun():
-                self._post(StopAnswered(now_ms(), *names, refusal))
+                self._post(StopAnswered(now_ms(), *names, refusal, timing))
             case PaceRun():
                 pass  # the next report shows the pace that is kept
 
--- a/sesamehall/reducer/jobs/leading.py
+++ b/sesamehall/reducer/jobs/leading.py
@@ -62,6 +62,7 @@
     line = log(
         TERM_CLAIMED,
         epoch=epoch,
+        cores=f"{manager.cores:.2f}",
         silent_ms=manager.progress.fresh_ms - manager.progress.grown_ms,
         offset=manager.progress.next_offset,
     )
@@ -161,6 +162,7 @@
     line = log(
         TERM_BEGUN,
         epoch=event.epoch,
+        cores=f"{manager.cores:.2f}",
         jobs=len(manager.plans_by_id),
         workers=len(manager.leased_by_id),
     )
--- a/sesamehall/runtime/interpreter.py
+++ b/sesamehall/runtime/interpreter.py
@@ -20,6 +20,7 @@
 from sesamehall.core.state import State
 from sesamehall.core.timers import Timer
 from sesamehall.reducer.reduce import reduce
+from sesamehall.runtime.tallies import order_answer
 from sesamehall.runtime.tallies import Taken
 
 LOGGER = logging.getLogger("sesamehall")
@@ -146,6 +147,7 @@
             waiting=waiting,
             took_us=(time.perf_counter_ns() - began_ns) // 1_000,
             orders=orders,
+            order_answer=order_answer(event),
         )
 
     def _reduce(self, event: Event) -> int:
--- a/sesamehall/runtime/tallies.py
+++ b/sesamehall/runtime/tallies.py
@@ -3,6 +3,10 @@
 A process that decides slower than events come lets them wait, and everything
 that it does is late by as much.  A tally covers a second, and its line tells
 the age of events when they were taken and which kinds took the time.
+
+An event's age begins when a thread has queued it.  Where threads wait for the
+processor before that, only the time from an order to its answer and the
+process's share of a core show it.
 """
 
 from dataclasses import dataclass
@@ -12,13 +16,30 @@
 from sesamehall.core.data import EMPTY_MAP
 from sesamehall.core.effects import Log
 from sesamehall.core.effects import log
+from sesamehall.core.events import Event
 from sesamehall.core.logevents import DECISIONS_TALLIED
+from sesamehall.core.managerevents import RunAnswered
+from sesamehall.core.managerevents import StopAnswered
+from sesamehall.core.replacing import replace
 
 TALLY_MS = 1_000  # one line at most in this time
 LATE_MS = 250  # events this old are told of on any node
 KINDS_TOLD = 4  # kinds of event that took the most time
 
 
+@dataclass(frozen=True, slots=True)
+class OrderAnswer:
+    """How long the answer to an order took.
+
+    Attributes:
+      waited_ms: From the order until a thread sent it.
+      call_ms: From then until its answer was read.
+    """
+
+    waited_ms: int
+    call_ms: int
+
+
 @dataclass(frozen=True, slots=True)
 class Taken:
     """An event that was reduced, and its effects carried out.
@@ -30,6 +51,7 @@
       waiting: Events that waited behind it.
       took_us: Time to reduce it and to carry out its effects.
       orders: Orders to workers among its effects.
+      order_answer: Of an event that answers an order.
     """
 
     kind: str
@@ -38,9 +60,10 @@
     waiting: int
     took_us: int
     orders: int = 0
+    order_answer: OrderAnswer | None = None
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(frozen=True)
 class Tally:
     """What was taken within a second.
 
@@ -53,6 +76,11 @@
       took_us: Time that they took.
       orders: Orders to workers.
       took_us_by_kind: Time by kind of event.
+      answers: Answers to orders.
+      waited_ms: The longest wait of an order for a thread.
+      call_ms: Sum of the times from sending an order to its answer.
+      longest_call_ms: The longest of them.
+      processor_ms: Processor time that the process had used when it began.
     """
 
     since_ms: int
@@ -63,6 +91,29 @@
     took_us: int = 0
     orders: int = 0
     took_us_by_kind: Map[str, int] = EMPTY_MAP
+    answers: int = 0
+    waited_ms: int = 0
+    call_ms: int = 0
+    longest_call_ms: int = 0
+    processor_ms: int = 0
+
+
+def order_answer(event: Event) -> OrderAnswer | None:
+    """Tell how long the answer to an order took.
+
+    Args:
+      event: What has happened.
+    Returns:
+      None for an event that answers no order.
+    """
+    match event:
+        case RunAnswered() | StopAnswered() if event.timing is not None:
+            timing = event.timing
+            return OrderAnswer(
+                waited_ms=timing.sent_ms - timing.given_ms,
+                call_ms=event.at_ms - timing.sent_ms,
+            )
+    return None
 
 
 def add_taken(tally: Tally, taken: Taken) -> Tally:
@@ -76,8 +127,10 @@
     """
     by_kind = tally.took_us_by_kind
     took_us = by_kind.get(taken.kind, 0) + taken.took_us
-    return Tally(
-        since_ms=tally.since_ms,
+    if taken.order_answer is not None:
+        tally = _add_answer(tally, taken.order_answer)
+    return replace(
+        tally,
         events=tally.events + 1,
         age_ms=tally.age_ms + taken.age_ms,
         oldest_ms=max(tally.oldest_ms, taken.age_ms),
@@ -88,6 +141,16 @@
     )
 
 
+def _add_answer(tally, answer):
+    return replace(
+        tally,
+        answers=tally.answers + 1,
+        waited_ms=max(tally.waited_ms, answer.waited_ms),
+        call_ms=tally.call_ms + answer.call_ms,
+        longest_call_ms=max(tally.longest_call_ms, answer.call_ms),
+    )
+
+
 def is_over(tally: Tally, at_ms: int) -> bool:
     """Tell whether a tally's time is over.
 
@@ -100,12 +163,16 @@
     return at_ms - tally.since_ms >= TALLY_MS
 
 
-def line_of(tally: Tally, leads: bool) -> tuple[Log, ...]:
+def line_of(
+    tally: Tally, leads: bool, at_ms: int, processor_ms: int
+) -> tuple[Log, ...]:
     """Tell of a tally where it matters.
 
     Args:
       tally: A tally that is over.
       leads: Whether the process gives orders to workers.
+      at_ms: The node's clock.
+      processor_ms: Processor time that the process has used.
     Returns:
       One line while the process leads or events are late, else none.
     """
@@ -122,6 +189,11 @@
         waiting=tally.waiting,
         busy_ms=tally.took_us // 1_000,
         orders=tally.orders,
+        order_wait_ms=tally.waited_ms,
+        call_ms=tally.call_ms // max(tally.answers, 1),
+        longest_call_ms=tally.longest_call_ms,
+        span_ms=at_ms - tally.since_ms,
+        processor_ms=processor_ms - tally.processor_ms,
         kinds=",".join(
             f"{kind}:{took_us // 1_000}"
             for kind, took_us in by_kind[:KINDS_TOLD]
