--- a/sesamehall/core/logevents.py
+++ b/sesamehall/core/logevents.py
@@ -154,8 +154,7 @@
 DECISIONS_TALLIED = _info(
     903,
     "decisions tallied",
-    "If oldest_ms or call_ms grows and processor_ms is near the node's share,"
-    " its processor is the bound.",
+    "If oldest_ms or call_ms grows, this node's processor is the bound.",
 )
 LINES_DROPPED = _warning(
     910, "log lines dropped", "Read standard output faster."
--- a/sesamehall/platform/application.py
+++ b/sesamehall/platform/application.py
@@ -2,7 +2,6 @@
 
 import os
 from socket import socket
-import time
 
 from cheroot.wsgi import Server
 
@@ -88,7 +87,7 @@
         )
         self._logbook = Logbook(settings.name, "")
         self._metrics = Metrics()
-        self._tally = Tally(now_ms(), processor_ms=_processor_ms())
+        self._tally = Tally(now_ms())
         self._interpreter = Interpreter(
             state, self._perform, observe=self._observe
         )
@@ -129,10 +128,9 @@
         """Tally what an event cost, and tell of the second before it."""
         if is_over(self._tally, taken.at_ms):
             leads = self._interpreter.state.manager.term.epoch > 0
-            used_ms = _processor_ms()
-            for line in line_of(self._tally, leads, taken.at_ms, used_ms):
+            for line in line_of(self._tally, leads):
                 self._perform(line)
-            self._tally = Tally(taken.at_ms, processor_ms=used_ms)
+            self._tally = Tally(taken.at_ms)
         self._tally = add_taken(self._tally, taken)
 
     def _perform(self, effect: Effect) -> None:
@@ -171,11 +169,6 @@
                 raise TypeError(f"no way to {type(effect).__name__}")
 
 
-def _processor_ms():
-    """Read the processor time that the process has used."""
-    return time.process_time_ns() // 1_000_000
-
-
 class ListeningServer(Server):
     """An HTTP server on a socket that listens already."""
 
--- a/sesamehall/runtime/tallies.py
+++ b/sesamehall/runtime/tallies.py
@@ -5,8 +5,7 @@
 the age of events when they were taken and which kinds took the time.
 
 An event's age begins when a thread has queued it.  Where threads wait for the
-processor before that, only the time from an order to its answer and the
-process's share of a core show it.
+processor before that, only the time from an order to its answer shows it.
 """
 
 from dataclasses import dataclass
@@ -80,7 +79,6 @@
       waited_ms: The longest wait of an order for a thread.
       call_ms: Sum of the times from sending an order to its answer.
       longest_call_ms: The longest of them.
-      processor_ms: Processor time that the process had used when it began.
     """
 
     since_ms: int
@@ -95,7 +93,6 @@
     waited_ms: int = 0
     call_ms: int = 0
     longest_call_ms: int = 0
-    processor_ms: int = 0
 
 
 def order_answer(event: Event) -> OrderAnswer | None:
@@ -163,16 +160,12 @@
     return at_ms - tally.since_ms >= TALLY_MS
 
 
-def line_of(
-    tally: Tally, leads: bool, at_ms: int, processor_ms: int
-) -> tuple[Log, ...]:
+def line_of(tally: Tally, leads: bool) -> tuple[Log, ...]:
     """Tell of a tally where it matters.
 
     Args:
       tally: A tally that is over.
       leads: Whether the process gives orders to workers.
-      at_ms: The node's clock.
-      processor_ms: Processor time that the process has used.
     Returns:
       One line while the process leads or events are late, else none.
     """
@@ -192,8 +185,6 @@
         order_wait_ms=tally.waited_ms,
         call_ms=tally.call_ms // max(tally.answers, 1),
         longest_call_ms=tally.longest_call_ms,
-        span_ms=at_ms - tally.since_ms,
-        processor_ms=processor_ms - tally.processor_ms,
         kinds=",".join(
             f"{kind}:{took_us // 1_000}"
             for kind, took_us in by_kind[:KINDS_TOLD]
--- a/sesamehall/runtime/tallies_test.py
+++ b/sesamehall/runtime/tallies_test.py
@@ -35,8 +35,6 @@
     order_wait_ms=0,
     call_ms=0,
     longest_call_ms=0,
-    span_ms=1_100,
-    processor_ms=480,
     kinds="WorkerReported:2,RunAnswered:0",
 )
 PROMPT_LINE = log(
@@ -50,8 +48,6 @@
     order_wait_ms=0,
     call_ms=0,
     longest_call_ms=0,
-    span_ms=1_100,
-    processor_ms=480,
     kinds="RunAnswered:0",
 )
 # A process whose threads lack the processor takes events at once, but late.
@@ -66,8 +62,6 @@
     order_wait_ms=70,
     call_ms=451,
     longest_call_ms=900,
-    span_ms=1_100,
-    processor_ms=480,
     kinds="RunAnswered:1",
 )
 
@@ -92,10 +86,10 @@
     ],
 )
 def test_line(taken, leads, expected):
-    tally = Tally(1_000, processor_ms=20)
+    tally = Tally(1_000)
     for one in taken:
         tally = add_taken(tally, one)
-    assert line_of(tally, leads, 2_100, 500) == expected
+    assert line_of(tally, leads) == expected
 
 
 TIMING = OrderTiming(given_ms=1_000, sent_ms=1_070)
