Bound the orders to start that have no answer, and send no void ones

Cause: orders to start wait for one of 32 threads in a queue without bound, and each is void 2.5 s after it was decided. From 42 s to 56 s the leader (edge-cl-central-b-9) gave 250 orders a second, all 3,638 of them came to their workers too late, and not one task began; each refusal set its worker aside and had the task placed again at the end of the same queue.

Change: as many starts as a window holds may have no answer; a round places no more, and pools that wait are placed again when half of them have one. The window follows the time of answers between 16 and 256 orders. An order that is void is not sent, and its worker is not set aside for it. An answer that gets lost within the process is forgotten after 5 s.

--- a/sesamehall/core/jobtiming.py
+++ b/sesamehall/core/jobtiming.py
@@ -23,6 +23,12 @@
 
 LEASE_MS = 3_600  # a takeover of the role must fit into it
 START_LEASE_MS = 2_500  # an order that comes later than this is void
+ORDER_DELAY_MS = 500  # orders whose answers take longer wait for a thread
+ORDERS_FIRST = 128  # so many may have no answer at first
+ORDERS_LEAST = 16  # and no fewer later,
+ORDERS_MOST = 256  # nor more
+ORDERS_CUT = 16  # this part fewer after each answer that took too long
+ORDER_FORGOTTEN_MS = 5_000  # every order has an answer long before this
 CLOCK_SLACK_PERCENT = 3  # a worker's clock may be 2 % slow
 WATCH_WAIT_MS = 1_000  # a worker's silence is noticed soon after this
 HEARD_MS = 1_400  # a worker that has not answered for this may be silent
--- a/sesamehall/core/managereffects.py
+++ b/sesamehall/core/managereffects.py
@@ -102,6 +102,7 @@
       number: Number of the run.
       command: Opaque text for the worker.
       lease_until_ms: End of the lease on the worker's clock.
+      not_after_ms: The node's clock after which the order is void.
       checkpoint: Where to go on from, or "".
       ticket: Permission of the advice service, or "".
     """
@@ -113,6 +114,7 @@
     number: int
     command: str
     lease_until_ms: int
+    not_after_ms: int
     checkpoint: str
     ticket: str = ""
 
--- a/sesamehall/core/managerevents.py
+++ b/sesamehall/core/managerevents.py
@@ -142,6 +142,7 @@
     OTHER_LIFE = "other life"
     MALFORMED = "malformed"
     SILENT = "silent"
+    NOT_SENT = "not sent in time"
 
 
 @dataclass(frozen=True, slots=True)
--- a/sesamehall/platform/workers.py
+++ b/sesamehall/platform/workers.py
@@ -119,14 +119,7 @@
         self, effect: StartRun | StopRun | PaceRun, given_ms: int
     ) -> None:
         timing = OrderTiming(given_ms, sent_ms=now_ms())
-        path, content = _encode_order(effect)
-        try:
-            answer = self._call(path, content, ORDER_TIMEOUT_S)
-            refusal = _refusal(answer)
-            clock_ms = decode_clock_ms(answer)
-        except PlatformError:
-            refusal = OrderRefusal.SILENT
-            clock_ms = -1
+        refusal, clock_ms = self._send_order(effect, timing.sent_ms)
         names = (effect.worker_id, effect.epoch, effect.task, effect.number)
         match effect:
             case StartRun():
@@ -138,6 +131,17 @@
             case PaceRun():
                 pass  # the next report shows the pace that is kept
 
+    def _send_order(self, effect, at_ms):
+        """Send an order that is not void yet; read refusal and clock."""
+        if isinstance(effect, StartRun) and at_ms >= effect.not_after_ms:
+            return OrderRefusal.NOT_SENT, -1
+        path, content = _encode_order(effect)
+        try:
+            answer = self._call(path, content, ORDER_TIMEOUT_S)
+            return _refusal(answer), decode_clock_ms(answer)
+        except PlatformError:
+            return OrderRefusal.SILENT, -1
+
 
 class WorkerLines:
     """The lines to all workers, made when first needed."""
--- /dev/null
+++ b/sesamehall/reducer/jobs/inflight_test.py
@@ -0,0 +1,136 @@
+"""Tests of the bound on orders to start that have no answer."""
+
+from immutables import Map
+import pytest
+
+from sesamehall.core.jobtiming import ORDER_DELAY_MS
+from sesamehall.core.jobtiming import ORDER_FORGOTTEN_MS
+from sesamehall.core.jobtiming import ORDERS_LEAST
+from sesamehall.core.jobtiming import ORDERS_MOST
+from sesamehall.core.managereffects import StartRun
+from sesamehall.core.managerevents import OrderRefusal
+from sesamehall.core.managerevents import RunAnswered
+from sesamehall.core.replacing import replace
+from sesamehall.reducer.jobs.inflight import forget_orders
+from sesamehall.reducer.jobs.inflight import orders_left
+from sesamehall.reducer.jobs.orders import take_start_answer
+from sesamehall.reducer.jobs.testing import build_leader
+from sesamehall.reducer.jobs.testing import build_plan
+from sesamehall.reducer.jobs.testing import build_step
+from sesamehall.reducer.jobs.testing import build_worker
+from sesamehall.reducer.jobs.testing import effects_of
+from sesamehall.reducer.jobs.testing import NOW_MS
+from sesamehall.reducer.jobs.testing import place_all
+from sesamehall.reducer.jobs.testing import take_in
+from sesamehall.reducer.jobs.testing import task
+
+SLOW_MS = ORDER_DELAY_MS + 1
+
+
+def leader_with_tasks(most, **others):
+    """Build a leader with four tasks and room for them."""
+    manager = build_leader(build_worker("w1"), orders_most=most, **others)
+    return take_in(manager, build_plan(build_step(count=4)))
+
+
+def answer(manager, index=0, at_ms=NOW_MS, refusal=None):
+    """Let a worker answer the order to start a task."""
+    event = RunAnswered(at_ms, "w1", 1, task(index), 1, refusal)
+    return take_start_answer(manager, event)
+
+
+@pytest.mark.parametrize(
+    ("most", "starts", "held"),
+    [(1, 1, True), (3, 3, True), (4, 4, False), (9, 4, False)],
+)
+def test_no_more_orders_than_the_window_holds(most, starts, held):
+    step = place_all(leader_with_tasks(most))
+    assert len(effects_of(step, StartRun)) == starts
+    again = place_all(step.state)
+    assert len(effects_of(again, StartRun)) == 0
+    assert ("a" in again.state.held_pools) is held
+
+
+def test_gang_is_started_whole():
+    manager = build_leader(build_worker("w1"), orders_most=2)
+    manager = take_in(manager, build_plan(build_step(count=4, gang=True)))
+    assert len(effects_of(place_all(manager), StartRun)) == 4
+
+
+@pytest.mark.parametrize(
+    ("answers", "placed"), [(1, False), (2, True)], ids=["too few", "half"]
+)
+def test_held_pool_goes_on_after_answers(answers, placed):
+    manager = build_leader(
+        build_worker("w1"), build_worker("w2"), orders_most=4
+    )
+    manager = take_in(manager, build_plan(build_step(count=8)))
+    step = place_all(manager)
+    orders = effects_of(step, StartRun)
+    manager = replace(step.state, orders_most=4)
+    for order in orders[:answers]:
+        names = (order.worker_id, order.epoch, order.task, order.number)
+        slow = RunAnswered(NOW_MS, *names, OrderRefusal.NOT_SENT)
+        manager = take_start_answer(manager, slow).state
+        manager = replace(manager, orders_most=4, placing_pools=Map())
+    step = take_start_answer(manager, slow)
+    assert ("a" in step.state.placing_pools) is placed
+
+
+@pytest.mark.parametrize(
+    ("held", "left"),
+    [((), 8), (("a",), 8), (("b",), 4), (("a", "b", "c"), 3)],
+    ids=["alone", "the same pool", "another waits", "two others wait"],
+)
+def test_pools_that_wait_share_what_is_left(held, left):
+    pools = Map((pool, True) for pool in held)
+    manager = build_leader(orders_most=8, held_pools=pools)
+    assert orders_left(manager, "a") == left
+
+
+@pytest.mark.parametrize(
+    ("most", "took_ms", "refusal", "expected"),
+    [
+        (100, ORDER_DELAY_MS, None, 101),
+        (100, SLOW_MS, None, 94),
+        (100, SLOW_MS, OrderRefusal.NOT_SENT, 94),
+        (100, SLOW_MS, OrderRefusal.SILENT, 100),
+        (ORDERS_MOST, 0, None, ORDERS_MOST),
+        (ORDERS_LEAST, SLOW_MS, None, ORDERS_LEAST),
+    ],
+    ids=[
+        "in time",
+        "slow",
+        "void before it was sent",
+        "a silent worker tells nothing",
+        "widest",
+        "narrowest",
+    ],
+)
+def test_window_follows_the_time_of_answers(most, took_ms, refusal, expected):
+    manager = place_all(leader_with_tasks(most)).state
+    step = answer(manager, at_ms=NOW_MS + took_ms, refusal=refusal)
+    assert step.state.orders_most == expected
+
+
+# Guards against a leader that places nothing more: an answer that is lost
+# within the process would count as outstanding for good.
+@pytest.mark.parametrize(
+    ("age_ms", "left"),
+    [(ORDER_FORGOTTEN_MS - 1, 1), (ORDER_FORGOTTEN_MS, 0)],
+)
+def test_order_without_any_answer_is_forgotten(age_ms, left):
+    manager = place_all(leader_with_tasks(1)).state
+    manager = forget_orders(manager, NOW_MS + age_ms).state
+    assert len(manager.ordered_ms_by_run) == left
+
+
+@pytest.mark.parametrize(
+    ("refusal", "aside"),
+    [(OrderRefusal.NOT_SENT, False), (OrderRefusal.NO_ROOM, True)],
+)
+def test_order_that_was_not_sent_is_no_fault_of_its_worker(refusal, aside):
+    manager = place_all(leader_with_tasks(9)).state
+    manager = answer(manager, refusal=refusal).state
+    assert (manager.workers_by_id["w1"].aside_until_ms > NOW_MS) is aside
+    assert task() not in manager.runs_by_task
--- a/sesamehall/reducer/jobs/leading.py
+++ b/sesamehall/reducer/jobs/leading.py
@@ -302,6 +302,8 @@
         tickets_by_step=EMPTY_MAP,
         advising="",
         placing_pools=EMPTY_MAP,
+        ordered_ms_by_run=EMPTY_MAP,
+        held_pools=EMPTY_MAP,
         waits_told_by_pool=EMPTY_MAP,
         fleet=_new_fleet(manager),
     )
--- a/sesamehall/reducer/jobs/orders.py
+++ b/sesamehall/reducer/jobs/orders.py
@@ -3,6 +3,7 @@
 from sesamehall.core.effects import log
 from sesamehall.core.effects import SetTimer
 from sesamehall.core.jobtiming import REFUSED_ASIDE_MS
+from sesamehall.core.jobtiming import START_LEASE_MS
 from sesamehall.core.jobtiming import STOP_RETRY_MS
 from sesamehall.core.logevents import RUN_REFUSED
 from sesamehall.core.managereffects import StartRun
@@ -20,6 +21,9 @@
 from sesamehall.reducer.jobs.advice import step_name
 from sesamehall.reducer.jobs.bookkeeping import put_run
 from sesamehall.reducer.jobs.bookkeeping import put_worker
+from sesamehall.reducer.jobs.inflight import note_answer
+from sesamehall.reducer.jobs.inflight import note_order
+from sesamehall.reducer.jobs.inflight import place_held
 from sesamehall.reducer.jobs.leases import extend_lease
 from sesamehall.reducer.jobs.leases import may_start
 from sesamehall.reducer.jobs.leases import start_lease_until
@@ -41,6 +45,13 @@
     Returns:
       A Step.
     """
+    manager = note_answer(manager, event)
+    step = _decide_answer(manager, event)
+    return then(step, place_held, event.at_ms)
+
+
+def _decide_answer(manager, event):
+    """Decide what an answer to an order to start means for its run."""
     run = _find_run(manager, event)
     if run is None:
         return Step(manager)
@@ -71,10 +82,13 @@
     step = Step(manager, (line,))
     if run.tries > 1 or run.answered_ms >= 0:
         return step  # an earlier copy may have got through: lists will tell
-    if event.refusal is OrderRefusal.NO_TICKET:
-        step = then(step, _drop_ticket, run)
-    else:
-        step = then(step, _set_aside, run.worker_id, at_ms)
+    match event.refusal:
+        case OrderRefusal.NO_TICKET:
+            step = then(step, _drop_ticket, run)
+        case OrderRefusal.NOT_SENT:
+            pass  # the worker has no part in it
+        case _:
+            step = then(step, _set_aside, run.worker_id, at_ms)
     return then(step, give_up_run, run, event.refusal.value, at_ms)
 
 
@@ -125,7 +139,7 @@
 
 
 def start_order(
-    manager: ManagerState, run: Run, command: str, lease_until_ms: int
+    manager: ManagerState, run: Run, command: str, at_ms: int
 ) -> StartRun:
     """Build the order to start a run.
 
@@ -133,7 +147,7 @@
       manager: State of the leader.
       run: The run.
       command: The job's text for workers.
-      lease_until_ms: End of the lease on the worker's clock.
+      at_ms: The node's clock.
     Returns:
       The effect.
     """
@@ -146,7 +160,8 @@
         task=run.task,
         number=run.number,
         command=command,
-        lease_until_ms=lease_until_ms,
+        lease_until_ms=start_lease_until(worker, at_ms),
+        not_after_ms=at_ms + START_LEASE_MS,
         checkpoint=checkpoint_of(work, run.place),
         ticket=run.ticket,
     )
@@ -173,12 +188,12 @@
         return Step(manager)
     if not may_start(manager, work, at_ms):
         return Step(manager)
-    lease_until_ms = start_lease_until(worker, at_ms)
-    worker = extend_lease(worker, lease_until_ms)
+    worker = extend_lease(worker, start_lease_until(worker, at_ms))
     manager = put_worker(manager, worker)
     run = replace(run, tries=run.tries + 1, lease_end_ms=worker.lease_end_ms)
     manager = put_run(manager, run)
-    order = start_order(manager, run, work.plan.command, lease_until_ms)
+    manager = note_order(manager, run.task, run.number, at_ms)
+    order = start_order(manager, run, work.plan.command, at_ms)
     return Step(manager, (order,))
 
 
--- a/sesamehall/reducer/jobs/placing.py
+++ b/sesamehall/reducer/jobs/placing.py
@@ -19,6 +19,10 @@
 from sesamehall.reducer.jobs.bookkeeping import charge_run
 from sesamehall.reducer.jobs.bookkeeping import pool_of
 from sesamehall.reducer.jobs.bookkeeping import put_worker
+from sesamehall.reducer.jobs.inflight import hold_pool
+from sesamehall.reducer.jobs.inflight import note_order
+from sesamehall.reducer.jobs.inflight import orders_left
+from sesamehall.reducer.jobs.inflight import release_pool
 from sesamehall.reducer.jobs.leases import extend_lease
 from sesamehall.reducer.jobs.leases import start_lease_until
 from sesamehall.reducer.jobs.orders import start_order
@@ -42,15 +46,19 @@
       A Step with the orders to start.
     """
     pools = drop_key(manager.placing_pools, pool)
-    manager = replace(manager, placing_pools=pools)
+    manager = release_pool(replace(manager, placing_pools=pools), pool)
     job_ids = manager.job_ids_by_pool.get(pool, EMPTY_MAP)
     if not pool or not job_ids or not manager.term.epoch:
         return Step(manager)
+    most = orders_left(manager, pool)
     step = Step(manager)
-    for choice in choose(manager, pool, at_ms):
+    choices = choose(manager, pool, at_ms, most) if most else []
+    for choice in choices:
         step = then(step, _start, choice, at_ms)
     if not step.state.job_ids_by_pool.get(pool):
         return step
+    if len(choices) >= most:
+        step = Step(hold_pool(step.state, pool), step.effects)
     step = then(step, _ask_advice, pool, at_ms)
     step = then(step, tell_waiting, pool, at_ms)
     timer = SetTimer(PlaceTimer(pool), at_ms + PLACE_RETRY_MS)
@@ -88,13 +96,16 @@
     return ask_advice(manager, works, workers, at_ms)
 
 
-def choose(manager: ManagerState, pool: str, at_ms: int) -> list[Choice]:
+def choose(
+    manager: ManagerState, pool: str, at_ms: int, most: int
+) -> list[Choice]:
     """Choose tasks and workers, the most pressing jobs first.
 
     Args:
       manager: State of the leader.
       pool: Name of the pool.
       at_ms: The node's clock.
+      most: How many to choose; a gang is chosen as a whole.
     Returns:
       The choices; together they keep to all room and all ceilings.
     """
@@ -102,8 +113,8 @@
     round_ = Round.begin(manager, workers, at_ms)
     choices: list[Choice] = []
     for work in by_rank(manager, pool, workers, at_ms):
-        choices += round_.place_job(work)
-        if not round_.free_by_id:
+        choices += round_.place_job(work, most - len(choices))
+        if not round_.free_by_id or len(choices) >= most:
             break
     return choices
 
@@ -113,8 +124,7 @@
     work = choice.work
     plan_step = work.plan.steps[choice.place.step]
     worker = manager.workers_by_id[choice.worker_id]
-    lease_until_ms = start_lease_until(worker, at_ms)
-    worker = extend_lease(worker, lease_until_ms)
+    worker = extend_lease(worker, start_lease_until(worker, at_ms))
     manager = put_worker(manager, worker)
     task = task_id(work.plan.job_id, choice.place)
     run = Run(
@@ -134,6 +144,7 @@
         ticket=choice.ticket,
     )
     manager = charge_run(manager, run)
+    manager = note_order(manager, task, run.number, at_ms)
     line = log(
         RUN_ORDERED,
         task=task,
@@ -145,5 +156,5 @@
         free_cpu=worker.entry.capacity.cpu_milli - worker.used.cpu_milli,
         heard_ms=at_ms - worker.seen_ms,
     )
-    order = start_order(manager, run, work.plan.command, lease_until_ms)
+    order = start_order(manager, run, work.plan.command, at_ms)
     return Step(manager, (line, order))
--- a/sesamehall/reducer/jobs/rounds.py
+++ b/sesamehall/reducer/jobs/rounds.py
@@ -117,8 +117,11 @@
         used = dict(manager.used_by_team)
         return cls(manager, at_ms, workers, free, used, {}, [], [])
 
-    def place_job(self, work: Work) -> list[Choice]:
-        """Place the waiting tasks of a job, as far as there is room."""
+    def place_job(self, work: Work, most: int) -> list[Choice]:
+        """Place waiting tasks of a job, at most so many, where there is room.
+
+        A gang is placed as a whole.
+        """
         choices: list[Choice] = []
         if self._is_hopeless(work):
             return choices
@@ -126,10 +129,12 @@
             if step.gang:
                 choices += self._place_gang(work, step, places)
                 continue
+            if len(choices) >= most:
+                break
             offers = self._offers(work, step, places[0])
             if not offers.ranked and _asks_only_room(offers):
                 self._refuse(offers.room)
-            for place in places:
+            for place in places[: most - len(choices)]:
                 choice = self._place(offers, place)
                 if choice is None:
                     break
--- a/sesamehall/reducer/jobs/waiting.py
+++ b/sesamehall/reducer/jobs/waiting.py
@@ -54,6 +54,7 @@
         inherited=sum(work.inherited for work in works),
         unconfirmed=sum(not may_start(manager, work, at_ms) for work in works),
         at_ceiling=sum(_is_at_ceiling(manager, work) for work in works),
+        orders=len(manager.ordered_ms_by_run),
         unresolved=int(is_unresolved(manager, pool)),
         takers=len(workers),
         cpu=sum(rooms),
--- a/sesamehall/reducer/managing.py
+++ b/sesamehall/reducer/managing.py
@@ -50,6 +50,7 @@
 from sesamehall.reducer.jobs.following import read_due
 from sesamehall.reducer.jobs.following import take_read
 from sesamehall.reducer.jobs.following import take_unread
+from sesamehall.reducer.jobs.inflight import forget_orders
 from sesamehall.reducer.jobs.leading import consider_claim
 from sesamehall.reducer.jobs.leading import end_term
 from sesamehall.reducer.jobs.leading import take_stored
@@ -165,6 +166,7 @@
     step = then(step, read_due, at_ms)
     step = then(step, _tell_ready, at_ms)
     step = then(step, review_workers, at_ms)
+    step = then(step, forget_orders, at_ms)
     step = then(step, review_fleet, at_ms)
     return then(step, _pursue_stop, at_ms)
 
