Let a strong node claim the role first whenever it reads the log

Cause: a weak node lets others go first by up to 180 ms, but nodes read the log every 250 ms at their beats, so they see a silence begin, and see that it has lasted, up to 300 ms apart each. The phase of a node's reads decided. (The choice is by time, and finer than what the readings tell.)

Change: a node reads the log again at the moment from which it may claim, so only the beginning of the silence is uncertain; and what a weak node lacks counts for up to 700 ms, more than that uncertainty and chance together.

--- a/sesamehall/core/jobtiming.py
+++ b/sesamehall/core/jobtiming.py
@@ -11,10 +11,8 @@
 MANIFEST_FRESH_MS = 1_800  # older knowledge of keys may have been replaced
 
 LEADER_SILENT_MS = 1_200  # a leader without records this long is replaced
-CLAIM_SPREAD_MS = 300  # claims of several nodes are spread over this
-CLAIM_CHANCE_MS = (
-    120  # part of it that is left to chance; the rest is by power
-)
+CLAIM_POWER_MS = 700  # a node without processor lets others go first by this
+CLAIM_CHANCE_MS = 120  # claims of equal nodes are spread over this
 LEADER_CORES = 2.0  # a node with this much processor claims without delay
 HEARTBEAT_MS = 250  # several of these fit into the silence allowed
 COMMIT_PERIOD_MS = 40  # ends of tasks wait this long for others
--- /dev/null
+++ b/sesamehall/reducer/jobs/claims_test.py
@@ -0,0 +1,84 @@
+"""Tests of which of several nodes claims a vacant role first."""
+
+import pytest
+
+from sesamehall.core.fleet import Leader
+from sesamehall.core.fleet import StoredRecord
+from sesamehall.core.fleet import Stream
+from sesamehall.core.jobtiming import MANAGER_BEAT_MS
+from sesamehall.core.jobtiming import PROGRESS_PERIOD_MS
+from sesamehall.core.managereffects import ReadStream
+from sesamehall.core.managereffects import StoreProgress
+from sesamehall.core.managerevents import StreamRead
+from sesamehall.core.managerstate import Following
+from sesamehall.core.managerstate import ManagerState
+from sesamehall.reducer.jobs.following import read_due
+from sesamehall.reducer.jobs.following import take_read
+from sesamehall.reducer.jobs.leading import consider_claim
+from sesamehall.reducer.jobs.testing import build_manifest
+from sesamehall.reducer.jobs.testing import effects_of
+from sesamehall.reducer.jobs.testing import NOW_MS
+
+READ_MS = 5  # time that a read of the log takes
+LATEST_MS = 3_000  # somebody has claimed the role by then
+STRONG_CORES = 2.15
+WEAK_CORES = 0.516
+
+
+def claim_ms(cores, rank, phase_ms, resigned=False):
+    """Tell how long after a leader's last record a node claims the role.
+
+    Args:
+      cores: Processor cores of the node.
+      rank: Its number drawn by chance.
+      phase_ms: Time from one of its reads until that record.
+      resigned: Whether the record says that the leader resigns.
+    """
+    last = StoredRecord("leader", Leader("edge-1", 3, resigned))
+    at_ms = NOW_MS - phase_ms
+    read = Following(9, fresh_ms=at_ms, grown_ms=at_ms)
+    manager = ManagerState(
+        "edge-2",
+        cores=cores,
+        rank=rank,
+        manifest=build_manifest(),
+        leader=Leader("edge-1", 3),
+        jobs=Following(1, fresh_ms=at_ms + LATEST_MS),
+        progress=read,
+    )
+    records = (last,)
+    while at_ms < NOW_MS + LATEST_MS:
+        at_ms += MANAGER_BEAT_MS
+        step = read_due(manager, at_ms)
+        reads = effects_of(step, ReadStream)
+        manager = step.state
+        if Stream.PROGRESS not in {read.stream for read in reads}:
+            continue
+        seen = records if at_ms >= NOW_MS else ()
+        records = () if seen else records
+        event = StreamRead(
+            at_ms + READ_MS, at_ms, 0, Stream.PROGRESS, seen, 10, False
+        )
+        step = consider_claim(take_read(manager, event).state, at_ms)
+        if effects_of(step, StoreProgress):
+            return at_ms - NOW_MS
+        manager = step.state
+    return LATEST_MS
+
+
+PHASES_MS = range(0, PROGRESS_PERIOD_MS + MANAGER_BEAT_MS, 10)
+
+
+# Guards against a leader on a machine too weak for a large fleet: nodes see
+# the silence begin and end at different times, so a weak one could be first.
+@pytest.mark.parametrize("resigned", [False, True])
+@pytest.mark.parametrize("strong_rank", [0, 60, 119])
+def test_strong_node_claims_first_whenever_it_reads(strong_rank, resigned):
+    strong = max(
+        claim_ms(STRONG_CORES, strong_rank, phase_ms, resigned)
+        for phase_ms in PHASES_MS
+    )
+    weak = min(
+        claim_ms(WEAK_CORES, 0, phase_ms, resigned) for phase_ms in PHASES_MS
+    )
+    assert strong < weak < LATEST_MS
--- a/sesamehall/reducer/jobs/following.py
+++ b/sesamehall/reducer/jobs/following.py
@@ -38,6 +38,7 @@
 from sesamehall.reducer.jobs.bookkeeping import index_by_pool
 from sesamehall.reducer.jobs.leading import end_term
 from sesamehall.reducer.jobs.leading import follow_leader
+from sesamehall.reducer.jobs.leading import vacant_from_ms
 from sesamehall.reducer.jobs.runs import place_soon
 from sesamehall.reducer.jobs.storing import keep_progress
 from sesamehall.reducer.jobs.storing import WORKER_KEY_PREFIX
@@ -125,7 +126,21 @@
             return leads or asked or since_ms >= JOBS_PERIOD_MS
         case Stream.PROGRESS:
             asked = _is_awaited(manager, CallStage.READING_PROGRESS)
-            return not leads and (asked or since_ms >= PROGRESS_PERIOD_MS)
+            if leads:
+                return False
+            vacant = _may_be_vacant(manager, at_ms)
+            return asked or vacant or since_ms >= PROGRESS_PERIOD_MS
+
+
+def _may_be_vacant(manager, at_ms):
+    """Tell whether a read now would show that the role is vacant.
+
+    Without it the period of the reads would decide which node claims first.
+    """
+    from_ms = vacant_from_ms(manager)
+    if from_ms is None:
+        return False
+    return manager.progress.fresh_ms < from_ms <= at_ms
 
 
 def _is_awaited(manager, stage):
--- a/sesamehall/reducer/jobs/leading.py
+++ b/sesamehall/reducer/jobs/leading.py
@@ -7,7 +7,7 @@
 from sesamehall.core.fleet import WorkerEntry
 from sesamehall.core.fleetstate import FleetState
 from sesamehall.core.jobtiming import CLAIM_CHANCE_MS
-from sesamehall.core.jobtiming import CLAIM_SPREAD_MS
+from sesamehall.core.jobtiming import CLAIM_POWER_MS
 from sesamehall.core.jobtiming import CLOCK_SLACK_PERCENT
 from sesamehall.core.jobtiming import LEADER_CORES
 from sesamehall.core.jobtiming import LEADER_SILENT_MS
@@ -70,30 +70,42 @@
     return Step(replace(manager, term=claiming), (line, claim))
 
 
-def _is_vacant(manager: ManagerState) -> bool:
-    """Tell whether the role's holder has certainly stopped starting tasks."""
+def vacant_from_ms(manager: ManagerState) -> int | None:
+    """Tell from when on the role may be claimed if its holder stays silent.
+
+    Args:
+      manager: State of a manager.
+    Returns:
+      Clock at which its holder has certainly stopped starting tasks and
+      others have gone first, or None while the log was not read.
+    """
     progress = manager.progress
     if progress.next_offset < 0 or progress.fresh_ms < 0:
-        return False
-    silent_ms = progress.fresh_ms - progress.grown_ms
-    spread_ms = _spread_ms(manager)
+        return None
     leader = manager.leader
     if leader is None or leader.resigned:
-        return silent_ms >= spread_ms
+        return progress.grown_ms + _spread_ms(manager)
     if leader.node == manager.name:
-        return True  # an earlier start of this process held it
-    return silent_ms >= LEADER_SILENT_MS + spread_ms
+        return progress.fresh_ms  # an earlier start of this process held it
+    return progress.grown_ms + LEADER_SILENT_MS + _spread_ms(manager)
+
+
+def _is_vacant(manager: ManagerState) -> bool:
+    """Tell whether the log was read when the role could be claimed."""
+    from_ms = vacant_from_ms(manager)
+    return from_ms is not None and manager.progress.fresh_ms >= from_ms
 
 
 def _spread_ms(manager: ManagerState) -> int:
     """Choose how long this node lets others go first.
 
     The leader decides for all workers, so a node with more processor goes
-    before others; of equal ones chance decides.
+    before others; of equal ones chance decides.  Nodes see a silence begin
+    at different times, by as much as the period of their reads, so what a
+    weak node lacks counts for more than that.
     """
     lacking = max(LEADER_CORES - manager.cores, 0.0) / LEADER_CORES
-    by_power_ms = int(lacking * (CLAIM_SPREAD_MS - CLAIM_CHANCE_MS))
-    return by_power_ms + manager.rank % CLAIM_CHANCE_MS
+    return int(lacking * CLAIM_POWER_MS) + manager.rank % CLAIM_CHANCE_MS
 
 
 def take_stored(manager: ManagerState, event: ProgressStored) -> Step:
