Hand the role over from a weak leader to a node that can carry it

Cause: who leads is decided by a race after the predecessor has gone, and a node whose name held the role claims it at once after a restart. Nobody takes it from a weak leader that lives.

Change: records of the leader name its cores. A node that is ready and has half as much again, under a leader with less than 2 cores, appends an offer to the jobs' log; the leader resigns for it, as for a stop. Planned stops and handovers share one function.

Tests: handover_test.

--- a/bench/jobworld.py
+++ b/bench/jobworld.py
@@ -33,6 +33,7 @@
 from sesamehall.core.fleet import WorkerEntry
 from sesamehall.core.managereffects import AnswerCall
 from sesamehall.core.managereffects import ListMachines
+from sesamehall.core.managereffects import OfferToLead
 from sesamehall.core.managereffects import ReadStream
 from sesamehall.core.managereffects import StartRun
 from sesamehall.core.managereffects import StopRun
@@ -66,6 +67,7 @@
 EXPIRY_MS = 3_000  # an entry is dropped so long after its worker's end
 SEQUENCES = 1 << 30
 ROOM = Size(4_000, 8_000)
+CORES_OF_HOSTS = (0.5, 1.07, 2.15)  # in turn
 
 
 @dataclass(slots=True)
@@ -326,7 +328,8 @@
     def _fresh_state(self, name):
         rank = self.random.randrange(1 << 32)
         identity = Identity(Node(name, NodeKind.MANAGER, "dc", ""), name)
-        manager = ManagerState(name, rank=rank, timing=Timing())
+        cores = CORES_OF_HOSTS[sum(name.encode()) % len(CORES_OF_HOSTS)]
+        manager = ManagerState(name, rank, cores, timing=Timing())
         return State(identity, manager=manager)
 
     def _restart(self, host):
@@ -377,6 +380,8 @@
                 host.writer.waiting.append(effect)
                 if len(host.writer.waiting) == 1:
                     self._send(host, self._write, host, host.starts)
+            case OfferToLead():
+                self._send(host, self._offer, host, effect)
             case StoreJob():
                 starts = host.starts
                 self._send(host, self._store_job, host, starts, effect, False)
@@ -503,6 +508,15 @@
         for look in readers:
             look()
 
+    def _offer(self, host, effect):
+        """Append an offer to lead once; whether it is stored is not told."""
+        records = (StoredRecord("candidate", effect.candidate),)
+        self._call_store(
+            host,
+            lambda: self.store.append(Stream.JOBS, records),
+            lambda outcome: None,
+        )
+
     def _store_job(self, host, starts, effect, unknown):
         """Append a job or cancelling until the outcome is known."""
         key = effect.value.job_id
--- a/sesamehall/core/fleet.py
+++ b/sesamehall/core/fleet.py
@@ -94,12 +94,29 @@
       epoch: Fencing token of its term; rises with each leader.
       resigned: Whether it has given the role up.
       beat: Number that changes with each heartbeat.
+      cores: Processor cores that it may use, or 0 where unknown.
     """
 
     node: str
     epoch: int
     resigned: bool = False
     beat: int = 0
+    cores: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class Candidate:
+    """A node that could lead in the place of a weaker leader.
+
+    Attributes:
+      node: Name of the node.
+      epoch: Term of the leader that it would replace.
+      cores: Processor cores that it may use.
+    """
+
+    node: str
+    epoch: int
+    cores: float
 
 
 @dataclass(frozen=True, slots=True)
@@ -167,6 +184,7 @@
     | CancelAsked
     | Progress
     | Leader
+    | Candidate
     | LeasedWorker
     | WaveRecord
     | OrderedMachines
--- a/sesamehall/core/logevents.py
+++ b/sesamehall/core/logevents.py
@@ -129,6 +129,8 @@
     632, "leadership lost", "Nothing; another node leads. Often: look at both."
 )
 JOBS_CAUGHT_UP = _info(633, "jobs caught up")
+HANDOVER_OFFERED = _info(634, "stronger node offers to lead")
+HANDOVER_BEGUN = _info(635, "handover begun")
 STREAM_SILENT = _warning(
     640, "stream unread", "Look at the platform's store and the way to it."
 )
--- a/sesamehall/core/managereffects.py
+++ b/sesamehall/core/managereffects.py
@@ -4,6 +4,7 @@
 
 from sesamehall.core.calls import CallAnswer
 from sesamehall.core.fleet import CancelAsked
+from sesamehall.core.fleet import Candidate
 from sesamehall.core.fleet import StoredRecord
 from sesamehall.core.fleet import Stream
 from sesamehall.core.fleet import WaveStatus
@@ -53,6 +54,17 @@
     not_after_ms: int
 
 
+@dataclass(frozen=True, slots=True)
+class OfferToLead:
+    """Tell the leader that a stronger node could lead in its place.
+
+    Attributes:
+      candidate: The node.
+    """
+
+    candidate: Candidate
+
+
 @dataclass(frozen=True, slots=True)
 class StoreProgress:
     """Store the leader's records, fenced by its epoch.
@@ -250,6 +262,7 @@
     AnswerCall
     | ReadStream
     | StoreJob
+    | OfferToLead
     | StoreProgress
     | WatchWorker
     | StartRun
--- a/sesamehall/core/managerstate.py
+++ b/sesamehall/core/managerstate.py
@@ -79,6 +79,7 @@
       confirmed_ms: Clock at which its latest stored write was sent.
       storing: Whether a write is under way.
       resigned: Whether its resignation is stored.
+      handover_ms: Clock at which it began to hand the role over, or -1.
       beats: Heartbeats written.
       written_jobs: Jobs whose progress the write under way holds.
       written_workers: Workers whose record it holds.
@@ -93,6 +94,7 @@
     confirmed_ms: int = 0
     storing: bool = False
     resigned: bool = False
+    handover_ms: int = -1
     beats: int = 0
     written_jobs: tuple[Progress, ...] = ()
     written_workers: tuple[LeasedWorker, ...] = ()
@@ -101,6 +103,19 @@
     written_machines: tuple[str, ...] = ()
 
 
+@dataclass(frozen=True, slots=True)
+class Offer:
+    """When this node offers next to lead in the place of a weaker leader.
+
+    Attributes:
+      epoch: Term of that leader.
+      due_ms: Clock at which it does.
+    """
+
+    epoch: int = 0
+    due_ms: int = 0
+
+
 class CallStage(Enum):
     """What a call waits for."""
 
@@ -158,6 +173,7 @@
       renewals_end_ms: Clock until which leaders before that one may renew
         leases.
       term: This node's own time as the leader.
+      offer: When it offers to lead in the place of a weaker leader.
       jobs_known: Whether all jobs that an earlier leader may have known are
         known, so that later ones are certainly not started.
       calls_by_id: Calls that are not answered yet.
@@ -218,6 +234,7 @@
     leader_seen_ms: int = 0
     renewals_end_ms: int = 0
     term: Term = Term()
+    offer: Offer = Offer()
     jobs_known: bool = False
     calls_by_id: Map[int, WaitingCall] = EMPTY_MAP
     works_by_id: Map[str, Work] = EMPTY_MAP
--- a/sesamehall/platform/application.py
+++ b/sesamehall/platform/application.py
@@ -18,6 +18,7 @@
 from sesamehall.core.managereffects import ListMachines
 from sesamehall.core.managereffects import MaintainMachine
 from sesamehall.core.managereffects import MoveMachine
+from sesamehall.core.managereffects import OfferToLead
 from sesamehall.core.managereffects import PaceRun
 from sesamehall.core.managereffects import ReadStream
 from sesamehall.core.managereffects import ReportWave
@@ -151,6 +152,8 @@
                 self._store.read(effect)
             case StoreJob():
                 self._store.store_job(effect)
+            case OfferToLead():
+                self._store.offer_to_lead(effect)
             case StoreProgress():
                 self._store.store_progress(effect)
             case ReportWave():
--- a/sesamehall/platform/streams.py
+++ b/sesamehall/platform/streams.py
@@ -9,6 +9,7 @@
 from sesamehall.core.fleet import CancelAsked
 from sesamehall.core.fleet import StoredRecord
 from sesamehall.core.fleet import Stream
+from sesamehall.core.managereffects import OfferToLead
 from sesamehall.core.managereffects import ReadStream
 from sesamehall.core.managereffects import ReportWave
 from sesamehall.core.managereffects import StoreJob
@@ -28,6 +29,7 @@
 from sesamehall.runtime.interpreter import now_ms
 
 CANCEL_SUFFIX = "/cancel"
+CANDIDATE_KEY = "candidate"  # no identifier of a job
 RETRY_PAUSE_S = 0.05  # between two tries of a write
 PROGRESS_TRIES = 3  # of a leader's write, before the leader decides anew
 JOBS_MOST = 100  # jobs of one append
@@ -71,6 +73,18 @@
         """
         self._jobs.put(effect)
 
+    def offer_to_lead(self, effect: OfferToLead) -> None:
+        """Write where the leader reads it that a node could replace it.
+
+        Args:
+          effect: The offer; it is repeated later if nothing comes of it.
+        """
+        candidate = effect.candidate
+        record = StoredRecord(CANDIDATE_KEY, candidate)
+        self._progress_lane.put(
+            lambda: self._store.append(Stream.JOBS, (record,))
+        )
+
     def store_progress(self, effect: StoreProgress) -> None:
         """Store a leader's records.
 
--- a/sesamehall/reducer/jobs/following.py
+++ b/sesamehall/reducer/jobs/following.py
@@ -3,6 +3,7 @@
 from sesamehall.core.data import TERMINAL_PHASES
 from sesamehall.core.effects import log
 from sesamehall.core.fleet import CancelAsked
+from sesamehall.core.fleet import Candidate
 from sesamehall.core.fleet import Leader
 from sesamehall.core.fleet import LeasedWorker
 from sesamehall.core.fleet import OrderedMachines
@@ -36,6 +37,7 @@
 from sesamehall.core.work import Progress
 from sesamehall.reducer.counts import drop_key
 from sesamehall.reducer.jobs.bookkeeping import index_by_pool
+from sesamehall.reducer.jobs.handover import take_candidate
 from sesamehall.reducer.jobs.leading import end_term
 from sesamehall.reducer.jobs.leading import follow_leader
 from sesamehall.reducer.jobs.leading import vacant_from_ms
@@ -241,6 +243,8 @@
             return _take_plan(manager, plan, at_ms)
         case (Stream.JOBS, CancelAsked(job_id)):
             return _take_cancel(manager, job_id, at_ms)
+        case (Stream.JOBS, Candidate() as candidate):
+            return take_candidate(manager, candidate, at_ms)
         case (Stream.PROGRESS, value):
             return _take_progress(manager, record.key, value, at_ms)
     return Step(manager)
--- /dev/null
+++ b/sesamehall/reducer/jobs/handover.py
@@ -0,0 +1,142 @@
+"""Handing the role over from a weak leader to a node that can carry it.
+
+Which node leads is decided by a race after its predecessor has gone, and a
+node that held the role takes it again after a restart.  So a weak node may
+lead while stronger ones live.  Those tell it that they could, and it resigns.
+"""
+
+from sesamehall.core.effects import log
+from sesamehall.core.fleet import Candidate
+from sesamehall.core.jobtiming import CANDIDATE_FACTOR
+from sesamehall.core.jobtiming import LEADER_CORES
+from sesamehall.core.jobtiming import OFFER_AFTER_MS
+from sesamehall.core.jobtiming import OFFER_AGAIN_MS
+from sesamehall.core.jobtiming import OFFER_SPREAD_MS
+from sesamehall.core.jobtiming import RESIGN_WAIT_MS
+from sesamehall.core.logevents import HANDOVER_BEGUN
+from sesamehall.core.logevents import HANDOVER_OFFERED
+from sesamehall.core.managereffects import OfferToLead
+from sesamehall.core.managerstate import ManagerState
+from sesamehall.core.managerstate import Offer
+from sesamehall.core.replacing import replace
+from sesamehall.core.step import Step
+from sesamehall.reducer.jobs.leading import end_term
+from sesamehall.reducer.jobs.storing import write_progress
+
+
+def offer_to_lead(manager: ManagerState, at_ms: int) -> Step:
+    """Tell a weak leader that this node could lead in its place.
+
+    A leader has some time before the first offer, and nodes offer one after
+    the other, since one offer is enough.
+
+    Args:
+      manager: State of a manager.
+      at_ms: The node's clock.
+    Returns:
+      A Step with the offer, or without effects.
+    """
+    if not _can_replace_leader(manager):
+        return Step(manager)
+    leader = manager.leader
+    if manager.offer.epoch != leader.epoch:
+        after_ms = OFFER_AFTER_MS + manager.rank % OFFER_SPREAD_MS
+        offer = Offer(leader.epoch, at_ms + after_ms)
+        return Step(replace(manager, offer=offer))
+    if at_ms < manager.offer.due_ms:
+        return Step(manager)
+    candidate = Candidate(manager.name, leader.epoch, manager.cores)
+    line = log(
+        HANDOVER_OFFERED,
+        epoch=leader.epoch,
+        leader=leader.node,
+        leader_cores=f"{leader.cores:.2f}",
+        cores=f"{manager.cores:.2f}",
+    )
+    manager = _put_offer_off(manager, leader.epoch, at_ms)
+    return Step(manager, (line, OfferToLead(candidate)))
+
+
+def _can_replace_leader(manager):
+    """Tell whether this node is fit to lead, and the leader too weak."""
+    leader = manager.leader
+    if leader is None or leader.resigned or not leader.cores:
+        return False
+    if manager.term.epoch or manager.term.claiming or not manager.ready:
+        return False
+    return _is_stronger(manager.cores, leader.cores)
+
+
+def _is_stronger(cores, leader_cores):
+    """Tell whether a handover is worth its cost."""
+    if leader_cores >= LEADER_CORES:
+        return False
+    return cores >= leader_cores * CANDIDATE_FACTOR
+
+
+def _put_offer_off(manager, epoch, at_ms):
+    return replace(manager, offer=Offer(epoch, at_ms + OFFER_AGAIN_MS))
+
+
+def take_candidate(
+    manager: ManagerState, candidate: Candidate, at_ms: int
+) -> Step:
+    """Begin to hand the role over to a stronger node, or leave the offer.
+
+    Args:
+      manager: State of a manager.
+      candidate: A node that has offered to lead.
+      at_ms: The node's clock.
+    Returns:
+      A Step.
+    """
+    term = manager.term
+    if not term.epoch:
+        return Step(_put_offer_off(manager, candidate.epoch, at_ms))
+    if candidate.epoch != term.epoch or term.handover_ms >= 0:
+        return Step(manager)
+    if not _is_stronger(candidate.cores, manager.cores):
+        return Step(manager)
+    line = log(
+        HANDOVER_BEGUN,
+        epoch=term.epoch,
+        candidate=candidate.node,
+        candidate_cores=f"{candidate.cores:.2f}",
+    )
+    term = replace(term, handover_ms=at_ms)
+    return Step(replace(manager, term=term), (line,))
+
+
+def pursue_handover(manager: ManagerState, at_ms: int) -> Step:
+    """Resign once a handover has begun.
+
+    Args:
+      manager: State of a manager.
+      at_ms: The node's clock.
+    Returns:
+      A Step; nothing unless a handover is under way.
+    """
+    if not manager.term.epoch or manager.term.handover_ms < 0:
+        return Step(manager)
+    return resign(manager, manager.term.handover_ms, "handed over", at_ms)
+
+
+def resign(manager: ManagerState, since_ms: int, why: str, at_ms: int) -> Step:
+    """Store the resignation, and end the term when it is stored.
+
+    Args:
+      manager: State of the leader.
+      since_ms: Clock at which it began to give the role up.
+      why: Reason, for the log.
+      at_ms: The node's clock.
+    Returns:
+      A Step.
+    """
+    if at_ms - since_ms >= RESIGN_WAIT_MS:
+        return end_term(manager, f"{why}, not stored", at_ms)
+    if manager.term.storing:
+        return Step(manager)
+    if manager.term.resigned:
+        return end_term(manager, why, at_ms)
+    resigned = replace(manager.leader, resigned=True)
+    return write_progress(replace(manager, leader=resigned))
--- /dev/null
+++ b/sesamehall/reducer/jobs/handover_test.py
@@ -0,0 +1,171 @@
+"""Tests of handing the role over from a weak leader to a stronger node."""
+
+import pytest
+
+from sesamehall.core.data import Node
+from sesamehall.core.data import NodeKind
+from sesamehall.core.events import TimerFired
+from sesamehall.core.fleet import Candidate
+from sesamehall.core.fleet import Leader
+from sesamehall.core.fleet import StoredRecord
+from sesamehall.core.fleet import Stream
+from sesamehall.core.jobtiming import MANAGER_BEAT_MS
+from sesamehall.core.jobtiming import RESIGN_WAIT_MS
+from sesamehall.core.managereffects import OfferToLead
+from sesamehall.core.managereffects import StoreProgress
+from sesamehall.core.managerevents import ProgressStored
+from sesamehall.core.managerevents import StoreOutcome
+from sesamehall.core.managerevents import StreamRead
+from sesamehall.core.managerstate import Following
+from sesamehall.core.managerstate import ManagerState
+from sesamehall.core.managerstate import Term
+from sesamehall.core.state import Identity
+from sesamehall.core.state import State
+from sesamehall.core.timers import ManagerTimer
+from sesamehall.reducer.jobs.following import take_read
+from sesamehall.reducer.jobs.handover import offer_to_lead
+from sesamehall.reducer.jobs.leading import consider_claim
+from sesamehall.reducer.jobs.testing import build_leader
+from sesamehall.reducer.jobs.testing import build_manifest
+from sesamehall.reducer.jobs.testing import effects_of
+from sesamehall.reducer.jobs.testing import NOW_MS
+from sesamehall.reducer.managing import reduce_manager
+
+WEAK = Leader("edge-1", 3, cores=0.516)
+STRONG_CORES = 2.15
+
+
+def build_strong(**others):
+    """Build a strong node that follows a weak leader."""
+    fields = {
+        "cores": STRONG_CORES,
+        "ready": True,
+        "manifest": build_manifest(),
+        "leader": WEAK,
+        **others,
+    }
+    return ManagerState("edge-2", **fields)
+
+
+def offers_within(manager, length_ms):
+    """List when a node offers to lead, by its beats."""
+    offers = []
+    for after_ms in range(0, length_ms, MANAGER_BEAT_MS):
+        step = offer_to_lead(manager, NOW_MS + after_ms)
+        offers += [after_ms] * len(effects_of(step, OfferToLead))
+        manager = step.state
+    return offers
+
+
+# Guards against a weak node that leads while strong ones live: too little is
+# served, since its threads wait for the processor.
+@pytest.mark.parametrize(
+    ("change", "expected"),
+    [
+        ({}, [500, 3_500]),
+        ({"rank": 999}, [1_500, 4_500]),
+        ({"cores": 0.7}, []),
+        ({"leader": Leader("edge-1", 3, cores=2.0), "cores": 8.0}, []),
+        ({"leader": Leader("edge-1", 3)}, []),
+        ({"leader": Leader("edge-1", 3, resigned=True, cores=0.5)}, []),
+        ({"leader": None}, []),
+        ({"ready": False}, []),
+        ({"term": Term(claiming=4)}, []),
+        ({"term": Term(epoch=3)}, []),
+    ],
+    ids=[
+        "stronger",
+        "others offer first",
+        "hardly stronger",
+        "the leader is strong enough",
+        "the leader's processor is not known",
+        "the leader resigns",
+        "no leader",
+        "not ready",
+        "claims the role",
+        "leads",
+    ],
+)
+def test_strong_node_offers_to_lead(change, expected):
+    assert offers_within(build_strong(**change), 5_000) == expected
+
+
+def read_of(candidate):
+    """Build a read of the jobs that holds an offer."""
+    record = StoredRecord("candidate", candidate)
+    return StreamRead(NOW_MS, NOW_MS, 0, Stream.JOBS, (record,), 2, False)
+
+
+def test_one_offer_is_enough():
+    manager = build_strong(jobs=Following(1))
+    offer = read_of(Candidate("edge-3", 3, STRONG_CORES))
+    manager = take_read(manager, offer).state
+    assert offers_within(manager, 3_000) == []
+
+
+class WeakLeader:
+    """A weak leader, and what it does when it is offered a successor."""
+
+    def __init__(self, **others):
+        manager = build_leader(cores=0.516, leader=WEAK, **others)
+        node = Node("edge-1", NodeKind.MANAGER, "dc", "10.0.0.1:80")
+        self.state = State(Identity(node, "edge-1:1"), manager=manager)
+
+    def take(self, event):
+        step = reduce_manager(self.state, event)
+        self.state = step.state
+        return effects_of(step, StoreProgress)
+
+    def beat(self, at_ms):
+        return self.take(TimerFired(at_ms, ManagerTimer()))
+
+
+@pytest.mark.parametrize(
+    ("candidate", "resigns"),
+    [
+        (Candidate("edge-2", 1, STRONG_CORES), True),
+        (Candidate("edge-2", 0, STRONG_CORES), False),
+        (Candidate("edge-2", 1, 0.6), False),
+    ],
+    ids=["stronger", "offered to an earlier leader", "hardly stronger"],
+)
+def test_weak_leader_resigns_for_a_stronger_node(candidate, resigns):
+    leader = WeakLeader()
+    leader.take(read_of(candidate))
+    stores = leader.beat(NOW_MS + 100)
+    records = [record.value for store in stores for record in store.records]
+    resigned = [one.resigned for one in records if isinstance(one, Leader)]
+    assert (True in resigned) is resigns
+    if not resigns:
+        return
+    stored = ProgressStored(NOW_MS + 110, NOW_MS, 1, StoreOutcome.STORED)
+    leader.take(stored)
+    leader.beat(NOW_MS + 200)
+    assert not leader.state.manager.term.epoch
+
+
+# Guards against a fleet without leader: the resignation is not stored in an
+# outage, and nobody may claim the role before this one gives it up.
+def test_handover_ends_though_the_log_is_silent():
+    leader = WeakLeader()
+    leader.take(read_of(Candidate("edge-2", 1, STRONG_CORES)))
+    leader.beat(NOW_MS + 100)
+    leader.beat(NOW_MS + RESIGN_WAIT_MS - 1)
+    assert leader.state.manager.term.epoch
+    leader.beat(NOW_MS + RESIGN_WAIT_MS)
+    assert not leader.state.manager.term.epoch
+
+
+@pytest.mark.parametrize("cores", [0.516, STRONG_CORES])
+def test_role_that_was_handed_over_goes_to_the_strong(cores):
+    """The weak one, whose name held the role, does not take it again."""
+    resigned = Leader("edge-2", 3, resigned=True, cores=0.516)
+    progress = Following(9, fresh_ms=NOW_MS, grown_ms=NOW_MS - 200)
+    manager = build_strong(
+        leader=resigned,
+        cores=cores,
+        jobs=Following(1, fresh_ms=NOW_MS),
+        progress=progress,
+    )
+    claims = effects_of(consider_claim(manager, NOW_MS), StoreProgress)
+    assert bool(claims) is (cores == STRONG_CORES)
--- a/sesamehall/reducer/jobs/leading.py
+++ b/sesamehall/reducer/jobs/leading.py
@@ -53,7 +53,7 @@
         return Step(manager)
     previous = 0 if manager.leader is None else manager.leader.epoch
     epoch = previous + 1
-    leader = Leader(manager.name, epoch)
+    leader = Leader(manager.name, epoch, cores=manager.cores)
     claim = StoreProgress(
         epoch=epoch,
         records=(StoredRecord(LEADER_KEY, leader),),
@@ -186,7 +186,7 @@
         term=Term(
             epoch=event.epoch, began_ms=at_ms, confirmed_ms=event.asked_ms
         ),
-        leader=Leader(manager.name, event.epoch),
+        leader=Leader(manager.name, event.epoch, cores=manager.cores),
         jobs_known=False,
         workers=Following(),
         fleet=_new_fleet(manager),
--- a/sesamehall/reducer/jobs/storing.py
+++ b/sesamehall/reducer/jobs/storing.py
@@ -67,7 +67,9 @@
     """
     term = replace(manager.term, beats=manager.term.beats + 1)
     resigns = is_resigning(manager)
-    leader = Leader(manager.name, term.epoch, resigns, term.beats)
+    leader = Leader(
+        manager.name, term.epoch, resigns, term.beats, manager.cores
+    )
     jobs = tuple(
         manager.works_by_id[job_id].progress
         for job_id in sorted(manager.dirty_jobs)
--- a/sesamehall/reducer/managing.py
+++ b/sesamehall/reducer/managing.py
@@ -8,7 +8,6 @@
 from sesamehall.core.events import StopRequested
 from sesamehall.core.events import TimerFired
 from sesamehall.core.jobtiming import MANAGER_BEAT_MS
-from sesamehall.core.jobtiming import RESIGN_WAIT_MS
 from sesamehall.core.jobtiming import STOP_LEAST_MS
 from sesamehall.core.jobtiming import STOP_MOST_MS
 from sesamehall.core.logevents import NODE_STARTED
@@ -50,6 +49,9 @@
 from sesamehall.reducer.jobs.following import read_due
 from sesamehall.reducer.jobs.following import take_read
 from sesamehall.reducer.jobs.following import take_unread
+from sesamehall.reducer.jobs.handover import offer_to_lead
+from sesamehall.reducer.jobs.handover import pursue_handover
+from sesamehall.reducer.jobs.handover import resign
 from sesamehall.reducer.jobs.inflight import forget_orders
 from sesamehall.reducer.jobs.leading import consider_claim
 from sesamehall.reducer.jobs.leading import end_term
@@ -61,7 +63,6 @@
 from sesamehall.reducer.jobs.placing import place_tasks
 from sesamehall.reducer.jobs.reports import take_report
 from sesamehall.reducer.jobs.storing import commit
-from sesamehall.reducer.jobs.storing import write_progress
 from sesamehall.reducer.jobs.workers import review_workers
 from sesamehall.reducer.jobs.workers import take_silence
 from sesamehall.reducer.jobs.workers import watch_worker
@@ -121,6 +122,7 @@
             return then(step, read_due, event.at_ms)
         case ProgressStored():
             step = take_stored(manager, event)
+            step = then(step, pursue_handover, event.at_ms)
             step = then(step, _pursue_stop, event.at_ms)
             return then(step, read_due, event.at_ms)
         case MachinesListed():
@@ -168,6 +170,8 @@
     step = then(step, review_workers, at_ms)
     step = then(step, forget_orders, at_ms)
     step = then(step, review_fleet, at_ms)
+    step = then(step, offer_to_lead, at_ms)
+    step = then(step, pursue_handover, at_ms)
     return then(step, _pursue_stop, at_ms)
 
 
@@ -204,14 +208,7 @@
         return Step(manager)
     waited_ms = at_ms - manager.stopping_ms
     if manager.term.epoch:
-        if waited_ms >= RESIGN_WAIT_MS:
-            return end_term(manager, "stopping", at_ms)
-        if manager.term.storing:
-            return Step(manager)
-        if manager.term.resigned:
-            return end_term(manager, "resigned", at_ms)
-        resigned = replace(manager.leader, resigned=True)
-        return write_progress(replace(manager, leader=resigned))
+        return resign(manager, manager.stopping_ms, "resigned", at_ms)
     finished = not manager.calls_by_id and waited_ms >= STOP_LEAST_MS
     if not finished and waited_ms < STOP_MOST_MS:
         return Step(manager)
