Keep an ended job until its end is stored

Cause: a job that ends beside other runs of its own is forgotten when the last of them ends. While a write was under way that held its end, it passed for stored. The write had no answer, and what was to be written again was gone; the workers' ends were stored and acknowledged.

Change: a job is kept while the write under way holds it.

Test: storing_test, four of six rows red before.

--- a/sesamehall/reducer/jobs/runs.py
+++ b/sesamehall/reducer/jobs/runs.py
@@ -244,13 +244,21 @@
       The state.
     """
     work = manager.works_by_id.get(job_id)
-    if work is None or work.running or job_id in manager.dirty_jobs:
+    if work is None or work.running or _is_unstored(manager, job_id):
         return manager
     if work.progress.phase not in TERMINAL_PHASES:
         return manager
     return drop_work(forget_tickets(manager, job_id), job_id)
 
 
+def _is_unstored(manager, job_id):
+    """Tell whether a job's progress is to be written, or is being written."""
+    if job_id in manager.dirty_jobs:
+        return True
+    written = manager.term.written_jobs
+    return any(progress.job_id == job_id for progress in written)
+
+
 def _runs_of(manager: ManagerState, work: Work) -> list[Run]:
     """List the runs of a job, in the order of their tasks."""
     if not work.running:
--- /dev/null
+++ b/sesamehall/reducer/jobs/storing_test.py
@@ -0,0 +1,67 @@
+"""Tests of what is stored of jobs that end while a write is under way."""
+
+import pytest
+
+from sesamehall.core.data import JobPhase
+from sesamehall.core.managereffects import StoreProgress
+from sesamehall.core.managerevents import ProgressStored
+from sesamehall.core.managerevents import StoreOutcome
+from sesamehall.core.work import EndedRun
+from sesamehall.core.work import Progress
+from sesamehall.core.work import RunEnd
+from sesamehall.reducer.jobs.leading import take_stored
+from sesamehall.reducer.jobs.reports import take_report
+from sesamehall.reducer.jobs.runs import end_job
+from sesamehall.reducer.jobs.storing import write_progress
+from sesamehall.reducer.jobs.testing import build_leader
+from sesamehall.reducer.jobs.testing import build_plan
+from sesamehall.reducer.jobs.testing import build_report
+from sesamehall.reducer.jobs.testing import build_worker
+from sesamehall.reducer.jobs.testing import effects_of
+from sesamehall.reducer.jobs.testing import JOB_ID
+from sesamehall.reducer.jobs.testing import NOW_MS
+from sesamehall.reducer.jobs.testing import place_all
+from sesamehall.reducer.jobs.testing import take_in
+from sesamehall.reducer.jobs.testing import task
+
+
+def ended_while_writing(phase):
+    """Build a leader whose job ends, and then its last run, during a write."""
+    manager = take_in(build_leader(build_worker("w1")), build_plan())
+    manager = place_all(manager).state
+    manager = end_job(manager, JOB_ID, phase, "test", NOW_MS).state
+    manager = write_progress(manager).state
+    stopped = EndedRun(1, task(), 1, RunEnd.STOPPED)
+    report = build_report("w1", (), [stopped], NOW_MS + 100)
+    return take_report(manager, report).state
+
+
+def phases_written(manager):
+    """List the phases that the next write holds, by job."""
+    (store,) = effects_of(write_progress(manager), StoreProgress)
+    values = [record.value for record in store.records]
+    return [
+        (value.job_id, value.phase)
+        for value in values
+        if isinstance(value, Progress)
+    ]
+
+
+# Guards against tasks of an ended job that run again under the next leader:
+# the job was forgotten while the write that held its end had no answer.
+@pytest.mark.parametrize("phase", [JobPhase.FAILED, JobPhase.CANCELLED])
+@pytest.mark.parametrize(
+    ("outcome", "written"),
+    [
+        (StoreOutcome.UNKNOWN, True),
+        (StoreOutcome.REFUSED, True),
+        (StoreOutcome.STORED, False),
+    ],
+)
+def test_end_of_a_job_is_written_until_it_is_stored(phase, outcome, written):
+    manager = ended_while_writing(phase)
+    stored = ProgressStored(NOW_MS + 200, NOW_MS, 1, outcome)
+    manager = take_stored(manager, stored).state
+    expected = [(JOB_ID, phase)] if written else []
+    assert phases_written(manager) == expected
+    assert (JOB_ID in manager.works_by_id) is written
