Hold what a leader's write contains in one type, and tell of what is missing

Five fields of the term were cleared together in two places; they are one type now, and a failed write has a function of its own. What a write should hold of a job that is not known any more was passed over without a word: line 646 tells of it.

--- a/sesamehall/core/logevents.py
+++ b/sesamehall/core/logevents.py
@@ -141,6 +141,11 @@
     644, "records not stored", "Look at the platform's store; work goes on."
 )
 RECORDS_STORED = _info(645, "records stored")
+PROGRESS_LOST = _warning(
+    646,
+    "progress of an unknown job not stored",
+    "Report it: the job may run again under the next leader.",
+)
 MACHINE_ORDERED = _info(650, "machine ordered")
 MACHINE_REFUSED = _info(651, "machine order refused")
 WAVE_SEEN = _info(652, "wave taken in")
--- a/sesamehall/core/managerstate.py
+++ b/sesamehall/core/managerstate.py
@@ -68,6 +68,26 @@
     grown_ms: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class Batch:
+    """What a write of the leader holds beside the heartbeat.
+
+    Attributes:
+      jobs: Progress of jobs.
+      workers: Workers on which runs may be.
+      dropped_workers: Workers whose record it drops.
+      waves: Waves whose record it holds.
+      machines: Machines that it says may have orders, or None where it tells
+        nothing of machines.
+    """
+
+    jobs: tuple[Progress, ...] = ()
+    workers: tuple[LeasedWorker, ...] = ()
+    dropped_workers: tuple[str, ...] = ()
+    waves: tuple[int, ...] = ()
+    machines: tuple[str, ...] | None = None
+
+
 @dataclass(frozen=True)
 class Term:
     """This node's own time as the leader.
@@ -81,11 +101,7 @@
       resigned: Whether its resignation is stored.
       handover_ms: Clock at which it began to hand the role over, or -1.
       beats: Heartbeats written.
-      written_jobs: Jobs whose progress the write under way holds.
-      written_workers: Workers whose record it holds.
-      dropped_workers: Workers whose record it drops.
-      written_waves: Waves whose record it holds.
-      written_machines: Machines that it says may have orders.
+      written: What the write under way holds.
     """
 
     epoch: int = 0
@@ -96,11 +112,7 @@
     resigned: bool = False
     handover_ms: int = -1
     beats: int = 0
-    written_jobs: tuple[Progress, ...] = ()
-    written_workers: tuple[LeasedWorker, ...] = ()
-    dropped_workers: tuple[str, ...] = ()
-    written_waves: tuple[int, ...] = ()
-    written_machines: tuple[str, ...] = ()
+    written: Batch = Batch()
 
 
 @dataclass(frozen=True, slots=True)
--- a/sesamehall/reducer/jobs/leading.py
+++ b/sesamehall/reducer/jobs/leading.py
@@ -31,6 +31,7 @@
 from sesamehall.reducer.jobs.bookkeeping import put_worker
 from sesamehall.reducer.jobs.storing import LEADER_KEY
 from sesamehall.reducer.jobs.storing import take_confirmed
+from sesamehall.reducer.jobs.storing import write_again
 from sesamehall.reducer.jobs.workers import watch_worker
 from sesamehall.reducer.jobs.works import begin_job
 
@@ -128,36 +129,7 @@
         case StoreOutcome.FENCED:
             return end_term(manager, "fenced in the log", event.at_ms)
     line = log(RECORDS_UNSTORED, outcome=event.outcome.value)
-    dirty_jobs = manager.dirty_jobs
-    for progress in term.written_jobs:
-        dirty_jobs = dirty_jobs.set(progress.job_id, True)
-    dirty_workers = manager.dirty_workers
-    for leased in term.written_workers:
-        dirty_workers = dirty_workers.set(leased.worker_id, True)
-    for worker_id in term.dropped_workers:
-        dirty_workers = dirty_workers.set(worker_id, True)
-    dirty_waves = manager.dirty_waves
-    for number in term.written_waves:
-        dirty_waves = dirty_waves.set(number, True)
-    manager = replace(
-        manager,
-        term=replace(
-            term,
-            storing=False,
-            written_jobs=(),
-            written_workers=(),
-            dropped_workers=(),
-            written_waves=(),
-        ),
-        dirty_jobs=dirty_jobs,
-        dirty_workers=dirty_workers,
-        dirty_waves=dirty_waves,
-        fleet=replace(
-            manager.fleet,
-            unstored=manager.fleet.unstored or bool(term.written_machines),
-        ),
-    )
-    return Step(manager, (line,))
+    return Step(write_again(manager), (line,))
 
 
 def _take_claim(manager, event):
--- a/sesamehall/reducer/jobs/runs.py
+++ b/sesamehall/reducer/jobs/runs.py
@@ -255,7 +255,7 @@
     """Tell whether a job's progress is to be written, or is being written."""
     if job_id in manager.dirty_jobs:
         return True
-    written = manager.term.written_jobs
+    written = manager.term.written.jobs
     return any(progress.job_id == job_id for progress in written)
 
 
--- a/sesamehall/reducer/jobs/storing.py
+++ b/sesamehall/reducer/jobs/storing.py
@@ -10,9 +10,11 @@
 from sesamehall.core.fleet import WaveRecord
 from sesamehall.core.jobtiming import COMMIT_PERIOD_MS
 from sesamehall.core.jobtiming import HEARTBEAT_MS
+from sesamehall.core.logevents import PROGRESS_LOST
 from sesamehall.core.logevents import RECORDS_STORED
 from sesamehall.core.managereffects import StoreProgress
 from sesamehall.core.managerevents import ProgressStored
+from sesamehall.core.managerstate import Batch
 from sesamehall.core.managerstate import ManagerState
 from sesamehall.core.replacing import replace
 from sesamehall.core.step import Step
@@ -65,58 +67,23 @@
     Returns:
       A Step with the records.
     """
-    term = replace(manager.term, beats=manager.term.beats + 1)
-    resigns = is_resigning(manager)
-    leader = Leader(
-        manager.name, term.epoch, resigns, term.beats, manager.cores
-    )
-    jobs = tuple(
-        manager.works_by_id[job_id].progress
-        for job_id in sorted(manager.dirty_jobs)
-        if job_id in manager.works_by_id
-    )
-    workers = tuple(
-        _leased_record(manager.workers_by_id[worker_id])
-        for worker_id in sorted(manager.dirty_workers)
-        if _may_have_runs(manager, worker_id)
-    )
-    dropped = tuple(
-        worker_id
-        for worker_id in sorted(manager.dirty_workers)
-        if not _may_have_runs(manager, worker_id)
-    )
-    records = tuple(StoredRecord(job.job_id, job) for job in jobs)
-    records += tuple(
-        StoredRecord(WORKER_KEY_PREFIX + leased.worker_id, leased)
-        for leased in workers
-    )
-    records += tuple(
-        StoredRecord(WORKER_KEY_PREFIX + worker_id, None)
-        for worker_id in dropped
-    )
-    waves = tuple(sorted(manager.dirty_waves))
-    records += tuple(
-        StoredRecord(
-            f"{WAVE_KEY_PREFIX}{number}",
-            WaveRecord(number, manager.maintained_by_wave[number]),
-        )
-        for number in waves
-    )
-    machines = tuple(sorted(manager.fleet.touched_ms_by_machine))
-    if manager.fleet.unstored:
-        others = tuple(sorted(manager.fleet.inherited))
-        ordered = OrderedMachines(manager.name, machines, others)
-        records += (StoredRecord(ORDERS_KEY, ordered),)
-    records += (StoredRecord(LEADER_KEY, leader),)
+    written = _due_batch(manager)
     term = replace(
-        term,
+        manager.term,
+        beats=manager.term.beats + 1,
         storing=True,
-        written_jobs=jobs,
-        written_workers=workers,
-        dropped_workers=dropped,
-        written_waves=waves,
-        written_machines=machines if manager.fleet.unstored else (),
+        written=written,
+    )
+    leader = Leader(
+        manager.name,
+        term.epoch,
+        is_resigning(manager),
+        term.beats,
+        manager.cores,
     )
+    records = _records_of(manager, written)
+    records += (StoredRecord(LEADER_KEY, leader),)
+    lines = _unknown_line(manager)
     manager = replace(
         manager,
         term=term,
@@ -126,7 +93,91 @@
         ended_now=False,
         fleet=replace(manager.fleet, unstored=False),
     )
-    return Step(manager, (StoreProgress(term.epoch, records),))
+    return Step(manager, lines + (StoreProgress(term.epoch, records),))
+
+
+def write_again(manager: ManagerState) -> ManagerState:
+    """Have everything written again that a failed write held.
+
+    Args:
+      manager: State of the leader.
+    Returns:
+      The state, with no write under way.
+    """
+    written = manager.term.written
+    job_ids = [progress.job_id for progress in written.jobs]
+    worker_ids = [leased.worker_id for leased in written.workers]
+    worker_ids += written.dropped_workers
+    unstored = manager.fleet.unstored or written.machines is not None
+    return replace(
+        manager,
+        term=replace(manager.term, storing=False, written=Batch()),
+        dirty_jobs=_with_keys(manager.dirty_jobs, job_ids),
+        dirty_workers=_with_keys(manager.dirty_workers, worker_ids),
+        dirty_waves=_with_keys(manager.dirty_waves, written.waves),
+        fleet=replace(manager.fleet, unstored=unstored),
+    )
+
+
+def _with_keys(dirty, keys):
+    return dirty.update({key: True for key in keys})
+
+
+def _due_batch(manager) -> Batch:
+    """Collect what has changed since the last write."""
+    worker_ids = sorted(manager.dirty_workers)
+    machines = None
+    if manager.fleet.unstored:
+        machines = tuple(sorted(manager.fleet.touched_ms_by_machine))
+    return Batch(
+        jobs=tuple(
+            manager.works_by_id[job_id].progress
+            for job_id in sorted(manager.dirty_jobs)
+            if job_id in manager.works_by_id
+        ),
+        workers=tuple(
+            _leased_record(manager.workers_by_id[worker_id])
+            for worker_id in worker_ids
+            if _may_have_runs(manager, worker_id)
+        ),
+        dropped_workers=tuple(
+            worker_id
+            for worker_id in worker_ids
+            if not _may_have_runs(manager, worker_id)
+        ),
+        waves=tuple(sorted(manager.dirty_waves)),
+        machines=machines,
+    )
+
+
+def _records_of(manager, written: Batch) -> tuple[StoredRecord, ...]:
+    """Build the records of a write, but for the leader's own."""
+    records = [StoredRecord(job.job_id, job) for job in written.jobs]
+    for leased in written.workers:
+        key = WORKER_KEY_PREFIX + leased.worker_id
+        records.append(StoredRecord(key, leased))
+    for worker_id in written.dropped_workers:
+        records.append(StoredRecord(WORKER_KEY_PREFIX + worker_id, None))
+    for number in written.waves:
+        maintained = WaveRecord(number, manager.maintained_by_wave[number])
+        records.append(StoredRecord(f"{WAVE_KEY_PREFIX}{number}", maintained))
+    if written.machines is not None:
+        others = tuple(sorted(manager.fleet.inherited))
+        ordered = OrderedMachines(manager.name, written.machines, others)
+        records.append(StoredRecord(ORDERS_KEY, ordered))
+    return tuple(records)
+
+
+def _unknown_line(manager):
+    """Tell of jobs that are due to be written and not known any more."""
+    unknown = [
+        job_id
+        for job_id in sorted(manager.dirty_jobs)
+        if job_id not in manager.works_by_id
+    ]
+    if not unknown:
+        return ()
+    return (log(PROGRESS_LOST, jobs=len(unknown), job=unknown[0]),)
 
 
 def _may_have_runs(manager, worker_id):
@@ -162,34 +213,31 @@
             storing=False,
             resigned=is_resigning(manager),
             confirmed_ms=event.asked_ms,
-            written_jobs=(),
-            written_workers=(),
-            dropped_workers=(),
-            written_waves=(),
-            written_machines=(),
+            written=Batch(),
         ),
-        fleet=_with_stored_orders(manager.fleet, term.written_machines),
+        fleet=_with_stored_orders(manager.fleet, term.written.machines or ()),
     )
-    for progress in term.written_jobs:
+    for progress in term.written.jobs:
         manager = keep_progress(manager, progress, event.at_ms)
         manager = forget_ended(manager, progress.job_id)
     step = Step(manager, _stored_line(term, event))
-    for leased in term.written_workers:
+    for leased in term.written.workers:
         step = then(step, _confirm_worker, leased, event.at_ms)
     return then(step, commit, event.at_ms)
 
 
 def _stored_line(term, event):
     """Tell which ends may be acknowledged; a mere heartbeat needs no line."""
-    if not term.written_jobs and not term.written_workers:
+    written = term.written
+    if not written.jobs and not written.workers:
         return ()
     ends = ",".join(
-        f"{leased.worker_id}:{leased.ended}" for leased in term.written_workers
+        f"{leased.worker_id}:{leased.ended}" for leased in written.workers
     )
     line = log(
         RECORDS_STORED,
         epoch=term.epoch,
-        jobs=len(term.written_jobs),
+        jobs=len(written.jobs),
         ends=ends,
         took_ms=event.at_ms - event.asked_ms,
     )
--- a/sesamehall/reducer/jobs/storing_test.py
+++ b/sesamehall/reducer/jobs/storing_test.py
@@ -1,8 +1,11 @@
 """Tests of what is stored of jobs that end while a write is under way."""
 
+from immutables import Map
 import pytest
 
 from sesamehall.core.data import JobPhase
+from sesamehall.core.effects import Log
+from sesamehall.core.logevents import PROGRESS_LOST
 from sesamehall.core.managereffects import StoreProgress
 from sesamehall.core.managerevents import ProgressStored
 from sesamehall.core.managerevents import StoreOutcome
@@ -20,6 +23,7 @@
 from sesamehall.reducer.jobs.testing import effects_of
 from sesamehall.reducer.jobs.testing import JOB_ID
 from sesamehall.reducer.jobs.testing import NOW_MS
+from sesamehall.reducer.jobs.testing import OTHER_JOB_ID
 from sesamehall.reducer.jobs.testing import place_all
 from sesamehall.reducer.jobs.testing import take_in
 from sesamehall.reducer.jobs.testing import task
@@ -65,3 +69,12 @@
     expected = [(JOB_ID, phase)] if written else []
     assert phases_written(manager) == expected
     assert (JOB_ID in manager.works_by_id) is written
+
+
+@pytest.mark.parametrize(
+    ("dirty", "told"), [({}, 0), ({OTHER_JOB_ID: True}, 1)]
+)
+def test_progress_that_is_not_known_any_more_is_told(dirty, told):
+    manager = build_leader(dirty_jobs=Map(dirty))
+    lines = effects_of(write_progress(manager), Log)
+    assert [line.event for line in lines] == [PROGRESS_LOST] * told
