Resign with the next write, however busy the leader is

Cause: a write that is confirmed is followed by the next at once where anything has changed, and the resignation waited for a moment without a write under way. A planned stop has the same fault, since it came later than the bound of 40 ms. (A flag that is polled, where another path always takes the turn.)

Change: a leader that stops or hands over begins no other write.

Test: handover_test, test_busy_leader_resigns_with_its_next_write; red before for the handover and for the stop.

--- a/sesamehall/reducer/jobs/handover_test.py
+++ b/sesamehall/reducer/jobs/handover_test.py
@@ -1,9 +1,11 @@
 """Tests of handing the role over from a weak leader to a stronger node."""
 
+from immutables import Map
 import pytest
 
 from sesamehall.core.data import Node
 from sesamehall.core.data import NodeKind
+from sesamehall.core.events import StopRequested
 from sesamehall.core.events import TimerFired
 from sesamehall.core.fleet import Candidate
 from sesamehall.core.fleet import Leader
@@ -19,6 +21,7 @@
 from sesamehall.core.managerstate import Following
 from sesamehall.core.managerstate import ManagerState
 from sesamehall.core.managerstate import Term
+from sesamehall.core.replacing import replace
 from sesamehall.core.state import Identity
 from sesamehall.core.state import State
 from sesamehall.core.timers import ManagerTimer
@@ -169,3 +172,28 @@
     )
     claims = effects_of(consider_claim(manager, NOW_MS), StoreProgress)
     assert bool(claims) is (cores == STRONG_CORES)
+
+
+# Guards against a leader that cannot resign: each write that is confirmed
+# was followed by the next at once, so there was never one to resign with.
+@pytest.mark.parametrize(
+    "asked",
+    [
+        read_of(Candidate("edge-2", 1, STRONG_CORES)),
+        StopRequested(NOW_MS),
+    ],
+    ids=["handover", "stop"],
+)
+def test_busy_leader_resigns_with_its_next_write(asked):
+    leader = WeakLeader(dirty_waves=Map({7: True}))
+    manager = leader.state.manager
+    manager = replace(
+        manager,
+        term=replace(manager.term, storing=True),
+        maintained_by_wave=Map({7: ("m1",)}),
+    )
+    leader.state = replace(leader.state, manager=manager)
+    assert not leader.take(asked)
+    stored = ProgressStored(NOW_MS + 100, NOW_MS + 50, 1, StoreOutcome.STORED)
+    (store,) = leader.take(stored)
+    assert [record.value.resigned for record in store.records[-1:]] == [True]
--- a/sesamehall/reducer/jobs/leases.py
+++ b/sesamehall/reducer/jobs/leases.py
@@ -91,6 +91,18 @@
     return leads and leader is not None and leader.resigned
 
 
+def is_giving_up(manager: ManagerState) -> bool:
+    """Tell whether a leader is to resign, or has done so.
+
+    Args:
+      manager: State of a manager.
+    Returns:
+      True from the moment at which it stops or hands the role over.
+    """
+    handing_over = manager.term.handover_ms >= 0
+    return manager.stopping or handing_over or is_resigning(manager)
+
+
 def is_confirmed(manager: ManagerState, at_ms: int) -> bool:
     """Tell whether no other leader can have begun its term.
 
--- a/sesamehall/reducer/jobs/storing.py
+++ b/sesamehall/reducer/jobs/storing.py
@@ -22,6 +22,7 @@
 from sesamehall.core.work import Progress
 from sesamehall.reducer.counts import drop_key
 from sesamehall.reducer.jobs.bookkeeping import put_worker
+from sesamehall.reducer.jobs.leases import is_giving_up
 from sesamehall.reducer.jobs.leases import is_resigning
 from sesamehall.reducer.jobs.runs import forget_ended
 from sesamehall.reducer.jobs.runs import place_soon
@@ -40,11 +41,11 @@
       manager: State of a manager.
       at_ms: The node's clock.
     Returns:
-      A Step with the records; nothing while a write is under way, nor after
-      a resignation, since a later record would say that the leader is there.
+      A Step with the records; nothing while a write is under way, nor once
+      the role is given up, since the next write is the resignation.
     """
     term = manager.term
-    if not term.epoch or term.storing or is_resigning(manager):
+    if not term.epoch or term.storing or is_giving_up(manager):
         return Step(manager)
     since_ms = at_ms - term.confirmed_ms
     changed = bool(
