Use a worker again that answers after its life passed for over

Cause: an order that an earlier leader had carried out is answered as done once more, and the worker's next life passes for ended. Change: a worker that answers a later question goes on, and takes tasks once its record, which was dropped, is stored again. The test was red before; it gained the row of a question asked before.

--- a/sesamehall/core/workstate.py
+++ b/sesamehall/core/workstate.py
@@ -161,6 +161,7 @@
       aside_until_ms: Clock until which nothing is started on it.
       leaving: Whether its machine is to be moved or maintained.
       over: Whether its life was ended by an order for its machine.
+      over_ms: Clock at which that was known.
       fill_pace: Pace of what fills on it, in percent.
       fill_paced_ms: Clock at which that pace was chosen.
       strangers: Runs that it has listed, of jobs not read yet or that nobody
@@ -187,6 +188,7 @@
     aside_until_ms: int = 0
     leaving: bool = False
     over: bool = False
+    over_ms: int = 0
     fill_pace: int = 100
     fill_paced_ms: int = 0
     strangers: int = 0
--- a/sesamehall/reducer/jobs/reports.py
+++ b/sesamehall/reducer/jobs/reports.py
@@ -32,6 +32,8 @@
 from sesamehall.reducer.jobs.runs import take_end
 from sesamehall.reducer.jobs.stalls import stop_stalled
 from sesamehall.reducer.jobs.workers import begin_life
+from sesamehall.reducer.jobs.workers import is_life_going_on
+from sesamehall.reducer.jobs.workers import resume_life
 from sesamehall.reducer.jobs.workers import watch_worker
 
 
@@ -55,6 +57,9 @@
     if born_ms and event.born_ms > born_ms:
         step = begin_life(manager, worker, event.born_ms, at_ms)
         worker = step.state.workers_by_id[event.worker_id]
+    if is_life_going_on(worker, event.asked_ms):
+        step = Step(resume_life(step.state, worker), step.effects)
+        worker = step.state.workers_by_id[event.worker_id]
     first = not worker.reached
     met = worker.met_ms < 0
     back = first or worker.silences > 0
--- a/sesamehall/reducer/jobs/workers.py
+++ b/sesamehall/reducer/jobs/workers.py
@@ -211,6 +211,7 @@
     worker = replace(
         step.state.workers_by_id[worker_id],
         over=True,
+        over_ms=at_ms,
         lease_end_ms=min(worker.lease_end_ms, at_ms),
     )
     manager = put_worker(step.state, worker)
@@ -218,6 +219,37 @@
     return Step(replace(manager, dirty_workers=dirty), step.effects)
 
 
+def is_life_going_on(worker: Worker, asked_ms: int) -> bool:
+    """Tell whether a worker that passes for over has answered since.
+
+    An order that an earlier leader had carried out is answered as done once
+    more, and the life that it passes for having ended is the next one.
+
+    Args:
+      worker: A worker that has answered.
+      asked_ms: Clock at which it was asked.
+    Returns:
+      True for a worker that is to be used again.
+    """
+    return worker.over and asked_ms > worker.over_ms
+
+
+def resume_life(manager: ManagerState, worker: Worker) -> ManagerState:
+    """Use a worker again that passed for over.
+
+    Its record was dropped, so it takes tasks only when it is stored again.
+
+    Args:
+      manager: State of the leader.
+      worker: The worker.
+    Returns:
+      The state.
+    """
+    worker = replace(worker, over=False, leaving=False, leased=False)
+    dirty = manager.dirty_workers.set(worker.entry.worker_id, True)
+    return replace(put_worker(manager, worker), dirty_workers=dirty)
+
+
 def review_workers(manager: ManagerState, at_ms: int) -> Step:
     """Review all workers that do not answer.
 
--- a/sesamehall/reducer/jobs/workers_test.py
+++ b/sesamehall/reducer/jobs/workers_test.py
@@ -7,6 +7,7 @@
 from sesamehall.core.fleet import Leader
 from sesamehall.core.managereffects import StartRun
 from sesamehall.core.managereffects import StopRun
+from sesamehall.core.managereffects import StoreProgress
 from sesamehall.core.managereffects import WatchWorker
 from sesamehall.core.managerevents import OrderRefusal
 from sesamehall.core.managerevents import WorkerNotReported
@@ -21,6 +22,7 @@
 from sesamehall.reducer.jobs.queueing import is_unresolved
 from sesamehall.reducer.jobs.reports import take_report
 from sesamehall.reducer.jobs.rounds import next_number
+from sesamehall.reducer.jobs.storing import write_progress
 from sesamehall.reducer.jobs.testing import build_entry
 from sesamehall.reducer.jobs.testing import build_leader
 from sesamehall.reducer.jobs.testing import build_plan
@@ -38,8 +40,6 @@
 from sesamehall.reducer.jobs.workers import take_silence
 from sesamehall.reducer.jobs.workers import watch_worker
 
-RED = pytest.mark.xfail(strict=True, reason="KNOWN-RED.txt")
-
 
 def leader_with_run(*steps):
     """Build a leader that has started the first task of a job on w1."""
@@ -336,13 +336,30 @@
 
 # Guards against machines that stay unused: an order that a predecessor had
 # carried out already is answered as done, and the next life passes for over.
-@RED
-def test_worker_that_answers_later_is_not_over():
+@pytest.mark.parametrize(
+    ("asked_ms", "over"),
+    [(NOW_MS - 100, True), (NOW_MS + 900, False)],
+    ids=["asked before", "asked later"],
+)
+def test_worker_that_answers_later_is_not_over(asked_ms, over):
+    manager = build_leader(build_worker("w1"))
+    manager = end_life(manager, "w1", NOW_MS).state
+    report = build_report("w1", at_ms=NOW_MS + 1_000, asked_ms=asked_ms)
+    manager = take_report(manager, report).state
+    assert manager.workers_by_id["w1"].over is over
+
+
+def test_worker_that_is_not_over_is_stored_before_it_takes_tasks():
     manager = build_leader(build_worker("w1"))
     manager = end_life(manager, "w1", NOW_MS).state
     report = build_report("w1", at_ms=NOW_MS + 1_000, asked_ms=NOW_MS + 900)
     manager = take_report(manager, report).state
-    assert not manager.workers_by_id["w1"].over
+    manager = take_in(manager, build_plan())
+    assert not effects_of(place_all(manager, NOW_MS + 1_000), StartRun)
+    (store,) = effects_of(write_progress(manager), StoreProgress)
+    assert "worker/w1" in {
+        record.key for record in store.records if record.value
+    }
 
 
 # Guards against the same, in its whole course: an idle worker restarts under
