Go on after an event that cannot be reduced

Every exception in a decision ended the process: the line that tells of it passed the detail "event" to a function whose first parameter has that name, and raised in the handler. The detail is named "kind" now.

Test: test_process_goes_on_after_an_event_that_raises; before: TypeError: log() got multiple values for argument 'event'.

--- a/sesamehall/runtime/interpreter.py
+++ b/sesamehall/runtime/interpreter.py
@@ -158,7 +158,7 @@
             step = reduce(self.state, event)
         except Exception:
             LOGGER.exception("reducing %s", type(event).__name__)
-            self._perform(log(INTERNAL_ERROR, event=type(event).__name__))
+            self._perform(log(INTERNAL_ERROR, kind=type(event).__name__))
             return 0
         self.state = step.state
         for effect in step.effects:
--- a/sesamehall/runtime/interpreter_test.py
+++ b/sesamehall/runtime/interpreter_test.py
@@ -17,6 +17,7 @@
 from sesamehall.core.managerstate import ManagerState
 from sesamehall.core.state import Identity
 from sesamehall.core.state import State
+from sesamehall.runtime import interpreter
 from sesamehall.runtime.interpreter import Interpreter
 from sesamehall.runtime.interpreter import now_ms
 
@@ -75,3 +76,39 @@
 )
 def test_order_of_events_and_timers(ages_ms, expected):
     assert take(ages_ms, len(expected)) == expected
+
+
+class Failing:
+    """An interpreter whose first event cannot be reduced."""
+
+    def __init__(self, monkeypatch):
+        """Let every event raise."""
+        monkeypatch.setattr(interpreter, "reduce", self._fail)
+        state = State(None, manager=ManagerState("edge-1"))
+        self.interpreter = Interpreter(
+            state, lambda effect: None, self._record
+        )
+        self.taken = []
+
+    def _record(self, event):
+        self.taken.append(event)
+        if len(self.taken) == 2:
+            raise EnoughError
+
+    def _fail(self, state, event):
+        raise ValueError("test")
+
+    def take_two(self, *events):
+        """List the first two events that are taken."""
+        for event in events:
+            self.interpreter.post(event)
+        with pytest.raises(EnoughError):
+            self.interpreter.run()
+        return self.taken
+
+
+# Guards against a process that ends by itself: the line that tells of an
+# internal error raised one of its own.
+def test_process_goes_on_after_an_event_that_raises(monkeypatch):
+    events = [Started(1), Started(2)]
+    assert Failing(monkeypatch).take_two(*events) == events
