Let what hangs on an event go on though the event raised

A state says that a round is due, that a worker or a log is being asked; where the event that ends this raised, it stayed so for as long as the process lived, and a pool, a worker or a log stood still. A timer is tried again after 0.5 s now, a report or a read counts as missing, which is tried again too. Test: three rows of interpreter_test that wait without end on the code before (ended after 10 s).

--- a/sesamehall/runtime/interpreter.py
+++ b/sesamehall/runtime/interpreter.py
@@ -17,6 +17,11 @@
 from sesamehall.core.logevents import INTERNAL_ERROR
 from sesamehall.core.managereffects import StartRun
 from sesamehall.core.managereffects import StopRun
+from sesamehall.core.managerevents import OrderRefusal
+from sesamehall.core.managerevents import StreamRead
+from sesamehall.core.managerevents import StreamUnread
+from sesamehall.core.managerevents import WorkerNotReported
+from sesamehall.core.managerevents import WorkerReported
 from sesamehall.core.state import State
 from sesamehall.core.timers import Timer
 from sesamehall.reducer.reduce import reduce
@@ -25,6 +30,7 @@
 
 LOGGER = logging.getLogger("sesamehall")
 ORDERS = (StartRun, StopRun)
+FAILED_TIMER_RETRY_MS = 500  # pause before a timer is tried again
 
 
 def now_ms() -> int:
@@ -159,12 +165,33 @@
         except Exception:
             LOGGER.exception("reducing %s", type(event).__name__)
             self._perform(log(INTERNAL_ERROR, kind=type(event).__name__))
+            self._recover(event)
             return 0
         self.state = step.state
         for effect in step.effects:
             self._carry_out(effect)
         return sum(isinstance(effect, ORDERS) for effect in step.effects)
 
+    def _recover(self, event: Event) -> None:
+        """Let what hangs on an event go on that could not be reduced.
+
+        A timer is tried again later; an answer counts as missing.  Else a
+        pool, a worker or a log would stand still for as long as the process
+        lives, since the state says that something is under way.
+        """
+        match event:
+            case TimerFired(_, timer):
+                due_ms = now_ms() + FAILED_TIMER_RETRY_MS
+                self._carry_out(SetTimer(timer, due_ms))
+            case WorkerReported(_, _, worker_id, epoch):
+                refusal = OrderRefusal.SILENT
+                self.post(
+                    WorkerNotReported(now_ms(), worker_id, epoch, refusal)
+                )
+            case StreamRead():
+                reason = "the records could not be taken in"
+                self.post(StreamUnread(now_ms(), event.stream, reason))
+
     def _carry_out(self, effect: Effect) -> None:
         match effect:
             case SetTimer(timer, at_ms):
--- a/sesamehall/runtime/interpreter_test.py
+++ b/sesamehall/runtime/interpreter_test.py
@@ -1,4 +1,4 @@
-"""Tests of the order in which the interpreter takes events and timers.
+"""Tests of the order in which events and timers are taken, and of failures.
 
 Guards against a process that falls behind for good: a timer that is due must
 not overtake what has happened before it, else each late event has a round of
@@ -13,10 +13,14 @@
 from sesamehall.core.events import TimerFired
 from sesamehall.core.fleet import Stream
 from sesamehall.core.jobtiming import MANAGER_BEAT_MS
+from sesamehall.core.managerevents import StreamRead
 from sesamehall.core.managerevents import StreamUnread
+from sesamehall.core.managerevents import WorkerNotReported
+from sesamehall.core.managerevents import WorkerReported
 from sesamehall.core.managerstate import ManagerState
 from sesamehall.core.state import Identity
 from sesamehall.core.state import State
+from sesamehall.core.timers import PlaceTimer
 from sesamehall.runtime import interpreter
 from sesamehall.runtime.interpreter import Interpreter
 from sesamehall.runtime.interpreter import now_ms
@@ -112,3 +116,25 @@
 def test_process_goes_on_after_an_event_that_raises(monkeypatch):
     events = [Started(1), Started(2)]
     assert Failing(monkeypatch).take_two(*events) == events
+
+
+REPORT = WorkerReported(1, 0, "w1", 3, 0, 0, (), ())
+READ = StreamRead(1, 1, 0, Stream.JOBS, (), 2, False)
+
+
+# Guards against a pool, a worker or a log that stands still for as long as the
+# process lives: what was under way stayed so when its event raised.
+@pytest.mark.parametrize(
+    ("event", "next_kind"),
+    [
+        (TimerFired(1, PlaceTimer("a")), TimerFired),
+        (REPORT, WorkerNotReported),
+        (READ, StreamUnread),
+    ],
+    ids=["timer", "report of a worker", "read of a log"],
+)
+def test_what_hangs_on_an_event_goes_on_though_it_raises(
+    event, next_kind, monkeypatch
+):
+    _, following = Failing(monkeypatch).take_two(event)
+    assert isinstance(following, next_kind)
