Wait for stronger nodes only where some were seen

A fleet whose nodes are all alike, each with less than 2 cores, would wait up to 0.3 s longer for a new leader since the spread of claims was widened, for nodes that it does not have. A node compares itself with the most cores that a leader or a candidate was seen to have; before any, with what a leader wants. Test: leading_test, test_node_waits_for_those_that_were_seen.

--- a/sesamehall/core/managerstate.py
+++ b/sesamehall/core/managerstate.py
@@ -185,6 +185,8 @@
       renewals_end_ms: Clock until which leaders before that one may renew
         leases.
       term: This node's own time as the leader.
+      most_cores: Most processor cores that a leader or a node that offered to
+        lead was seen to have, or 0 before any.
       offer: When it offers to lead in the place of a weaker leader.
       jobs_known: Whether all jobs that an earlier leader may have known are
         known, so that later ones are certainly not started.
@@ -246,6 +248,7 @@
     leader_seen_ms: int = 0
     renewals_end_ms: int = 0
     term: Term = Term()
+    most_cores: float = 0.0
     offer: Offer = Offer()
     jobs_known: bool = False
     calls_by_id: Map[int, WaitingCall] = EMPTY_MAP
--- a/sesamehall/reducer/jobs/handover.py
+++ b/sesamehall/reducer/jobs/handover.py
@@ -90,6 +90,8 @@
     Returns:
       A Step.
     """
+    most_cores = max(manager.most_cores, candidate.cores)
+    manager = replace(manager, most_cores=most_cores)
     term = manager.term
     if not term.epoch:
         return Step(_put_offer_off(manager, candidate.epoch, at_ms))
--- a/sesamehall/reducer/jobs/leading.py
+++ b/sesamehall/reducer/jobs/leading.py
@@ -103,9 +103,11 @@
     The leader decides for all workers, so a node with more processor goes
     before others; of equal ones chance decides.  Nodes see a silence begin
     at different times, by as much as the period of their reads, so what a
-    weak node lacks counts for more than that.
+    weak node lacks counts for more than that.  It lacks nothing where no
+    node was seen to have more.
     """
-    lacking = max(LEADER_CORES - manager.cores, 0.0) / LEADER_CORES
+    enough = min(manager.most_cores or LEADER_CORES, LEADER_CORES)
+    lacking = max(enough - manager.cores, 0.0) / enough
     return int(lacking * CLAIM_POWER_MS) + manager.rank % CLAIM_CHANCE_MS
 
 
@@ -204,6 +206,7 @@
         manager,
         leader=leader,
         leader_seen_ms=at_ms,
+        most_cores=max(manager.most_cores, leader.cores),
         renewals_end_ms=renewals_end_ms,
     )
 
--- a/sesamehall/reducer/jobs/leading_test.py
+++ b/sesamehall/reducer/jobs/leading_test.py
@@ -31,6 +31,7 @@
 from sesamehall.core.work import RunEnd
 from sesamehall.reducer.jobs.following import take_read
 from sesamehall.reducer.jobs.leading import consider_claim
+from sesamehall.reducer.jobs.leading import follow_leader
 from sesamehall.reducer.jobs.leading import take_stored
 from sesamehall.reducer.jobs.orders import take_start_answer
 from sesamehall.reducer.jobs.queueing import rank_waiting
@@ -113,6 +114,33 @@
     assert bool(effects_of(step, StoreProgress)) is claims
 
 
+# Guards against a fleet of equal nodes that waits for stronger ones.
+@pytest.mark.parametrize(
+    ("most_cores", "silent_ms", "claims"),
+    [
+        (1.07, 1_200, True),
+        (2.15, 1_524, False),
+        (2.15, 1_526, True),
+        (8.0, 1_526, True),
+        (0.0, 1_524, False),
+    ],
+    ids=[
+        "all are equal",
+        "stronger ones go first",
+        "in its turn",
+        "much stronger ones go first",
+        "others are not known",
+    ],
+)
+def test_node_waits_for_those_that_were_seen(most_cores, silent_ms, claims):
+    follower = build_follower(OTHER, 5_000, cores=1.07)
+    seen = Leader("edge-1", 3, cores=most_cores)
+    follower = follow_leader(follower, seen, NOW_MS)
+    progress = replace(follower.progress, grown_ms=NOW_MS - silent_ms)
+    step = consider_claim(replace(follower, progress=progress), NOW_MS)
+    assert bool(effects_of(step, StoreProgress)) is claims
+
+
 @pytest.mark.parametrize(
     ("leader", "silent_ms", "change", "epoch"),
     [
