--- a/bench/jobworld.py
+++ b/bench/jobworld.py
@@ -381,7 +381,7 @@
                 if len(host.writer.waiting) == 1:
                     self._send(host, self._write, host, host.starts)
             case OfferToLead():
-                self._send(host, self._offer, host, effect)
+                self._send(host, self._offer, host, host.starts, effect)
             case StoreJob():
                 starts = host.starts
                 self._send(host, self._store_job, host, starts, effect, False)
@@ -508,7 +508,7 @@
         for look in readers:
             look()
 
-    def _offer(self, host, effect):
+    def _offer(self, host, _, effect):
         """Append an offer to lead once; whether it is stored is not told."""
         records = (StoredRecord("candidate", effect.candidate),)
         self._call_store(
