--- a/sesamehall/core/managerstate.py
+++ b/sesamehall/core/managerstate.py
@@ -13,7 +13,7 @@
 from sesamehall.core.fleet import OrderedMachines
 from sesamehall.core.fleetstate import FleetState
 from sesamehall.core.jobtiming import LEADER_CORES
-from sesamehall.core.jobtiming import ORDERS_FIRST
+from sesamehall.core.jobtiming import ORDER_WINDOW_FIRST
 from sesamehall.core.manifest import Manifest
 from sesamehall.core.work import JobPlan
 from sesamehall.core.work import Progress
@@ -214,7 +214,7 @@
       placing_pools: Pools whose next round of placing is due.
       ordered_ms_by_run: Clock at which a start was ordered that has no answer
         yet, by task and number.
-      orders_most: Orders to start that may have no answer at a time.
+      order_window: Number of orders to start that may have no answer.
       held_pools: Pools whose placing waits for such answers, mapped to True.
       waits_told_by_pool: Clock at which a pool's waiting was last logged.
       tickets_by_step: What the advice service has said, by step and worker.
@@ -272,7 +272,7 @@
     ended_now: bool = False
     placing_pools: Map[str, bool] = EMPTY_MAP
     ordered_ms_by_run: Map[tuple[str, int], int] = EMPTY_MAP
-    orders_most: int = ORDERS_FIRST
+    order_window: int = ORDER_WINDOW_FIRST
     held_pools: Map[str, bool] = EMPTY_MAP
     waits_told_by_pool: Map[str, int] = EMPTY_MAP
     tickets_by_step: Map[str, Map[str, Ticket]] = EMPTY_MAP
--- a/sesamehall/platform/workers.py
+++ b/sesamehall/platform/workers.py
@@ -133,8 +133,9 @@
 
     def _send_order(self, effect, at_ms):
         """Send an order that is not void yet; read refusal and clock."""
-        if isinstance(effect, StartRun) and at_ms >= effect.not_after_ms:
-            return OrderRefusal.NOT_SENT, -1
+        match effect:
+            case StartRun(not_after_ms=not_after_ms) if at_ms >= not_after_ms:
+                return OrderRefusal.NOT_SENT, -1
         path, content = _encode_order(effect)
         try:
             answer = self._call(path, content, ORDER_TIMEOUT_S)
--- a/sesamehall/reducer/jobs/inflight.py
+++ b/sesamehall/reducer/jobs/inflight.py
@@ -9,9 +9,9 @@
 
 from sesamehall.core.jobtiming import ORDER_DELAY_MS
 from sesamehall.core.jobtiming import ORDER_FORGOTTEN_MS
-from sesamehall.core.jobtiming import ORDERS_CUT
-from sesamehall.core.jobtiming import ORDERS_LEAST
-from sesamehall.core.jobtiming import ORDERS_MOST
+from sesamehall.core.jobtiming import ORDER_WINDOW_CUT
+from sesamehall.core.jobtiming import ORDER_WINDOW_LEAST
+from sesamehall.core.jobtiming import ORDER_WINDOW_MOST
 from sesamehall.core.managerevents import OrderRefusal
 from sesamehall.core.managerevents import RunAnswered
 from sesamehall.core.managerstate import ManagerState
@@ -52,22 +52,23 @@
     ordered_ms = manager.ordered_ms_by_run.get(run)
     if ordered_ms is None:
         return manager
-    orders_most = manager.orders_most
+    order_window = manager.order_window
     if event.refusal is not OrderRefusal.SILENT:
         took_ms = event.at_ms - ordered_ms
-        orders_most = _next_window(orders_most, took_ms)
+        order_window = _next_window(order_window, took_ms)
     return replace(
         manager,
         ordered_ms_by_run=manager.ordered_ms_by_run.delete(run),
-        orders_most=orders_most,
+        order_window=order_window,
     )
 
 
-def _next_window(most, took_ms):
+def _next_window(window, took_ms):
     """Widen the window after a quick answer, narrow it after a slow one."""
     if took_ms <= ORDER_DELAY_MS:
-        return min(most + 1, ORDERS_MOST)
-    return max(most - max(most // ORDERS_CUT, 1), ORDERS_LEAST)
+        return min(window + 1, ORDER_WINDOW_MOST)
+    cut = max(window // ORDER_WINDOW_CUT, 1)
+    return max(window - cut, ORDER_WINDOW_LEAST)
 
 
 def orders_left(manager: ManagerState, pool: str) -> int:
@@ -80,7 +81,7 @@
       Its part of those that may be given, shared with the pools that wait
       for answers too; 0 when none may.
     """
-    left = manager.orders_most - len(manager.ordered_ms_by_run)
+    left = manager.order_window - len(manager.ordered_ms_by_run)
     others = len(drop_key(manager.held_pools, pool))
     return max(-(-left // (1 + others)), 0)
 
@@ -121,7 +122,7 @@
       A Step with the timers of their rounds.
     """
     step = Step(manager)
-    if len(manager.ordered_ms_by_run) > manager.orders_most // 2:
+    if len(manager.ordered_ms_by_run) > manager.order_window // 2:
         return step
     for pool in sorted(manager.held_pools):
         step = then(step, place_soon, pool, at_ms)
--- a/sesamehall/reducer/jobs/inflight_test.py
+++ b/sesamehall/reducer/jobs/inflight_test.py
@@ -5,8 +5,8 @@
 
 from sesamehall.core.jobtiming import ORDER_DELAY_MS
 from sesamehall.core.jobtiming import ORDER_FORGOTTEN_MS
-from sesamehall.core.jobtiming import ORDERS_LEAST
-from sesamehall.core.jobtiming import ORDERS_MOST
+from sesamehall.core.jobtiming import ORDER_WINDOW_LEAST
+from sesamehall.core.jobtiming import ORDER_WINDOW_MOST
 from sesamehall.core.managereffects import StartRun
 from sesamehall.core.managerevents import OrderRefusal
 from sesamehall.core.managerevents import RunAnswered
@@ -29,7 +29,7 @@
 
 def leader_with_tasks(most, **others):
     """Build a leader with four tasks and room for them."""
-    manager = build_leader(build_worker("w1"), orders_most=most, **others)
+    manager = build_leader(build_worker("w1"), order_window=most, **others)
     return take_in(manager, build_plan(build_step(count=4)))
 
 
@@ -52,7 +52,7 @@
 
 
 def test_gang_is_started_whole():
-    manager = build_leader(build_worker("w1"), orders_most=2)
+    manager = build_leader(build_worker("w1"), order_window=2)
     manager = take_in(manager, build_plan(build_step(count=4, gang=True)))
     assert len(effects_of(place_all(manager), StartRun)) == 4
 
@@ -62,17 +62,17 @@
 )
 def test_held_pool_goes_on_after_answers(answers, placed):
     manager = build_leader(
-        build_worker("w1"), build_worker("w2"), orders_most=4
+        build_worker("w1"), build_worker("w2"), order_window=4
     )
     manager = take_in(manager, build_plan(build_step(count=8)))
     step = place_all(manager)
     orders = effects_of(step, StartRun)
-    manager = replace(step.state, orders_most=4)
+    manager = replace(step.state, order_window=4)
     for order in orders[:answers]:
         names = (order.worker_id, order.epoch, order.task, order.number)
         slow = RunAnswered(NOW_MS, *names, OrderRefusal.NOT_SENT)
         manager = take_start_answer(manager, slow).state
-        manager = replace(manager, orders_most=4, placing_pools=Map())
+        manager = replace(manager, order_window=4, placing_pools=Map())
     step = take_start_answer(manager, slow)
     assert ("a" in step.state.placing_pools) is placed
 
@@ -84,7 +84,7 @@
 )
 def test_pools_that_wait_share_what_is_left(held, left):
     pools = Map((pool, True) for pool in held)
-    manager = build_leader(orders_most=8, held_pools=pools)
+    manager = build_leader(order_window=8, held_pools=pools)
     assert orders_left(manager, "a") == left
 
 
@@ -95,8 +95,8 @@
         (100, SLOW_MS, None, 94),
         (100, SLOW_MS, OrderRefusal.NOT_SENT, 94),
         (100, SLOW_MS, OrderRefusal.SILENT, 100),
-        (ORDERS_MOST, 0, None, ORDERS_MOST),
-        (ORDERS_LEAST, SLOW_MS, None, ORDERS_LEAST),
+        (ORDER_WINDOW_MOST, 0, None, ORDER_WINDOW_MOST),
+        (ORDER_WINDOW_LEAST, SLOW_MS, None, ORDER_WINDOW_LEAST),
     ],
     ids=[
         "in time",
@@ -110,7 +110,7 @@
 def test_window_follows_the_time_of_answers(most, took_ms, refusal, expected):
     manager = place_all(leader_with_tasks(most)).state
     step = answer(manager, at_ms=NOW_MS + took_ms, refusal=refusal)
-    assert step.state.orders_most == expected
+    assert step.state.order_window == expected
 
 
 # Guards against a leader that places nothing more: an answer that is lost
