Let a task wait once, however late its turn is seen to come

Cause: a new leader adopts runs of a step before it has heard of all ends of the step before. Such a run ended and its task waited again; then the missing end came, and all tasks of the step were added to those that wait, this one a second time. One round of placing starts what waits, so both were started, with one number. (A list that is added to where another path has added already.)

Change: what waits already is not added.

--- a/sesamehall/reducer/jobs/runs.py
+++ b/sesamehall/reducer/jobs/runs.py
@@ -289,6 +289,7 @@
         other
         for other in newly_startable(work, place)
         if task_id(job_id, other) not in manager.runs_by_task
+        and other not in waiting
     )
     work = replace(work, waiting=waiting + following)
     manager = put_work(manager, work)
--- a/sesamehall/reducer/jobs/workers_test.py
+++ b/sesamehall/reducer/jobs/workers_test.py
@@ -179,6 +179,23 @@
     assert manager.runs_by_task[task(step=1)].worker_id == "w1"
 
 
+# Guards against two runs of a task at once: an early run ended before its turn
+# was seen to come, so its task waited twice and one round started both.
+@pytest.mark.parametrize("end", [RunEnd.FAILED, RunEnd.STOPPED, RunEnd.LAPSED])
+def test_task_waits_once_when_its_turn_comes_late(end):
+    steps = (build_step(), build_step(after=(0,)))
+    manager = build_leader(build_worker("w1"), build_worker("w2"))
+    manager = take_in(manager, build_plan(*steps), inherited=True)
+    early = ActiveRun(task(step=1), 1)
+    manager = take_report(manager, build_report("w1", [early])).state
+    ended = EndedRun(1, task(step=1), 1, end)
+    manager = take_report(manager, build_report("w1", (), [ended])).state
+    done = EndedRun(1, task(), 1, RunEnd.DONE)
+    manager = take_report(manager, build_report("w2", (), [done])).state
+    starts = effects_of(place_all(manager), StartRun)
+    assert [start.task for start in starts] == [task(step=1)]
+
+
 @pytest.mark.parametrize(
     ("answered_ms", "asked_ms", "kept"),
     [
