--- a/sesamehall/core/work.py
+++ b/sesamehall/core/work.py
@@ -8,6 +8,7 @@
 from enum import Enum
 
 from sesamehall.core.data import JobPhase
+from sesamehall.core.replacing import replace
 
 
 @dataclass(frozen=True, slots=True)
@@ -274,6 +275,18 @@
     )
 
 
+def room_taken(size: Size, fills: bool) -> Size:
+    """Compute the room that a task takes on its worker.
+
+    Args:
+      size: Size of the task.
+      fills: Whether it takes only processor time left over.
+    Returns:
+      Its size; what fills takes no processor time from others.
+    """
+    return replace(size, cpu_milli=0) if fills else size
+
+
 def fits(size: Size, room: Size) -> bool:
     """Tell whether something fits.
 
--- a/sesamehall/reducer/jobs/bookkeeping.py
+++ b/sesamehall/reducer/jobs/bookkeeping.py
@@ -7,6 +7,7 @@
 from sesamehall.core.replacing import replace
 from sesamehall.core.work import add_size
 from sesamehall.core.work import NO_SIZE
+from sesamehall.core.work import room_taken
 from sesamehall.core.work import TaskPlace
 from sesamehall.core.workstate import Run
 from sesamehall.core.workstate import Work
@@ -155,7 +156,7 @@
     worker = replace(
         worker,
         tasks=worker.tasks.set(run.task, True),
-        used=add_size(worker.used, room_taken(run)),
+        used=add_size(worker.used, room_taken(run.size, run.fills)),
     )
     manager = put_run(put_worker(manager, worker), run)
     used = manager.used_by_team.get(run.team, NO_SIZE)
@@ -190,7 +191,7 @@
         worker = replace(
             worker,
             tasks=drop_key(worker.tasks, run.task),
-            used=add_size(worker.used, room_taken(run), -1),
+            used=add_size(worker.used, room_taken(run.size, run.fills), -1),
         )
         manager = put_worker(manager, worker)
     used = manager.used_by_team.get(run.team, NO_SIZE)
@@ -221,16 +222,3 @@
     if work is None or place in work.waiting:
         return manager
     return put_work(manager, replace(work, waiting=work.waiting + (place,)))
-
-
-def room_taken(run: Run):
-    """Compute the room that a run takes on its worker.
-
-    Args:
-      run: The run.
-    Returns:
-      Its size; what fills takes no processor time from others.
-    """
-    if run.fills:
-        return replace(run.size, cpu_milli=0)
-    return run.size
--- a/sesamehall/reducer/jobs/rounds.py
+++ b/sesamehall/reducer/jobs/rounds.py
@@ -12,6 +12,7 @@
 from sesamehall.core.work import add_size
 from sesamehall.core.work import fits
 from sesamehall.core.work import NO_SIZE
+from sesamehall.core.work import room_taken
 from sesamehall.core.work import Size
 from sesamehall.core.work import StepPlan
 from sesamehall.core.work import task_id
@@ -158,7 +159,7 @@
 
     def _offers(self, work, step, place) -> Offers:
         """Compare the workers for the tasks of a step."""
-        room = _room(step)
+        room = room_taken(step.size, step.fills)
         name = step_name(work, place)
         advised = is_advised(self.manager, work)
         offers = Offers(work, step, name, room, advised, [])
@@ -192,9 +193,10 @@
         if not self.refused or len(self.reserved) < RESERVED_MOST:
             return False
         steps = work.plan.steps
+        numbers = {place.step for place in work.waiting}
         return all(
-            self._is_refused(_room(steps[number]))
-            for number in {place.step for place in work.waiting}
+            self._is_refused(room_taken(step.size, step.fills))
+            for step in (steps[number] for number in numbers)
         )
 
     def _may_run(self, offers, worker_id):
@@ -369,13 +371,6 @@
     return None
 
 
-def _room(step: StepPlan) -> Size:
-    """Compute the room that a task of a step takes on a worker."""
-    if step.fills:
-        return replace(step.size, cpu_milli=0)
-    return step.size
-
-
 def _asks_only_room(offers):
     """Tell whether nothing but room keeps a step off a worker."""
     step = offers.step
--- a/sesamehall/reducer/machines/sizing.py
+++ b/sesamehall/reducer/machines/sizing.py
@@ -14,6 +14,7 @@
 from sesamehall.core.fleettiming import SPARE_WORKERS
 from sesamehall.core.fleettiming import SURGE_HEADROOM
 from sesamehall.core.managerstate import ManagerState
+from sesamehall.core.work import room_taken
 from sesamehall.core.work import Size
 from sesamehall.core.work import StepPlan
 from sesamehall.core.workstate import Work
@@ -188,11 +189,11 @@
 
 def _part(step: StepPlan, room: Size) -> float:
     """Compute the part of a worker that a task takes."""
-    cpu_milli = 0 if step.fills else step.size.cpu_milli
+    taken = room_taken(step.size, step.fills)
     return max(
-        _ratio(cpu_milli, room.cpu_milli),
-        _ratio(step.size.memory_mb, room.memory_mb),
-        _ratio(step.size.accelerators, room.accelerators),
+        _ratio(taken.cpu_milli, room.cpu_milli),
+        _ratio(taken.memory_mb, room.memory_mb),
+        _ratio(taken.accelerators, room.accelerators),
     )
 
 
