Hold all slots until the gone caller's request was dropped

What was seen: callers_test gone_caller failed once, on beside other work; no output was kept.

Cause, as far as it can be shown: eight requests of 2 s had to be under way still when the ninth had come, waited, lost its caller and been dropped, so the check raced with the clock. That the one failure was this is inferred.

Change: the stand-in of an executor lets requests run until it is told, and the test tells it after its check. The check is the same, and a request that is only dropped because a slot came free can no longer pass.

--- a/demo/callers_test.py
+++ b/demo/callers_test.py
@@ -11,6 +11,7 @@
 from demo.main import await_condition
 from demo.main import build_plans
 from demo.main import LIMITS
+from standins.executor import RELEASE_PATH
 
 WAIT_S = 20
 HEAD = b"GET /x HTTP/1.1\r\nHost: h\r\nSesamehall-Service: quotes\r\n"
@@ -141,6 +142,7 @@
 def test_waiting_request_of_a_gone_caller_is_dropped(fleet, caller):
     """Eight requests use all slots; the ninth waits, and its caller goes."""
     address = fleet.address("entry-a")
+    executor = fleet.address("ex-1")
 
     def status():
         url = f"http://{address}/sesamehall/v1/status"
@@ -151,14 +153,16 @@
     host, _, port = address.partition(":")
     with ThreadPoolExecutor(8) as threads:
         for _ in range(8):
-            uri = "/?work_ms=2000"
-            threads.submit(caller.send, address, uri, "quotes")
-        await_condition(lambda: status()["running"] == 8, "all slots in use")
-        with socket.create_connection((host, int(port))) as sock:
-            sock.sendall(head + b"\r\n\r\n")
-            await_condition(lambda: status()["waiting"] == 1, "waiting")
-        await_condition(lambda: status()["waiting"] == 0, "dropped")
-        assert status()["running"] == 8
+            threads.submit(caller.send, address, "/?held=1", "quotes")
+        try:
+            await_condition(lambda: status()["running"] == 8, "slots in use")
+            with socket.create_connection((host, int(port))) as sock:
+                sock.sendall(head + b"\r\n\r\n")
+                await_condition(lambda: status()["waiting"] == 1, "waiting")
+            await_condition(lambda: status()["waiting"] == 0, "dropped")
+            assert status()["running"] == 8
+        finally:
+            fleet.http.request("GET", f"http://{executor}{RELEASE_PATH}")
 
 
 def test_keys_never_reach_the_logs(fleet, caller):
--- a/standins/executor.py
+++ b/standins/executor.py
@@ -1,8 +1,9 @@
 """Stand-in of an executor: slots, work that takes time, faults on demand.
 
-The query string steers it: work_ms is how long the request takes, size how
-many bytes the answer has, fault what goes wrong ("break" closes without an
-answer).  Any other call is answered with what arrived.
+The query string steers it: work_ms is how long the request takes, held that it
+runs until RELEASE_PATH was called, size how many bytes the answer has, fault
+what goes wrong ("break" closes without an answer).  Any other call is answered
+with what arrived.
 """
 
 from hashlib import sha256
@@ -16,6 +17,7 @@
 from standins.serving import serve
 
 WORK_MOST_MS = 60_000
+RELEASE_PATH = "/standin/release"
 NOT_RUN = (("Sesamehall-Not-Run", "1"),)
 
 
@@ -32,6 +34,7 @@
         self._name = name
         self._slots = slots
         self._lock = threading.Lock()
+        self._released = threading.Event()
         self._running = 0
         self._most_running = 0
         self._declined = 0
@@ -47,6 +50,9 @@
         """
         if question.path == "/standin/record":
             return self._record()
+        if question.path == RELEASE_PATH:
+            self._released.set()
+            return Answer(200, b"")
         with self._lock:
             if self._running >= self._slots:
                 self._declined += 1
@@ -66,6 +72,8 @@
         work_ms = min(int(question.query.get("work_ms", "0")), WORK_MOST_MS)
         if work_ms:
             time.sleep(work_ms / 1000)
+        if "held" in question.query:
+            self._released.wait(WORK_MOST_MS / 1000)
         if "size" in question.query:
             return Answer(200, b"x" * int(question.query["size"]))
         return json_answer(
