Let a living leader write first, then strong nodes claim, after an outage

Cause: silence was counted over the outage, in which nobody could write. At its end all nodes had seen enough of it, so the first to read the log claimed, whatever its processor, and whether or not the leader was about to write.

Change: once the log can be read again after failures, a node waits 0.6 s, and by the processor that it lacks as ever. A leader that died in an outage is replaced later by as much.

Tests: claims_test, four rows red before (strong nodes claimed as late as weak ones, and 0 ms after the return).

--- a/sesamehall/core/jobtiming.py
+++ b/sesamehall/core/jobtiming.py
@@ -13,6 +13,7 @@
 LEADER_SILENT_MS = 1_200  # a leader without records this long is replaced
 CLAIM_POWER_MS = 700  # head start of strong nodes; reads are 300 ms apart
 CLAIM_CHANCE_MS = 120  # claims of equal nodes are spread over this
+CLAIM_BACK_MS = 600  # a living leader writes within this, once the log is back
 LEADER_CORES = 2.0  # a node with this much processor claims without delay
 CANDIDATE_FACTOR = 1.5  # a handover pays when the successor has so much more
 OFFER_AFTER_MS = 500  # a new leader first takes over its workers
--- a/sesamehall/core/managerstate.py
+++ b/sesamehall/core/managerstate.py
@@ -59,6 +59,7 @@
       fresh_ms: Clock up to which the log is known, or -1.
       failed_ms: Clock of the latest failure since then, or -1.
       grown_ms: Clock at which the log was last seen to have grown.
+      back_ms: Clock at which it could be read again after failures, or -1.
     """
 
     next_offset: int = -1
@@ -66,6 +67,7 @@
     fresh_ms: int = -1
     failed_ms: int = -1
     grown_ms: int = 0
+    back_ms: int = -1
 
 
 @dataclass(frozen=True, slots=True)
--- a/sesamehall/reducer/jobs/claims_test.py
+++ b/sesamehall/reducer/jobs/claims_test.py
@@ -5,15 +5,18 @@
 from sesamehall.core.fleet import Leader
 from sesamehall.core.fleet import StoredRecord
 from sesamehall.core.fleet import Stream
+from sesamehall.core.jobtiming import CLAIM_BACK_MS
 from sesamehall.core.jobtiming import MANAGER_BEAT_MS
 from sesamehall.core.jobtiming import PROGRESS_PERIOD_MS
 from sesamehall.core.managereffects import ReadStream
 from sesamehall.core.managereffects import StoreProgress
 from sesamehall.core.managerevents import StreamRead
+from sesamehall.core.managerevents import StreamUnread
 from sesamehall.core.managerstate import Following
 from sesamehall.core.managerstate import ManagerState
 from sesamehall.reducer.jobs.following import read_due
 from sesamehall.reducer.jobs.following import take_read
+from sesamehall.reducer.jobs.following import take_unread
 from sesamehall.reducer.jobs.leading import consider_claim
 from sesamehall.reducer.jobs.testing import build_manifest
 from sesamehall.reducer.jobs.testing import effects_of
@@ -68,6 +71,49 @@
 
 PHASES_MS = range(0, PROGRESS_PERIOD_MS + MANAGER_BEAT_MS, 10)
 
+def claim_after_outage_ms(cores, rank, phase_ms):
+    """Tell how long after the end of an outage a node claims the role.
+
+    Args:
+      cores: Processor cores of the node.
+      rank: Its number drawn by chance.
+      phase_ms: Time from one of its beats until the store is back.
+    """
+    at_ms = NOW_MS - phase_ms
+    outage_ms = at_ms - 4_000
+    manager = ManagerState(
+        "edge-2",
+        cores=cores,
+        rank=rank,
+        most_cores=STRONG_CORES,
+        manifest=build_manifest(),
+        leader=Leader("edge-1", 3),
+        jobs=Following(1, fresh_ms=at_ms + LATEST_MS),
+        progress=Following(
+            9, fresh_ms=outage_ms, grown_ms=outage_ms, failed_ms=at_ms
+        ),
+    )
+    while at_ms < NOW_MS + LATEST_MS:
+        at_ms += MANAGER_BEAT_MS
+        step = read_due(manager, at_ms)
+        reads = effects_of(step, ReadStream)
+        manager = step.state
+        if Stream.PROGRESS not in {read.stream for read in reads}:
+            continue
+        if at_ms < NOW_MS:
+            event = StreamUnread(at_ms + READ_MS, Stream.PROGRESS, "away")
+            manager = take_unread(manager, event).state
+            continue
+        event = StreamRead(
+            at_ms + READ_MS, at_ms, 0, Stream.PROGRESS, (), 9, False
+        )
+        step = consider_claim(take_read(manager, event).state, at_ms)
+        if effects_of(step, StoreProgress):
+            return at_ms - NOW_MS
+        manager = step.state
+    return LATEST_MS
+
+
 
 # Guards against a leader on a machine too weak for a large fleet: nodes see
 # the silence begin and end at different times, so a weak one could be first.
@@ -82,3 +128,28 @@
         claim_ms(WEAK_CORES, 0, phase_ms, resigned) for phase_ms in PHASES_MS
     )
     assert strong < weak < LATEST_MS
+
+
+# Guards against a weak leader after an outage of the store: all nodes saw the
+# same long silence, so the first to read the log claimed the role.
+@pytest.mark.parametrize("strong_rank", [0, 60, 119])
+def test_strong_node_claims_first_after_an_outage(strong_rank):
+    strong = max(
+        claim_after_outage_ms(STRONG_CORES, strong_rank, phase_ms)
+        for phase_ms in PHASES_MS
+    )
+    weak = min(
+        claim_after_outage_ms(WEAK_CORES, 0, phase_ms)
+        for phase_ms in PHASES_MS
+    )
+    assert strong < weak < LATEST_MS
+
+
+# Guards against a change of leader by an outage alone: the leader that lived
+# through it needs a moment to write again.
+def test_leader_writes_first_after_an_outage():
+    first = min(
+        claim_after_outage_ms(STRONG_CORES, 0, phase_ms)
+        for phase_ms in PHASES_MS
+    )
+    assert first >= CLAIM_BACK_MS
--- a/sesamehall/reducer/jobs/following.py
+++ b/sesamehall/reducer/jobs/following.py
@@ -170,8 +170,10 @@
     stream = event.stream
     following = following_of(manager, stream)
     effects = ()
+    back_ms = following.back_ms
     if following.failed_ms >= 0:
         effects = (log(STREAM_BACK, stream=stream.value),)
+        back_ms = event.at_ms
     grown_ms = following.grown_ms
     if event.records or event.whole:
         grown_ms = event.at_ms
@@ -179,6 +181,7 @@
         next_offset=event.next_offset,
         fresh_ms=event.known_ms,
         grown_ms=grown_ms,
+        back_ms=back_ms,
     )
     manager = _put_following(manager, stream, following)
     manager = replace(manager, wall_offset_ms=event.wall_ms - event.at_ms)
--- a/sesamehall/reducer/jobs/leading.py
+++ b/sesamehall/reducer/jobs/leading.py
@@ -6,6 +6,7 @@
 from sesamehall.core.fleet import StoredRecord
 from sesamehall.core.fleet import WorkerEntry
 from sesamehall.core.fleetstate import FleetState
+from sesamehall.core.jobtiming import CLAIM_BACK_MS
 from sesamehall.core.jobtiming import CLAIM_CHANCE_MS
 from sesamehall.core.jobtiming import CLAIM_POWER_MS
 from sesamehall.core.jobtiming import CLOCK_SLACK_PERCENT
@@ -84,11 +85,15 @@
     if progress.next_offset < 0 or progress.fresh_ms < 0:
         return None
     leader = manager.leader
-    if leader is None or leader.resigned:
-        return progress.grown_ms + _spread_ms(manager)
-    if leader.node == manager.name:
-        return progress.fresh_ms  # an earlier start of this process held it
-    return progress.grown_ms + LEADER_SILENT_MS + _spread_ms(manager)
+    if leader is not None and not leader.resigned:
+        if leader.node == manager.name:
+            return progress.fresh_ms  # an earlier start of this process had it
+        vacant_ms = progress.grown_ms + LEADER_SILENT_MS
+    else:
+        vacant_ms = progress.grown_ms
+    if progress.back_ms >= 0:
+        vacant_ms = max(vacant_ms, progress.back_ms + CLAIM_BACK_MS)
+    return vacant_ms + _spread_ms(manager)
 
 
 def _is_vacant(manager: ManagerState) -> bool:
