Resign when calls to workers stay slow, whatever the settings say

Cause: who should lead was judged by the processor that settings name. The time of calls, 115 to 187 ms then against 3 to 30 on a node that keeps up, went into line 903 only. Seven strong nodes did nothing meanwhile.

Change: the leader keeps the mean time of its calls, without the wait for a thread. Above 80 ms for 1 s, on a node that is as strong by its settings as others, it resigns as for a handover (line 636). It lets others claim first for 15 s, and its successor does not resign for that reason meanwhile.

--- a/sesamehall/core/fleet.py
+++ b/sesamehall/core/fleet.py
@@ -95,6 +95,7 @@
       resigned: Whether it has given the role up.
       beat: Number that changes with each heartbeat.
       cores: Processor cores that it may use, or 0 where unknown.
+      behind: Whether it gives the role up because its calls were slow.
     """
 
     node: str
@@ -102,6 +103,7 @@
     resigned: bool = False
     beat: int = 0
     cores: float = 0.0
+    behind: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/sesamehall/core/logevents.py
+++ b/sesamehall/core/logevents.py
@@ -131,6 +131,9 @@
 JOBS_CAUGHT_UP = _info(633, "jobs caught up")
 HANDOVER_OFFERED = _info(634, "stronger node offers to lead")
 HANDOVER_BEGUN = _info(635, "handover begun")
+LEADER_BEHIND = _warning(
+    636, "leader behind", "Look at the node's processor and link; it yields."
+)
 STREAM_SILENT = _warning(
     640, "stream unread", "Look at the platform's store and the way to it."
 )
--- a/sesamehall/core/managerstate.py
+++ b/sesamehall/core/managerstate.py
@@ -90,6 +90,23 @@
     machines: tuple[str, ...] | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class CallTimes:
+    """How long the leader's calls to workers take, to tell a slow node.
+
+    Attributes:
+      mean_ms: Mean time from sending an order to its answer.
+      slow_since_ms: Clock since which that is too long, or -1.
+      judged_from_ms: Clock from which on the leader may count as behind.
+      behind: Whether it hands the role over because calls were slow.
+    """
+
+    mean_ms: float = 0.0
+    slow_since_ms: int = -1
+    judged_from_ms: int = 0
+    behind: bool = False
+
+
 @dataclass(frozen=True)
 class Term:
     """This node's own time as the leader.
@@ -104,6 +121,7 @@
       handover_ms: Clock at which it began to hand the role over, or -1.
       beats: Heartbeats written.
       written: What the write under way holds.
+      calls: How long calls to workers take.
     """
 
     epoch: int = 0
@@ -115,6 +133,7 @@
     handover_ms: int = -1
     beats: int = 0
     written: Batch = Batch()
+    calls: CallTimes = CallTimes()
 
 
 @dataclass(frozen=True, slots=True)
@@ -190,6 +209,8 @@
       most_cores: Most processor cores that a leader or a node that offered to
         lead was seen to have, or 0 before any.
       offer: When it offers to lead in the place of a weaker leader.
+      yields_until_ms: Clock until which it lets others claim the role first,
+        since it was behind when it led.
       jobs_known: Whether all jobs that an earlier leader may have known are
         known, so that later ones are certainly not started.
       calls_by_id: Calls that are not answered yet.
@@ -252,6 +273,7 @@
     term: Term = Term()
     most_cores: float = 0.0
     offer: Offer = Offer()
+    yields_until_ms: int = 0
     jobs_known: bool = False
     calls_by_id: Map[int, WaitingCall] = EMPTY_MAP
     works_by_id: Map[str, Work] = EMPTY_MAP
--- a/sesamehall/reducer/jobs/claims_test.py
+++ b/sesamehall/reducer/jobs/claims_test.py
@@ -28,7 +28,7 @@
 WEAK_CORES = 0.516
 
 
-def claim_ms(cores, rank, phase_ms, resigned=False):
+def claim_ms(cores, rank, phase_ms, resigned=False, yields_until_ms=0):
     """Tell how long after a leader's last record a node claims the role.
 
     Args:
@@ -36,6 +36,7 @@
       rank: Its number drawn by chance.
       phase_ms: Time from one of its reads until that record.
       resigned: Whether the record says that the leader resigns.
+      yields_until_ms: Clock until which the node lets others go first.
     """
     last = StoredRecord("leader", Leader("edge-1", 3, resigned))
     at_ms = NOW_MS - phase_ms
@@ -44,6 +45,7 @@
         "edge-2",
         cores=cores,
         rank=rank,
+        yields_until_ms=yields_until_ms,
         manifest=build_manifest(),
         leader=Leader("edge-1", 3),
         jobs=Following(1, fresh_ms=at_ms + LATEST_MS),
@@ -69,8 +71,6 @@
     return LATEST_MS
 
 
-PHASES_MS = range(0, PROGRESS_PERIOD_MS + MANAGER_BEAT_MS, 10)
-
 def claim_after_outage_ms(cores, rank, phase_ms):
     """Tell how long after the end of an outage a node claims the role.
 
@@ -114,6 +114,8 @@
     return LATEST_MS
 
 
+PHASES_MS = range(0, PROGRESS_PERIOD_MS + MANAGER_BEAT_MS, 10)
+
 
 # Guards against a leader on a machine too weak for a large fleet: nodes see
 # the silence begin and end at different times, so a weak one could be first.
@@ -153,3 +155,22 @@
         for phase_ms in PHASES_MS
     )
     assert first >= CLAIM_BACK_MS
+
+
+# Guards against a node that was behind and takes the role again at once.
+@pytest.mark.parametrize(
+    ("yields_until_ms", "first"),
+    [(NOW_MS + LATEST_MS, False), (NOW_MS, True)],
+    ids=["was behind", "was behind long ago"],
+)
+def test_node_that_was_behind_claims_last(yields_until_ms, first):
+    others = max(
+        claim_ms(STRONG_CORES, 119, phase_ms, resigned=True)
+        for phase_ms in PHASES_MS
+    )
+    own = min(
+        claim_ms(STRONG_CORES, 0, phase_ms, True, yields_until_ms)
+        for phase_ms in PHASES_MS
+    )
+    assert (own < others) is first
+    assert own < LATEST_MS
--- a/sesamehall/reducer/jobs/leading.py
+++ b/sesamehall/reducer/jobs/leading.py
@@ -10,7 +10,7 @@
 from sesamehall.core.jobtiming import CLAIM_CHANCE_MS
 from sesamehall.core.jobtiming import CLAIM_POWER_MS
 from sesamehall.core.jobtiming import CLOCK_SLACK_PERCENT
-from sesamehall.core.jobtiming import LEADER_CORES
+from sesamehall.core.jobtiming import HANDOVER_REST_MS
 from sesamehall.core.jobtiming import LEADER_SILENT_MS
 from sesamehall.core.jobtiming import LEASE_MS
 from sesamehall.core.jobtiming import RENEW_CONFIRMED_MS
@@ -22,6 +22,7 @@
 from sesamehall.core.managereffects import StoreProgress
 from sesamehall.core.managerevents import ProgressStored
 from sesamehall.core.managerevents import StoreOutcome
+from sesamehall.core.managerstate import CallTimes
 from sesamehall.core.managerstate import Following
 from sesamehall.core.managerstate import ManagerState
 from sesamehall.core.managerstate import Term
@@ -30,6 +31,7 @@
 from sesamehall.core.step import then
 from sesamehall.core.workstate import Worker
 from sesamehall.reducer.jobs.bookkeeping import put_worker
+from sesamehall.reducer.jobs.slowness import enough_cores
 from sesamehall.reducer.jobs.storing import LEADER_KEY
 from sesamehall.reducer.jobs.storing import take_confirmed
 from sesamehall.reducer.jobs.storing import write_again
@@ -109,10 +111,12 @@
     before others; of equal ones chance decides.  Nodes see a silence begin
     at different times, by as much as the period of their reads, so what a
     weak node lacks counts for more than that.  It lacks nothing where no
-    node was seen to have more.
+    node was seen to have more.  One that was behind lets all others go first.
     """
-    enough = min(manager.most_cores or LEADER_CORES, LEADER_CORES)
+    enough = enough_cores(manager)
     lacking = max(enough - manager.cores, 0.0) / enough
+    if manager.progress.fresh_ms < manager.yields_until_ms:
+        lacking = 1.0
     return int(lacking * CLAIM_POWER_MS) + manager.rank % CLAIM_CHANCE_MS
 
 
@@ -163,7 +167,10 @@
     manager = replace(
         manager,
         term=Term(
-            epoch=event.epoch, began_ms=at_ms, confirmed_ms=event.asked_ms
+            epoch=event.epoch,
+            began_ms=at_ms,
+            confirmed_ms=event.asked_ms,
+            calls=CallTimes(judged_from_ms=_judged_from_ms(manager, at_ms)),
         ),
         leader=Leader(manager.name, event.epoch, cores=manager.cores),
         jobs_known=False,
@@ -186,6 +193,17 @@
     return step
 
 
+def _judged_from_ms(manager, at_ms):
+    """Choose from when on a new leader may count as behind.
+
+    Not soon after another one was: then it may be the load, not the node.
+    """
+    old = manager.leader
+    if old is None or not old.behind:
+        return at_ms
+    return at_ms + HANDOVER_REST_MS
+
+
 def follow_leader(
     manager: ManagerState, leader: Leader, at_ms: int
 ) -> ManagerState:
@@ -273,9 +291,13 @@
     forgotten = tuple(
         ForgetWorker(worker_id) for worker_id in sorted(manager.workers_by_id)
     )
+    yields_until_ms = manager.yields_until_ms
+    if manager.term.calls.behind:
+        yields_until_ms = at_ms + HANDOVER_REST_MS
     manager = replace(
         manager,
         term=Term(),
+        yields_until_ms=yields_until_ms,
         progress=Following(grown_ms=at_ms),
         workers=Following(),
         works_by_id=EMPTY_MAP,
--- a/sesamehall/reducer/jobs/orders.py
+++ b/sesamehall/reducer/jobs/orders.py
@@ -31,6 +31,7 @@
 from sesamehall.reducer.jobs.progress import checkpoint_of
 from sesamehall.reducer.jobs.runs import give_up_run
 from sesamehall.reducer.jobs.runs import stop_run
+from sesamehall.reducer.jobs.slowness import note_call
 
 
 def take_start_answer(manager: ManagerState, event: RunAnswered) -> Step:
@@ -45,8 +46,8 @@
     Returns:
       A Step.
     """
-    manager = note_answer(manager, event)
-    step = _decide_answer(manager, event)
+    step = note_call(note_answer(manager, event), event)
+    step = then(step, _decide_answer, event)
     return then(step, place_held, event.at_ms)
 
 
@@ -107,6 +108,11 @@
     Returns:
       A Step.
     """
+    return then(note_call(manager, event), _decide_stop_answer, event)
+
+
+def _decide_stop_answer(manager, event):
+    """Decide what an answer to an order to stop means for its run."""
     run = _find_run(manager, event)
     if run is None:
         return Step(manager)
--- a/sesamehall/reducer/jobs/storing.py
+++ b/sesamehall/reducer/jobs/storing.py
@@ -81,6 +81,7 @@
         is_resigning(manager),
         term.beats,
         manager.cores,
+        term.calls.behind,
     )
     records = _records_of(manager, written)
     records += (StoredRecord(LEADER_KEY, leader),)
