Give up calls sooner while the store is away

Cause: a call to a store that is away is never answered, and each waited 1.2 s, as is right for a slow one. So the leader's write reached the store up to 1.25 s after its return, and one of 30 followers had claimed by then.

Change: once the store has answered nothing for 1.5 s, calls are given up after 0.4 s; the first answer ends that. It is shorter than the time that nodes leave a living leader after an outage (0.6 s), a test compares them.

Tests: store_test, four of ten rows red with one timeout for all.

--- a/sesamehall/platform/store.py
+++ b/sesamehall/platform/store.py
@@ -20,6 +20,7 @@
 from sesamehall.core.fleet import Stream
 from sesamehall.core.logevents import RECORD_UNREADABLE
 from sesamehall.core.managerevents import StoreOutcome
+from sesamehall.platform.channel import Answer
 from sesamehall.platform.decoding import decode_manifest
 from sesamehall.platform.decoding import decode_object
 from sesamehall.platform.decoding import decode_wave
@@ -27,6 +28,7 @@
 from sesamehall.platform.decoding import MANIFEST_KEY
 from sesamehall.platform.decoding import WAVE_KEY_PREFIX
 from sesamehall.platform.http import Client
+from sesamehall.runtime.interpreter import now_ms
 
 LOGGER = logging.getLogger("sesamehall")
 LENGTH = struct.Struct(">I")
@@ -39,6 +41,8 @@
 }
 STATUS_TOPIC = "keyed.status"
 ANSWER_TIMEOUT_S = 1.2  # a slow store answers within this
+PROBE_TIMEOUT_S = 0.4  # of calls while the store is away
+AWAY_AFTER_MS = 1_500  # a store that answers nothing for so long is away
 PAGE_TIMEOUT_S = 2.0  # pages of up to 1 MB
 CLASSES = classes_of(data, work, fleet)
 
@@ -63,7 +67,12 @@
 
 
 class StoreClient:
-    """Reads and appends; one client for all threads of a process."""
+    """Reads and appends; one client for all threads of a process.
+
+    A call that was under way when the store went away is never answered, nor
+    is one that was sent meanwhile.  So calls are given up sooner while it is
+    away: else they would be waited for when it is back.
+    """
 
     def __init__(self, address: str):
         """Prepare the client; it connects on its first call.
@@ -72,6 +81,17 @@
           address: "host:port" of the store.
         """
         self._client = Client(address, connections=6)
+        self._answered_ms = now_ms()
+
+    def _call(self, method, path, body=None, wait_ms=0) -> Answer:
+        """Call the store, which may wait before it answers."""
+        away = now_ms() - self._answered_ms >= AWAY_AFTER_MS
+        timeout_s = PROBE_TIMEOUT_S if away else ANSWER_TIMEOUT_S
+        answer = self._client.call(
+            method, path, body, timeout_s=wait_ms / 1_000 + timeout_s
+        )
+        self._answered_ms = now_ms()
+        return answer
 
     def read(self, stream: Stream, from_offset: int, wait_ms: int) -> Piece:
         """Read records from an offset on.
@@ -93,11 +113,8 @@
         }
         if wait_ms:
             query["WaitMs"] = wait_ms
-        answer = self._client.call(
-            "GET",
-            f"/log-read?{urlencode(query)}",
-            timeout_s=wait_ms / 1_000 + ANSWER_TIMEOUT_S,
-        )
+        path = f"/log-read?{urlencode(query)}"
+        answer = self._call("GET", path, wait_ms=wait_ms)
         if answer.status == 410:
             raise ForgottenError("records are gone")
         _expect_ok(answer)
@@ -184,11 +201,8 @@
     def _append(self, topic, query, body):
         query = {"Topic": topic, "part": 0, **query}
         try:
-            answer = self._client.call(
-                "POST",
-                f"/log-append?{urlencode(query)}",
-                body,
-                timeout_s=ANSWER_TIMEOUT_S,
+            answer = self._call(
+                "POST", f"/log-append?{urlencode(query)}", body
             )
             content = answer.json()
         except PlatformError:
--- a/sesamehall/platform/store_test.py
+++ b/sesamehall/platform/store_test.py
@@ -1,5 +1,6 @@
 """Tests of the records that managers store and read back."""
 
+from contextlib import suppress
 import json
 from math import inf
 from math import nan
@@ -7,6 +8,7 @@
 import pytest
 
 from sesamehall.codecs.packing import pack
+from sesamehall.core.codes import PlatformError
 from sesamehall.core.data import JobPhase
 from sesamehall.core.fleet import CancelAsked
 from sesamehall.core.fleet import Candidate
@@ -15,13 +17,23 @@
 from sesamehall.core.fleet import StoredRecord
 from sesamehall.core.fleet import Stream
 from sesamehall.core.fleet import WaveRecord
+from sesamehall.core.jobtiming import CLAIM_BACK_MS
 from sesamehall.core.work import JobPlan
 from sesamehall.core.work import Progress
 from sesamehall.core.work import Size
 from sesamehall.core.work import StepPlan
 from sesamehall.core.work import StepProgress
+from sesamehall.platform import store as store_module
+from sesamehall.platform.channel import Answer
+from sesamehall.platform.channel import CONNECT_TIMEOUT_S
+from sesamehall.platform.store import ANSWER_TIMEOUT_S
+from sesamehall.platform.store import AWAY_AFTER_MS
 from sesamehall.platform.store import decode_record
 from sesamehall.platform.store import encode_record
+from sesamehall.platform.store import HEAD
+from sesamehall.platform.store import PROBE_TIMEOUT_S
+from sesamehall.platform.store import StoreClient
+from sesamehall.platform.streams import RETRY_PAUSE_S
 
 STEP = StepPlan(3, Size(500, 256), 900, (0,), rack="r1-3", saves=True)
 PROGRESS = Progress(
@@ -112,3 +124,65 @@
     }
     value = json.dumps(valid[stream] | field).encode()
     assert decode_record(stream, key, value).value is None
+
+
+class SilentClient:
+    """A client of a store that may be away; it notes how long it waits."""
+
+    def __init__(self):
+        self.away = False
+        self.timeouts_s = []
+
+    def call(self, method, path, body=None, headers=None, timeout_s=1.0):
+        self.timeouts_s.append(timeout_s)
+        if self.away:
+            raise PlatformError("no answer")
+        if path.startswith("/log-read"):
+            return Answer(200, HEAD.pack(7, 0))
+        return Answer(200, b"{}")
+
+
+def read_log(store):
+    with suppress(PlatformError):
+        store.read(Stream.PROGRESS, 7, 0)
+
+
+def append_record(store):
+    store.append(Stream.JOBS, (StoredRecord("k", CancelAsked("ab" * 8)),))
+
+
+# Guards against a leader that loses the role at the end of an outage: its
+# write waited out a long timeout while the store was back.
+@pytest.mark.parametrize("call", [read_log, append_record])
+@pytest.mark.parametrize(
+    ("away_ms", "back", "expected_s"),
+    [
+        (0, False, ANSWER_TIMEOUT_S),
+        (AWAY_AFTER_MS - 1, False, ANSWER_TIMEOUT_S),
+        (AWAY_AFTER_MS, False, PROBE_TIMEOUT_S),
+        (60_000, False, PROBE_TIMEOUT_S),
+        (60_000, True, ANSWER_TIMEOUT_S),
+    ],
+    ids=["at once", "slow", "away", "away for long", "back"],
+)
+def test_calls_are_given_up_soon_while_the_store_is_away(
+    monkeypatch, call, away_ms, back, expected_s
+):
+    clock = [1_000]
+    monkeypatch.setattr(store_module, "now_ms", lambda: clock[0])
+    store = StoreClient("10.0.0.1:1")
+    client = store._client = SilentClient()
+    call(store)
+    client.away = True
+    clock[0] += away_ms
+    if back:
+        client.away = False
+        call(store)
+    call(store)
+    assert client.timeouts_s[-1] == expected_s
+
+
+def test_a_living_leader_writes_before_others_claim():
+    """The longest that a write takes to begin anew is below their wait."""
+    pause_s = max(PROBE_TIMEOUT_S, CONNECT_TIMEOUT_S) + RETRY_PAUSE_S
+    assert pause_s * 1_000 < CLAIM_BACK_MS
