Let job histories find the end of a job that is forgotten too early

Cause: a job had to fail beside other runs of it, all of them had to end within one write that was left without an answer, and outages left each write unanswered for 3.75 s.

Change: jobs of which one task always fails are handed in about the beginning of outages, and half of the outages refuse calls at once. The model's hand-in of a job kept no account of an earlier try without an answer; the product's does. The clock and agenda of both drivers stand in one module now (bench/agenda.py).

--- a/bench/driver.py
+++ b/bench/driver.py
@@ -9,11 +9,11 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from dataclasses import field
-import heapq
 from random import Random
 
 from immutables import Map
 
+from bench.agenda import Agenda
 from sesamehall.core.data import Instance
 from sesamehall.core.data import Node
 from sesamehall.core.data import NodeKind
@@ -132,7 +132,7 @@
     ceiling: int
 
 
-class World:
+class World(Agenda):
     """The driver: a clock, a list of what comes next, nodes and a log."""
 
     def __init__(self, seed: int, weather: Weather, instances=()):
@@ -143,10 +143,10 @@
           weather: How badly messages and targets fare.
           instances: The platform's list.
         """
+        super().__init__()
         self.random = Random(seed)
         self.weather = weather
         self.instances: tuple[Instance, ...] = tuple(instances)
-        self.now_ms = 0
         self.log: list[Record] = []
         self.hosts_by_name: dict[str, Host] = {}
         self.runs: dict[tuple[str, int], Run] = {}
@@ -157,8 +157,6 @@
         self.on_start: Callable[[Run], None] = lambda run: None
         self.on_end: Callable[[Run], None] = lambda run: None
         self.on_reduced: Callable[[Host], None] = lambda host: None
-        self._agenda: list = []
-        self._serial = 0
         self._streams = 0
         self._slots_by_target: dict[str, int] = {}
 
@@ -177,31 +175,6 @@
         for node in nodes:
             self._boot(self.hosts_by_name[node.name])
 
-    def at(self, delay_ms: float, action: Callable, *arguments) -> None:
-        """Plan an action.
-
-        Args:
-          delay_ms: How long from now.
-          action: What to do.
-          *arguments: Its arguments.
-        """
-        self._serial += 1
-        due_ms = self.now_ms + max(int(delay_ms), 0)
-        heapq.heappush(self._agenda, (due_ms, self._serial, action, arguments))
-
-    def run(self, for_ms: int) -> None:
-        """Let the history go on.
-
-        Args:
-          for_ms: For how long.
-        """
-        ends_ms = self.now_ms + for_ms
-        while self._agenda and self._agenda[0][0] <= ends_ms:
-            due_ms, _, action, arguments = heapq.heappop(self._agenda)
-            self.now_ms = max(self.now_ms, due_ms)
-            action(*arguments)
-        self.now_ms = ends_ms
-
     def append(self, record: Record) -> None:
         """Append a record as an operator would.
 
--- a/bench/job_histories.py
+++ b/bench/job_histories.py
@@ -17,6 +17,7 @@
 
 from immutables import Map
 
+from bench.jobworkers import HOPELESS
 from bench.jobworld import CALM
 from bench.jobworld import Host
 from bench.jobworld import JobWorld
@@ -56,6 +57,8 @@
 MOMENTS = 4  # changes of the leader in a history
 FAULTS = 6  # further faults
 JOBS_AROUND = 6  # jobs handed in around such a change
+HOPELESS_TASKS = 3  # tasks of a job of which one always fails
+HOPELESS_EARLY_MS = 700  # its last failure falls into an outage by chance
 CALL_WAIT_MS = 3_000
 TRIES = 8  # of a caller
 SIZE = Size(1_000, 1_000)
@@ -109,8 +112,17 @@
         steps = [StepPlan(world.random.randint(1, 3), SIZE, 400)]
         if world.random.random() < 0.4:
             steps.append(StepPlan(1, SIZE, 300, after=(0,)))
-        draft = JobDraft("work", tuple(steps))
-        world.checker.submit(job_id, draft.steps)
+        self._submit(job_id, JobDraft("work", tuple(steps)))
+
+    def submit_hopeless(self) -> None:
+        """Hand in a job whose first task always fails beside the others."""
+        self._serial += 1
+        job_id = f"{self._serial:016x}"
+        steps = (StepPlan(HOPELESS_TASKS, SIZE, 400),)
+        self._submit(job_id, JobDraft(HOPELESS, steps))
+
+    def _submit(self, job_id, draft):
+        self._world.checker.submit(job_id, draft.steps)
         self._try(job_id, SubmitJob(draft), TRIES, False)
 
     def _try(self, job_id, kind, tries, unsure):
@@ -184,7 +196,7 @@
     caller = Caller(world)
     world.run(SETTLE_MS)
     plan_jobs(world, caller)
-    plan_faults(world)
+    plan_faults(world, caller)
     world.run(TROUBLE_MS)
     end_faults(world)
     world.run(QUIET_MS // 2)
@@ -290,11 +302,15 @@
         cut_worker(world, address, names, lasts_ms)
 
 
-def plan_faults(world: JobWorld) -> None:
+def plan_faults(world: JobWorld, caller: Caller) -> None:
     """Plan restarts and cuts of workers, and outages of the store.
 
+    Some jobs fail about the beginning of an outage, while the leader's write
+    is left without an answer.
+
     Args:
       world: The world.
+      caller: Who hands these jobs in.
     """
     random = world.random
     kinds = ("same", "same", "other", "cut", "cuts", "down", "down")
@@ -316,12 +332,15 @@
                 world.at(at_ms, cut_worker, world, address, names, lasts_ms)
             case "down":
                 world.at(at_ms, take_store_down, world, lasts_ms)
+                early_ms = random.randint(0, HOPELESS_EARLY_MS)
+                world.at(at_ms - early_ms, caller.submit_hopeless)
 
 
 def take_store_down(world: JobWorld, lasts_ms: int) -> None:
     """Let the store lose its answers for a moment, then all calls.
 
-    Half of the time the leader changes soon after it is back.
+    Half of the time it refuses these calls instead, and half of the time the
+    leader changes soon after it is back.
 
     Args:
       world: The world.
@@ -329,6 +348,7 @@
     """
     muted_ms = world.random.randint(1, min(400, lasts_ms))
     world.store.muted = True
+    world.store.refusing = world.random.random() < 0.5
     world.at(muted_ms, setattr, world.store, "down", True)
     world.at(lasts_ms, setattr, world.store, "muted", False)
     world.at(lasts_ms + 1, setattr, world.store, "down", False)
--- a/bench/jobhistories_test.py
+++ b/bench/jobhistories_test.py
@@ -45,8 +45,9 @@
         (3, "stored", True),
         (20, "lease", True),
         (48, "confirmed", True),
-        (46, "sequence", True),
-        (161, "resigning", True),
+        (24, "sequence", True),
+        (109, "resigning", True),
+        (11, "forgotten", True),
     ],
 )
 def test_promises_hold_unless_a_guard_is_out(seed, without, found):
@@ -67,7 +68,7 @@
 world = job_histories.build_world(7)
 caller = job_histories.Caller(world)
 job_histories.plan_jobs(world, caller)
-job_histories.plan_faults(world)
+job_histories.plan_faults(world, caller)
 world.run(6_000)
 lengths = [len(log) for log in world.store.records_by_stream.values()]
 print(lengths, world.checker.starts, world.checker.ends)
--- a/bench/jobstore.py
+++ b/bench/jobstore.py
@@ -28,6 +28,7 @@
       kept: Numbers of the latest appends of that epoch.
       muted: Whether calls take effect and no answer arrives.
       down: Whether no call takes effect.
+      refusing: Whether a call that takes no effect is answered at once.
     """
 
     records_by_stream: dict[Stream, list[StoredRecord]] = field(
@@ -39,6 +40,7 @@
     kept: list[int] = field(default_factory=list)
     muted: bool = False
     down: bool = False
+    refusing: bool = False
 
     def read(
         self, stream: Stream, from_offset: int
--- a/bench/jobworkers.py
+++ b/bench/jobworkers.py
@@ -12,12 +12,14 @@
 from sesamehall.core.work import ActiveRun
 from sesamehall.core.work import EndedRun
 from sesamehall.core.work import RunEnd
+from sesamehall.core.work import split_task_id
 
 LONGEST_LEASE_MS = 6_000
 STOP_MS = 200
 FAILS = 0.12  # share of the runs that fail
 LASTS = 0.25  # share of the runs that outlast most leases
 FAILING_MS = (2, 300)
+HOPELESS = "hopeless"  # command of a job whose first task always fails
 SHORT_MS = (60, 900)
 LONG_MS = (1_000, 5_000)
 
@@ -192,7 +194,7 @@
         if effect.number <= self.highest_by_task.get(effect.task, 0):
             return OrderRefusal.OLD_RUN
         self.highest_by_task[effect.task] = effect.number
-        how, took_ms = self._draw_end()
+        how, took_ms = self._draw_end(effect)
         run = ModelRun(
             effect.task, effect.number, self.worker_id, self.now(), took_ms
         )
@@ -203,7 +205,13 @@
         self.plan(took_ms, self._end, run, how)
         return None
 
-    def _draw_end(self):
+    def _draw_end(self, effect):
+        """Draw how a run ends, and after how long."""
+        if effect.command == HOPELESS:
+            first = split_task_id(effect.task)[1].index == 0
+            if first:
+                return RunEnd.FAILED, self.random.randint(*FAILING_MS)
+            return RunEnd.DONE, self.random.randint(*LONG_MS)
         chance = self.random.random()
         if chance < FAILS:
             return RunEnd.FAILED, self.random.randint(*FAILING_MS)
--- a/bench/jobworld.py
+++ b/bench/jobworld.py
@@ -12,9 +12,9 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from dataclasses import field
-import heapq
 from random import Random
 
+from bench.agenda import Agenda
 from bench.jobchecks import Checker
 from bench.jobstore import JobStore
 from bench.jobworkers import Life
@@ -147,7 +147,7 @@
         return self.state.manager.term.epoch
 
 
-class JobWorld:
+class JobWorld(Agenda):
     """A clock, a list of what comes next, managers, a store and workers."""
 
     def __init__(self, seed: int, attempts: int = 2, settles: bool = True):
@@ -159,9 +159,9 @@
           settles: Whether an append whose outcome is not known is repeated
             before another one takes its number.
         """
+        super().__init__()
         self.random = Random(seed)
         self.weather = Weather()
-        self.now_ms = 0
         self.store = JobStore(on_append=self._wake_readers)
         self.checker = Checker(lambda: self.now_ms, attempts)
         self.hosts_by_name: dict[str, Host] = {}
@@ -170,35 +170,8 @@
         self.on_log: Callable[[Host, Log], None] = lambda host, line: None
         self.on_effect: Callable = lambda host, effect: None
         self._settles = settles
-        self._agenda: list = []
-        self._serial = 0
         self._readers: dict[Stream, list[Callable]] = {s: [] for s in Stream}
 
-    def at(self, delay_ms: float, action: Callable, *arguments) -> None:
-        """Plan an action.
-
-        Args:
-          delay_ms: How long from now.
-          action: What to do.
-          *arguments: Its arguments.
-        """
-        self._serial += 1
-        due_ms = self.now_ms + max(int(delay_ms), 0)
-        heapq.heappush(self._agenda, (due_ms, self._serial, action, arguments))
-
-    def run(self, for_ms: int) -> None:
-        """Let the history go on.
-
-        Args:
-          for_ms: For how long.
-        """
-        ends_ms = self.now_ms + for_ms
-        while self._agenda and self._agenda[0][0] <= ends_ms:
-            due_ms, _, action, arguments = heapq.heappop(self._agenda)
-            self.now_ms = due_ms
-            action(*arguments)
-        self.now_ms = ends_ms
-
     def add_manager(self, name: str) -> None:
         """Start a manager.
 
@@ -432,6 +405,9 @@
         """Let the store carry a call out; `done` gets None for silence."""
         fate = self._draw()
         delay_ms = self._delay_ms()
+        if self._is_refused():
+            self.at(delay_ms, done, StoreOutcome.REFUSED)
+            return
         if host.storeless or self.store.down:
             fate = "lost"
         elif self.store.muted or host.unanswered:
@@ -495,6 +471,9 @@
             if not answered:
                 self.at(ends_ms - self.now_ms, look)
 
+        if self._is_refused():
+            self.at(self._delay_ms(), done, None)
+            return
         if self._is_silent(host) or self._draw() != "answered":
             self.at(STORE_TIMEOUT_MS + effect.wait_ms, done, None)
             return
@@ -503,6 +482,9 @@
     def _is_silent(self, host):
         return host.storeless or self.store.down or self.store.muted
 
+    def _is_refused(self):
+        return self.store.down and self.store.refusing
+
     def _wake_readers(self, stream):
         readers, self._readers[stream] = self._readers[stream], []
         for look in readers:
@@ -525,7 +507,8 @@
         records = (StoredRecord(key, effect.value),)
 
         def done(outcome):
-            silent = outcome is None
+            refused = outcome is StoreOutcome.REFUSED
+            silent = outcome is None or (unknown and refused)
             if silent and self.clock(host) < effect.not_after_ms:
                 arguments = (host, starts, effect, True)
                 self.at(
