Judge a leader slow though no stronger node is known

On deployments whose nodes are alike nobody offers to lead, so the first leader knew of no other node and was taken for a weak one that waits for an offer: it kept the role however slow it turned.

The time from which the role may be claimed is told without nesting.

--- a/sesamehall/core/jobtiming.py
+++ b/sesamehall/core/jobtiming.py
@@ -24,9 +24,7 @@
 SLOW_CALL_MOST_MS = 200  # one call that takes longer counts as this long
 SLOW_CALLS_AVERAGED = 16  # calls
 SLOW_FOR_MS = 1_000  # calls slow for so long are not a mere burst
-HANDOVER_REST_MS = (
-    15_000  # handovers cost time, so slow nodes don't take turns
-)
+HANDOVER_REST_MS = 15_000  # nodes that are all slow do not take turns
 HEARTBEAT_MS = 250  # several of these fit into the silence allowed
 COMMIT_PERIOD_MS = 40  # ends of tasks wait this long for others
 START_CONFIRMED_MS = 900  # below LEADER_SILENT_MS, so terms never overlap
--- a/sesamehall/reducer/jobs/leading.py
+++ b/sesamehall/reducer/jobs/leading.py
@@ -11,6 +11,7 @@
 from sesamehall.core.jobtiming import CLAIM_POWER_MS
 from sesamehall.core.jobtiming import CLOCK_SLACK_PERCENT
 from sesamehall.core.jobtiming import HANDOVER_REST_MS
+from sesamehall.core.jobtiming import LEADER_CORES
 from sesamehall.core.jobtiming import LEADER_SILENT_MS
 from sesamehall.core.jobtiming import LEASE_MS
 from sesamehall.core.jobtiming import RENEW_CONFIRMED_MS
@@ -31,7 +32,6 @@
 from sesamehall.core.step import then
 from sesamehall.core.workstate import Worker
 from sesamehall.reducer.jobs.bookkeeping import put_worker
-from sesamehall.reducer.jobs.slowness import enough_cores
 from sesamehall.reducer.jobs.storing import LEADER_KEY
 from sesamehall.reducer.jobs.storing import take_confirmed
 from sesamehall.reducer.jobs.storing import write_again
@@ -87,12 +87,11 @@
     if progress.next_offset < 0 or progress.fresh_ms < 0:
         return None
     leader = manager.leader
+    vacant_ms = progress.grown_ms
     if leader is not None and not leader.resigned:
+        vacant_ms += LEADER_SILENT_MS
         if leader.node == manager.name:
             return progress.fresh_ms  # an earlier start of this process had it
-        vacant_ms = progress.grown_ms + LEADER_SILENT_MS
-    else:
-        vacant_ms = progress.grown_ms
     if progress.back_ms >= 0:
         vacant_ms = max(vacant_ms, progress.back_ms + CLAIM_BACK_MS)
     return vacant_ms + _spread_ms(manager)
@@ -113,7 +112,7 @@
     weak node lacks counts for more than that.  It lacks nothing where no
     node was seen to have more.  One that was behind lets all others go first.
     """
-    enough = enough_cores(manager)
+    enough = min(manager.most_cores or LEADER_CORES, LEADER_CORES)
     lacking = max(enough - manager.cores, 0.0) / enough
     if manager.progress.fresh_ms < manager.yields_until_ms:
         lacking = 1.0
--- a/sesamehall/reducer/jobs/slowness.py
+++ b/sesamehall/reducer/jobs/slowness.py
@@ -25,25 +25,14 @@
 UNANSWERED = (OrderRefusal.SILENT, OrderRefusal.NOT_SENT)
 
 
-def enough_cores(manager: ManagerState) -> float:
-    """Tell how much processor a leader should have.
-
-    Args:
-      manager: State of a manager.
-    Returns:
-      Cores; no more than any node was seen to have.
-    """
-    return min(manager.most_cores or LEADER_CORES, LEADER_CORES)
-
-
 def note_call(
     manager: ManagerState, event: RunAnswered | StopAnswered
 ) -> Step:
     """Note how long a call took; a leader that falls behind hands over.
 
     It does not wait for another node to offer to lead: whatever it takes in
-    is late.  One that is weak by its settings does wait: the others may be
-    as weak.
+    is late.  One that has less processor than others does wait: offers tell
+    it whether they live.
 
     Args:
       manager: State of a manager.
@@ -91,5 +80,5 @@
         return False
     if at_ms - calls.slow_since_ms < SLOW_FOR_MS:
         return False
-    rested = at_ms >= calls.judged_from_ms
-    return rested and manager.cores >= enough_cores(manager)
+    weaker = manager.cores < min(manager.most_cores, LEADER_CORES)
+    return at_ms >= calls.judged_from_ms and not weaker
