--- a/bench/job_histories.py
+++ b/bench/job_histories.py
@@ -58,6 +58,7 @@
 FAULTS = 6  # further faults
 JOBS_AROUND = 6  # jobs handed in around such a change
 HOPELESS_TASKS = 3  # tasks of a job of which one always fails
+LAG_MS = (50, 300)  # how much later a slow manager reads answers
 HOPELESS_EARLY_MS = 700  # its last failure falls into an outage by chance
 CALL_WAIT_MS = 3_000
 TRIES = 8  # of a caller
@@ -257,7 +258,7 @@
 
 
 def change_leader(world: JobWorld) -> None:
-    """Stop, kill, pause or cut off the leader.
+    """Stop, kill, pause, slow down or cut off the leader.
 
     Now and then one of the workers is on its side of a split.
 
@@ -271,7 +272,7 @@
     lasts_ms = random.randint(500, 13_000)
     if random.random() < 0.4:
         split_workers(world, host, lasts_ms)
-    kinds = ("stop", "stop", "stop", "kill", "pause", "cut", "cut")
+    kinds = ("stop", "stop", "stop", "kill", "pause", "cut", "cut", "slow")
     match random.choice(kinds):
         case "stop":
             host.unanswered = random.random() < 0.5
@@ -284,6 +285,9 @@
         case "cut":
             host.storeless = True
             world.at(lasts_ms, setattr, host, "storeless", False)
+        case "slow":
+            host.lag_ms = random.randint(*LAG_MS)
+            world.at(lasts_ms, setattr, host, "lag_ms", 0)
 
 
 def split_workers(world: JobWorld, host: Host, lasts_ms: int) -> None:
@@ -403,6 +407,7 @@
     for host in world.hosts_by_name.values():
         host.storeless = False
         host.unanswered = False
+        host.lag_ms = 0
         host.unreached.clear()
 
 
--- a/bench/jobhistories_test.py
+++ b/bench/jobhistories_test.py
@@ -40,14 +40,14 @@
         (1, "", False),
         (6, "", False),
         (24, "", False),
-        (38, "unread", True),
+        (36, "unread", True),
         (2, "unresolved", True),
         (3, "stored", True),
         (20, "lease", True),
-        (48, "confirmed", True),
+        (64, "confirmed", True),
         (24, "sequence", True),
-        (109, "resigning", True),
-        (11, "forgotten", True),
+        (201, "resigning", True),
+        (166, "forgotten", True),
     ],
 )
 def test_promises_hold_unless_a_guard_is_out(seed, without, found):
--- a/bench/jobworld.py
+++ b/bench/jobworld.py
@@ -43,6 +43,7 @@
 from sesamehall.core.managerevents import JobStored
 from sesamehall.core.managerevents import MachinesListed
 from sesamehall.core.managerevents import OrderRefusal
+from sesamehall.core.managerevents import OrderTiming
 from sesamehall.core.managerevents import ProgressStored
 from sesamehall.core.managerevents import RunAnswered
 from sesamehall.core.managerevents import StopAnswered
@@ -127,6 +128,7 @@
       storeless: Whether it is cut off from the store.
       unanswered: Whether its appends have effect and get no answer.
       unreached: Workers that it is cut off from.
+      lag_ms: How much later than others it reads workers' answers.
     """
 
     name: str
@@ -140,6 +142,7 @@
     storeless: bool = False
     unanswered: bool = False
     unreached: set[str] = field(default_factory=set)
+    lag_ms: int = 0
 
     @property
     def epoch(self) -> int:
@@ -607,7 +610,7 @@
         def answer(life, outcome):
             if effect.worker_id in host.unreached or fate != "answered":
                 return
-            self.at(self._delay_ms(), done, outcome)
+            self.at(self._delay_ms() + host.lag_ms, done, outcome)
 
         def look(life, ends_ms):
             """Answer a call for lists at the first end or after its wait."""
@@ -653,6 +656,7 @@
 
 def _worker_event(at_ms, asked_ms, effect, outcome):
     """Tell a manager what became of a call to a worker."""
+    timing = OrderTiming(asked_ms, asked_ms)
     match effect:
         case WatchWorker(worker_id, _, epoch):
             if isinstance(outcome, OrderRefusal):
@@ -668,6 +672,8 @@
                 ended=outcome.ended,
             )
         case StartRun(worker_id, _, epoch, task, number):
-            return RunAnswered(at_ms, worker_id, epoch, task, number, outcome)
+            names = (worker_id, epoch, task, number)
+            return RunAnswered(at_ms, *names, outcome, timing=timing)
         case StopRun(worker_id, _, epoch, task, number):
-            return StopAnswered(at_ms, worker_id, epoch, task, number, outcome)
+            names = (worker_id, epoch, task, number)
+            return StopAnswered(at_ms, *names, outcome, timing)
