--- a/sesamehall/reducer/jobs/claims_test.py
+++ b/sesamehall/reducer/jobs/claims_test.py
@@ -28,6 +28,50 @@
 WEAK_CORES = 0.516
 
 
+def build_follower(at_ms, **others):
+    """Build a node that follows a leader."""
+    fields = {
+        "manifest": build_manifest(),
+        "leader": Leader("edge-1", 3),
+        "jobs": Following(1, fresh_ms=at_ms + LATEST_MS),
+        **others,
+    }
+    return ManagerState("edge-2", **fields)
+
+
+def first_claim_ms(manager, at_ms, answer):
+    """Play a node's beats until it claims the role; tell when it does.
+
+    Args:
+      manager: State of the node.
+      at_ms: Clock of the beat before the first.
+      answer: Builds what comes of a read from when it was asked for.
+    """
+    while at_ms < NOW_MS + LATEST_MS:
+        at_ms += MANAGER_BEAT_MS
+        step = read_due(manager, at_ms)
+        reads = effects_of(step, ReadStream)
+        manager = step.state
+        if Stream.PROGRESS not in {read.stream for read in reads}:
+            continue
+        event = answer(at_ms)
+        if isinstance(event, StreamUnread):
+            manager = take_unread(manager, event).state
+            continue
+        step = consider_claim(take_read(manager, event).state, at_ms)
+        if effects_of(step, StoreProgress):
+            return at_ms - NOW_MS
+        manager = step.state
+    return LATEST_MS
+
+
+def read_of(at_ms, records=()):
+    """Build the answer to a read of the leader's records."""
+    return StreamRead(
+        at_ms + READ_MS, at_ms, 0, Stream.PROGRESS, records, 10, False
+    )
+
+
 def claim_ms(cores, rank, phase_ms, resigned=False, yields_until_ms=0):
     """Tell how long after a leader's last record a node claims the role.
 
@@ -39,36 +83,22 @@
       yields_until_ms: Clock until which the node lets others go first.
     """
     last = StoredRecord("leader", Leader("edge-1", 3, resigned))
+    unseen = [last]
     at_ms = NOW_MS - phase_ms
-    read = Following(9, fresh_ms=at_ms, grown_ms=at_ms)
-    manager = ManagerState(
-        "edge-2",
+    manager = build_follower(
+        at_ms,
         cores=cores,
         rank=rank,
         yields_until_ms=yields_until_ms,
-        manifest=build_manifest(),
-        leader=Leader("edge-1", 3),
-        jobs=Following(1, fresh_ms=at_ms + LATEST_MS),
-        progress=read,
+        progress=Following(9, fresh_ms=at_ms, grown_ms=at_ms),
     )
-    records = (last,)
-    while at_ms < NOW_MS + LATEST_MS:
-        at_ms += MANAGER_BEAT_MS
-        step = read_due(manager, at_ms)
-        reads = effects_of(step, ReadStream)
-        manager = step.state
-        if Stream.PROGRESS not in {read.stream for read in reads}:
-            continue
-        seen = records if at_ms >= NOW_MS else ()
-        records = () if seen else records
-        event = StreamRead(
-            at_ms + READ_MS, at_ms, 0, Stream.PROGRESS, seen, 10, False
-        )
-        step = consider_claim(take_read(manager, event).state, at_ms)
-        if effects_of(step, StoreProgress):
-            return at_ms - NOW_MS
-        manager = step.state
-    return LATEST_MS
+
+    def answer(asked_ms):
+        if asked_ms < NOW_MS or not unseen:
+            return read_of(asked_ms)
+        return read_of(asked_ms, (unseen.pop(),))
+
+    return first_claim_ms(manager, at_ms, answer)
 
 
 def claim_after_outage_ms(cores, rank, phase_ms):
@@ -81,37 +111,22 @@
     """
     at_ms = NOW_MS - phase_ms
     outage_ms = at_ms - 4_000
-    manager = ManagerState(
-        "edge-2",
+    manager = build_follower(
+        at_ms,
         cores=cores,
         rank=rank,
         most_cores=STRONG_CORES,
-        manifest=build_manifest(),
-        leader=Leader("edge-1", 3),
-        jobs=Following(1, fresh_ms=at_ms + LATEST_MS),
         progress=Following(
-            9, fresh_ms=outage_ms, grown_ms=outage_ms, failed_ms=at_ms
+            10, fresh_ms=outage_ms, grown_ms=outage_ms, failed_ms=at_ms
         ),
     )
-    while at_ms < NOW_MS + LATEST_MS:
-        at_ms += MANAGER_BEAT_MS
-        step = read_due(manager, at_ms)
-        reads = effects_of(step, ReadStream)
-        manager = step.state
-        if Stream.PROGRESS not in {read.stream for read in reads}:
-            continue
-        if at_ms < NOW_MS:
-            event = StreamUnread(at_ms + READ_MS, Stream.PROGRESS, "away")
-            manager = take_unread(manager, event).state
-            continue
-        event = StreamRead(
-            at_ms + READ_MS, at_ms, 0, Stream.PROGRESS, (), 9, False
-        )
-        step = consider_claim(take_read(manager, event).state, at_ms)
-        if effects_of(step, StoreProgress):
-            return at_ms - NOW_MS
-        manager = step.state
-    return LATEST_MS
+
+    def answer(asked_ms):
+        if asked_ms < NOW_MS:
+            return StreamUnread(asked_ms + READ_MS, Stream.PROGRESS, "away")
+        return read_of(asked_ms)
+
+    return first_claim_ms(manager, at_ms, answer)
 
 
 PHASES_MS = range(0, PROGRESS_PERIOD_MS + MANAGER_BEAT_MS, 10)
