--- a/sesamehall/core/fleet.py
+++ b/sesamehall/core/fleet.py
@@ -80,9 +80,12 @@
 
     Attributes:
       job_id: Identifier of the job.
+      team: The team, "" on a queue open to all, or None if an older version
+        wrote the request, which had checked the team.
     """
 
     job_id: str
+    team: str | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/sesamehall/core/logevents.py
+++ b/sesamehall/core/logevents.py
@@ -80,6 +80,12 @@
 )
 
 SNAPSHOT_APPLIED = _info(307, "snapshot taken over")
+RECORD_NOT_APPLIED = _warning(
+    308, "record not applied", "Report it with its line; other records go on."
+)
+RECORD_UNSTORABLE = _warning(
+    309, "record unstorable", "Report it with its line; other records go on."
+)
 
 PEER_CONNECTED = _info(400, "peer connected")
 PEER_LOST = _warning(
@@ -157,6 +163,9 @@
     654, "machines not listed", "Look at the platform's cloud interface."
 )
 POOLS_SIZED = _info(655, "pools sized")
+WAVE_NOT_REPORTED = _warning(
+    656, "wave not reported", "Look at the platform's store; it is repeated."
+)
 
 NODE_STARTED = _info(900, "node started")
 NODE_STOPPING = _info(901, "node stopping")
--- a/sesamehall/core/managereffects.py
+++ b/sesamehall/core/managereffects.py
@@ -136,6 +136,17 @@
     ticket: str = ""
 
 
+@dataclass(frozen=True, slots=True)
+class RevokeStarts:
+    """Do not send the start orders of a term that still wait for a thread.
+
+    Attributes:
+      epoch: The term; orders of earlier terms are not sent either.
+    """
+
+    epoch: int
+
+
 @dataclass(frozen=True, slots=True)
 class RequestAdvice:
     """Request advice from the service: on which workers a step may run.
@@ -271,6 +282,8 @@
     | StoreProgress
     | WatchWorker
     | StartRun
+    | RevokeStarts
+    | RequestAdvice
     | StopRun
     | ThrottleRun
     | ForgetWorker
--- a/sesamehall/core/managerevents.py
+++ b/sesamehall/core/managerevents.py
@@ -7,6 +7,7 @@
 from sesamehall.core.fleet import Machine
 from sesamehall.core.fleet import StoredRecord
 from sesamehall.core.fleet import Stream
+from sesamehall.core.fleet import WaveStatus
 from sesamehall.core.work import ActiveRun
 from sesamehall.core.work import EndedRun
 
@@ -67,12 +68,13 @@
 
 
 class StoreOutcome(Enum):
-    """Outcome of a write."""
+    """Outcome of a write; UNSTORABLE records would be refused every time."""
 
     STORED = "stored"
     REFUSED = "refused"
     FENCED = "fenced"
     UNKNOWN = "unknown"
+    UNSTORABLE = "unstorable"
 
 
 @dataclass(frozen=True, slots=True)
@@ -99,12 +101,15 @@
       sent_ms: Time at which the write was sent.
       epoch: Term of the writer.
       outcome: Outcome of the write; FENCED if another leader took over.
+      unstorable_keys: Keys of records that were left out, since they cannot
+        be encoded or are too large.
     """
 
     at_ms: int
     sent_ms: int
     epoch: int
     outcome: StoreOutcome
+    unstorable_keys: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -309,6 +314,21 @@
     reason: str
 
 
+@dataclass(frozen=True, slots=True)
+class WaveNotReported:
+    """The status of a wave could not be written for the operators.
+
+    Attributes:
+      at_ms: Current time on the node's clock.
+      status: The status.
+      reason: Reason to log.
+    """
+
+    at_ms: int
+    status: WaveStatus
+    reason: str
+
+
 ManagerEvent = (
     JobCalled
     | StreamRead
@@ -324,4 +344,5 @@
     | MachinesListed
     | MachinesNotListed
     | MachineAnswered
+    | WaveNotReported
 )
--- a/sesamehall/core/managerstate.py
+++ b/sesamehall/core/managerstate.py
@@ -11,6 +11,7 @@
 from sesamehall.core.calls import JobCall
 from sesamehall.core.data import EMPTY_MAP
 from sesamehall.core.data import JobPhase
+from sesamehall.core.fleet import CancelAsked
 from sesamehall.core.fleet import Leader
 from sesamehall.core.fleet import LeasedWorker
 from sesamehall.core.fleet import OrderedMachines
@@ -215,7 +216,8 @@
       queue_by_job_id: Queue of every known job.
       phase_by_job_id: Stored phase of the jobs that have progress.
       ended_ms_by_job_id: Time at which a job was first known to have ended.
-      cancelled_by_job_id: Jobs with a cancel request.
+      cancelled_by_job_id: Jobs with a cancel request of their team.
+      early_cancels_by_job_id: Cancel requests that were read before their job.
       progress_by_id: Stored progress of the jobs that have not ended.
       leased_workers_by_id: Workers on which a leader may have started runs.
       leader: The newest leader record, or None.
@@ -293,6 +295,7 @@
     phase_by_job_id: Map[str, JobPhase] = EMPTY_MAP
     ended_ms_by_job_id: Map[str, int] = EMPTY_MAP
     cancelled_by_job_id: Map[str, bool] = EMPTY_MAP
+    early_cancels_by_job_id: Map[str, tuple[CancelAsked, ...]] = EMPTY_MAP
     progress_by_id: Map[str, Progress] = EMPTY_MAP
     leased_workers_by_id: Map[str, LeasedWorker] = EMPTY_MAP
     leader: Leader | None = None
--- a/sesamehall/core/work.py
+++ b/sesamehall/core/work.py
@@ -10,6 +10,8 @@
 from sesamehall.core.data import JobPhase
 from sesamehall.core.replacing import replace
 
+MAX_TASK_NUMBER_DIGITS = 9  # of an occurrence, a step or an index
+
 
 @dataclass(frozen=True, slots=True)
 class Size:
@@ -221,11 +223,20 @@
       text is not a task identifier.
     """
     job_id, *numbers = task.split(".")
-    if len(numbers) != 3 or not all(part.isdecimal() for part in numbers):
+    if len(numbers) != 3 or not all(map(_is_task_number, numbers)):
         return None
     return job_id, TaskPlace(*map(int, numbers))
 
 
+def _is_task_number(text):
+    """Check for a number that is short enough to be converted and used."""
+    return (
+        text.isascii()
+        and text.isdecimal()
+        and len(text) <= MAX_TASK_NUMBER_DIGITS
+    )
+
+
 def has_bit(bits: bytes, index: int) -> bool:
     """Check whether a bit of a bitmap is set.
 
--- a/sesamehall/platform/advice.py
+++ b/sesamehall/platform/advice.py
@@ -2,16 +2,16 @@
 
 from collections.abc import Callable
 
-from sesamehall.core.codes import DecodeError
+from sesamehall.codecs.jsonfields import decode_integer
+from sesamehall.codecs.jsonfields import decode_rows
 from sesamehall.core.codes import PlatformError
 from sesamehall.core.events import Event
 from sesamehall.core.managereffects import RequestAdvice
 from sesamehall.core.managerevents import AdviceGiven
-from sesamehall.core.managerevents import AdviceNotGiven
-from sesamehall.platform.decoding import decode_field
-from sesamehall.platform.decoding import decode_tickets
 from sesamehall.platform.http import HttpClient
 from sesamehall.platform.serialexecutor import SerialExecutor
+from sesamehall.platform.workerdecoding import decode_tickets
+from sesamehall.runtime.guarding import perform_and_post
 from sesamehall.runtime.interpreter import now_ms
 
 RESPONSE_TIMEOUT_S = 5.0  # it takes time for each worker, and requests queue
@@ -37,35 +37,29 @@
         Args:
           effect: The step and the workers that the request names.
         """
-        self._executor.submit(lambda: self._request(effect))
+        self._executor.submit(
+            lambda: perform_and_post(self._request, effect, self._post_event)
+        )
 
-    def _request(self, effect):
+    def _request(self, effect: RequestAdvice) -> Event:
         sent_ms = now_ms()
         request_body = {
             "Step": effect.step,
             "Workers": list(effect.worker_ids),
         }
-        try:
-            if self._client is None:
-                raise PlatformError("no advice service is configured")
-            response = self._client.call_json(
-                "POST", "/advise", request_body, None, RESPONSE_TIMEOUT_S
-            )
-            if response.status != 200:
-                raise PlatformError(f"status {response.status}")
-            document = response.json()
-            tickets = decode_tickets(decode_field(document, "Good", list, []))
-            valid_ms = decode_field(document, "ValidMs", int)
-        except (PlatformError, DecodeError) as error:
-            self._post_event(AdviceNotGiven(now_ms(), effect.step, str(error)))
-            return
-        self._post_event(
-            AdviceGiven(
-                at_ms=now_ms(),
-                sent_ms=sent_ms,
-                step=effect.step,
-                worker_ids=effect.worker_ids,
-                tickets=tickets,
-                valid_ms=valid_ms,
-            )
+        if self._client is None:
+            raise PlatformError("no advice service is configured")
+        response = self._client.call_json(
+            "POST", "/advise", request_body, None, RESPONSE_TIMEOUT_S
+        )
+        if response.status != 200:
+            raise PlatformError(f"status {response.status}")
+        document = response.json()
+        return AdviceGiven(
+            at_ms=now_ms(),
+            sent_ms=sent_ms,
+            step=effect.step,
+            worker_ids=effect.worker_ids,
+            tickets=decode_tickets(decode_rows(document, "Good")),
+            valid_ms=decode_integer(document, "ValidMs"),
         )
--- a/sesamehall/platform/application.py
+++ b/sesamehall/platform/application.py
@@ -21,6 +21,7 @@
 from sesamehall.core.managereffects import ReadStream
 from sesamehall.core.managereffects import ReportWave
 from sesamehall.core.managereffects import RequestAdvice
+from sesamehall.core.managereffects import RevokeStarts
 from sesamehall.core.managereffects import SetReady
 from sesamehall.core.managereffects import StartRun
 from sesamehall.core.managereffects import StopRun
@@ -158,6 +159,8 @@
                 self._worker_clients.watch(effect)
             case StartRun() | StopRun() | ThrottleRun():
                 self._worker_clients.send_order(effect)
+            case RevokeStarts():
+                self._worker_clients.revoke_starts(effect)
             case ForgetWorker():
                 self._worker_clients.release(effect)
             case AnswerCall():
@@ -175,7 +178,7 @@
             case RequestAdvice():
                 self._advice_handler.request(effect)
             case ListMachines():
-                self._machine_handler.list_machines()
+                self._machine_handler.list_machines(effect)
             case MoveMachine() | MaintainMachine():
                 self._machine_handler.send_order(effect)
             case SetReady(ready):
--- a/sesamehall/platform/callerapi.py
+++ b/sesamehall/platform/callerapi.py
@@ -8,6 +8,7 @@
 from queue import Empty
 from queue import SimpleQueue
 
+from sesamehall.codecs.jsonfields import decode_object
 from sesamehall.core.calls import Accepted
 from sesamehall.core.calls import CallAnswer
 from sesamehall.core.calls import CallKind
@@ -28,8 +29,7 @@
 from sesamehall.core.events import Event
 from sesamehall.core.managereffects import AnswerCall
 from sesamehall.core.managerevents import JobCalled
-from sesamehall.platform.decoding import decode_draft
-from sesamehall.platform.decoding import decode_object
+from sesamehall.platform.jobdecoding import decode_draft
 from sesamehall.runtime.interpreter import now_ms
 
 AUTHORIZATION_PREFIX = "Token "
--- a/sesamehall/platform/httpconnection.py
+++ b/sesamehall/platform/httpconnection.py
@@ -7,11 +7,12 @@
 from dataclasses import dataclass
 from http.client import HTTPConnection
 from http.client import HTTPException
-import json
 import select
 import socket
 import struct
 
+from sesamehall.codecs.jsonfields import decode_object
+from sesamehall.core.codes import DecodeError
 from sesamehall.core.codes import PlatformError
 
 CONNECT_TIMEOUT_S = 0.5  # a machine that accepts later counts as silent
@@ -44,12 +45,9 @@
         if not self.body:
             return {}
         try:
-            value = json.loads(self.body)
-        except ValueError as error:
-            raise PlatformError(f"not JSON: {error}") from error
-        if not isinstance(value, dict):
-            raise PlatformError("not a JSON object")
-        return value
+            return decode_object(self.body)
+        except DecodeError as error:
+            raise PlatformError(str(error)) from error
 
 
 class HttpConnection:
--- a/sesamehall/platform/machines.py
+++ b/sesamehall/platform/machines.py
@@ -4,18 +4,18 @@
 from concurrent.futures import ThreadPoolExecutor
 from urllib.parse import urlencode
 
-from sesamehall.core.codes import DecodeError
+from sesamehall.codecs.jsonfields import decode_list
 from sesamehall.core.codes import PlatformError
 from sesamehall.core.events import Event
 from sesamehall.core.fleet import Machine
+from sesamehall.core.managereffects import ListMachines
 from sesamehall.core.managereffects import MaintainMachine
 from sesamehall.core.managereffects import MoveMachine
 from sesamehall.core.managerevents import MachineAnswered
 from sesamehall.core.managerevents import MachinesListed
-from sesamehall.core.managerevents import MachinesNotListed
-from sesamehall.platform.decoding import decode_list
-from sesamehall.platform.decoding import decode_machine
 from sesamehall.platform.http import HttpClient
+from sesamehall.platform.workerdecoding import decode_machine
+from sesamehall.runtime.guarding import perform_and_post
 from sesamehall.runtime.interpreter import now_ms
 
 MAX_CONCURRENT_CALLS = 8  # a call without a response must not delay the others
@@ -44,9 +44,15 @@
         self._post_event = post_event
         self._executor = ThreadPoolExecutor(MAX_CONCURRENT_CALLS, "machines")
 
-    def list_machines(self) -> None:
-        """List all machines; the result is posted as an event."""
-        self._executor.submit(self._list_machines)
+    def list_machines(self, effect: ListMachines) -> None:
+        """List all machines; the result is posted as an event.
+
+        Args:
+          effect: The request.
+        """
+        self._executor.submit(
+            perform_and_post, self._list_machines, effect, self._post_event
+        )
 
     def send_order(self, effect: MoveMachine | MaintainMachine) -> None:
         """Send an order for a machine unless the order has expired.
@@ -57,16 +63,14 @@
         Args:
           effect: The order.
         """
-        self._executor.submit(self._send_order, effect)
+        self._executor.submit(
+            perform_and_post, self._send_order, effect, self._post_event
+        )
 
-    def _list_machines(self):
+    def _list_machines(self, _: ListMachines) -> Event:
         sent_ms = now_ms()
-        try:
-            machines = self._fetch_all_pages()
-        except (PlatformError, DecodeError) as error:
-            self._post_event(MachinesNotListed(now_ms(), str(error)))
-            return
-        self._post_event(MachinesListed(now_ms(), sent_ms, machines))
+        machines = self._fetch_all_pages()
+        return MachinesListed(now_ms(), sent_ms, machines)
 
     def _fetch_all_pages(self) -> tuple[Machine, ...]:
         machines: tuple[Machine, ...] = ()
@@ -88,7 +92,7 @@
             if not page_token:
                 return machines
 
-    def _send_order(self, effect):
+    def _send_order(self, effect: MoveMachine | MaintainMachine) -> Event:
         path = "/machine-move"
         document = {"Machine": effect.machine}
         match effect:
@@ -101,23 +105,20 @@
             "Lease-Holder": self._node,
             "Fencing-Token": str(effect.epoch),
         }
-        done = False
-        refused = False
         if now_ms() >= effect.not_after_ms:
-            self._post_result(effect, done, refused, "too late to be sent")
-            return
-        try:
-            response = self._client.call_json(
-                "POST", path, document, headers, RESPONSE_TIMEOUT_S
+            reason = "too late to be sent"
+            return MachineAnswered(
+                now_ms(), effect.machine, done=False, reason=reason
             )
-            done = response.status == 200
-            refused = response.status in REJECTED_STATUSES
-            reason = f"status {response.status} {response.body[:80]!r}"
-        except PlatformError as error:
-            reason = str(error)
-        self._post_result(effect, done, refused, "" if done else reason)
-
-    def _post_result(self, effect, done, refused, reason):
-        self._post_event(
-            MachineAnswered(now_ms(), effect.machine, done, refused, reason)
+        response = self._client.call_json(
+            "POST", path, document, headers, RESPONSE_TIMEOUT_S
+        )
+        done = response.status == 200
+        reason = f"status {response.status} {response.body[:80]!r}"
+        return MachineAnswered(
+            at_ms=now_ms(),
+            machine=effect.machine,
+            done=done,
+            refused=response.status in REJECTED_STATUSES,
+            reason="" if done else reason,
         )
--- /dev/null
+++ b/sesamehall/platform/operatordecoding.py
@@ -0,0 +1,109 @@
+"""Decoding of the operators' documents: the manifest and waves."""
+
+from immutables import Map
+
+from sesamehall.codecs.jsonfields import decode_boolean
+from sesamehall.codecs.jsonfields import decode_integer
+from sesamehall.codecs.jsonfields import decode_list
+from sesamehall.codecs.jsonfields import decode_nested
+from sesamehall.codecs.jsonfields import decode_number
+from sesamehall.codecs.jsonfields import decode_rows
+from sesamehall.codecs.jsonfields import decode_text
+from sesamehall.codecs.jsonfields import decode_texts
+from sesamehall.codecs.jsonfields import MAX_TEXT_BYTES
+from sesamehall.core.codes import DecodeError
+from sesamehall.core.manifest import Manifest
+from sesamehall.core.manifest import Queue
+from sesamehall.core.manifest import Quota
+from sesamehall.core.manifest import Wave
+from sesamehall.core.manifest import WorkerPool
+from sesamehall.platform.sizes import decode_size
+
+MANIFEST_KEY = "config"
+WAVE_KEY_PREFIX = "wave/"
+
+
+def decode_manifest(document: dict) -> Manifest:
+    """Decode the operators' manifest.
+
+    Args:
+      document: The JSON object.
+    Returns:
+      The manifest.
+    Raises:
+      DecodeError: The manifest is not valid.
+    """
+    queues = decode_list(document, "Routes", _decode_queue)
+    pools = decode_list(document, "Services", _decode_pool)
+    # `dict` keeps each object as it is; quotas and keys are both decoded from
+    # these objects.
+    tenants = decode_list(document, "Tenants", dict)
+    quotas = tuple(map(_decode_quota, tenants))
+    team_name_by_key = {
+        key: decode_text(tenant, "Name")
+        for tenant in tenants
+        for key in decode_rows(tenant, "ApiKeys")
+        if isinstance(key, str)
+    }
+    return Manifest(
+        version=decode_integer(document, "Version"),
+        queues_by_name=Map((queue.name, queue) for queue in queues),
+        pools_by_name=Map((pool.name, pool) for pool in pools),
+        quotas_by_team=Map((quota.team, quota) for quota in quotas),
+        team_by_key=Map(team_name_by_key),
+    )
+
+
+def _decode_queue(row):
+    return Queue(
+        name=decode_text(row, "Name"),
+        host=decode_text(row, "Host", max_bytes=MAX_TEXT_BYTES),
+        path_prefix=decode_text(row, "PathPrefix", max_bytes=MAX_TEXT_BYTES),
+        pool=decode_text(row, "Service", ""),
+        priority=decode_integer(row, "Priority", 0),
+        max_attempts=max(decode_integer(row, "Attempts", 1), 1),
+        stretch=decode_number(row, "Stretch", 1.0),
+        # Not a latency to keep: it is added to the goal of each job.
+        slack_ms=decode_integer(row, "TargetLatencyMs", 0),
+        open_to_all=decode_boolean(row, "Anonymous", False),
+        requires_advice=bool(row.get("Advice")),
+    )
+
+
+def _decode_pool(row):
+    return WorkerPool(
+        name=decode_text(row, "Name"),
+        rejects_overload=decode_boolean(row, "RejectsOverload", False),
+        standby=decode_boolean(row, "Standby", False),
+    )
+
+
+def _decode_quota(row):
+    return Quota(
+        team=decode_text(row, "Name"),
+        weight=max(int(decode_number(row, "Weight", 1.0)), 1),
+        # Here "Cap" is an amount of resources; in a wave it is a number.
+        ceiling=decode_size(decode_nested(row, "Cap", {})),
+    )
+
+
+def decode_wave(document: dict) -> Wave:
+    """Decode a maintenance wave.
+
+    Args:
+      document: The JSON object.
+    Returns:
+      The wave.
+    Raises:
+      DecodeError: The wave is not valid.
+    """
+    if document.get("Machines") is None:
+        raise DecodeError("Machines is missing")
+    return Wave(
+        number=decode_integer(document, "Wave"),
+        machines=decode_texts(document, "Machines"),
+        # A duration from when a manager first reads the wave, not a time.
+        within_ms=int(decode_number(document, "CompleteByS", 0.0) * 1_000),
+        # Here "Cap" is a number of machines; in a quota it is resources.
+        max_unavailable=max(decode_integer(document, "Cap", 1), 1),
+    )
--- a/sesamehall/platform/settings.py
+++ b/sesamehall/platform/settings.py
@@ -5,6 +5,8 @@
 import json
 import os
 
+from sesamehall.codecs.addresses import is_address
+from sesamehall.codecs.jsonfields import MAX_INTEGER
 from sesamehall.core.codes import SettingsError
 from sesamehall.core.data import Problem
 from sesamehall.core.data import Source
@@ -55,6 +57,9 @@
       SettingsError: The file is missing or not valid.
     """
     path = environment.get(SETTINGS_PATH_VARIABLE, "")
+    if not path:
+        message = "must name the settings file"
+        raise _error("environment", SETTINGS_PATH_VARIABLE, message)
     try:
         with open(path, encoding="utf-8") as file:
             document = json.load(file)
@@ -62,9 +67,24 @@
         raise _error(path, "", error.strerror or "unreadable") from error
     except json.JSONDecodeError as error:
         raise _error(path, "", error.msg, error.lineno) from error
+    except (ValueError, RecursionError) as error:
+        raise _error(path, "", f"is not JSON: {error}") from error
     return decode_settings(document, os.path.basename(path))
 
 
+def unusable_address(environment: Mapping[str, str]) -> SettingsError:
+    """Build the error of a process that cannot listen on its addresses.
+
+    Args:
+      environment: Environment variables of the process.
+    Returns:
+      The error.
+    """
+    path = environment.get(SETTINGS_PATH_VARIABLE, "")
+    message = "or the metrics port cannot be listened on"
+    return _error(path, "Listen", message)
+
+
 def decode_settings(document: object, file: str) -> ProcessSettings:
     """Decode the content of a settings file.
 
@@ -88,12 +108,19 @@
             return ""
         return value
 
+    def read_address(*keys: str, default: str | None = None) -> str:
+        address = read_string(*keys, default=default)
+        if address and not is_address(address):
+            message = f"must be host:port, not {address!a}"
+            problems.append(Problem(Source(file, 1), ".".join(keys), message))
+        return address
+
     def read_ms(name: str, default: int, ms_per_unit: int = 1) -> int:
         value = _look_up(document, ("Bounds", name))
         if value is None:
             return default
         if not _is_number(value):
-            message = "must be a number"
+            message = "must be a number of at least 0"
             problems.append(
                 Problem(Source(file, 1), f"Bounds.{name}", message)
             )
@@ -105,9 +132,12 @@
         core_count = _look_up(document, ("Limits", "Cores"))
         if cpu_share is None:
             return LEADER_CORES
-        if not _is_number(cpu_share) or not _is_number(core_count or 1):
+        factors = (cpu_share, core_count or 1)
+        if not all(_is_number(factor) and factor > 0 for factor in factors):
             problems.append(
-                Problem(Source(file, 1), "Limits", "must contain numbers")
+                Problem(
+                    Source(file, 1), "Limits", "must contain positive numbers"
+                )
             )
             return LEADER_CORES
         return cpu_share * (core_count or 1)
@@ -116,12 +146,12 @@
     settings = ProcessSettings(
         name=read_string("Node"),
         data_centre=read_string("Zone"),
-        front_address=read_string("Listen", "Front"),
-        readiness_address=read_string("Listen", "Ready"),
+        front_address=read_address("Listen", "Front"),
+        readiness_address=read_address("Listen", "Ready"),
         metrics_address=f"{read_string('Ip')}:{METRICS_PORT}",
-        store_address=read_string("platform", "Address"),
-        cloud_api_address=read_string("CloudApi", "Address", default="") or "",
-        advice_address=read_string("Advice", default="") or "",
+        store_address=read_address("platform", "Address"),
+        cloud_api_address=read_address("CloudApi", "Address", default=""),
+        advice_address=read_address("Advice", default=""),
         timing=Timing(
             max_lease_ms=read_ms("HoldMaxMs", defaults.max_lease_ms),
             max_stop_ms=read_ms("StopMs", defaults.max_stop_ms),
@@ -141,7 +171,10 @@
 
 
 def _is_number(value):
-    return isinstance(value, int | float) and not isinstance(value, bool)
+    """Check for a number in the range that all settings share."""
+    if not isinstance(value, int | float) or isinstance(value, bool):
+        return False
+    return 0 <= value <= MAX_INTEGER  # false for NaN
 
 
 def _look_up(document, keys):
--- a/sesamehall/platform/store_test.py
+++ b/sesamehall/platform/store_test.py
@@ -26,15 +26,17 @@
 from sesamehall.platform import store as store_module
 from sesamehall.platform.httpconnection import CONNECT_TIMEOUT_S
 from sesamehall.platform.httpconnection import HttpResponse
-from sesamehall.platform.store import decode_record
-from sesamehall.platform.store import encode_record
+from sesamehall.platform.records import encode_record
+from sesamehall.platform.records import RecordDecoder
 from sesamehall.platform.store import PROBE_TIMEOUT_S
 from sesamehall.platform.store import READ_HEADER
 from sesamehall.platform.store import RESPONSE_TIMEOUT_S
 from sesamehall.platform.store import StoreClient
+from sesamehall.platform.store import TOPIC_BY_STREAM
 from sesamehall.platform.store import UNREACHABLE_AFTER_MS
 from sesamehall.platform.storehandler import RETRY_DELAY_S
 
+decode_record = RecordDecoder().decode
 STEP = StepPlan(
     3, Size(500, 256), 900, (0,), data_rack="r1-3", writes_checkpoints=True
 )
@@ -150,7 +152,8 @@
 
 
 def append_record(store):
-    store.append(Stream.JOBS, (StoredRecord("k", CancelAsked("ab" * 8)),))
+    record = encode_record(StoredRecord("k", CancelAsked("ab" * 8)))
+    store.append(TOPIC_BY_STREAM[Stream.JOBS], record)
 
 
 # Guards against a leader that loses the role at the end of an outage, because
--- a/sesamehall/platform/storehandler.py
+++ b/sesamehall/platform/storehandler.py
@@ -5,19 +5,20 @@
 that operators read.
 
 Each stream is read in a thread of its own.  One thread stores callers' jobs
-and cancel requests.  Another writes the leader's records, leadership offers
-and wave statuses.
+and cancel requests.  Another writes the leader's records and leadership
+offers.  A third one writes wave statuses, so that they cannot delay these.
 """
 
 from collections.abc import Callable
+import logging
 from queue import SimpleQueue
 import time
 
-from sesamehall.core.codes import PlatformError
 from sesamehall.core.events import Event
 from sesamehall.core.fleet import CancelAsked
 from sesamehall.core.fleet import StoredRecord
 from sesamehall.core.fleet import Stream
+from sesamehall.core.logevents import RECORD_UNSTORABLE
 from sesamehall.core.managereffects import OfferToLead
 from sesamehall.core.managereffects import ReadStream
 from sesamehall.core.managereffects import ReportWave
@@ -28,20 +29,27 @@
 from sesamehall.core.managerevents import StoreOutcome
 from sesamehall.core.managerevents import StreamRead
 from sesamehall.core.managerevents import StreamUnread
+from sesamehall.core.managerevents import WaveNotReported
+from sesamehall.platform.records import encode_record
+from sesamehall.platform.records import MAX_LOGGED_CHARS
+from sesamehall.platform.records import RecordUnstorableError
 from sesamehall.platform.serialexecutor import SerialExecutor
 from sesamehall.platform.store import RecordsTruncatedError
 from sesamehall.platform.store import STATUS_TOPIC
 from sesamehall.platform.store import StoreClient
+from sesamehall.platform.store import TOPIC_BY_STREAM
 from sesamehall.platform.waves import encode_wave_status
 from sesamehall.platform.writer import LeaderWriter
 from sesamehall.runtime.application import start_daemon_thread
+from sesamehall.runtime.guarding import perform_and_post
 from sesamehall.runtime.interpreter import now_ms
 
+LOGGER = logging.getLogger("sesamehall")
 CANCEL_KEY_SUFFIX = "/cancel"
 CANDIDATE_KEY = "candidate"  # cannot be the identifier of a job
 RETRY_DELAY_S = 0.05  # between two attempts to write
 # After the last attempt, the leader decides whether to write its records
-# again; a wave status is dropped.
+# again.
 MAX_WRITE_ATTEMPTS = 3
 MAX_BATCH_JOBS = 100  # jobs and cancel requests in one append
 UNKNOWN_MS = -1  # sentinel: the read did not reach the end of the stream
@@ -65,6 +73,7 @@
             stream: SerialExecutor(f"read {stream.value}") for stream in Stream
         }
         self._write_executor = SerialExecutor("write progress")
+        self._status_executor = SerialExecutor("write status")
         start_daemon_thread(self._write_jobs, "write jobs")
 
     def read(self, effect: ReadStream) -> None:
@@ -74,7 +83,9 @@
           effect: The stream and the offset to read from.
         """
         read_executor = self._read_executors_by_stream[effect.stream]
-        read_executor.submit(lambda: self._read(effect))
+        read_executor.submit(
+            lambda: perform_and_post(self._read, effect, self._post_event)
+        )
 
     def store_job(self, effect: StoreJob) -> None:
         """Store a job, in one append with others that are queued.
@@ -91,10 +102,9 @@
           effect: The offer; it is not retried here, as the node repeats it
             later if it has no effect.
         """
-        candidate = effect.candidate
-        record = StoredRecord(CANDIDATE_KEY, candidate)
+        record = encode_record(StoredRecord(CANDIDATE_KEY, effect.candidate))
         self._write_executor.submit(
-            lambda: self._store.append(Stream.JOBS, (record,))
+            lambda: self._store.append(TOPIC_BY_STREAM[Stream.JOBS], record)
         )
 
     def store_progress(self, effect: StoreProgress) -> None:
@@ -103,17 +113,27 @@
         Args:
           effect: The records.
         """
-        self._write_executor.submit(lambda: self._store_progress(effect))
+        self._write_executor.submit(
+            lambda: perform_and_post(
+                self._store_progress, effect, self._post_event
+            )
+        )
 
     def report_wave(self, effect: ReportWave) -> None:
         """Write the status of a wave to the topic that operators read.
 
+        A failure is posted as an event.
+
         Args:
           effect: The status.
         """
-        self._write_executor.submit(lambda: self._report_wave(effect))
+        self._status_executor.submit(
+            lambda: perform_and_post(
+                self._report_wave, effect, self._post_event
+            )
+        )
 
-    def _read(self, effect):
+    def _read(self, effect: ReadStream) -> Event:
         sent_ms = now_ms()
         covers_all_keys = effect.from_offset < 0
         try:
@@ -123,32 +143,28 @@
                 result = self._store.read(
                     effect.stream, effect.from_offset, effect.wait_ms
                 )
-        except (PlatformError, KeyError, TypeError, ValueError) as error:
-            truncated = isinstance(error, RecordsTruncatedError)
-            reason = f"{type(error).__name__}: {error}"
-            self._post_event(
-                StreamUnread(now_ms(), effect.stream, reason, truncated)
-            )
-            return
-        self._post_event(
-            StreamRead(
-                at_ms=now_ms(),
-                known_until_ms=_known_until_ms(sent_ms, effect, result),
-                wall_ms=time.time_ns() // 1_000_000,
-                stream=effect.stream,
-                records=result.records,
-                next_offset=result.next_offset,
-                covers_all_keys=covers_all_keys,
+        except RecordsTruncatedError as error:
+            return StreamUnread(
+                now_ms(), effect.stream, str(error), truncated=True
             )
+        return StreamRead(
+            at_ms=now_ms(),
+            known_until_ms=_known_until_ms(sent_ms, effect, result),
+            wall_ms=time.time_ns() // 1_000_000,
+            stream=effect.stream,
+            records=result.records,
+            next_offset=result.next_offset,
+            covers_all_keys=covers_all_keys,
         )
 
-    def _store_progress(self, effect):
+    def _store_progress(self, effect: StoreProgress) -> Event:
+        body, unstorable_keys = _encode_storable(effect.records)
         sent_ms = now_ms()
         outcome = StoreOutcome.UNKNOWN
         for _ in range(MAX_WRITE_ATTEMPTS):
             sent_ms = now_ms()
             outcome = self._fenced_writer.append(
-                effect.epoch, effect.expected_end_offset, effect.records
+                effect.epoch, effect.expected_end_offset, body
             )
             if outcome in (StoreOutcome.STORED, StoreOutcome.FENCED):
                 break
@@ -160,8 +176,8 @@
             ):
                 break
             time.sleep(RETRY_DELAY_S)
-        self._post_event(
-            ProgressStored(now_ms(), sent_ms, effect.epoch, outcome)
+        return ProgressStored(
+            now_ms(), sent_ms, effect.epoch, outcome, unstorable_keys
         )
 
     def _write_jobs(self):
@@ -173,34 +189,85 @@
                 effects.append(self._job_queue.get())
             self._store_jobs(effects)
 
-    def _store_jobs(self, effects):
+    def _store_jobs(self, effects: list[StoreJob]) -> None:
+        """Store jobs together; one that cannot be stored is left out."""
+        storable: list[StoreJob] = []
+        body = b""
+        for effect in effects:
+            try:
+                body += encode_record(_job_record(effect))
+            except RecordUnstorableError as error:
+                _log_unstorable(effect.value.job_id, error)
+                self._post_job_stored(effect, StoreOutcome.UNSTORABLE)
+            else:
+                storable.append(effect)
+        if not storable:
+            return
+        try:
+            outcome = self._append_jobs(storable, body)
+        except Exception:
+            LOGGER.exception("failed to store jobs")
+            outcome = StoreOutcome.UNKNOWN
+        for effect in storable:
+            self._post_job_stored(effect, outcome)
+
+    def _post_job_stored(self, effect, outcome):
+        self._post_event(JobStored(now_ms(), effect.call_id, outcome))
+
+    def _append_jobs(
+        self, effects: list[StoreJob], body: bytes
+    ) -> StoreOutcome:
         """Retry the append until its outcome is known or its deadline passes.
 
         Its deadline is the earliest of the batch.  After an attempt of unknown
         outcome, the jobs may be stored although a later attempt fails; only a
         success makes the outcome known again.
         """
-        records = tuple(_job_record(effect) for effect in effects)
         deadline_ms = min(effect.not_after_ms for effect in effects)
         maybe_stored = False
         while True:
-            outcome = self._store.append(Stream.JOBS, records)
+            outcome = self._store.append(TOPIC_BY_STREAM[Stream.JOBS], body)
             maybe_stored = maybe_stored or outcome is StoreOutcome.UNKNOWN
             final = outcome is StoreOutcome.STORED or not maybe_stored
             if final or now_ms() >= deadline_ms:
                 break
             time.sleep(RETRY_DELAY_S)
         if outcome is not StoreOutcome.STORED and maybe_stored:
-            outcome = StoreOutcome.UNKNOWN
-        for effect in effects:
-            self._post_event(JobStored(now_ms(), effect.call_id, outcome))
+            return StoreOutcome.UNKNOWN
+        return outcome
 
-    def _report_wave(self, effect):
+    def _report_wave(self, effect: ReportWave) -> Event | None:
         record = encode_wave_status(effect.status)
-        for _ in range(MAX_WRITE_ATTEMPTS):
-            if self._store.append_encoded(STATUS_TOPIC, record):
-                return
-            time.sleep(RETRY_DELAY_S)
+        outcome = self._store.append(STATUS_TOPIC, record)
+        if outcome is StoreOutcome.STORED:
+            return None
+        time.sleep(RETRY_DELAY_S)
+        return WaveNotReported(now_ms(), effect.status, outcome.value)
+
+
+def _encode_storable(
+    records: tuple[StoredRecord, ...],
+) -> tuple[bytes, tuple[str, ...]]:
+    """Encode the records that can be stored; return the keys of the others."""
+    body = b""
+    unstorable_keys: list[str] = []
+    for record in records:
+        try:
+            body += encode_record(record)
+        except RecordUnstorableError as error:
+            _log_unstorable(record.key, error)
+            unstorable_keys.append(record.key)
+    return body, tuple(unstorable_keys)
+
+
+def _log_unstorable(key, error):
+    LOGGER.error(
+        "%d %s key=%a reason=%s",
+        RECORD_UNSTORABLE.number,
+        RECORD_UNSTORABLE.name,
+        key[:MAX_LOGGED_CHARS],
+        error,
+    )
 
 
 def _known_until_ms(sent_ms, effect, result):
@@ -220,6 +287,10 @@
 
 def _job_record(effect):
     match effect.value:
-        case CancelAsked(job_id):
-            return StoredRecord(job_id + CANCEL_KEY_SUFFIX, effect.value)
+        case CancelAsked(job_id, team):
+            # A key for each team: its request must not replace another's.
+            suffix = (
+                f"{CANCEL_KEY_SUFFIX}/{team}" if team else CANCEL_KEY_SUFFIX
+            )
+            return StoredRecord(job_id + suffix, effect.value)
     return StoredRecord(effect.value.job_id, effect.value)
--- a/sesamehall/platform/storehandler_test.py
+++ b/sesamehall/platform/storehandler_test.py
@@ -7,7 +7,7 @@
 from sesamehall.core.fleet import Stream
 from sesamehall.core.managereffects import ReadStream
 from sesamehall.platform.http import HttpResponse
-from sesamehall.platform.store import encode_record
+from sesamehall.platform.records import encode_record
 from sesamehall.platform.store import READ_HEADER
 from sesamehall.platform.store import StoreClient
 from sesamehall.platform.storehandler import StoreEffectHandler
@@ -35,7 +35,6 @@
     )
     monkeypatch.setattr(handler, "_store", store)
     sent_ms = now_ms()
-    handler._read(ReadStream(Stream.JOBS, 0, 0))
-    (event,) = events
+    event = handler._read(ReadStream(Stream.JOBS, 0, 0))
     assert event.next_offset == 1
     assert (event.known_until_ms >= sent_ms) == known
--- a/sesamehall/platform/waves.py
+++ b/sesamehall/platform/waves.py
@@ -3,8 +3,8 @@
 import json
 
 from sesamehall.core.fleet import WaveStatus
-from sesamehall.platform.decoding import WAVE_KEY_PREFIX
-from sesamehall.platform.store import frame_record
+from sesamehall.platform.operatordecoding import WAVE_KEY_PREFIX
+from sesamehall.platform.records import frame_record
 
 
 def encode_wave_status(status: WaveStatus) -> bytes:
--- a/sesamehall/platform/workers.py
+++ b/sesamehall/platform/workers.py
@@ -9,10 +9,13 @@
 from concurrent.futures import Executor
 from concurrent.futures import ThreadPoolExecutor
 
+from sesamehall.codecs.jsonfields import decode_integer
+from sesamehall.codecs.jsonfields import decode_rows
 from sesamehall.core.codes import DecodeError
 from sesamehall.core.codes import PlatformError
 from sesamehall.core.events import Event
 from sesamehall.core.managereffects import ForgetWorker
+from sesamehall.core.managereffects import RevokeStarts
 from sesamehall.core.managereffects import StartRun
 from sesamehall.core.managereffects import StopRun
 from sesamehall.core.managereffects import ThrottleRun
@@ -23,11 +26,12 @@
 from sesamehall.core.managerevents import StopAnswered
 from sesamehall.core.managerevents import WorkerNotReported
 from sesamehall.core.managerevents import WorkerReported
-from sesamehall.platform.decoding import decode_active_runs
-from sesamehall.platform.decoding import decode_ended_runs
 from sesamehall.platform.http import HttpClient
 from sesamehall.platform.httpconnection import HttpResponse
 from sesamehall.platform.serialexecutor import SerialExecutor
+from sesamehall.platform.workerdecoding import decode_active_runs
+from sesamehall.platform.workerdecoding import decode_ended_runs
+from sesamehall.runtime.guarding import perform_and_post
 from sesamehall.runtime.interpreter import now_ms
 
 TARGET_INSTANCE_HEADER = "Target-Instance"
@@ -44,6 +48,39 @@
 }
 
 
+class StartFence:
+    """The term whose queued start orders must not be sent any more.
+
+    Orders wait for a thread after they were decided.  A leader that resigns
+    or has lost its term revokes those that still wait.
+    """
+
+    def __init__(self):
+        """Create a fence that revokes nothing."""
+        self._revoked_epoch = 0
+
+    def revoke(self, effect: RevokeStarts) -> None:
+        """Revoke the start orders of a term and of earlier ones.
+
+        Args:
+          effect: The term.
+        """
+        self._revoked_epoch = max(self._revoked_epoch, effect.epoch)
+
+    def may_send(self, effect: StartRun, at_ms: int) -> bool:
+        """Check whether a start order may be sent now.
+
+        Args:
+          effect: The order.
+          at_ms: Current time on the node's clock.
+        Returns:
+          False if it has expired or was revoked.
+        """
+        return at_ms < effect.not_after_ms and (
+            effect.epoch > self._revoked_epoch
+        )
+
+
 class WorkerClient:
     """Client for one worker: its connections and the thread that polls it.
 
@@ -57,6 +94,7 @@
         address: str,
         post_event: Callable[[Event], None],
         order_executor: Executor,
+        start_fence: StartFence,
     ):
         """Create the client; it connects on its first call.
 
@@ -65,6 +103,7 @@
           address: "host:port" of its HTTP interface.
           post_event: Queues an event for the interpreter.
           order_executor: Thread pool that sends the orders to all workers.
+          start_fence: Tells which start orders must not be sent any more.
         """
         self.address = address
         self._client = HttpClient(address, MAX_IDLE_CONNECTIONS)
@@ -72,6 +111,7 @@
         self._post_event = post_event
         self._watch_executor = SerialExecutor(f"watch {worker_id}")
         self._order_executor = order_executor
+        self._start_fence = start_fence
 
     def watch(self, effect: WatchWorker) -> None:
         """Request the worker's lists of runs; the result becomes an event.
@@ -79,7 +119,9 @@
         Args:
           effect: The request.
         """
-        self._watch_executor.submit(lambda: self._watch(effect))
+        self._watch_executor.submit(
+            lambda: perform_and_post(self._watch, effect, self._post_event)
+        )
 
     def send_order(self, effect: StartRun | StopRun | ThrottleRun) -> None:
         """Send an order from a thread of the pool, without waiting for it.
@@ -89,7 +131,13 @@
         Args:
           effect: The order.
         """
-        self._order_executor.submit(self._process_order, effect, now_ms())
+        issued_ms = now_ms()
+        self._order_executor.submit(
+            perform_and_post,
+            lambda order: self._process_order(order, issued_ms),
+            effect,
+            self._post_event,
+        )
 
     def close(self) -> None:
         """End the thread and close the connections."""
@@ -103,7 +151,7 @@
             "POST", path, document, self._headers, timeout_s
         )
 
-    def _watch(self, effect: WatchWorker) -> None:
+    def _watch(self, effect: WatchWorker) -> Event:
         document = {
             "FencingToken": effect.epoch,
             "AckCursor": effect.acknowledged,
@@ -114,24 +162,18 @@
             document["WaitMs"] = effect.wait_ms
         sent_ms = now_ms()
         timeout_s = effect.wait_ms / 1_000 + WATCH_TIMEOUT_S
-        try:
-            response = self._call("/hold", document, timeout_s)
-            refusal = _decode_refusal(response)
-            if refusal is None:
-                self._post_event(_decode_report(effect, sent_ms, response))
-                return
-        except (PlatformError, DecodeError, KeyError):
-            refusal = OrderRefusal.SILENT
-        self._post_event(
-            WorkerNotReported(
-                now_ms(), effect.worker_id, effect.epoch, refusal
-            )
+        response = self._call("/hold", document, timeout_s)
+        refusal = decode_refusal(response)
+        if refusal is None:
+            return _decode_report(effect, sent_ms, response)
+        return WorkerNotReported(
+            now_ms(), effect.worker_id, effect.epoch, refusal
         )
 
     def _process_order(
         self, effect: StartRun | StopRun | ThrottleRun, issued_ms: int
-    ) -> None:
-        """Send an order that was issued earlier, and queue its outcome."""
+    ) -> Event | None:
+        """Send an order that was issued earlier, and return its outcome."""
         timing = OrderTiming(issued_ms, sent_ms=now_ms())
         refusal, clock_ms = self._send_unless_expired(effect, timing.sent_ms)
         order_key = (
@@ -142,32 +184,25 @@
         )
         match effect:
             case StartRun():
-                self._post_event(
-                    RunAnswered(
-                        now_ms(), *order_key, refusal, clock_ms, timing
-                    )
+                return RunAnswered(
+                    now_ms(), *order_key, refusal, clock_ms, timing
                 )
             case StopRun():
-                self._post_event(
-                    StopAnswered(now_ms(), *order_key, refusal, timing)
-                )
-            case ThrottleRun():
-                pass  # the next report contains the actual speed
+                return StopAnswered(now_ms(), *order_key, refusal, timing)
+        return None  # the next report contains the actual speed
 
     def _send_unless_expired(self, effect, sent_ms):
-        """Send an order, but no start order that has expired in the queue.
+        """Send an order, but no start order that must not be sent any more.
 
         Return the reason of a refusal, or None, and the worker's clock.
         """
         match effect:
-            case StartRun(not_after_ms=not_after_ms) if (
-                sent_ms >= not_after_ms
-            ):
+            case StartRun() if not self._start_fence.may_send(effect, sent_ms):
                 return OrderRefusal.NOT_SENT, -1
         path, document = _encode_order(effect)
         try:
             response = self._call(path, document, ORDER_TIMEOUT_S)
-            return _decode_refusal(response), decode_clock_ms(response)
+            return decode_refusal(response), decode_clock_ms(response)
         except PlatformError:
             return OrderRefusal.SILENT, -1
 
@@ -185,6 +220,7 @@
         self._order_executor = ThreadPoolExecutor(
             MAX_CONCURRENT_ORDERS, "order"
         )
+        self._start_fence = StartFence()
         self._clients_by_id: dict[str, WorkerClient] = {}
 
     def watch(self, effect: WatchWorker) -> None:
@@ -203,6 +239,14 @@
         """
         self._client_for(effect).send_order(effect)
 
+    def revoke_starts(self, effect: RevokeStarts) -> None:
+        """Revoke the start orders that still wait for a thread.
+
+        Args:
+          effect: The term whose orders are revoked.
+        """
+        self._start_fence.revoke(effect)
+
     def release(self, effect: ForgetWorker) -> None:
         """Close the client for a worker.
 
@@ -224,6 +268,7 @@
             effect.address,
             self._post_event,
             self._order_executor,
+            self._start_fence,
         )
         self._clients_by_id[effect.worker_id] = client
         return client
@@ -251,13 +296,23 @@
     return "/pace", document
 
 
-def _decode_refusal(response: HttpResponse) -> OrderRefusal | None:
-    """Return why a worker refused an order, or None if it accepted."""
+def decode_refusal(response: HttpResponse) -> OrderRefusal | None:
+    """Decode whether a worker accepted an order.
+
+    Args:
+      response: The response.
+    Returns:
+      Why it refused, or None if it accepted.
+    Raises:
+      PlatformError: The body of a refusal is not a JSON object.
+    """
     match response.status:
         case 200:
             return None
         case 409:
             reason = response.json().get("Reason")
+            if type(reason) is not str:
+                return OrderRefusal.MALFORMED
             return REFUSAL_BY_REASON.get(reason, OrderRefusal.MALFORMED)
         case 421:
             return OrderRefusal.OTHER_INCARNATION
@@ -277,22 +332,20 @@
     if response.status != 200:
         return -1
     try:
-        clock_ms = response.json().get("ClockMs")
-    except PlatformError:
+        return decode_integer(response.json(), "ClockMs")
+    except (PlatformError, DecodeError):
         return -1
-    return clock_ms if type(clock_ms) is int else -1
 
 
 def _decode_report(effect, sent_ms, response) -> WorkerReported:
     document = response.json()
-    started_wall_ms = document.get("born")
     return WorkerReported(
         at_ms=now_ms(),
         sent_ms=sent_ms,
         worker_id=effect.worker_id,
         epoch=effect.epoch,
-        clock_ms=document["ClockMs"],
-        started_wall_ms=started_wall_ms if type(started_wall_ms) is int else 0,
-        active=decode_active_runs(document.get("Active") or []),
-        ended=decode_ended_runs(document.get("Finished") or []),
+        clock_ms=decode_integer(document, "ClockMs"),
+        started_wall_ms=decode_integer(document, "born", 0),
+        active=decode_active_runs(decode_rows(document, "Active")),
+        ended=decode_ended_runs(decode_rows(document, "Finished")),
     )
--- a/sesamehall/platform/workers_test.py
+++ b/sesamehall/platform/workers_test.py
@@ -8,6 +8,7 @@
 from sesamehall.core.managerevents import OrderRefusal
 from sesamehall.platform.http import HttpResponse
 from sesamehall.platform.workers import decode_clock_ms
+from sesamehall.platform.workers import StartFence
 from sesamehall.platform.workers import WorkerClient
 from sesamehall.runtime.interpreter import now_ms
 
@@ -38,7 +39,9 @@
 def test_expired_order_is_not_sent(time_left_ms, expected):
     events = []
     with ThreadPoolExecutor(1) as executor:
-        client = WorkerClient("w1", "127.0.0.1:1", events.append, executor)
+        client = WorkerClient(
+            "w1", "127.0.0.1:1", events.append, executor, StartFence()
+        )
         order = StartRun(
             worker_id="w1",
             address="127.0.0.1:1",
--- a/sesamehall/platform/writer.py
+++ b/sesamehall/platform/writer.py
@@ -2,7 +2,6 @@
 
 import random
 
-from sesamehall.core.fleet import StoredRecord
 from sesamehall.core.fleet import Stream
 from sesamehall.core.managerevents import StoreOutcome
 from sesamehall.platform.store import StoreClient
@@ -29,13 +28,13 @@
         self._store = store
         self._epoch = 0
         self._sequence = 0
-        self._unacknowledged: tuple[StoredRecord, ...] = ()
+        self._unacknowledged = b""
 
     def append(
         self,
         epoch: int,
         expected_end_offset: int,
-        records: tuple[StoredRecord, ...],
+        records: bytes,
     ) -> StoreOutcome:
         """Append records; a retry after a lost response takes effect once.
 
@@ -45,14 +44,14 @@
         Args:
           epoch: Epoch of the leader.
           expected_end_offset: End offset that the stream must have, or -1.
-          records: The records.
+          records: The encoded records.
         Returns:
           Outcome of the write.
         """
         if epoch != self._epoch:
             self._epoch = epoch
             self._sequence = random.randrange(1, FIRST_SEQUENCE_LIMIT)
-            self._unacknowledged = ()
+            self._unacknowledged = b""
         if self._unacknowledged and self._unacknowledged != records:
             outcome = self._send(expected_end_offset, self._unacknowledged)
             if outcome is not StoreOutcome.STORED:
@@ -76,14 +75,14 @@
         match outcome:
             case StoreOutcome.STORED:
                 self._sequence += 1
-                self._unacknowledged = ()
+                self._unacknowledged = b""
             case StoreOutcome.UNKNOWN:
                 self._unacknowledged = records
             case StoreOutcome.REFUSED if (
                 expected is not None and expected_end_offset < 0
             ):
                 self._sequence = expected
-                self._unacknowledged = ()
+                self._unacknowledged = b""
         return outcome
 
 
@@ -92,6 +91,6 @@
     if document.get("Reason") != "seq":
         return None
     for key in ("Seq", "Expected", "expected", "seq"):
-        if isinstance(document.get(key), int):
+        if type(document.get(key)) is int:
             return document[key]
     return None
--- a/sesamehall/platform/writer_test.py
+++ b/sesamehall/platform/writer_test.py
@@ -8,7 +8,7 @@
 from sesamehall.core.fleet import Leader
 from sesamehall.core.fleet import StoredRecord
 from sesamehall.core.managerevents import StoreOutcome
-from sesamehall.platform.store import encode_record
+from sesamehall.platform.records import encode_record
 from sesamehall.platform.writer import LeaderWriter
 from standins.metadatastore import MetadataStore
 from standins.serving import HttpRequest
@@ -34,8 +34,7 @@
         self._results = iter(results)
         self._delayed = None
 
-    def append_conditionally(self, topic, query, records):
-        body = b"".join(map(encode_record, records))
+    def append_conditionally(self, topic, query, body):
         query = {
             name: str(value)
             for name, value in {"Topic": topic, "part": 0, **query}.items()
@@ -103,7 +102,7 @@
         for number in range(6)
     ]
     for record in records:
-        outcome = writer.append(EPOCH, -1, (record,))
+        outcome = writer.append(EPOCH, -1, encode_record(record))
         stored_count = store.stored().count(encode_record(record))
         if outcome is StoreOutcome.STORED:
             assert stored_count == 1
--- a/sesamehall/reducer/freshness.py
+++ b/sesamehall/reducer/freshness.py
@@ -4,9 +4,9 @@
 centre must keep serving what it can.  If an entry lacks recent knowledge of
 the log's end, it checks whether any node can reach the log.  If it is
 connected to stewards of every data centre and none of them can, no withdrawal
-can have been accepted, and keys stay valid.  If a data centre is silent, the
-entry may be partitioned: it refuses requests with keys, and serves only open
-services.
+can have been accepted, and keys stay valid.  If a steward can, the entry is
+merely behind, and if a data centre is silent, the entry may be partitioned: in
+both cases it refuses requests with keys, and serves only open services.
 """
 
 from sesamehall.core.data import NodeKind
@@ -31,20 +31,23 @@
       reach the log.
     """
     connected_centres = set()
+    log_readable = False
     for name, peer in state.peers_by_name.items():
         node = state.identity.peers_by_name[name]
         if node.kind is not NodeKind.STEWARD:
             continue
-        if _is_current(state, peer, at_ms):
-            return True
+        if _reads_log(peer, at_ms):
+            if state.agreed.next_offset >= peer.next_offset:
+                return True
+            log_readable = True
         if (
             peer.incarnation
             and at_ms - peer.last_message_ms <= PEER_TIMEOUT_MS
         ):
             connected_centres.add(node.data_centre)
-    return bool(connected_centres) and connected_centres == _steward_centres(
-        state
-    )
+    if log_readable or not connected_centres:
+        return False
+    return connected_centres == _steward_centres(state)
 
 
 def record_log_age(peer: Peer, heartbeat: Heartbeat, at_ms: int) -> Peer:
@@ -91,18 +94,11 @@
     return at_ms - state.steward.last_read_ms
 
 
-def _is_current(state, peer, at_ms):
-    """Return whether this node has applied the log to a recent end of it.
-
-    The steward must have read to the end recently, and this node must have
-    applied as much as the steward.
-    """
-    if (
-        peer.log_end_known_ms < 0
-        or at_ms - peer.log_end_known_ms > KEYS_MAX_AGE_MS
-    ):
-        return False
-    return state.agreed.next_offset >= peer.next_offset
+def _reads_log(peer, at_ms):
+    """Return whether a steward has read to the log's end recently."""
+    return 0 <= peer.log_end_known_ms and (
+        at_ms - peer.log_end_known_ms <= KEYS_MAX_AGE_MS
+    )
 
 
 def _steward_centres(state):
--- a/sesamehall/reducer/freshness_test.py
+++ b/sesamehall/reducer/freshness_test.py
@@ -49,6 +49,14 @@
             True,
             False,
         ),
+        # Only this entry is behind; record 10 may withdraw the key.
+        ([("near", NOW_MS, 0, 11), ("far", NOW_MS, 0, 11)], True, False),
+        ([("near", NOW_MS, 0, 11), ("far", NOW_MS, 9_000, 11)], True, False),
+        (
+            [("near", NOW_MS, 9_000, 11), ("far", NOW_MS, 9_000, 11)],
+            True,
+            True,
+        ),
         ([], True, False),
         ([], False, True),
         ([("near", NOW_MS, 9_000)], False, True),
--- a/sesamehall/reducer/jobs/active_jobs.py
+++ b/sesamehall/reducer/jobs/active_jobs.py
@@ -87,6 +87,20 @@
     return replace(manager, mean_core_ms_by_queue=means)
 
 
+def may_access(manager: ManagerState, job_id: str, team: str) -> bool:
+    """Check whether a team may see and cancel a job.
+
+    Args:
+      manager: State of a manager.
+      job_id: Identifier of a job that the node has read.
+      team: The team, or "" for a caller without one.
+    Returns:
+      True for the job's own team, and for any team on a queue open to all.
+    """
+    owner = manager.team_by_job_id[job_id]
+    return not owner or owner == team
+
+
 def cancel_job(manager: ManagerState, job_id: str, at_ms: int) -> Step:
     """Cancel a job.
 
--- a/sesamehall/reducer/jobs/calls.py
+++ b/sesamehall/reducer/jobs/calls.py
@@ -19,6 +19,7 @@
 from sesamehall.core.codes import NO_SUCH_SERVICE
 from sesamehall.core.codes import NOT_READY
 from sesamehall.core.codes import ResultCode
+from sesamehall.core.codes import TOO_LARGE
 from sesamehall.core.data import JobPhase
 from sesamehall.core.data import TERMINAL_PHASES
 from sesamehall.core.effects import log
@@ -42,6 +43,7 @@
 from sesamehall.core.step import then
 from sesamehall.core.work import JobPlan
 from sesamehall.reducer.counts import drop_key
+from sesamehall.reducer.jobs.active_jobs import may_access
 from sesamehall.reducer.jobs.leases import is_term_confirmed
 
 RETRY_AFTER_S = 1  # Retry-After of a node that cannot serve for now
@@ -150,7 +152,7 @@
     call = waiting.call
     job_id = waiting.job_id
     known = job_id in manager.team_by_job_id
-    if known and not _may_see(manager, waiting):
+    if known and not may_access(manager, job_id, waiting.team):
         return _reject(manager, call, NO_SUCH_JOB, job_id, at_ms)
     ended = manager.phase_by_job_id.get(job_id) in TERMINAL_PHASES
     match call.kind:
@@ -173,7 +175,8 @@
         case CancelJob() if known and ended:
             return _answer(manager, call, Accepted(), job_id, at_ms)
         case CancelJob():
-            return _store_record(manager, waiting, CancelAsked(job_id))
+            request = CancelAsked(job_id, waiting.team)
+            return _store_record(manager, waiting, request)
         case ShowJob() if known and (
             ended or _is_confirmed_leader(manager, at_ms)
         ):
@@ -187,12 +190,6 @@
             return _await_read(manager, waiting, CallStage.READING_JOBS, at_ms)
 
 
-def _may_see(manager, waiting):
-    """Check whether the calling team may see a job."""
-    owner = manager.team_by_job_id[waiting.job_id]
-    return not owner or owner == waiting.team
-
-
 def _is_confirmed_leader(manager, at_ms):
     """Check whether this node leads and so knows the newest progress."""
     return bool(manager.term.epoch) and is_term_confirmed(manager, at_ms)
@@ -237,12 +234,14 @@
     match event.outcome:
         case StoreOutcome.STORED if isinstance(call.kind, SubmitJob):
             return _answer(manager, call, Accepted(), waiting.job_id, at_ms)
-        case StoreOutcome.STORED if waiting.job_id in manager.team_by_job_id:
-            return _answer(manager, call, Accepted(), waiting.job_id, at_ms)
         case StoreOutcome.STORED:
-            return _await_read(
-                manager, waiting, CallStage.READING_JOBS, event.at_ms
-            )
+            # Whose job it is must be known before the answer.
+            stage = CallStage.READING_JOBS
+            step = _await_read(manager, waiting, stage, at_ms)
+            waiting = step.state.calls_by_id[call.call_id]
+            return then(step, _advance_call, waiting, at_ms)
+        case StoreOutcome.UNSTORABLE:
+            return _reject(manager, call, TOO_LARGE, waiting.job_id, at_ms)
         case StoreOutcome.UNKNOWN:
             return _reject(
                 manager, call, JOB_UNCONFIRMED, waiting.job_id, at_ms
@@ -273,7 +272,7 @@
     known = job_id in manager.team_by_job_id
     match waiting.stage:
         case CallStage.READING_JOBS if known:
-            if not _may_see(manager, waiting):
+            if not may_access(manager, job_id, waiting.team):
                 return _reject(manager, call, NO_SUCH_JOB, job_id, at_ms)
             if isinstance(call.kind, CancelJob):
                 return _answer(manager, call, Accepted(), job_id, at_ms)
--- a/sesamehall/reducer/jobs/calls_test.py
+++ b/sesamehall/reducer/jobs/calls_test.py
@@ -197,7 +197,7 @@
     path = f"/q/{job_id}"
     step = receive_call(build_follower(), call(CancelJob(), path))
     (store,) = effects_of(step, StoreJob)
-    assert store.value == CancelAsked(job_id)
+    assert store.value == CancelAsked(job_id, "guild")
     stored = JobStored(NOW_MS, 1, StoreOutcome.STORED)
     step = handle_job_stored(step.state, stored)
     manager = read(step.state, Stream.JOBS, (), NOW_MS + 5)
--- a/sesamehall/reducer/jobs/handover.py
+++ b/sesamehall/reducer/jobs/handover.py
@@ -7,6 +7,7 @@
 
 from sesamehall.core.effects import log
 from sesamehall.core.fleet import Candidate
+from sesamehall.core.jobtiming import HANDOVER_COOLDOWN_MS
 from sesamehall.core.jobtiming import HANDOVER_CORES_RATIO
 from sesamehall.core.jobtiming import LEADER_CORES
 from sesamehall.core.jobtiming import OFFER_DELAY_MS
@@ -16,10 +17,12 @@
 from sesamehall.core.logevents import HANDOVER_BEGUN
 from sesamehall.core.logevents import HANDOVER_OFFERED
 from sesamehall.core.managereffects import OfferToLead
+from sesamehall.core.managereffects import RevokeStarts
 from sesamehall.core.managerstate import LeadershipOffer
 from sesamehall.core.managerstate import ManagerState
 from sesamehall.core.replacing import replace
 from sesamehall.core.step import Step
+from sesamehall.core.step import then
 from sesamehall.reducer.jobs.leadership import end_term
 from sesamehall.reducer.jobs.storing import write_changed_records
 
@@ -142,10 +145,17 @@
       A Step.
     """
     if at_ms - since_ms >= RESIGN_TIMEOUT_MS:
+        # Without its resignation in the log, the role would look like this
+        # node's own, to be claimed at once.
+        backoff_ms = at_ms + HANDOVER_COOLDOWN_MS
+        manager = replace(manager, claim_backoff_until_ms=backoff_ms)
         return end_term(manager, f"{reason}, not stored", at_ms)
     if manager.term.write_in_flight:
         return Step(manager)
     if manager.term.resigned:
         return end_term(manager, reason, at_ms)
     resigned = replace(manager.leader, resigned=True)
-    return write_changed_records(replace(manager, leader=resigned))
+    revocation = Step(
+        replace(manager, leader=resigned), (RevokeStarts(manager.term.epoch),)
+    )
+    return then(revocation, write_changed_records)
--- a/sesamehall/reducer/jobs/leadership.py
+++ b/sesamehall/reducer/jobs/leadership.py
@@ -24,6 +24,7 @@
 from sesamehall.core.logevents import TERM_CLAIMED
 from sesamehall.core.logevents import TERM_ENDED
 from sesamehall.core.managereffects import ForgetWorker
+from sesamehall.core.managereffects import RevokeStarts
 from sesamehall.core.managereffects import StoreProgress
 from sesamehall.core.managerevents import ProgressStored
 from sesamehall.core.managerevents import StoreOutcome
@@ -101,7 +102,7 @@
     vacant_from_ms = progress.last_growth_ms
     if leader is not None and not leader.resigned:
         vacant_from_ms += LEADER_TIMEOUT_MS
-        if leader.node == manager.name:
+        if leader.node == manager.name and not _is_backing_off(manager):
             # This node's own term: its process has restarted or ended it.
             return progress.known_until_ms
     if progress.recovered_ms >= 0:
@@ -134,7 +135,7 @@
     """
     wanted_cores = min(manager.max_cores_seen or LEADER_CORES, LEADER_CORES)
     missing_ratio = max(wanted_cores - manager.cores, 0.0) / wanted_cores
-    if manager.progress_cursor.known_until_ms < manager.claim_backoff_until_ms:
+    if _is_backing_off(manager):
         missing_ratio = 1.0
     return (
         int(missing_ratio * LEADER_CLAIM_CORES_DELAY_MS)
@@ -142,6 +143,12 @@
     )
 
 
+def _is_backing_off(manager: ManagerState) -> bool:
+    """Check whether this node lets all others claim the role first."""
+    known_until_ms = manager.progress_cursor.known_until_ms
+    return known_until_ms < manager.claim_backoff_until_ms
+
+
 def handle_progress_stored(
     manager: ManagerState, event: ProgressStored
 ) -> Step:
@@ -319,7 +326,8 @@
     Returns:
       A Step.
     """
-    line = log(TERM_ENDED, epoch=manager.term.epoch, reason=reason)
+    epoch = manager.term.epoch
+    line = log(TERM_ENDED, epoch=epoch, reason=reason)
     forget_effects = tuple(
         ForgetWorker(worker_id) for worker_id in sorted(manager.workers_by_id)
     )
@@ -353,4 +361,5 @@
         waiting_logged_ms_by_pool=EMPTY_MAP,
         fleet=_build_fleet(manager),
     )
-    return Step(manager, (line,) + forget_effects)
+    revocation = RevokeStarts(epoch)
+    return Step(manager, (line, revocation) + forget_effects)
--- a/sesamehall/reducer/jobs/orders.py
+++ b/sesamehall/reducer/jobs/orders.py
@@ -2,6 +2,7 @@
 
 from sesamehall.core.effects import log
 from sesamehall.core.effects import SetTimer
+from sesamehall.core.jobtiming import RENEWAL_CUTOFF_MS
 from sesamehall.core.jobtiming import START_LEASE_MS
 from sesamehall.core.jobtiming import STOP_RETRY_MS
 from sesamehall.core.jobtiming import WORKER_REFUSAL_QUARANTINE_MS
@@ -169,7 +170,10 @@
         number=run.number,
         command=command,
         lease_until_ms=start_lease_end_ms(worker, at_ms),
-        not_after_ms=at_ms + START_LEASE_MS,
+        not_after_ms=min(
+            at_ms + START_LEASE_MS,
+            manager.term.confirmed_ms + RENEWAL_CUTOFF_MS,
+        ),
         checkpoint=checkpoint_of(job, run.place),
         ticket=run.ticket,
     )
--- a/sesamehall/reducer/jobs/storing.py
+++ b/sesamehall/reducer/jobs/storing.py
@@ -219,6 +219,7 @@
       A Step that starts the next write if one is due.
     """
     term = manager.term
+    batch = _without_unstorable(term.batch_in_flight, event.unstorable_keys)
     manager = replace(
         manager,
         term=replace(
@@ -228,22 +229,39 @@
             confirmed_ms=event.sent_ms,
             batch_in_flight=Batch(),
         ),
-        fleet=_mark_orders_stored(
-            manager.fleet, term.batch_in_flight.machines or ()
-        ),
+        fleet=_mark_orders_stored(manager.fleet, batch.machines or ()),
     )
-    for progress in term.batch_in_flight.jobs:
+    for progress in batch.jobs:
         manager = record_progress(manager, progress, event.at_ms)
         manager = drop_ended_job(manager, progress.job_id)
-    step = Step(manager, _stored_line(term, event))
-    for leased in term.batch_in_flight.workers:
+    step = Step(manager, _stored_line(term.epoch, batch, event))
+    for leased in batch.workers:
         step = then(step, _confirm_worker, leased, event.at_ms)
     return then(step, commit, event.at_ms)
 
 
-def _stored_line(term, event):
+def _without_unstorable(batch: Batch, keys: tuple[str, ...]) -> Batch:
+    """Leave out what a write could not contain.
+
+    It counts as neither stored nor changed, and is written again with its
+    next change.  So a worker whose record cannot be stored gets no tasks.
+    """
+    if not keys:
+        return batch
+    return replace(
+        batch,
+        jobs=tuple(job for job in batch.jobs if job.job_id not in keys),
+        workers=tuple(
+            leased
+            for leased in batch.workers
+            if WORKER_KEY_PREFIX + leased.worker_id not in keys
+        ),
+        machines=None if ORDERED_MACHINES_KEY in keys else batch.machines,
+    )
+
+
+def _stored_line(epoch, batch, event):
     """Build the log line of a confirmed write of jobs or workers."""
-    batch = term.batch_in_flight
     if not batch.jobs and not batch.workers:
         return ()
     ends = ",".join(
@@ -252,7 +270,7 @@
     )
     line = log(
         RECORDS_STORED,
-        epoch=term.epoch,
+        epoch=epoch,
         jobs=len(batch.jobs),
         ends=ends,
         took_ms=event.at_ms - event.sent_ms,
--- a/sesamehall/reducer/jobs/stream_reading.py
+++ b/sesamehall/reducer/jobs/stream_reading.py
@@ -23,6 +23,7 @@
 from sesamehall.core.jobtiming import WORKERS_PERIOD_MS
 from sesamehall.core.logevents import JOBS_CAUGHT_UP
 from sesamehall.core.logevents import MANIFEST_APPLIED
+from sesamehall.core.logevents import RECORD_NOT_APPLIED
 from sesamehall.core.logevents import STREAM_READABLE
 from sesamehall.core.logevents import STREAM_UNREADABLE
 from sesamehall.core.logevents import WAVE_RECEIVED
@@ -42,6 +43,7 @@
 from sesamehall.reducer.counts import drop_key
 from sesamehall.reducer.jobs.active_jobs import activate_job
 from sesamehall.reducer.jobs.active_jobs import cancel_job
+from sesamehall.reducer.jobs.active_jobs import may_access
 from sesamehall.reducer.jobs.handover import handle_candidate
 from sesamehall.reducer.jobs.leadership import claimable_from_ms
 from sesamehall.reducer.jobs.leadership import end_term
@@ -192,7 +194,7 @@
     manager = replace(manager, wall_offset_ms=event.wall_ms - event.at_ms)
     step = Step(manager, effects)
     for record in event.records:
-        step = then(step, _apply_record, stream, record, event.at_ms)
+        step = then(step, _apply_or_skip, stream, record, event.at_ms)
     if stream is Stream.JOBS:
         step = then(step, _record_jobs_caught_up, event)
     if event.covers_all_keys:
@@ -244,6 +246,25 @@
     return Step(_put_cursor(manager, event.stream, cursor), effects)
 
 
+def _apply_or_skip(manager, stream, record, at_ms):
+    """Apply a record; an error costs this record alone, not its stream.
+
+    A decision changes nothing before it returns, so the state is that before
+    the record.
+    """
+    try:
+        return _apply_record(manager, stream, record, at_ms)
+    except Exception as error:
+        line = log(
+            RECORD_NOT_APPLIED,
+            stream=stream.value,
+            key=ascii(record.key),
+            value=type(record.value).__name__,
+            reason=type(error).__name__,
+        )
+        return Step(manager, (line,))
+
+
 def _apply_record(manager, stream, record, at_ms):
     match (stream, record.value):
         case (Stream.OPERATOR, Manifest() as manifest):
@@ -256,8 +277,8 @@
             return _if_leading(manager, deregister_worker, record.key, at_ms)
         case (Stream.JOBS, JobPlan() as plan):
             return _apply_job_plan(manager, plan, at_ms)
-        case (Stream.JOBS, CancelAsked(job_id)):
-            return _apply_cancellation(manager, job_id, at_ms)
+        case (Stream.JOBS, CancelAsked() as request):
+            return _apply_cancellation(manager, request, at_ms)
         case (Stream.JOBS, Candidate() as candidate):
             return handle_candidate(manager, candidate, at_ms)
         case (Stream.PROGRESS, value):
@@ -354,6 +375,7 @@
     )
     if manager.phase_by_job_id.get(job_id) in TERMINAL_PHASES:
         return Step(manager)
+    manager = _apply_early_cancels(manager, job_id)
     manager = replace(
         manager,
         plans_by_id=manager.plans_by_id.set(job_id, plan),
@@ -365,14 +387,42 @@
     return _if_leading(manager, activate_job, job_id, inherited, at_ms)
 
 
-def _apply_cancellation(manager, job_id, at_ms):
+def _apply_early_cancels(manager, job_id):
+    """Apply the cancel requests that were read before their job."""
+    requests = manager.early_cancels_by_job_id.get(job_id, ())
+    for request in requests:
+        manager = _record_cancellation(manager, request)
+    early = drop_key(manager.early_cancels_by_job_id, job_id)
+    return replace(manager, early_cancels_by_job_id=early)
+
+
+def _apply_cancellation(manager, request, at_ms):
+    """Cancel a job for its team, or keep the request until the job is read."""
+    job_id = request.job_id
     if job_id in manager.cancelled_by_job_id:
         return Step(manager)
-    cancelled = manager.cancelled_by_job_id.set(job_id, True)
-    manager = replace(manager, cancelled_by_job_id=cancelled)
+    if job_id not in manager.team_by_job_id:
+        early = manager.early_cancels_by_job_id
+        requests = early.get(job_id, ())
+        if request not in requests:
+            early = early.set(job_id, requests + (request,))
+        return Step(replace(manager, early_cancels_by_job_id=early))
+    manager = _record_cancellation(manager, request)
+    if job_id not in manager.cancelled_by_job_id:
+        return Step(manager)
     return _if_leading(manager, cancel_job, job_id, at_ms)
 
 
+def _record_cancellation(manager, request):
+    """Record a request that comes from a team that may cancel the job."""
+    if request.team is not None and not may_access(
+        manager, request.job_id, request.team
+    ):
+        return manager
+    cancelled = manager.cancelled_by_job_id.set(request.job_id, True)
+    return replace(manager, cancelled_by_job_id=cancelled)
+
+
 def _apply_progress_record(manager, key, value, at_ms):
     """Apply a leader's record; a leader ignores those of its own term."""
     match value:
--- a/sesamehall/reducer/machines/waves.py
+++ b/sesamehall/reducer/machines/waves.py
@@ -13,7 +13,9 @@
 from sesamehall.core.fleettiming import WAVE_CYCLE_MS
 from sesamehall.core.fleettiming import WAVE_MARGIN_MS
 from sesamehall.core.logevents import WAVE_COMPLETED
+from sesamehall.core.logevents import WAVE_NOT_REPORTED
 from sesamehall.core.managereffects import ReportWave
+from sesamehall.core.managerevents import WaveNotReported
 from sesamehall.core.managerstate import ManagerState
 from sesamehall.core.replacing import replace
 from sesamehall.core.step import Step
@@ -69,6 +71,35 @@
     return Step(state, step.effects)
 
 
+def handle_wave_not_reported(
+    manager: ManagerState, event: WaveNotReported
+) -> Step:
+    """Report the status of a wave again that could not be written.
+
+    Args:
+      manager: State of a manager.
+      event: The status and the reason of the failure.
+    Returns:
+      A Step; the next tick of a leader reports the status again.
+    """
+    number = event.status.number
+    progress = manager.fleet.waves_by_number.get(number)
+    if progress is None or not manager.term.epoch:
+        return Step(manager)
+    line = log(
+        WAVE_NOT_REPORTED,
+        wave=number,
+        completed=int(event.status.completed),
+        reason=event.reason,
+    )
+    match event.status:
+        case WaveStatus(completed=True):
+            progress = replace(progress, completed=False)
+        case WaveStatus() if not progress.completed:
+            progress = replace(progress, start_reported=False)
+    return Step(_put_wave(manager, progress), (line,))
+
+
 def remaining_machines(
     manager: ManagerState, progress: WaveProgress
 ) -> list[Machine]:
--- a/sesamehall/reducer/manager_reducer.py
+++ b/sesamehall/reducer/manager_reducer.py
@@ -28,6 +28,7 @@
 from sesamehall.core.managerevents import StopAnswered
 from sesamehall.core.managerevents import StreamRead
 from sesamehall.core.managerevents import StreamUnread
+from sesamehall.core.managerevents import WaveNotReported
 from sesamehall.core.managerevents import WorkerNotReported
 from sesamehall.core.managerevents import WorkerReported
 from sesamehall.core.managerstate import ManagerState
@@ -71,6 +72,7 @@
 from sesamehall.reducer.machines.fleet import apply_machine_list
 from sesamehall.reducer.machines.fleet import handle_machine_answer
 from sesamehall.reducer.machines.fleet import handle_machines_not_listed
+from sesamehall.reducer.machines.waves import handle_wave_not_reported
 
 
 def reduce_manager(state: State, event: Event) -> Step:
@@ -135,6 +137,8 @@
             return handle_machines_not_listed(manager, event)
         case MachineAnswered():
             return handle_machine_answer(manager, event)
+        case WaveNotReported():
+            return handle_wave_not_reported(manager, event)
         case Started():
             return _handle_started(manager, event)
         case StopRequested():
--- a/sesamehall/runtime/interpreter.py
+++ b/sesamehall/runtime/interpreter.py
@@ -17,7 +17,13 @@
 from sesamehall.core.logevents import INTERNAL_ERROR
 from sesamehall.core.managereffects import StartRun
 from sesamehall.core.managereffects import StopRun
+from sesamehall.core.managerevents import AdviceGiven
+from sesamehall.core.managerevents import AdviceNotGiven
+from sesamehall.core.managerevents import MachinesListed
+from sesamehall.core.managerevents import MachinesNotListed
 from sesamehall.core.managerevents import OrderRefusal
+from sesamehall.core.managerevents import ProgressStored
+from sesamehall.core.managerevents import StoreOutcome
 from sesamehall.core.managerevents import StreamRead
 from sesamehall.core.managerevents import StreamUnread
 from sesamehall.core.managerevents import WorkerNotReported
@@ -25,6 +31,8 @@
 from sesamehall.core.state import State
 from sesamehall.core.timers import Timer
 from sesamehall.reducer.reduce import reduce
+from sesamehall.runtime.effectfailures import describe_error
+from sesamehall.runtime.effectfailures import failure_event
 from sesamehall.runtime.tallies import order_latency
 from sesamehall.runtime.tallies import ReducedEvent
 
@@ -32,6 +40,7 @@
 # Orders counted in the statistics.  ThrottleRun is left out: its response is
 # not posted as an event, so the statistics do not cover it either.
 COUNTED_ORDERS = (StartRun, StopRun)
+NOT_REDUCED = "the answer could not be applied"
 FAILED_TIMER_RETRY_MS = 500  # until a timer whose event failed fires again
 
 
@@ -191,10 +200,11 @@
     def _recover(self, event: Event) -> None:
         """Replace an event that could not be reduced, if others depend on it.
 
-        A timer is set again.  A worker's report or a read of a log is posted
-        as failed, since the state says that the call is still in flight: the
-        worker or the log would be stuck until the process restarts, and so
-        would a pool without its timer.  Other events are dropped.
+        A timer is set again.  An answer that a worker, a log, the term or the
+        fleet waits for is posted as failed, since the state says that the call
+        is still in flight: they would be stuck until the process restarts, and
+        so would a pool without its timer.  Other events are dropped; calls
+        and orders expire.
         """
         match event:
             case TimerFired(_, timer):
@@ -206,8 +216,20 @@
                     WorkerNotReported(now_ms(), worker_id, epoch, refusal)
                 )
             case StreamRead():
-                reason = "the records could not be applied"
-                self.post_event(StreamUnread(now_ms(), event.stream, reason))
+                self.post_event(
+                    StreamUnread(now_ms(), event.stream, NOT_REDUCED)
+                )
+            case ProgressStored(_, sent_ms, epoch, outcome) if (
+                outcome is not StoreOutcome.UNKNOWN
+            ):
+                unknown = StoreOutcome.UNKNOWN
+                self.post_event(
+                    ProgressStored(now_ms(), sent_ms, epoch, unknown)
+                )
+            case MachinesListed():
+                self.post_event(MachinesNotListed(now_ms(), NOT_REDUCED))
+            case AdviceGiven(step=step):
+                self.post_event(AdviceNotGiven(now_ms(), step, NOT_REDUCED))
 
     def _perform_effect(self, effect: Effect) -> None:
         match effect:
@@ -223,4 +245,15 @@
             case Log() if not LOGGER.isEnabledFor(effect.event.level):
                 pass
             case _:
-                self._perform(effect)
+                self._perform_guarded(effect)
+
+    def _perform_guarded(self, effect: Effect) -> None:
+        """Perform an effect; an error fails the effect, not the process."""
+        try:
+            self._perform(effect)
+        except Exception as error:
+            LOGGER.exception("failed to perform %s", type(effect).__name__)
+            reason = describe_error(error)
+            event = failure_event(effect, reason, now_ms())
+            if event is not None:
+                self.post_event(event)
--- a/sesamehall/runtime/interpreter_test.py
+++ b/sesamehall/runtime/interpreter_test.py
@@ -7,12 +7,27 @@
 
 import pytest
 
+from sesamehall.core.calls import Accepted
 from sesamehall.core.data import Node
 from sesamehall.core.data import NodeKind
+from sesamehall.core.effects import Exit
 from sesamehall.core.events import Started
+from sesamehall.core.events import StopRequested
 from sesamehall.core.events import TimerFired
 from sesamehall.core.fleet import Stream
 from sesamehall.core.jobtiming import MANAGER_TICK_MS
+from sesamehall.core.managereffects import AnswerCall
+from sesamehall.core.managereffects import ListMachines
+from sesamehall.core.managereffects import ReadStream
+from sesamehall.core.managereffects import RequestAdvice
+from sesamehall.core.managereffects import StoreProgress
+from sesamehall.core.managereffects import WatchWorker
+from sesamehall.core.managerevents import AdviceGiven
+from sesamehall.core.managerevents import AdviceNotGiven
+from sesamehall.core.managerevents import MachinesListed
+from sesamehall.core.managerevents import MachinesNotListed
+from sesamehall.core.managerevents import ProgressStored
+from sesamehall.core.managerevents import StoreOutcome
 from sesamehall.core.managerevents import StreamRead
 from sesamehall.core.managerevents import StreamUnread
 from sesamehall.core.managerevents import WorkerNotReported
@@ -20,6 +35,7 @@
 from sesamehall.core.managerstate import ManagerState
 from sesamehall.core.state import Identity
 from sesamehall.core.state import State
+from sesamehall.core.step import Step
 from sesamehall.core.timers import PlaceTimer
 from sesamehall.runtime import interpreter
 from sesamehall.runtime.interpreter import Interpreter
@@ -130,11 +146,58 @@
         (TimerFired(1, PlaceTimer("a")), TimerFired),
         (REPORT, WorkerNotReported),
         (READ, StreamUnread),
+        (ProgressStored(1, 0, 3, StoreOutcome.STORED), ProgressStored),
+        (MachinesListed(1, 0, ()), MachinesNotListed),
+        (AdviceGiven(1, 0, "s", (), (), 5), AdviceNotGiven),
+    ],
+    ids=[
+        "timer",
+        "report of a worker",
+        "read of a log",
+        "stored write",
+        "list of machines",
+        "advice",
     ],
-    ids=["timer", "report of a worker", "read of a log"],
 )
 def test_work_in_flight_continues_after_an_event_that_raises(
     event, next_type, monkeypatch
 ):
     _, next_event = FailingInterpreter(monkeypatch).process_two(event)
     assert isinstance(next_event, next_type)
+
+
+# Guards against a process that exits because one effect raised: the state says
+# that it is in flight, so its failure is posted like an answer.
+@pytest.mark.parametrize(
+    ("effect", "failure"),
+    [
+        (WatchWorker("w1", "h:1", 3, 0, -1, 0), WorkerNotReported),
+        (ReadStream(Stream.JOBS, 0), StreamUnread),
+        (StoreProgress(3, ()), ProgressStored),
+        (ListMachines(), MachinesNotListed),
+        (RequestAdvice("s", ()), AdviceNotGiven),
+        (AnswerCall(1, Accepted()), None),
+    ],
+    ids=lambda value: getattr(value, "__name__", type(value).__name__),
+)
+def test_effect_that_raises_is_posted_as_failed(effect, failure, monkeypatch):
+    processed = []
+
+    def reduce_once(state, event):
+        processed.append(event)
+        if isinstance(event, Started):
+            return Step(state, (effect,))
+        return Step(state, (Exit(),))
+
+    def perform(effect):
+        if not isinstance(effect, Exit):
+            raise RuntimeError("test")
+
+    monkeypatch.setattr(interpreter, "reduce", reduce_once)
+    state = State(None, manager=ManagerState("edge-1"))
+    process = Interpreter(state, perform)
+    process.post_event(Started(1))
+    if failure is None:
+        process.post_event(StopRequested(2))
+    process.run()
+    assert type(processed[1]) is (failure or StopRequested)
--- a/sesamehall/runtime/platformclient.py
+++ b/sesamehall/runtime/platformclient.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Callable
 import json
+import logging
 from queue import SimpleQueue
 import threading
 
@@ -15,30 +16,39 @@
 from urllib3 import Timeout
 from urllib3.exceptions import HTTPError
 
+from sesamehall.codecs.addresses import is_address
+from sesamehall.codecs.jsonfields import decode_boolean
+from sesamehall.codecs.jsonfields import decode_integer
+from sesamehall.codecs.jsonfields import decode_object
+from sesamehall.codecs.jsonfields import decode_text
 from sesamehall.codecs.wire import decode_record
 from sesamehall.codecs.wire import encode_record
+from sesamehall.core.codes import DecodeError
 from sesamehall.core.codes import PlatformError
 from sesamehall.core.data import Instance
 from sesamehall.core.data import TargetKind
 from sesamehall.core.effects import Append
-from sesamehall.core.effects import ListInstances
+from sesamehall.core.effects import Effect
 from sesamehall.core.effects import ReadLog
 from sesamehall.core.effects import RebootInstance
 from sesamehall.core.events import AppendEnded
 from sesamehall.core.events import Event
 from sesamehall.core.events import InstanceRebooted
 from sesamehall.core.events import InstancesListed
-from sesamehall.core.events import InstancesNotListed
 from sesamehall.core.events import LogRead
-from sesamehall.core.events import LogReadFailed
+from sesamehall.core.logevents import RECORD_UNREADABLE
 from sesamehall.core.records import LogEntry
 from sesamehall.core.records import Record
+from sesamehall.runtime.guarding import perform_and_post
 from sesamehall.runtime.interpreter import now_ms
 
+LOGGER = logging.getLogger("sesamehall")
 READ_WAIT_MS = 2_000  # long-poll time of a read without new entries
 CONNECT_TIMEOUT_S = 1
 RESPONSE_TIMEOUT_S = 4  # must exceed READ_WAIT_MS
 MAX_READ_ENTRIES = 500
+MAX_LOGGED_CHARS = 200  # of an item that is not an instance
+TARGET_KIND_BY_NAME = {kind.value: kind for kind in TargetKind}
 
 
 class LogClient:
@@ -99,8 +109,8 @@
         body = encode_record(record)
         response = _call(self._pool, "POST", self._url, body=body)
         try:
-            return json.loads(response.data)["offset"]
-        except (ValueError, KeyError, TypeError) as error:
+            return decode_integer(decode_object(response.data), "offset")
+        except DecodeError as error:
             raise PlatformError(f"invalid response: {error}") from error
 
 
@@ -126,9 +136,13 @@
         """
         response = _call(self._pool, "GET", self._url)
         try:
-            return tuple(map(_decode_instance, json.loads(response.data)))
-        except (ValueError, TypeError, KeyError) as error:
-            raise PlatformError(f"invalid response: {error}") from error
+            items = json.loads(response.data)
+        except (ValueError, RecursionError) as error:
+            raise PlatformError(f"not JSON: {error}") from error
+        if not isinstance(items, list):
+            raise PlatformError("not a list of instances")
+        decoded = map(_decode_or_skip, items)
+        return tuple(item for item in decoded if item is not None)
 
     def reboot(self, effect: RebootInstance) -> bool:
         """Request a reboot.
@@ -162,11 +176,10 @@
         self._log = LogClient(address, stream)
         self._append_log = LogClient(address, stream)
         self._instances = InstanceClient(address)
-        self._post_event = post_event
         self._threads = [
-            EffectThread("log-read", self._read),
-            EffectThread("log-append", self._append),
-            EffectThread("instances", self._call_instances),
+            EffectThread("log-read", self._read, post_event),
+            EffectThread("log-append", self._append, post_event),
+            EffectThread("instances", self._call_instances, post_event),
         ]
 
     def start(self) -> None:
@@ -189,60 +202,41 @@
             case _:
                 instance_thread.submit(effect)
 
-    def _read(self, effect: ReadLog) -> None:
-        try:
-            earliest, entries = self._log.read(
-                effect.from_offset, READ_WAIT_MS
-            )
-        except PlatformError as error:
-            self._post_event(LogReadFailed(now_ms(), str(error)))
-        else:
-            self._post_event(LogRead(now_ms(), entries, earliest))
+    def _read(self, effect: ReadLog) -> Event:
+        earliest, entries = self._log.read(effect.from_offset, READ_WAIT_MS)
+        return LogRead(now_ms(), entries, earliest)
 
-    def _append(self, effect: Append) -> None:
-        record_id = effect.record.record_id
-        try:
-            self._append_log.append(effect.record)
-        except PlatformError:
-            self._post_event(AppendEnded(now_ms(), record_id, False))
-        else:
-            self._post_event(AppendEnded(now_ms(), record_id, True))
+    def _append(self, effect: Append) -> Event:
+        self._append_log.append(effect.record)
+        return AppendEnded(now_ms(), effect.record.record_id, True)
 
-    def _call_instances(self, effect) -> None:
+    def _call_instances(self, effect) -> Event:
         match effect:
-            case ListInstances():
-                self._list()
             case RebootInstance():
-                self._reboot(effect)
-
-    def _list(self) -> None:
-        try:
-            instances = self._instances.list()
-        except PlatformError as error:
-            self._post_event(InstancesNotListed(now_ms(), str(error)))
-        else:
-            self._post_event(InstancesListed(now_ms(), instances))
-
-    def _reboot(self, effect: RebootInstance) -> None:
-        try:
-            done = self._instances.reboot(effect)
-        except PlatformError:
-            done = False
-        self._post_event(InstanceRebooted(now_ms(), effect.operation, done))
+                done = self._instances.reboot(effect)
+                return InstanceRebooted(now_ms(), effect.operation, done)
+        return InstancesListed(now_ms(), self._instances.list())
 
 
 class EffectThread:
     """A thread that performs effects sequentially."""
 
-    def __init__(self, name: str, handler: Callable):
+    def __init__(
+        self,
+        name: str,
+        handler: Callable[[Effect], Event],
+        post_event: Callable[[Event], None],
+    ):
         """Create the thread.
 
         Args:
           name: Name of the thread.
-          handler: Performs an effect; it may block.
+          handler: Performs an effect and returns its event; it may block.
+          post_event: Queues an event for the interpreter.
         """
         self._effects: SimpleQueue = SimpleQueue()
         self._handler = handler
+        self._post_event = post_event
         self._thread = threading.Thread(
             target=self._run, name=name, daemon=True
         )
@@ -261,7 +255,9 @@
 
     def _run(self) -> None:
         while True:
-            self._handler(self._effects.get())
+            perform_and_post(
+                self._handler, self._effects.get(), self._post_event
+            )
 
 
 def _new_pool() -> PoolManager:
@@ -282,19 +278,41 @@
     return response
 
 
+def _decode_or_skip(item) -> Instance | None:
+    """Decode an item of the platform's instance list, or log why not."""
+    try:
+        if type(item) is not dict:
+            raise DecodeError("not an object")
+        return _decode_instance(item)
+    except DecodeError as error:
+        LOGGER.warning(
+            "%d %s item=%a reason=%a",
+            RECORD_UNREADABLE.number,
+            RECORD_UNREADABLE.name,
+            str(item)[:MAX_LOGGED_CHARS],
+            str(error),
+        )
+        return None
+
+
 def _decode_instance(item: dict) -> Instance:
-    """Decode an item of the platform's instance list."""
+    kind = TARGET_KIND_BY_NAME.get(decode_text(item, "kind"))
+    if kind is None:
+        raise DecodeError("unknown kind")
+    address = decode_text(item, "address")
+    if not is_address(address):
+        raise DecodeError("address is not host:port")
     return Instance(
-        name=item["name"],
-        kind=TargetKind(item["kind"]),
-        data_centre=item["data_centre"],
-        rack=item["rack"],
-        address=item["address"],
-        pool=item["pool"],
-        leaving=item["leaving"],
-        slots=item["slots"],
-        processors=item["processors"],
-        memory_mb=item["memory_mb"],
-        accelerators=item["accelerators"],
-        boot=item["boot"],
+        name=decode_text(item, "name"),
+        kind=kind,
+        data_centre=decode_text(item, "data_centre"),
+        rack=decode_text(item, "rack"),
+        address=address,
+        pool=decode_text(item, "pool"),
+        leaving=decode_boolean(item, "leaving"),
+        slots=decode_integer(item, "slots"),
+        processors=decode_integer(item, "processors"),
+        memory_mb=decode_integer(item, "memory_mb"),
+        accelerators=decode_integer(item, "accelerators"),
+        boot=decode_text(item, "boot"),
     )
--- a/sesamehall/runtime/requestparsing.py
+++ b/sesamehall/runtime/requestparsing.py
@@ -1,8 +1,9 @@
 """Parsing of callers' requests from their WSGI environment."""
 
 from hashlib import sha256
-import json
 
+from sesamehall.codecs.jsonfields import decode_object
+from sesamehall.core.codes import DecodeError
 from sesamehall.core.codes import MALFORMED
 from sesamehall.core.codes import ResultCode
 from sesamehall.core.codes import SesamehallError
@@ -181,6 +182,15 @@
     return int(value)
 
 
+def _is_storable(text: str) -> bool:
+    """Check for a text that UTF-8 can express: one without lone surrogates."""
+    try:
+        text.encode()
+    except UnicodeEncodeError:
+        return False
+    return True
+
+
 def parse_job(body: bytes, job_id: str) -> Job:
     """Parse a job from a JSON body.
 
@@ -193,11 +203,9 @@
       BadRequest: The body is not a valid job.
     """
     try:
-        fields = json.loads(body)
-    except (ValueError, RecursionError) as error:
-        raise BadRequest(MALFORMED, "body is not JSON") from error
-    if not isinstance(fields, dict):
-        raise BadRequest(MALFORMED, "body must be a JSON object")
+        fields = decode_object(body)
+    except DecodeError as error:
+        raise BadRequest(MALFORMED, "body must be a JSON object") from error
     field_types = {
         "pool": str,
         "command": str,
@@ -211,6 +219,8 @@
             raise BadRequest(MALFORMED, f"job field {name} is not valid")
         if field_types[name] is int and not 0 <= value <= 1 << 31:
             raise BadRequest(MALFORMED, f"job field {name} is out of range")
+        if field_types[name] is str and not _is_storable(value):
+            raise BadRequest(MALFORMED, f"job field {name} is not valid")
     if "pool" not in fields or "command" not in fields:
         raise BadRequest(MALFORMED, "a job needs a pool and a command")
     return Job(job_id=job_id, team="", **fields)
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -8,6 +8,7 @@
 import time
 
 from soak.cluster import Cluster
+from soak.oddentries import ODD_ENTRIES
 from soak.proxy import ProxyMode
 
 MEAN_INTERVAL_S = 0.6  # between the starts of two faults
@@ -107,6 +108,8 @@
 class FaultInjector:
     """Injects random faults, which may overlap.
 
+    With each fault, another writer leaves an odd entry in the store.
+
     A fault of a manager's process is skipped if that manager already has one
     in progress.  Where two faults of the store or of a link overlap, the first
     one to end also ends the other.
@@ -125,6 +128,8 @@
         """
         self._cluster = cluster
         self._random = random.Random(seed)
+        # Drawn apart, so that the faults of a seed stay the same.
+        self._entry_random = random.Random(f"odd entries {seed}")
         self._log = log
         self._threads: list[threading.Thread] = []
         self._managers_with_fault: set[int] = set()
@@ -154,10 +159,17 @@
             )
             thread.start()
             self._threads.append(thread)
+            self._put_odd_entry()
             time.sleep(self._random.expovariate(1 / MEAN_INTERVAL_S))
         for thread in self._threads:
             thread.join()
 
+    def _put_odd_entry(self) -> None:
+        """Put an odd entry into a topic that other writers reach."""
+        entry = self._entry_random.choice(ODD_ENTRIES)
+        self._log(f"odd entry {entry.topic} {entry.key!a} {entry.value[:60]}")
+        self._cluster.store.put(entry.topic, entry.key, entry.value)
+
     def _inject(self, fault: Fault, duration_s: float, selector: int) -> None:
         """Inject a fault and end it.
 
--- a/soak/main.py
+++ b/soak/main.py
@@ -39,7 +39,7 @@
             cluster.start_manager(index)
         addresses = [cluster.front_address(index) for index in range(MANAGERS)]
         load = LoadGenerator(addresses, seed)
-        _await_start(load)
+        await_start(load)
         with open(folder / "faults.log", "w", encoding="utf-8") as log:
 
             def log_fault(line):
@@ -52,16 +52,21 @@
             injecting.start()
             load.submit_for(seconds, JOBS_PER_S)
             injecting.join()
-        _await_completion(load)
+        await_completion(load)
         return check_invariants(load.jobs, cluster.workers)
     finally:
         cluster.close()
 
 
-def _await_start(load):
+def await_start(load: LoadGenerator) -> None:
     """Wait until the managers accept jobs.
 
     Jobs of rounds in which none was accepted are discarded, not checked.
+
+    Args:
+      load: Submits the jobs.
+    Raises:
+      SystemExit: No manager accepted a job in time.
     """
     deadline_s = time.monotonic() + START_TIMEOUT_S
     while time.monotonic() < deadline_s:
@@ -72,8 +77,12 @@
     raise SystemExit("no manager accepted a job before the start timeout")
 
 
-def _await_completion(load):
-    """Poll the accepted jobs until all have ended or the timeout expires."""
+def await_completion(load: LoadGenerator) -> None:
+    """Poll the accepted jobs until all have ended or the timeout expires.
+
+    Args:
+      load: Has submitted the jobs.
+    """
     unfinished = [job for job in load.jobs if job.accepted]
     deadline_s = time.monotonic() + COMPLETION_TIMEOUT_S
     while unfinished and time.monotonic() < deadline_s:
--- a/standins/metadatastore_test.py
+++ b/standins/metadatastore_test.py
@@ -6,7 +6,7 @@
 
 from sesamehall.core.fleet import CancelAsked
 from sesamehall.core.fleet import StoredRecord
-from sesamehall.platform.store import encode_record
+from sesamehall.platform.records import encode_record
 from standins.metadatastore import MetadataStore
 from standins.serving import HttpRequest
 
