--- a/sesamehall/platform/settings_test.py
+++ b/sesamehall/platform/settings_test.py
@@ -1,10 +1,11 @@
-"""Tests of the number of cores in the settings."""
+"""Tests of the settings file: cores, and problems in one line each."""
 
 import pytest
 
 from sesamehall.core.codes import SettingsError
 from sesamehall.core.jobtiming import LEADER_CORES
 from sesamehall.platform.settings import decode_settings
+from sesamehall.platform.settings import load_settings
 
 DOCUMENT = {
     "Node": "edge-1",
@@ -34,3 +35,39 @@
             decode_settings(document, "node.json")
     else:
         assert decode_settings(document, "node.json").cores == expected
+
+
+@pytest.mark.parametrize(
+    ("change", "field"),
+    [
+        ({"Node": None}, "Node"),
+        ({"Ip": 5}, "Ip"),
+        ({"Listen": {}}, "Listen.Front"),
+        ({"Listen": {"Front": "h:0", "Ready": "h:2"}}, "Listen.Front"),
+        ({"platform": {"Address": "nowhere"}}, "platform.Address"),
+        ({"CloudApi": {"Address": "h:99999"}}, "CloudApi.Address"),
+        ({"Advice": "a..b:1"}, "Advice"),
+        ({"Bounds": {"MoveS": float("inf")}}, "Bounds.MoveS"),
+        ({"Bounds": {"StopMs": -1}}, "Bounds.StopMs"),
+        ({"Limits": {"CpuShare": 0}}, "Limits"),
+        ({"Limits": {"CpuShare": float("nan")}}, "Limits"),
+    ],
+    ids=lambda value: value if isinstance(value, str) else "",
+)
+def test_problem_names_its_field(change, field):
+    with pytest.raises(SettingsError) as caught:
+        decode_settings({**DOCUMENT, **change}, "node.json")
+    assert caught.value.problems[0].field == field
+
+
+@pytest.mark.parametrize(
+    "content",
+    [b"", b"{", b'{"Node": "\xff"}', b"[" * 100_000, b"[]", b"5"],
+    ids=["empty", "cut off", "not UTF-8", "deep", "list", "number"],
+)
+def test_unreadable_file_is_a_settings_error(tmp_path, content):
+    path = tmp_path / "node.json"
+    path.write_bytes(content)
+    with pytest.raises(SettingsError) as caught:
+        load_settings({"SESAMEHALL_BOOT": str(path)})
+    assert caught.value.problems
--- a/sesamehall/platform/workers_test.py
+++ b/sesamehall/platform/workers_test.py
@@ -1,15 +1,18 @@
 """Tests of orders to workers and of their responses."""
 
 from concurrent.futures import ThreadPoolExecutor
+from queue import SimpleQueue
 
 import pytest
 
+from sesamehall.core.managereffects import RevokeStarts
 from sesamehall.core.managereffects import StartRun
 from sesamehall.core.managerevents import OrderRefusal
 from sesamehall.platform.http import HttpResponse
 from sesamehall.platform.workers import decode_clock_ms
 from sesamehall.platform.workers import StartFence
 from sesamehall.platform.workers import WorkerClient
+from sesamehall.platform.workers import WorkerClients
 from sesamehall.runtime.interpreter import now_ms
 
 
@@ -56,3 +59,34 @@
         client.send_order(order)
     client.close()
     assert [event.refusal for event in events] == [expected]
+
+
+# Guards against orders that go out twice around a hand-over: a successor does
+# not wait for the silence of a leader that has resigned.
+@pytest.mark.parametrize(
+    ("revoked_epoch", "expected"),
+    [
+        (0, OrderRefusal.SILENT),
+        (2, OrderRefusal.SILENT),
+        (3, OrderRefusal.NOT_SENT),
+        (4, OrderRefusal.NOT_SENT),
+    ],
+    ids=["none", "earlier term", "own term", "later term"],
+)
+def test_revoked_start_order_is_not_sent(revoked_epoch, expected):
+    events = SimpleQueue()
+    clients = WorkerClients(events.put)
+    clients.revoke_starts(RevokeStarts(revoked_epoch))
+    order = StartRun(
+        worker_id="w1",
+        address="127.0.0.1:1",
+        epoch=3,
+        task="t",
+        number=1,
+        command="spec",
+        lease_until_ms=0,
+        not_after_ms=now_ms() + 60_000,
+        checkpoint="",
+    )
+    clients.send_order(order)
+    assert events.get(timeout=5).refusal is expected
--- a/sesamehall/reducer/jobs/calls_test.py
+++ b/sesamehall/reducer/jobs/calls_test.py
@@ -20,6 +20,7 @@
 from sesamehall.core.codes import NO_SUCH_JOB
 from sesamehall.core.codes import NO_SUCH_SERVICE
 from sesamehall.core.codes import NOT_READY
+from sesamehall.core.codes import TOO_LARGE
 from sesamehall.core.data import JobPhase
 from sesamehall.core.fleet import CancelAsked
 from sesamehall.core.fleet import StoredRecord
@@ -151,6 +152,7 @@
         (StoreOutcome.STORED, Accepted()),
         (StoreOutcome.REFUSED, Rejected(LOG_UNREACHABLE, 1)),
         (StoreOutcome.UNKNOWN, Rejected(JOB_UNCONFIRMED)),
+        (StoreOutcome.UNSTORABLE, Rejected(TOO_LARGE)),
     ],
 )
 def test_submission_is_answered_after_the_write(outcome, answer):
@@ -189,6 +191,28 @@
     assert answers_of(advance_calls(fresh, NOW_MS + 5)) == [answer]
 
 
+# Guards against a team that cancels another team's job: the job was read while
+# the request was being stored, and the answer did not say whose job it is.
+@pytest.mark.parametrize(
+    ("owner", "answer"),
+    [
+        ("guild", Accepted()),
+        ("other", Rejected(NO_SUCH_JOB)),
+        ("", Accepted()),
+    ],
+)
+def test_cancel_request_for_a_job_read_meanwhile(owner, answer):
+    other_id = "0" * 16
+    step = receive_call(build_follower(), call(CancelJob(), f"/q/{other_id}"))
+    plan = build_plan(job_id=other_id, team=owner)
+    record = StoredRecord(other_id, plan)
+    manager = read(step.state, Stream.JOBS, (record,), NOW_MS + 3)
+    stored = JobStored(NOW_MS + 5, 1, StoreOutcome.STORED)
+    step = handle_job_stored(manager, stored)
+    later = advance_calls(step.state, NOW_MS + 5)
+    assert answers_of(step) + answers_of(later) == [answer]
+
+
 @pytest.mark.parametrize(
     ("job_id", "answer"),
     [(JOB_ID, Accepted()), ("0" * 16, Rejected(NO_SUCH_JOB))],
--- a/sesamehall/reducer/jobs/handover_test.py
+++ b/sesamehall/reducer/jobs/handover_test.py
@@ -11,9 +11,11 @@
 from sesamehall.core.fleet import Leader
 from sesamehall.core.fleet import StoredRecord
 from sesamehall.core.fleet import Stream
+from sesamehall.core.jobtiming import HANDOVER_COOLDOWN_MS
 from sesamehall.core.jobtiming import MANAGER_TICK_MS
 from sesamehall.core.jobtiming import RESIGN_TIMEOUT_MS
 from sesamehall.core.managereffects import OfferToLead
+from sesamehall.core.managereffects import RevokeStarts
 from sesamehall.core.managereffects import StoreProgress
 from sesamehall.core.managerevents import ProgressStored
 from sesamehall.core.managerevents import StoreOutcome
@@ -27,6 +29,8 @@
 from sesamehall.core.timers import ManagerTimer
 from sesamehall.reducer.jobs.handover import offer_to_lead
 from sesamehall.reducer.jobs.leadership import claim_if_vacant
+from sesamehall.reducer.jobs.leadership import claimable_from_ms
+from sesamehall.reducer.jobs.leadership import end_term
 from sesamehall.reducer.jobs.stream_reading import apply_stream_read
 from sesamehall.reducer.jobs.testing import build_leader
 from sesamehall.reducer.jobs.testing import build_manifest
@@ -201,3 +205,55 @@
     stored = ProgressStored(NOW_MS + 100, NOW_MS + 50, 1, StoreOutcome.STORED)
     (store,) = leader.reduce(stored)
     assert [record.value.resigned for record in store.records[-1:]] == [True]
+
+
+# Guards against a role that never moves: a leader whose resignation was not
+# stored saw its own term in the log and claimed the role again at once.
+def test_leader_whose_resignation_was_not_stored_claims_last():
+    leader = WeakLeader()
+    leader.reduce(read_of(Candidate("edge-2", 1, STRONG_CORES)))
+    leader.tick(NOW_MS + 100)
+    ended_ms = NOW_MS + RESIGN_TIMEOUT_MS
+    leader.tick(ended_ms)
+    manager = replace(
+        leader.state.manager,
+        leader=Leader("edge-1", 1, cores=0.516),
+        jobs_cursor=StreamCursor(1, known_until_ms=ended_ms),
+        progress_cursor=StreamCursor(
+            9, known_until_ms=ended_ms, last_growth_ms=ended_ms
+        ),
+    )
+    strong = build_strong(
+        leader=manager.leader, progress_cursor=manager.progress_cursor
+    )
+    assert claimable_from_ms(manager) > claimable_from_ms(strong)
+    later_ms = ended_ms + HANDOVER_COOLDOWN_MS
+    cursor = replace(manager.progress_cursor, known_until_ms=later_ms)
+    manager = replace(manager, progress_cursor=cursor)
+    assert claimable_from_ms(manager) == later_ms
+
+
+# Guards against two nodes that act at once: a successor does not wait for the
+# silence of a leader that has resigned, whose orders may still be queued.
+@pytest.mark.parametrize(
+    "event",
+    [read_of(Candidate("edge-2", 1, STRONG_CORES)), StopRequested(NOW_MS)],
+    ids=["handover", "stop"],
+)
+def test_queued_starts_are_revoked_before_the_resignation_is_sent(event):
+    leader = WeakLeader()
+    first = reduce_manager(leader.state, event)
+    tick = TimerFired(NOW_MS + 100, ManagerTimer())
+    second = reduce_manager(first.state, tick)
+    effects = [
+        effect
+        for effect in first.effects + second.effects
+        if isinstance(effect, RevokeStarts | StoreProgress)
+    ]
+    assert effects[0] == RevokeStarts(1)
+    assert isinstance(effects[1], StoreProgress)
+
+
+def test_queued_starts_are_revoked_when_the_term_ends():
+    step = end_term(build_leader(), "test", NOW_MS)
+    assert effects_of(step, RevokeStarts) == [RevokeStarts(1)]
--- a/sesamehall/reducer/jobs/orders_test.py
+++ b/sesamehall/reducer/jobs/orders_test.py
@@ -3,6 +3,8 @@
 import pytest
 
 from sesamehall.core.effects import SetTimer
+from sesamehall.core.jobtiming import RENEWAL_CUTOFF_MS
+from sesamehall.core.jobtiming import START_LEASE_MS
 from sesamehall.core.jobtiming import STOP_RETRY_MS
 from sesamehall.core.managereffects import StopRun
 from sesamehall.core.managerevents import OrderRefusal
@@ -10,6 +12,7 @@
 from sesamehall.core.replacing import replace
 from sesamehall.core.timers import StopTimer
 from sesamehall.core.workstate import RunState
+from sesamehall.reducer.jobs.orders import build_start_order
 from sesamehall.reducer.jobs.orders import handle_stop_answer
 from sesamehall.reducer.jobs.orders import resend_stop
 from sesamehall.reducer.jobs.runs import stop_run
@@ -73,3 +76,26 @@
 
 def test_stop_of_an_ended_run_is_not_resent():
     assert not resend_stop(build_leader(), TIMER).effects
+
+
+# Guards against a paused leader that acts on a permission that has run out:
+# the sending thread compares this time with the clock just before it sends.
+@pytest.mark.parametrize(
+    ("confirmed_ago_ms", "valid_ms"),
+    [
+        (0, START_LEASE_MS),
+        (RENEWAL_CUTOFF_MS - START_LEASE_MS, START_LEASE_MS),
+        (RENEWAL_CUTOFF_MS - 100, 100),
+        (RENEWAL_CUTOFF_MS, 0),
+    ],
+)
+def test_start_order_is_void_once_its_permission_has_ended(
+    confirmed_ago_ms, valid_ms
+):
+    manager = activate_jobs(build_leader(build_worker("w1")), build_plan())
+    manager = place_all(manager).state
+    (run,) = manager.runs_by_task.values()
+    term = replace(manager.term, confirmed_ms=NOW_MS - confirmed_ago_ms)
+    manager = replace(manager, term=term)
+    order = build_start_order(manager, run, "spec", NOW_MS)
+    assert order.not_after_ms == NOW_MS + valid_ms
--- a/sesamehall/reducer/jobs/storing_test.py
+++ b/sesamehall/reducer/jobs/storing_test.py
@@ -78,3 +78,37 @@
     manager = build_leader(dirty_jobs=Map(dirty))
     lines = effects_of(write_changed_records(manager), Log)
     assert [line.event for line in lines] == [PROGRESS_NOT_STORED] * line_count
+
+
+# Guards against a leader that loses its role over one record: the write goes
+# on without it, and what it stands for is not taken as stored.
+@pytest.mark.parametrize(
+    ("unstorable", "recorded", "leased"),
+    [
+        ((), True, True),
+        (("worker/w1",), True, False),
+        ((JOB_ID,), False, True),
+        ((JOB_ID, "worker/w1", "machines"), False, False),
+    ],
+    ids=["none", "worker", "job", "all"],
+)
+def test_unstorable_record_is_left_out_alone(unstorable, recorded, leased):
+    worker = build_worker("w1", lease_recorded=False)
+    manager = activate_jobs(
+        build_leader(
+            worker,
+            dirty_workers=Map(w1=True),
+            dirty_jobs=Map({JOB_ID: True}),
+        ),
+        build_plan(),
+    )
+    manager = write_changed_records(manager).state
+    stored = ProgressStored(
+        NOW_MS + 5, NOW_MS, 1, StoreOutcome.STORED, unstorable
+    )
+    manager = handle_progress_stored(manager, stored).state
+    assert manager.term.confirmed_ms == NOW_MS
+    assert not manager.term.write_in_flight
+    assert (JOB_ID in manager.phase_by_job_id) is recorded
+    assert manager.workers_by_id["w1"].lease_recorded is leased
+    assert not manager.dirty_workers
--- a/sesamehall/reducer/machines/fleet_test.py
+++ b/sesamehall/reducer/machines/fleet_test.py
@@ -5,6 +5,7 @@
 
 from sesamehall.core.fleet import Machine
 from sesamehall.core.fleet import MachineState
+from sesamehall.core.fleet import WaveStatus
 from sesamehall.core.fleetstate import FleetState
 from sesamehall.core.fleetstate import MachineOrderKind
 from sesamehall.core.fleetstate import PendingOrder
@@ -17,6 +18,7 @@
 from sesamehall.core.managereffects import StoreProgress
 from sesamehall.core.managerevents import MachineAnswered
 from sesamehall.core.managerevents import MachinesListed
+from sesamehall.core.managerevents import WaveNotReported
 from sesamehall.core.managerstate import Term
 from sesamehall.core.manifest import Wave
 from sesamehall.core.replacing import replace
@@ -36,6 +38,8 @@
 from sesamehall.reducer.machines.fleet import advance_fleet
 from sesamehall.reducer.machines.fleet import apply_machine_list
 from sesamehall.reducer.machines.fleet import handle_machine_answer
+from sesamehall.reducer.machines.waves import advance_waves
+from sesamehall.reducer.machines.waves import handle_wave_not_reported
 
 UP = MachineState.UP
 POOL_MACHINES = tuple(Machine(f"m{n}", "a", UP, f"w{n}") for n in range(1, 5))
@@ -353,6 +357,30 @@
     assert [report.status.completed for report in reports] == [False, True]
 
 
+# Guards against an operator who waits for a wave that is done: its status was
+# dropped after three failed writes.
+@pytest.mark.parametrize(
+    ("completed", "failed", "reported"),
+    [
+        (False, False, [False]),
+        (True, True, [True]),
+        (True, False, []),  # an old start must not follow the completion
+    ],
+    ids=["start", "completion", "start after the completion"],
+)
+def test_wave_status_that_was_not_written_is_repeated(
+    completed, failed, reported
+):
+    (progress,) = build_waves().values()
+    progress = replace(progress, start_reported=True, completed=completed)
+    manager = build_fleet([], waves_by_number=Map({1: progress}))
+    status = WaveStatus(1, completed=failed)
+    event = WaveNotReported(NOW_MS, status, "unknown")
+    manager = handle_wave_not_reported(manager, event).state
+    reports = effects_of(advance_waves(manager, NOW_MS), ReportWave)
+    assert [report.status.completed for report in reports][:1] == reported
+
+
 @pytest.mark.parametrize(
     ("done", "refused", "pending", "evacuating"),
     [(True, False, True, True), (False, False, True, True)]
--- a/sesamehall/scripts/scripts_test.py
+++ b/sesamehall/scripts/scripts_test.py
@@ -1,18 +1,27 @@
 """Tests of the entry points: help, exit codes, problems on standard error."""
 
+import json
+import os
 import subprocess
 import sys
 
 import pytest
 
 
-def run(program, *arguments):
+def run(program, *arguments, **environment):
+    """Run a program with no other settings in its environment."""
     module = f"sesamehall.scripts.{program}"
+    inherited = {
+        name: value
+        for name, value in os.environ.items()
+        if name != "SESAMEHALL_BOOT"
+    }
     return subprocess.run(
         [sys.executable, "-m", module, *arguments],
         capture_output=True,
         text=True,
         timeout=60,
+        env={**inherited, **environment},
     )
 
 
@@ -21,6 +30,7 @@
     [
         (["entry", "--help"], ["--settings", "SIGTERM"]),
         (["steward", "--help"], ["--settings", "SIGTERM"]),
+        (["manager", "--help"], ["SESAMEHALL_BOOT", "SIGTERM"]),
         (["operator", "--help"], ["publish", "give-key", "in-force"]),
         (["operator", "publish", "--help"], ["--plans", "--based-on"]),
     ],
@@ -63,3 +73,43 @@
     result = run("operator", "show", "--settings", str(path))
     assert result.returncode == 3
     assert "cannot be read" in result.stderr
+
+
+MANAGER_SETTINGS = {
+    "Node": "edge-1",
+    "Zone": "dc-a",
+    "Ip": "127.0.0.1",
+    "Listen": {"Front": "192.0.2.1:8340", "Ready": "192.0.2.1:8343"},
+    "platform": {"Address": "127.0.0.1:1"},
+}
+
+
+@pytest.mark.parametrize(
+    ("text", "named"),
+    [
+        (None, "SESAMEHALL_BOOT"),
+        ("{", "node.json"),
+        (json.dumps({**MANAGER_SETTINGS, "Node": 5}), "Node"),
+        (json.dumps({**MANAGER_SETTINGS, "platform": {}}), "platform.Address"),
+        (json.dumps(MANAGER_SETTINGS).replace("8340", "0"), "Listen.Front"),
+        # Addresses of no interface of this machine.
+        (json.dumps(MANAGER_SETTINGS), "Listen"),
+    ],
+    ids=["missing", "not JSON", "type", "no address", "port", "unusable"],
+)
+def test_manager_names_the_setting_and_exits_with_code_2(
+    tmp_path, text, named
+):
+    environment = {}
+    if text is not None:
+        path = tmp_path / "node.json"
+        path.write_text(text)
+        environment = {"SESAMEHALL_BOOT": str(path)}
+    result = run("manager", **environment)
+    assert result.returncode == 2
+    (line,) = result.stderr.splitlines()
+    assert named in line
+
+
+def test_unknown_option_of_the_manager_exits_with_code_2():
+    assert run("manager", "--unknown").returncode == 2
