Decode instances, tasks and jobs of entries and stewards within bounds

One odd instance made the whole list unreadable, and an odd answer of a worker raised in the thread that called it, so its job was never looked at again.

--- a/sesamehall/runtime/workerclient.py
+++ b/sesamehall/runtime/workerclient.py
@@ -8,6 +8,10 @@
 from urllib3 import Timeout
 from urllib3.exceptions import HTTPError
 
+from sesamehall.codecs.jsonfields import decode_boolean
+from sesamehall.codecs.jsonfields import decode_object
+from sesamehall.codecs.jsonfields import decode_text
+from sesamehall.codecs.jsonfields import MAX_TEXT_BYTES
 from sesamehall.core.effects import RunTask
 from sesamehall.core.effects import StopTask
 from sesamehall.core.events import Event
@@ -17,6 +21,7 @@
 from sesamehall.core.events import TaskSilent
 from sesamehall.core.events import TaskUnknown
 from sesamehall.core.events import WorkerAnswered
+from sesamehall.runtime.guarding import perform_and_post
 from sesamehall.runtime.interpreter import now_ms
 
 MAX_CONCURRENT_CALLS = 4
@@ -42,18 +47,20 @@
         Args:
           effect: The task to start, renew or stop.
         """
-        self._executor.submit(self._call, effect)
+        self._executor.submit(
+            perform_and_post, self._call, effect, self._post_event
+        )
 
     def stop(self) -> None:
         """Cancel the calls that have not started."""
         self._executor.shutdown(wait=False, cancel_futures=True)
 
-    def _call(self, effect: RunTask | StopTask) -> None:
+    def _call(self, effect: RunTask | StopTask) -> Event:
         try:
             outcome = self._send(effect)
-        except (HTTPError, OSError, ValueError, KeyError) as error:
+        except (HTTPError, OSError) as error:
             outcome = TaskSilent(type(error).__name__)
-        self._post_event(WorkerAnswered(now_ms(), effect.job_id, outcome))
+        return WorkerAnswered(now_ms(), effect.job_id, outcome)
 
     def _send(self, effect: RunTask | StopTask) -> TaskOutcome:
         url = f"http://{effect.address}/tasks/{effect.job_id}"
@@ -75,10 +82,22 @@
             return TaskUnknown()
         if response.status != 200:
             return TaskSilent(f"status {response.status}")
-        return _decode_outcome(json.loads(response.data))
+        return decode_outcome(decode_object(response.data))
 
 
-def _decode_outcome(document: dict) -> TaskOutcome:
-    if document["phase"] == "running":
+def decode_outcome(document: dict) -> TaskOutcome:
+    """Decode what a worker says of a task that it knows.
+
+    Args:
+      document: The JSON object.
+    Returns:
+      The outcome.
+    Raises:
+      DecodeError: The document does not say whether the task runs.
+    """
+    if decode_text(document, "phase") == "running":
         return TaskRunning()
-    return TaskEnded(bool(document["succeeded"]), str(document["detail"]))
+    return TaskEnded(
+        decode_boolean(document, "succeeded"),
+        decode_text(document, "detail", max_bytes=MAX_TEXT_BYTES),
+    )
