--- a/Makefile
+++ b/Makefile
@@ -3,8 +3,11 @@
 STAMP := $(VENV)/.installed
 SOURCES := sesamehall standins bench demo soak
 SEEDS ?= 50
+EXAMPLES ?= 10000
+FUZZED := sesamehall/codecs sesamehall/platform/decoders_test.py \
+	sesamehall/runtime/foreigndocuments_test.py
 
-.PHONY: demo test lint format bench capacity soak
+.PHONY: demo test lint format bench capacity soak fuzz
 
 $(STAMP): requirements.txt requirements-dev.txt pyproject.toml
 	test -x $(PYTHON) || python3 -m venv $(VENV)
@@ -27,6 +30,9 @@
 	$(PYTHON) -m isort -q $(SOURCES)
 	$(PYTHON) -m black -q $(SOURCES)
 
+fuzz: $(STAMP)
+	FUZZ_EXAMPLES=$(EXAMPLES) $(PYTHON) -m pytest $(FUZZED)
+
 bench: $(STAMP)
 	$(PYTHON) -m bench.ceiling_histories
 	$(PYTHON) -m bench.entry_overhead
--- a/sesamehall/codecs/wire_test.py
+++ b/sesamehall/codecs/wire_test.py
@@ -104,3 +104,23 @@
     body = bytearray(encode_record(Record("r", KeyGiven(KEY))))
     body[position % len(body)] = value
     decode_record(bytes(body))
+
+
+@pytest.mark.parametrize("message", MESSAGES, ids=lambda m: type(m).__name__)
+@given(
+    position=strategies.integers(0, 500),
+    inserted=strategies.binary(max_size=12),
+    removed=strategies.integers(0, 12),
+)
+def test_changed_frame_is_a_storable_message_or_rejected(
+    message, position, inserted, removed
+):
+    body = encode_frame(message)[4:]
+    position %= len(body)
+    body = body[:position] + inserted + body[position + removed :]
+    try:
+        messages = list(FrameReader().feed(len(body).to_bytes(4) + body))
+    except DecodeError:
+        return
+    for decoded in messages:
+        assert encode_frame(decoded)
