--- a/bench/jobworld.py
+++ b/bench/jobworld.py
@@ -16,6 +16,7 @@
 from dataclasses import dataclass
 from dataclasses import field
 from random import Random
+from time import process_time_ns
 
 from bench.event_scheduler import EventScheduler
 from bench.jobchecks import JobChecker
@@ -170,6 +171,8 @@
       on_answer_by_call_id: Callbacks for the answers to callers.
       on_log: Called with each log line of a manager.
       on_effect: Called with each effect of a manager before it is performed.
+      on_reduced: Called with each event and the processor time of its
+        reduction, in nanoseconds.
     """
 
     def __init__(
@@ -195,6 +198,7 @@
             lambda process, line: None
         )
         self.on_effect: Callable = lambda process, effect: None
+        self.on_reduced: Callable[[Event, int], None] = lambda event, ns: None
         self._retries_unconfirmed = retry_unconfirmed
         self._read_waiters: dict[Stream, list[Callable]] = {
             s: [] for s in Stream
@@ -213,12 +217,20 @@
         self.processes_by_name[name] = process
         self.deliver(process, Started)
 
-    def add_worker(self, address: str, worker_id: str) -> None:
+    def add_worker(
+        self,
+        address: str,
+        worker_id: str,
+        pool: str = "a",
+        capacity: Size = WORKER_CAPACITY,
+    ) -> None:
         """Start a worker and register it within 600 ms.
 
         Args:
           address: Address of the worker.
           worker_id: Identifier, which an earlier worker may have had.
+          pool: Pool that it belongs to.
+          capacity: Resources that it has.
         """
         worker = WorkerIncarnation(
             worker_id=worker_id,
@@ -231,7 +243,12 @@
         )
         self.workers_by_address[address] = worker
         self.call_later(
-            self.random.randint(0, 600), self._register_worker, address, worker
+            self.random.randint(0, 600),
+            self._register_worker,
+            address,
+            worker,
+            pool,
+            capacity,
         )
 
     def terminate_worker(self, address: str) -> None:
@@ -326,6 +343,7 @@
             )
             return
         event = make_event(self.clock_ms(process))
+        started_ns = process_time_ns()
         try:
             step = reduce_manager(process.state, event)
         except Exception as error:
@@ -334,6 +352,7 @@
             kind = type(event).__name__
             self.checker.violations.append(f"ERROR in {kind}: {error!r}")
             return
+        self.on_reduced(event, process_time_ns() - started_ns)
         process.state = step.state
         for effect in step.effects:
             self._perform(process, effect)
@@ -361,15 +380,15 @@
         if process.start_count == start_count:
             self.kill(process.name, 300)
 
-    def _register_worker(self, address, worker):
+    def _register_worker(self, address, worker, pool, capacity):
         if not worker.alive:
             return
         entry = WorkerEntry(
             worker_id=worker.worker_id,
             address=address,
-            pool="a",
+            pool=pool,
             data_centre="dc",
-            capacity=WORKER_CAPACITY,
+            capacity=capacity,
             started_wall_ms=WALL_CLOCK_START_MS + worker.started_ms,
         )
         self.store.append(
