Call a worker a last time before its task is given up

A steward that was paused for longer than the lease of 10 s found its last answer too old and failed the job without asking, though the task may have completed in time: its caller was told of a failure that had not been. The order to stop asks without starting anything; the job ends by its answer, or after 4 s.

--- a/sesamehall/core/limits.py
+++ b/sesamehall/core/limits.py
@@ -55,5 +55,6 @@
 ROLE_RENEWAL_MS = 2_000  # the role's holder writes at least this often
 ROLE_TIMEOUT_MS = 6_000  # a role not renewed this long may be claimed
 TASK_LEASE_MS = 10_000  # a worker stops a task not renewed this long
+FINAL_CALL_TIMEOUT_MS = 4_000  # of the call that precedes giving a task up
 TASK_RENEWAL_MS = 1_000  # the end of a task is noticed with a renewal
 ENDED_JOBS_KEPT = 4_000  # older ended jobs can no longer be looked up
--- a/sesamehall/core/state.py
+++ b/sesamehall/core/state.py
@@ -313,10 +313,13 @@
     Attributes:
       last_answer_ms: Time of the worker's latest answer.
       last_renewal_ms: Time at which the latest renewal was sent.
+      final_call_ms: Time at which the worker was called a last time, after
+        the lease had expired, or -1.
     """
 
     last_answer_ms: int
     last_renewal_ms: int
+    final_call_ms: int = -1
 
 
 @dataclass(frozen=True, slots=True)
--- a/sesamehall/reducer/placing.py
+++ b/sesamehall/reducer/placing.py
@@ -20,6 +20,7 @@
 from sesamehall.core.events import TaskUnknown
 from sesamehall.core.events import WorkerAnswered
 from sesamehall.core.limits import CLOCK_DRIFT_PERCENT
+from sesamehall.core.limits import FINAL_CALL_TIMEOUT_MS
 from sesamehall.core.limits import TASK_LEASE_MS
 from sesamehall.core.limits import TASK_RENEWAL_MS
 from sesamehall.core.logevents import JOB_DEFERRED
@@ -43,6 +44,7 @@
 from sesamehall.reducer.role import propose_fenced
 from sesamehall.reducer.units import units_for
 
+WORKER_SILENT = "worker silent"  # detail of a job that is given up
 TASK_LEASE_EXPIRY_MS = TASK_LEASE_MS * (100 + CLOCK_DRIFT_PERCENT) // 100
 
 
@@ -98,7 +100,9 @@
     """Renew a task's lease, or end its job if its worker no longer answers.
 
     The job fails only when the lease has expired on the worker's clock too,
-    which may run slower by CLOCK_DRIFT_PERCENT.
+    which may run slower by CLOCK_DRIFT_PERCENT.  The worker is called a last
+    time before: if this node was paused, the worker has not been asked, and
+    the task may have completed in time.
 
     Args:
       state: State of the steward.
@@ -114,12 +118,14 @@
     running = status is not None and status.phase is JobPhase.RUNNING
     if not holds_role(state) or not running:
         return Step(_drop_watch(state, job_id))
+    if watch.final_call_ms >= 0:
+        return _end_job(state, status, JobPhase.FAILED, WORKER_SILENT, at_ms)
     if at_ms - watch.last_answer_ms < TASK_LEASE_MS:
         return _call_worker(state, job_id, watch.last_answer_ms, at_ms)
     lease_expires_ms = watch.last_renewal_ms + TASK_LEASE_EXPIRY_MS
     if at_ms < lease_expires_ms:
         return Step(state, (SetTimer(TaskTimer(job_id), lease_expires_ms),))
-    return _end_job(state, status, JobPhase.FAILED, "worker silent", at_ms)
+    return _call_finally(state, job_id, watch, at_ms)
 
 
 def receive_worker_answer(state: State, event: WorkerAnswered) -> Step:
@@ -141,6 +147,10 @@
         case TaskRunning():
             watch = replace(watch, last_answer_ms=at_ms)
             return Step(_put_watch(state, event.job_id, watch), (timer,))
+        case TaskSilent() if watch.final_call_ms >= 0:
+            return _end_job(
+                state, status, JobPhase.FAILED, WORKER_SILENT, at_ms
+            )
         case TaskSilent():
             return Step(state, (timer,))
         case TaskEnded(succeeded, detail):
@@ -285,6 +295,21 @@
     return Step(watched, (effect,))
 
 
+def _call_finally(state, job_id, watch, at_ms):
+    """Ask a worker a last time how a task ended whose lease has expired.
+
+    The order to stop says so too, and cannot start the task.
+    """
+    status = state.agreed.jobs_by_id[job_id]
+    placement = state.agreed.placements_by_instance[status.worker]
+    order = StopTask(
+        job_id, placement.instance.address, state.agreed.role.epoch
+    )
+    timer = SetTimer(TaskTimer(job_id), at_ms + FINAL_CALL_TIMEOUT_MS)
+    watch = replace(watch, final_call_ms=at_ms)
+    return Step(_put_watch(state, job_id, watch), (order, timer))
+
+
 def _end_job(state, status, phase, detail, at_ms):
     """Propose the end of a job."""
     job = status.job
