--- a/sesamehall/codecs/jsonfields.py
+++ b/sesamehall/codecs/jsonfields.py
@@ -11,7 +11,7 @@
 
 from sesamehall.core.codes import DecodeError
 
-MAX_DEPTH = 32  # nested lists and objects; documents have up to 5
+MAX_DEPTH = 200  # nested lists and objects; the parser takes some 900
 MAX_INTEGER = 2**53 - 1  # every JSON implementation represents it exactly
 MAX_NAME_BYTES = 200  # prefix and name must fit into a key of 255 bytes
 MAX_TEXT_BYTES = 16_384  # opaque texts; a job's command has up to 4,000
@@ -96,8 +96,10 @@
     """
     if type(value) is not str:
         raise DecodeError(f"{name} has type {type(value).__name__}")
+    if value.isascii() and len(value) <= max_bytes:
+        return value
     try:
-        length = len(value) if value.isascii() else len(value.encode())
+        length = len(value.encode())
     except UnicodeEncodeError as error:
         raise DecodeError(f"{name} contains a lone surrogate") from error
     if length > max_bytes:
--- a/sesamehall/platform/workerdecoding.py
+++ b/sesamehall/platform/workerdecoding.py
@@ -106,11 +106,11 @@
 def _decode_active_run(row):
     _check_row(row, 4)
     return ActiveRun(
-        task=check_text("task", row[0]),
-        number=check_integer("run", row[1]),
-        checkpoint=_decode_checkpoint(row[2]),
-        percent=int(check_number("percent", row[3])),
-        load=check_number("load", row[4] or 0) if len(row) > 4 else 0.0,
+        check_text("task", row[0]),
+        check_integer("run", row[1]),
+        _decode_checkpoint(row[2]),
+        int(check_number("percent", row[3])),
+        check_number("load", row[4] or 0) if len(row) > 4 else 0.0,
     )
 
 
@@ -130,11 +130,11 @@
 def _decode_ended_run(row):
     _check_row(row, 5)
     return EndedRun(
-        sequence=check_integer("sequence", row[0]),
-        task=check_text("task", row[1]),
-        number=check_integer("run", row[2]),
-        end=RUN_END_BY_NAME.get(check_text("end", row[3]), RunEnd.STOPPED),
-        checkpoint=_decode_checkpoint(row[4]),
+        check_integer("sequence", row[0]),
+        check_text("task", row[1]),
+        check_integer("run", row[2]),
+        RUN_END_BY_NAME.get(check_text("end", row[3]), RunEnd.STOPPED),
+        _decode_checkpoint(row[4]),
     )
 
 
