Answer an attempt at a target whatever it raises

An attempt that raised in its caller's thread posted no outcome, so the team's place and the target's slot stayed charged until the deadline.

--- a/sesamehall/runtime/callerfrontend.py
+++ b/sesamehall/runtime/callerfrontend.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 from itertools import count
+import logging
 from queue import Empty
 from queue import SimpleQueue
 from socket import MSG_PEEK
@@ -23,6 +24,7 @@
 from sesamehall.core.effects import Forward
 from sesamehall.core.effects import Reply
 from sesamehall.core.events import AskCalled
+from sesamehall.core.events import Broken
 from sesamehall.core.events import CallerGone
 from sesamehall.core.events import CancelCalled
 from sesamehall.core.events import DeadlinePassed
@@ -32,6 +34,7 @@
 from sesamehall.core.events import TargetAnswered
 from sesamehall.core.settings import EntrySettings
 from sesamehall.core.state import State
+from sesamehall.runtime.effectfailures import describe_error
 from sesamehall.runtime.interpreter import now_ms
 from sesamehall.runtime.requestparsing import BadRequest
 from sesamehall.runtime.requestparsing import end_to_end_headers
@@ -46,6 +49,7 @@
 from sesamehall.runtime.responses import json_response
 from sesamehall.runtime.responses import Response
 from sesamehall.runtime.responses import result_response
+from sesamehall.runtime.targetclient import Exchange
 from sesamehall.runtime.targetclient import ProxiedRequest
 from sesamehall.runtime.targetclient import TargetClient
 from sesamehall.runtime.targetclient import TargetResponse
@@ -62,6 +66,7 @@
 DISCONNECT_CHECK_INTERVAL_MS = 500  # delay until a disconnect is noticed
 DECISION_TIMEOUT_S = 10  # frees the thread if the interpreter sends no reply
 CALL_TIMEOUT_MS = 10_000  # deadline of job calls
+LOGGER = logging.getLogger("sesamehall")
 
 
 class CallerFrontend:
@@ -221,7 +226,13 @@
     def _send_attempt(
         self, dispatch: Dispatch, proxied_request: ProxiedRequest
     ) -> TargetResponse | None:
-        exchange = self._targets.exchange(dispatch, proxied_request)
+        """Send an attempt, and post its outcome whatever goes wrong."""
+        try:
+            exchange = self._targets.exchange(dispatch, proxied_request)
+        except Exception as error:
+            LOGGER.exception("failed to perform %s", type(dispatch).__name__)
+            reason = describe_error(error)
+            exchange = Exchange(Broken(reason, timed_out=False))
         self._post_event(
             TargetAnswered(
                 now_ms(),
