--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,57 +1,120 @@
-"""Case: while its route is dropped, a job fails after a single failed run."""
+"""Case: work of a queue that has changed its service is started again."""
 
 import time
 
+from review.harness import CannotRun
 from review.harness import Deployment
 from review.harness import main
-from review.harness import parse_spec
 from review.harness import route
 from review.harness import step
 from review.harness import TROUBLE
+from soak.proxy import ProxyMode
+from standins.serving import HttpResponse
 
-ATTEMPTS = 4
-FIRST_RUN_MS = 4_000  # then the first run of the work item fails
-JOB = "00000000000000b1"
-PATH = f"/match/{JOB}"
+CUT_S = 5.5  # as `zone_cut` in the site file
+ITEMS = 4
+ITEM_MS = 20_000
+ITEM_MILLI = 2_000
+LEADER = 0  # in zone z-a, with the workers of `bookings`
+FIRST_TERM = 1
+PATIENCE_S = 0.4  # a manager waits longer than this for any answer
 
 
-def fail_once(task: str, spec: str):
-    """Let the first run of each work item fail, and the next succeed."""
-    _, _, cpu, _ = parse_spec(task, spec)
-    if task in SEEN:
-        return 0.5, "done", cpu, False
-    SEEN.add(task)
-    return FIRST_RUN_MS / 1_000, "failed", cpu, False
+def cut_zone(deployment: Deployment, until_s: float) -> None:
+    """Cut zone z-a off from the store and from zone z-b.
 
+    The leader of the first term is in z-a, its successors are in z-b.  So a
+    worker tells by the term of a request from which zone it comes.
+    """
+    deployment.store_proxies[LEADER].mode = ProxyMode.STALL
 
-SEEN: set[str] = set()
+    def swallow_from(is_cut):
+        def answers(path, order):
+            if not is_cut(order.get("FencingToken", 0)):
+                return None
+            left_s = until_s - time.monotonic()
+            time.sleep(max(left_s, 0))
+            if left_s < PATIENCE_S:
+                return None
+            return HttpResponse(503, b"")  # its sender has gone
+
+        return answers
+
+    for worker in deployment.workers_by_pool["bookings"]:
+        worker.answers = swallow_from(lambda token: token > FIRST_TERM)
+    for worker in deployment.workers_by_pool["quotes"]:
+        worker.answers = swallow_from(lambda token: token == FIRST_TERM)
+
+
+def heal(deployment: Deployment) -> None:
+    """End the partition; what it has held up is lost."""
+    for worker in deployment.workers:
+        worker.answers = None
+    deployment.store_proxies[LEADER].reset()
+    deployment.store_proxies[LEADER].mode = ProxyMode.FORWARD
+
+
+def running_twice(deployment: Deployment) -> list[str]:
+    """List the runs that overlap an earlier run of the same work item."""
+    now_s = deployment.record.now_s()
+    found = []
+    earlier = {}
+    for run in deployment.all_runs():
+        for other in earlier.setdefault(run.task, []):
+            other_end_s = other.ended_s if other.ended_s >= 0 else now_s
+            if run.started_s < other_end_s:
+                end_s = run.ended_s if run.ended_s >= 0 else now_s
+                both_s = min(end_s, other_end_s) - run.started_s
+                found.append(
+                    f"{run.task} runs on {other.worker_id} and on"
+                    f" {run.worker_id} for {both_s:.3f} s from"
+                    f" {run.started_s:.3f}"
+                )
+        earlier[run.task].append(run)
+    return found
 
 
 def case(deployment: Deployment) -> str:
-    """Drop a route for some seconds and add it again unchanged."""
-    both = [route("match", "bookings", ATTEMPTS), route("photo", "bookings")]
+    """Cut off the zone of the leader after a queue has changed its service."""
+    both = [route("match", "bookings"), route("photo", "quotes")]
     deployment.put_manifest(1, both)
-    deployment.start_managers()
-    job = {"Spec": "work 500 1000", "Steps": [step(1, 1000, 4_000)]}
-    if not deployment.submit(PATH, job):
-        return ""
-    time.sleep(1.0)
+    deployment.start_managers([LEADER])
+    deployment.start_managers([1, 2])
+    record = deployment.record
+    if deployment.leader() != LEADER:
+        raise CannotRun("the leader is not in the zone to be cut off")
+    job = {
+        "Spec": f"work {ITEM_MS} {ITEM_MILLI}",
+        "Steps": [step(ITEMS, ITEM_MILLI, ITEM_MS)],
+    }
+    if not deployment.submit("/match/00000000000000d1", job):
+        raise CannotRun("the job was not accepted")
+    time.sleep(2.0)
+    moved = [route("match", "quotes"), route("photo", "quotes")]
+    deployment.put_manifest(4, moved)
+    time.sleep(4.0)
     if TROUBLE:
-        deployment.put_manifest(4, [route("photo", "bookings")])
-    time.sleep(5.0)  # the run fails meanwhile
+        record.write("case", "zone z-a is cut off")
+        cut_zone(deployment, time.monotonic() + CUT_S)
+    time.sleep(CUT_S)
     if TROUBLE:
-        deployment.put_manifest(7, both)
-    time.sleep(6.0)
-    status, content = deployment.ask(PATH)
-    runs = deployment.all_runs()
-    failed = sum(run.ended == "failed" for run in runs)
-    if status == 200 and content["State"] == "failed":
-        return (
-            f"the job is shown as failed after {failed} failed run of its"
-            f" work item; its route has Attempts {ATTEMPTS}"
-        )
-    deployment.record.write("case", f"shown: {status} {content}")
-    return ""
-
-
-main(Deployment(__file__, {"bookings": 4}, behaviour=fail_once), case)
+        heal(deployment)
+        record.write("case", "the cut has healed")
+    time.sleep(4.0)
+    found = running_twice(deployment)
+    for line in found:
+        record.write("check", line)
+    if not found:
+        return ""
+    return f"{len(found)} work items run twice at once; {found[0]}"
+
+
+main(
+    Deployment(
+        __file__,
+        {"bookings": 4, "quotes": 4},
+        zone_by_pool={"bookings": "z-a", "quotes": "z-b"},
+        zone_by_manager={0: "z-a", 1: "z-b", 2: "z-b"},
+    ),
+    case,
+)
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,62 +1,58 @@
-"""Case: a job that can never run keeps executors from all other jobs."""
+"""Case: while its route is dropped, a job fails after a single failed run."""
 
 import time
 
+from review.harness import CannotRun
 from review.harness import Deployment
 from review.harness import main
+from review.harness import parse_spec
 from review.harness import route
 from review.harness import step
 from review.harness import TROUBLE
 
-EXECUTORS = 8
-CAPACITY_MILLI = 16_000
-ITEM_MILLI = 9_000  # one fits on an executor, two do not
-JOBS = 7
-QUICK_JOBS = 33  # so that 2 of 42 jobs can never be done, under 5 %
-HOPELESS_JOBS = 2
-FINISH_S = 14.0  # `finish_s`
-IDLE_S = 3.0  # "for 3 s, a job has nothing running"
+ATTEMPTS = 4
+FIRST_RUN_MS = 4_000  # then the first run of the work item fails
+JOB = "00000000000000b1"
+PATH = f"/match/{JOB}"
+
+
+def fail_once(task: str, spec: str):
+    """Let the first run of each work item fail, and the next succeed."""
+    _, _, cpu, _ = parse_spec(task, spec)
+    if task in SEEN:
+        return 0.5, "done", cpu, False
+    SEEN.add(task)
+    return FIRST_RUN_MS / 1_000, "failed", cpu, False
+
+
+SEEN: set[str] = set()
 
 
 def case(deployment: Deployment) -> str:
-    """Hand in lasting jobs after one whose label no executor has."""
-    deployment.put_manifest(1, [route("roster", "bookings")])
+    """Drop a route for some seconds and add it again unchanged."""
+    both = [route("match", "bookings", ATTEMPTS), route("photo", "bookings")]
+    deployment.put_manifest(1, both)
     deployment.start_managers()
-    record = deployment.record
+    job = {"Spec": "work 500 1000", "Steps": [step(1, 1000, 4_000)]}
+    if not deployment.submit(PATH, job):
+        raise CannotRun("the job was not accepted")
+    time.sleep(1.0)
+    if TROUBLE:
+        deployment.put_manifest(4, [route("photo", "bookings")])
+    time.sleep(5.0)  # the run fails meanwhile
     if TROUBLE:
-        hopeless = step(1, 100, 900, LongRunning=True, Requires="gpu-x")
-        job = {"Spec": "last 100", "Steps": [hopeless]}
-        for number in range(HOPELESS_JOBS):
-            deployment.submit(f"/roster/{number:015x}f", job)
-    quick = {"Spec": "work 50 100", "Steps": [step(1, 100, 50)]}
-    for number in range(QUICK_JOBS):
-        deployment.submit(f"/roster/{number:015x}a", quick)
-    job = {
-        "Spec": f"last {ITEM_MILLI}",
-        "Steps": [step(1, ITEM_MILLI, 900, LongRunning=True)],
-    }
-    paths = [f"/roster/{number:016x}" for number in range(1, JOBS + 1)]
-    accepted = [deployment.submit(path, job) for path in paths]
-    time.sleep(FINISH_S + IDLE_S)
+        deployment.put_manifest(7, both)
+    time.sleep(6.0)
+    status, content = deployment.ask(PATH)
     runs = deployment.all_runs()
-    in_use = sum(run.cpu_milli for run in runs if run.ended_s < 0)
-    capacity = EXECUTORS * CAPACITY_MILLI
-    record.write("case", f"in use: {in_use} of {capacity} thousandths")
-    for path, is_accepted in zip(paths, accepted, strict=True):
-        job_id = path.rpartition("/")[2]
-        deployment.ask(path)
-        if is_accepted and not any(job_id in run.task for run in runs):
-            workers = deployment.workers
-            idle = sum(not worker.active_runs() for worker in workers)
-            return (
-                f"{job_id} has had nothing running for"
-                f" {FINISH_S + IDLE_S:.0f} s; {idle} of {EXECUTORS} executors"
-                f" are idle and {in_use} of {capacity} are in use"
-            )
+    failed = sum(run.ended == "failed" for run in runs)
+    if status == 200 and content["State"] == "failed":
+        return (
+            f"the job is shown as failed after {failed} failed run of its"
+            f" work item; its route has Attempts {ATTEMPTS}"
+        )
+    deployment.record.write("case", f"shown: {status} {content}")
     return ""
 
 
-main(
-    Deployment(__file__, {"bookings": EXECUTORS}, cpu_milli=CAPACITY_MILLI),
-    case,
-)
+main(Deployment(__file__, {"bookings": 4}, behaviour=fail_once), case)
