--- a/review/harness.py
+++ b/review/harness.py
@@ -744,14 +744,24 @@
         broken = case(deployment)
         code = 1 if broken else 0
         deployment.record.write("case", f"rule broken: {broken or 'no'}")
-    except CannotRun as error:
-        deployment.record.write("case", f"could not run: {error}")
+    except Exception as error:
+        text = f"could not run: {type(error).__name__}: {error}"
+        deployment.record.write("case", text)
     finally:
         deployment.write_runs()
         deployment.close()
     os._exit(code)
 
 
+def _exit_as_not_run(kind, error, trace) -> None:
+    """Exit with 2 after an error outside `main`, not with 1."""
+    print(f"could not run: {kind.__name__}: {error}", flush=True)
+    os._exit(2)
+
+
+sys.excepthook = _exit_as_not_run
+
+
 def _free_network(count: int) -> str:
     """Find a loopback network whose first addresses have free ports."""
     for attempt in range(250):
