--- a/review/3/case.py
+++ b/review/3/case.py
@@ -12,6 +12,7 @@
 from standins.serving import HttpResponse
 
 CUT_S = 5.5  # as `zone_cut` in the site file
+APPLY_S = 2.0  # `ConfigApplyMs`
 ITEMS = 4
 ITEM_MS = 20_000
 ITEM_MILLI = 2_000
@@ -90,9 +91,11 @@
     if not deployment.submit("/match/00000000000000d1", job):
         raise CannotRun("the job was not accepted")
     time.sleep(2.0)
+    deployment.put_manifest(4, [route("photo", "quotes")])
+    time.sleep(APPLY_S)
     moved = [route("match", "quotes"), route("photo", "quotes")]
-    deployment.put_manifest(4, moved)
-    time.sleep(4.0)
+    deployment.put_manifest(7, moved)
+    time.sleep(2 * APPLY_S)
     if TROUBLE:
         record.write("case", "zone z-a is cut off")
         cut_zone(deployment, time.monotonic() + CUT_S)
