Judge failed runs only by a manifest that names their queue

Callers saw a job failed for good after one of four attempts (review/4, LOST): a run failed while the manifest did not name the job's queue. Cause: the limit of attempts was then read as 1. Now there is no limit while the queue is dropped; failures are judged again by each manifest and by a new leader, which before started runs beyond the limit (BUDGET).

--- a/sesamehall/reducer/jobs/active_jobs.py
+++ b/sesamehall/reducer/jobs/active_jobs.py
@@ -21,6 +21,7 @@
 from sesamehall.reducer.jobs.progress import plan_core_ms
 from sesamehall.reducer.jobs.progress import startable_tasks
 from sesamehall.reducer.jobs.runs import end_job
+from sesamehall.reducer.jobs.runs import end_job_without_attempts
 from sesamehall.reducer.jobs.runs import schedule_placement
 from sesamehall.reducer.jobs.state_updates import add_waiting_task
 from sesamehall.reducer.jobs.state_updates import job_pool
@@ -74,6 +75,7 @@
     step = Step(manager, (line,))
     if job_id in manager.cancelled_by_job_id:
         return then(step, cancel_job, job_id, at_ms)
+    step = then(step, end_job_without_attempts, job_id, at_ms)
     step = then(step, schedule_placement, job_pool(manager, job), at_ms)
     return then(step, _schedule_next_occurrence, plan, at_ms)
 
@@ -119,6 +121,24 @@
     return then(step, end_job, job_id, JobPhase.CANCELLED, "cancelled", at_ms)
 
 
+def end_jobs_without_attempts(manager: ManagerState, at_ms: int) -> Step:
+    """End the jobs that have no attempts left under a new manifest.
+
+    It may name a queue again, or allow fewer attempts than before.
+
+    Args:
+      manager: State of the leader.
+      at_ms: Current time on the node's clock.
+    Returns:
+      A Step.
+    """
+    step = Step(manager)
+    for job_id, job in sorted(manager.active_jobs_by_id.items()):
+        if job.progress.phase not in TERMINAL_PHASES:
+            step = then(step, end_job_without_attempts, job_id, at_ms)
+    return step
+
+
 def start_due_occurrences(
     manager: ManagerState, job_id: str, at_ms: int
 ) -> Step:
--- a/sesamehall/reducer/jobs/progress.py
+++ b/sesamehall/reducer/jobs/progress.py
@@ -317,30 +317,24 @@
     return replace(changed, progress=progress)
 
 
-def with_task_failure(
-    job: ActiveJob, place: TaskPlace
-) -> tuple[ActiveJob, int]:
+def with_task_failure(job: ActiveJob, place: TaskPlace) -> ActiveJob:
     """Count a failed run of a task.
 
     Args:
       job: The job.
       place: The task.
     Returns:
-      The job, and the number of failed runs of the task.
+      The job.
     """
     progress_by_step = list(
         step_progress(job.progress, job.plan, place.occurrence)
     )
     failures = dict(progress_by_step[place.step].failures)
-    count = failures.get(place.index, 0) + 1
-    failures[place.index] = count
+    failures[place.index] = failures.get(place.index, 0) + 1
     progress_by_step[place.step] = replace(
         progress_by_step[place.step], failures=tuple(sorted(failures.items()))
     )
-    return (
-        _with_step_progress(job, place.occurrence, tuple(progress_by_step)),
-        count,
-    )
+    return _with_step_progress(job, place.occurrence, tuple(progress_by_step))
 
 
 def with_checkpoint(
--- a/sesamehall/reducer/jobs/runs.py
+++ b/sesamehall/reducer/jobs/runs.py
@@ -27,6 +27,7 @@
 from sesamehall.core.workstate import Run
 from sesamehall.core.workstate import RunState
 from sesamehall.reducer.jobs.advice import drop_job_tickets
+from sesamehall.reducer.jobs.attempts import failure_reason
 from sesamehall.reducer.jobs.durations import record_duration
 from sesamehall.reducer.jobs.progress import checkpoint_of
 from sesamehall.reducer.jobs.progress import is_task_done
@@ -358,19 +359,28 @@
         return step
     if is_task_done(job, place):
         return step
-    job, count = with_task_failure(job, place)
-    manager = put_job(step.state, job)
+    manager = put_job(step.state, with_task_failure(job, place))
     manager = replace(manager, dirty_jobs=manager.dirty_jobs.set(job_id, True))
     step = Step(manager, step.effects)
-    if count < _max_attempts(manager, job):
-        return step
-    reason = f"step {place.step} task {place.index} failed {count} times"
-    return then(step, end_job, job_id, JobPhase.FAILED, reason, at_ms)
+    return then(step, end_job_without_attempts, job_id, at_ms)
+
 
+def end_job_without_attempts(
+    manager: ManagerState, job_id: str, at_ms: int
+) -> Step:
+    """End a job as failed if one of its tasks has no attempts left.
 
-def _max_attempts(manager, job):
-    queue = manager.manifest.queues_by_name.get(job.plan.queue)
-    return 1 if queue is None else queue.max_attempts
+    Args:
+      manager: State of the leader.
+      job_id: Identifier of a job that has not ended.
+      at_ms: Current time on the node's clock.
+    Returns:
+      A Step, without effects if all tasks may be run again.
+    """
+    reason = failure_reason(manager, manager.active_jobs_by_id[job_id])
+    if not reason:
+        return Step(manager)
+    return end_job(manager, job_id, JobPhase.FAILED, reason, at_ms)
 
 
 def _reset_worker_failures(manager, worker_id):
--- a/sesamehall/reducer/jobs/stream_reading.py
+++ b/sesamehall/reducer/jobs/stream_reading.py
@@ -43,6 +43,7 @@
 from sesamehall.reducer.counts import drop_key
 from sesamehall.reducer.jobs.active_jobs import activate_job
 from sesamehall.reducer.jobs.active_jobs import cancel_job
+from sesamehall.reducer.jobs.active_jobs import end_jobs_without_attempts
 from sesamehall.reducer.jobs.active_jobs import may_access
 from sesamehall.reducer.jobs.handover import handle_candidate
 from sesamehall.reducer.jobs.leadership import claimable_from_ms
@@ -308,6 +309,7 @@
     if not manager.term.epoch:
         return Step(manager, (line,))
     step = Step(rebuild_pool_index(manager), (line,))
+    step = then(step, end_jobs_without_attempts, at_ms)
     for pool in sorted(manifest.pools_by_name):
         step = then(step, schedule_placement, pool, at_ms)
     return step
