Store the pools of a queue, and wait for all of them at a takeover

Cause: it held inherited tasks back only for workers of the pool that the manifest names now. The leader now stores the pools of a queue before it starts a task in one of them, and a successor waits for the workers of all of these.

Tests that build a follower or leader by hand give it the record that its predecessor would have stored.

--- a/bench/job_histories.py
+++ b/bench/job_histories.py
@@ -46,7 +46,7 @@
 from sesamehall.core.work import StepPlan
 from sesamehall.reducer.jobs import leases
 from sesamehall.reducer.jobs import orders
-from sesamehall.reducer.jobs import queueing
+from sesamehall.reducer.jobs import queue_pools
 from sesamehall.reducer.jobs import reports
 from sesamehall.reducer.jobs import runs
 from sesamehall.reducer.jobs import task_placement
@@ -568,7 +568,9 @@
         case "unread":
             reports._is_job_unread = lambda manager, task: False
         case "unresolved":
-            queueing.pool_may_have_untracked_runs = lambda manager, pool: False
+            queue_pools.pool_may_have_untracked_runs = (
+                lambda manager, pool: False
+            )
         case "resigning":
             leases.is_resigning = lambda manager: False
         case "stored":
--- a/bench/jobhistories_test.py
+++ b/bench/jobhistories_test.py
@@ -13,7 +13,7 @@
 from bench import job_histories
 from sesamehall.reducer.jobs import leases
 from sesamehall.reducer.jobs import orders
-from sesamehall.reducer.jobs import queueing
+from sesamehall.reducer.jobs import queue_pools
 from sesamehall.reducer.jobs import reports
 from sesamehall.reducer.jobs import runs
 from sesamehall.reducer.jobs import task_placement
@@ -26,7 +26,7 @@
     for module, name in (
         (reports, "_is_job_unread"),
         (reports, "_apply_ends"),
-        (queueing, "pool_may_have_untracked_runs"),
+        (queue_pools, "pool_may_have_untracked_runs"),
         (task_placement, "extend_lease"),
         (orders, "extend_lease"),
         (workers, "extend_lease"),
@@ -44,14 +44,14 @@
         (1, "", False),
         (6, "", False),
         (24, "", False),
-        (36, "unread", True),
-        (2, "unresolved", True),
-        (3, "stored", True),
-        (20, "lease", True),
-        (64, "confirmed", True),
-        (24, "sequence", True),
-        (201, "resigning", True),
-        (166, "forgotten", True),
+        (12, "unread", True),
+        (1, "unresolved", True),
+        (1, "stored", True),
+        (8, "lease", True),
+        (19, "confirmed", True),
+        (69, "sequence", True),
+        (69, "resigning", True),
+        (377, "forgotten", True),
     ],
 )
 def test_invariants_hold_unless_a_guard_is_disabled(
--- a/sesamehall/core/fleet.py
+++ b/sesamehall/core/fleet.py
@@ -185,6 +185,19 @@
     others: tuple[str, ...] = ()
 
 
+@dataclass(frozen=True, slots=True)
+class QueuePools:
+    """Pools on whose workers tasks of a queue may run.
+
+    Attributes:
+      queue: Name of the queue.
+      pools: Names of the pools.
+    """
+
+    queue: str
+    pools: tuple[str, ...]
+
+
 StoredValue = (
     JobPlan
     | CancelAsked
@@ -194,6 +207,7 @@
     | LeasedWorker
     | WaveRecord
     | OrderedMachines
+    | QueuePools
     | Manifest
     | Wave
     | WorkerEntry
--- a/sesamehall/core/managerstate.py
+++ b/sesamehall/core/managerstate.py
@@ -15,6 +15,7 @@
 from sesamehall.core.fleet import Leader
 from sesamehall.core.fleet import LeasedWorker
 from sesamehall.core.fleet import OrderedMachines
+from sesamehall.core.fleet import QueuePools
 from sesamehall.core.fleetstate import FleetState
 from sesamehall.core.jobtiming import LEADER_CORES
 from sesamehall.core.jobtiming import ORDER_WINDOW_INITIAL
@@ -92,6 +93,8 @@
       waves: Waves whose record the write contains.
       machines: Machines that may have orders, or None if the write contains
         no record about machines.
+      queues: Queues and the pools that may run their tasks.
+      dropped_queues: Queues whose record the write deletes.
     """
 
     jobs: tuple[Progress, ...] = ()
@@ -99,6 +102,8 @@
     dropped_workers: tuple[str, ...] = ()
     waves: tuple[int, ...] = ()
     machines: tuple[str, ...] | None = None
+    queues: tuple[QueuePools, ...] = ()
+    dropped_queues: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -220,6 +225,8 @@
       early_cancels_by_job_id: Cancel requests that were read before their job.
       progress_by_id: Stored progress of the jobs that have not ended.
       leased_workers_by_id: Workers on which a leader may have started runs.
+      pools_by_queue: Stored pools on whose workers tasks of a queue may run;
+        tasks are started only in these.
       leader: The newest leader record, or None.
       leader_seen_ms: Time at which it was read.
       prior_renewals_end_ms: Time until which the leaders before that one
@@ -254,6 +261,7 @@
       dirty_jobs: Jobs whose progress is not stored yet.
       dirty_workers: Workers whose record is not stored yet.
       dirty_waves: Waves whose record is not stored yet.
+      dirty_queues: Queues whose record of pools is not stored yet.
       ordered_machines: Stored record of the machines that leaders may have
         ordered, or None.
       maintenance_accepted_by_wave: Machines of a wave for which the platform
@@ -298,6 +306,7 @@
     early_cancels_by_job_id: Map[str, tuple[CancelAsked, ...]] = EMPTY_MAP
     progress_by_id: Map[str, Progress] = EMPTY_MAP
     leased_workers_by_id: Map[str, LeasedWorker] = EMPTY_MAP
+    pools_by_queue: Map[str, tuple[str, ...]] = EMPTY_MAP
     leader: Leader | None = None
     leader_seen_ms: int = 0
     prior_renewals_end_ms: int = 0
@@ -322,6 +331,7 @@
     dirty_jobs: Map[str, bool] = EMPTY_MAP
     dirty_workers: Map[str, bool] = EMPTY_MAP
     dirty_waves: Map[int, bool] = EMPTY_MAP
+    dirty_queues: Map[str, bool] = EMPTY_MAP
     ordered_machines: OrderedMachines | None = None
     maintenance_accepted_by_wave: Map[int, tuple[str, ...]] = EMPTY_MAP
     job_end_unstored: bool = False
--- a/sesamehall/reducer/jobs/leadership.py
+++ b/sesamehall/reducer/jobs/leadership.py
@@ -352,6 +352,7 @@
         dirty_jobs=EMPTY_MAP,
         dirty_workers=EMPTY_MAP,
         dirty_waves=EMPTY_MAP,
+        dirty_queues=EMPTY_MAP,
         job_end_unstored=False,
         advice_by_step=EMPTY_MAP,
         advice_in_flight_step="",
--- a/sesamehall/reducer/jobs/leadership_test.py
+++ b/sesamehall/reducer/jobs/leadership_test.py
@@ -62,6 +62,7 @@
     fields = {
         "manifest": build_manifest(),
         "leader": leader,
+        "pools_by_queue": Map(quotes=("a",)),
         "jobs_cursor": StreamCursor(1, known_until_ms=NOW_MS),
         "progress_cursor": StreamCursor(
             9, known_until_ms=NOW_MS, last_growth_ms=NOW_MS - silent_ms
--- a/sesamehall/reducer/jobs/queueing.py
+++ b/sesamehall/reducer/jobs/queueing.py
@@ -9,29 +9,15 @@
 from sesamehall.reducer.jobs.durations import mean_occupancy_ms
 from sesamehall.reducer.jobs.durations import occupancy_ratio
 from sesamehall.reducer.jobs.leases import is_incarnation_confirmed
-from sesamehall.reducer.jobs.leases import may_have_untracked_runs
 from sesamehall.reducer.jobs.leases import may_start
 from sesamehall.reducer.jobs.placement_round import is_available
 from sesamehall.reducer.jobs.progress import critical_path_ms
+from sesamehall.reducer.jobs.queue_pools import is_pool_stored
+from sesamehall.reducer.jobs.queue_pools import queue_may_have_untracked_runs
 from sesamehall.reducer.jobs.ranking import rank_jobs
 from sesamehall.reducer.jobs.ranking import Ranking
 from sesamehall.reducer.jobs.ranking import WaitingJob
-
-
-def pool_may_have_untracked_runs(manager: ManagerState, pool: str) -> bool:
-    """Check whether a pool may have untracked runs of an earlier leader.
-
-    Args:
-      manager: State of the leader.
-      pool: Name of the pool.
-    Returns:
-      True while a worker that may have such runs has not answered, or has
-      reported runs that are neither adopted nor ended.
-    """
-    return any(
-        may_have_untracked_runs(worker)
-        for worker in pool_workers(manager, pool)
-    )
+from sesamehall.reducer.jobs.state_updates import pool_workers
 
 
 def available_workers(
@@ -54,19 +40,6 @@
     ]
 
 
-def pool_workers(manager: ManagerState, pool: str) -> list[Worker]:
-    """List all workers of a pool, available or not.
-
-    Args:
-      manager: State of the leader.
-      pool: Name of the pool.
-    Returns:
-      The workers, in the order of their identifiers.
-    """
-    ids = manager.worker_ids_by_pool.get(pool, EMPTY_MAP)
-    return [manager.workers_by_id[worker_id] for worker_id in sorted(ids)]
-
-
 def ranked_jobs(
     manager: ManagerState, pool: str, workers: list[Worker], at_ms: int
 ) -> list[ActiveJob]:
@@ -97,12 +70,7 @@
     Returns:
       The ranking.
     """
-    untracked = pool_may_have_untracked_runs(manager, pool)
-    jobs = [
-        job
-        for job in waiting_jobs(manager, pool)
-        if not (untracked and job.inherited) and may_start(manager, job, at_ms)
-    ]
+    jobs = _startable_jobs(manager, pool, at_ms)
     cores = sum(worker.entry.capacity.cpu_milli for worker in workers) / 1_000
     used_cores = sum(worker.used.cpu_milli for worker in workers) / 1_000
     running_core_ms = used_cores * mean_occupancy_ms(manager, pool) / 2
@@ -110,6 +78,31 @@
     return rank_jobs(waiting, cores, at_ms, running_core_ms)
 
 
+def _startable_jobs(manager, pool, at_ms):
+    """List the waiting jobs whose tasks cannot be running unknown to us.
+
+    Tasks of inherited jobs may have runs on any worker of the pools that their
+    queue had, and a successor must be able to tell these pools.
+    """
+    jobs = waiting_jobs(manager, pool)
+    queue_names = {job.plan.queue for job in jobs}
+    unstored = {
+        name for name in queue_names if not is_pool_stored(manager, name, pool)
+    }
+    untracked = {
+        name
+        for name in queue_names
+        if queue_may_have_untracked_runs(manager, name)
+    }
+    return [
+        job
+        for job in jobs
+        if job.plan.queue not in unstored
+        and not (job.inherited and job.plan.queue in untracked)
+        and may_start(manager, job, at_ms)
+    ]
+
+
 def waiting_jobs(manager: ManagerState, pool: str) -> list[ActiveJob]:
     """List the jobs of a pool with waiting tasks.
 
--- a/sesamehall/reducer/jobs/state_updates.py
+++ b/sesamehall/reducer/jobs/state_updates.py
@@ -30,6 +30,19 @@
     return "" if queue is None else queue.pool
 
 
+def pool_workers(manager: ManagerState, pool: str) -> list[Worker]:
+    """List all workers of a pool, available or not.
+
+    Args:
+      manager: State of the leader.
+      pool: Name of the pool.
+    Returns:
+      The workers, in the order of their identifiers.
+    """
+    ids = manager.worker_ids_by_pool.get(pool, EMPTY_MAP)
+    return [manager.workers_by_id[worker_id] for worker_id in sorted(ids)]
+
+
 def put_job(manager: ManagerState, job: ActiveJob) -> ManagerState:
     """Add or replace a job, and index it if it has waiting tasks.
 
--- a/sesamehall/reducer/jobs/storing.py
+++ b/sesamehall/reducer/jobs/storing.py
@@ -6,6 +6,7 @@
 from sesamehall.core.fleet import Leader
 from sesamehall.core.fleet import LeasedWorker
 from sesamehall.core.fleet import OrderedMachines
+from sesamehall.core.fleet import QueuePools
 from sesamehall.core.fleet import StoredRecord
 from sesamehall.core.fleet import WaveRecord
 from sesamehall.core.jobtiming import COMMIT_PERIOD_MS
@@ -23,6 +24,7 @@
 from sesamehall.reducer.counts import drop_key
 from sesamehall.reducer.jobs.leases import is_resigning
 from sesamehall.reducer.jobs.leases import is_stepping_down
+from sesamehall.reducer.jobs.queue_pools import build_record
 from sesamehall.reducer.jobs.runs import drop_ended_job
 from sesamehall.reducer.jobs.runs import schedule_placement
 from sesamehall.reducer.jobs.state_updates import put_worker
@@ -31,6 +33,7 @@
 LEADER_KEY = "leader"
 WORKER_KEY_PREFIX = "worker/"
 WAVE_KEY_PREFIX = "wave/"
+QUEUE_KEY_PREFIX = "queue/"
 ORDERED_MACHINES_KEY = "machines"
 
 
@@ -55,6 +58,7 @@
         manager.dirty_jobs
         or manager.dirty_workers
         or manager.dirty_waves
+        or manager.dirty_queues
         or manager.fleet.orders_unstored
     )
     due = manager.job_end_unstored or (
@@ -97,6 +101,7 @@
         dirty_jobs=EMPTY_MAP,
         dirty_workers=EMPTY_MAP,
         dirty_waves=EMPTY_MAP,
+        dirty_queues=EMPTY_MAP,
         job_end_unstored=False,
         fleet=replace(manager.fleet, orders_unstored=False),
     )
@@ -115,6 +120,8 @@
     job_ids = [progress.job_id for progress in batch.jobs]
     worker_ids = [leased.worker_id for leased in batch.workers]
     worker_ids += batch.dropped_workers
+    queue_names = [record.queue for record in batch.queues]
+    queue_names += batch.dropped_queues
     unstored = manager.fleet.orders_unstored or batch.machines is not None
     return replace(
         manager,
@@ -124,6 +131,7 @@
         dirty_jobs=_mark_dirty(manager.dirty_jobs, job_ids),
         dirty_workers=_mark_dirty(manager.dirty_workers, worker_ids),
         dirty_waves=_mark_dirty(manager.dirty_waves, batch.waves),
+        dirty_queues=_mark_dirty(manager.dirty_queues, queue_names),
         fleet=replace(manager.fleet, orders_unstored=unstored),
     )
 
@@ -135,6 +143,10 @@
 def _collect_batch(manager) -> Batch:
     """Collect the records that have changed since the last write."""
     worker_ids = sorted(manager.dirty_workers)
+    queues = {
+        name: build_record(manager, name)
+        for name in sorted(manager.dirty_queues)
+    }
     machines = None
     if manager.fleet.orders_unstored:
         machines = tuple(sorted(manager.fleet.last_decision_ms_by_machine))
@@ -156,6 +168,10 @@
         ),
         waves=tuple(sorted(manager.dirty_waves)),
         machines=machines,
+        queues=tuple(record for record in queues.values() if record),
+        dropped_queues=tuple(
+            name for name, record in queues.items() if record is None
+        ),
     )
 
 
@@ -172,6 +188,11 @@
             number, manager.maintenance_accepted_by_wave[number]
         )
         records.append(StoredRecord(f"{WAVE_KEY_PREFIX}{number}", maintained))
+    for queue_pools in batch.queues:
+        key = QUEUE_KEY_PREFIX + queue_pools.queue
+        records.append(StoredRecord(key, queue_pools))
+    for name in batch.dropped_queues:
+        records.append(StoredRecord(QUEUE_KEY_PREFIX + name, None))
     if batch.machines is not None:
         others = tuple(sorted(manager.fleet.inherited))
         ordered = OrderedMachines(manager.name, batch.machines, others)
@@ -231,12 +252,16 @@
         ),
         fleet=_mark_orders_stored(manager.fleet, batch.machines or ()),
     )
+    for name in batch.dropped_queues:
+        manager = drop_queue_pools(manager, name)
     for progress in batch.jobs:
         manager = record_progress(manager, progress, event.at_ms)
         manager = drop_ended_job(manager, progress.job_id)
     step = Step(manager, _stored_line(term.epoch, batch, event))
     for leased in batch.workers:
         step = then(step, _confirm_worker, leased, event.at_ms)
+    for queue_pools in batch.queues:
+        step = then(step, _confirm_queue, queue_pools, event.at_ms)
     return then(step, commit, event.at_ms)
 
 
@@ -257,6 +282,11 @@
             if WORKER_KEY_PREFIX + leased.worker_id not in keys
         ),
         machines=None if ORDERED_MACHINES_KEY in keys else batch.machines,
+        queues=tuple(
+            queue_pools
+            for queue_pools in batch.queues
+            if QUEUE_KEY_PREFIX + queue_pools.queue not in keys
+        ),
     )
 
 
@@ -313,6 +343,43 @@
     return then(step, schedule_placement, worker.entry.pool, at_ms)
 
 
+def _confirm_queue(manager, queue_pools, at_ms):
+    """Let tasks of a queue start in the pools that are stored now."""
+    manager = record_queue_pools(manager, queue_pools)
+    queue = manager.manifest.queues_by_name.get(queue_pools.queue)
+    if queue is None:
+        return Step(manager)
+    return schedule_placement(manager, queue.pool, at_ms)
+
+
+def record_queue_pools(
+    manager: ManagerState, queue_pools: QueuePools
+) -> ManagerState:
+    """Record the stored pools of a queue.
+
+    Args:
+      manager: State of a manager.
+      queue_pools: The stored record.
+    Returns:
+      The state.
+    """
+    pools = manager.pools_by_queue.set(queue_pools.queue, queue_pools.pools)
+    return replace(manager, pools_by_queue=pools)
+
+
+def drop_queue_pools(manager: ManagerState, queue_name: str) -> ManagerState:
+    """Record that the record of a queue's pools was deleted.
+
+    Args:
+      manager: State of a manager.
+      queue_name: Name of the queue.
+    Returns:
+      The state.
+    """
+    pools = drop_key(manager.pools_by_queue, queue_name)
+    return replace(manager, pools_by_queue=pools)
+
+
 def record_progress(
     manager: ManagerState, progress: Progress, at_ms: int
 ) -> ManagerState:
--- a/sesamehall/reducer/jobs/stream_reading.py
+++ b/sesamehall/reducer/jobs/stream_reading.py
@@ -4,6 +4,8 @@
 the newest record of each key, a complete list.
 """
 
+from immutables import Map
+
 from sesamehall.core.data import TERMINAL_PHASES
 from sesamehall.core.effects import log
 from sesamehall.core.fleet import CancelAsked
@@ -11,6 +13,7 @@
 from sesamehall.core.fleet import Leader
 from sesamehall.core.fleet import LeasedWorker
 from sesamehall.core.fleet import OrderedMachines
+from sesamehall.core.fleet import QueuePools
 from sesamehall.core.fleet import Stream
 from sesamehall.core.fleet import WaveRecord
 from sesamehall.core.fleet import WorkerEntry
@@ -49,9 +52,13 @@
 from sesamehall.reducer.jobs.leadership import claimable_from_ms
 from sesamehall.reducer.jobs.leadership import end_term
 from sesamehall.reducer.jobs.leadership import record_leader
+from sesamehall.reducer.jobs.queue_pools import request_record_deletions
 from sesamehall.reducer.jobs.runs import schedule_placement
 from sesamehall.reducer.jobs.state_updates import rebuild_pool_index
+from sesamehall.reducer.jobs.storing import drop_queue_pools
+from sesamehall.reducer.jobs.storing import QUEUE_KEY_PREFIX
 from sesamehall.reducer.jobs.storing import record_progress
+from sesamehall.reducer.jobs.storing import record_queue_pools
 from sesamehall.reducer.jobs.storing import WORKER_KEY_PREFIX
 from sesamehall.reducer.jobs.workers import deregister_worker
 from sesamehall.reducer.jobs.workers import register_worker
@@ -308,7 +315,8 @@
     manager = replace(manager, manifest=manifest)
     if not manager.term.epoch:
         return Step(manager, (line,))
-    step = Step(rebuild_pool_index(manager), (line,))
+    manager = request_record_deletions(rebuild_pool_index(manager))
+    step = Step(manager, (line,))
     step = then(step, end_jobs_without_attempts, at_ms)
     for pool in sorted(manifest.pools_by_name):
         step = then(step, schedule_placement, pool, at_ms)
@@ -340,23 +348,41 @@
 
 
 def _drop_unlisted(manager, event):
-    """Drop the workers that a complete list does not contain.
+    """Drop what a complete list does not contain.
 
-    These are the registered workers, or the leased workers of a follower.
+    These are the registered workers, or the leased workers and the pools of
+    queues of a follower.
     """
     listed_keys = {record.key for record in event.records}
     match event.stream:
         case Stream.WORKERS:
             return _drop_unregistered(manager, listed_keys, event)
         case Stream.PROGRESS if not manager.term.epoch:
-            leased_by_id = manager.leased_workers_by_id
-            for worker_id in manager.leased_workers_by_id:
-                if WORKER_KEY_PREFIX + worker_id not in listed_keys:
-                    leased_by_id = leased_by_id.delete(worker_id)
-            return Step(replace(manager, leased_workers_by_id=leased_by_id))
+            leased_by_id = _listed(
+                manager.leased_workers_by_id, WORKER_KEY_PREFIX, listed_keys
+            )
+            pools_by_queue = _listed(
+                manager.pools_by_queue, QUEUE_KEY_PREFIX, listed_keys
+            )
+            return Step(
+                replace(
+                    manager,
+                    leased_workers_by_id=leased_by_id,
+                    pools_by_queue=pools_by_queue,
+                )
+            )
     return Step(manager)
 
 
+def _listed(items_by_name, key_prefix, listed_keys):
+    """Keep the items whose record a complete list contains."""
+    return Map(
+        (name, item)
+        for name, item in items_by_name.items()
+        if key_prefix + name in listed_keys
+    )
+
+
 def _drop_unregistered(manager, listed_keys, event):
     step = Step(manager)
     for worker_id, worker in sorted(manager.workers_by_id.items()):
@@ -454,6 +480,11 @@
             return Step(
                 replace(manager, maintenance_accepted_by_wave=maintained)
             )
+        case QueuePools():
+            return Step(record_queue_pools(manager, value))
+        case None if key.startswith(QUEUE_KEY_PREFIX):
+            queue_name = key.removeprefix(QUEUE_KEY_PREFIX)
+            return Step(drop_queue_pools(manager, queue_name))
         case LeasedWorker(worker_id):
             leased_by_id = leased_by_id.set(worker_id, value)
         case None if key.startswith(WORKER_KEY_PREFIX):
--- a/sesamehall/reducer/jobs/takeover_test.py
+++ b/sesamehall/reducer/jobs/takeover_test.py
@@ -71,6 +71,7 @@
         plans_by_id=Map(plans),
         team_by_job_id=Map(dict.fromkeys(plans, "guild")),
         leased_workers_by_id=Map(leased),
+        pools_by_queue=Map(quotes=("a",)),
     )
     claiming = claim_if_vacant(follower, NOW_MS).state
     step = handle_progress_stored(claiming, _stored())
--- a/sesamehall/reducer/jobs/task_placement.py
+++ b/sesamehall/reducer/jobs/task_placement.py
@@ -25,6 +25,7 @@
 from sesamehall.reducer.jobs.orders import build_start_order
 from sesamehall.reducer.jobs.placement_round import Assignment
 from sesamehall.reducer.jobs.placement_round import PlacementRound
+from sesamehall.reducer.jobs.queue_pools import request_pool_records
 from sesamehall.reducer.jobs.queueing import available_workers
 from sesamehall.reducer.jobs.queueing import ranked_jobs
 from sesamehall.reducer.jobs.runs import schedule_placement
@@ -52,6 +53,7 @@
     job_ids = manager.job_ids_by_pool.get(pool, EMPTY_MAP)
     if not pool or not job_ids or not manager.term.epoch:
         return Step(manager)
+    manager = request_pool_records(manager, pool)
     max_tasks = available_orders(manager, pool)
     step = Step(manager)
     assignments = (
--- a/sesamehall/reducer/jobs/testing.py
+++ b/sesamehall/reducer/jobs/testing.py
@@ -93,8 +93,11 @@
         "edge-1",
         manifest=manifest or build_manifest(),
         term=others.pop("term", term),
-        jobs_caught_up=True,
-        **others,
+        **{
+            "jobs_caught_up": True,
+            "pools_by_queue": Map(quotes=("a",)),
+            **others,
+        },
     )
     for worker in workers:
         manager = put_worker(manager, worker)
--- a/sesamehall/reducer/jobs/waiting_log.py
+++ b/sesamehall/reducer/jobs/waiting_log.py
@@ -12,11 +12,12 @@
 from sesamehall.reducer.jobs.leases import may_start
 from sesamehall.reducer.jobs.placement_round import exclusion_reason
 from sesamehall.reducer.jobs.placement_round import is_within_ceiling
+from sesamehall.reducer.jobs.queue_pools import is_pool_stored
+from sesamehall.reducer.jobs.queue_pools import queue_may_have_untracked_runs
 from sesamehall.reducer.jobs.queueing import available_workers
-from sesamehall.reducer.jobs.queueing import pool_may_have_untracked_runs
-from sesamehall.reducer.jobs.queueing import pool_workers
 from sesamehall.reducer.jobs.queueing import rank_waiting_jobs
 from sesamehall.reducer.jobs.queueing import waiting_jobs
+from sesamehall.reducer.jobs.state_updates import pool_workers
 
 
 def log_waiting_tasks(manager: ManagerState, pool: str, at_ms: int) -> Step:
@@ -34,6 +35,7 @@
         return Step(manager)
     logged = manager.waiting_logged_ms_by_pool.set(pool, at_ms)
     jobs = waiting_jobs(manager, pool)
+    queue_names = {job.plan.queue for job in jobs}
     workers = available_workers(manager, pool, at_ms)
     ranking = rank_waiting_jobs(manager, pool, workers, at_ms)
     cpu_milli = [worker.entry.capacity.cpu_milli for worker in workers]
@@ -55,7 +57,13 @@
         unconfirmed=sum(not may_start(manager, job, at_ms) for job in jobs),
         at_ceiling=sum(_is_at_ceiling(manager, job) for job in jobs),
         orders=len(manager.start_ordered_ms_by_run),
-        unresolved=int(pool_may_have_untracked_runs(manager, pool)),
+        unresolved=sum(
+            queue_may_have_untracked_runs(manager, name)
+            for name in queue_names
+        ),
+        unstored=sum(
+            not is_pool_stored(manager, name, pool) for name in queue_names
+        ),
         takers=len(workers),
         cpu=sum(cpu_milli),
         free_cpu=sum(free_cpu_milli),
--- a/sesamehall/reducer/machines/incarnations_test.py
+++ b/sesamehall/reducer/machines/incarnations_test.py
@@ -8,7 +8,7 @@
 from sesamehall.core.fleetstate import FleetState
 from sesamehall.core.managereffects import StartRun
 from sesamehall.core.managerevents import MachinesListed
-from sesamehall.reducer.jobs.queueing import pool_may_have_untracked_runs
+from sesamehall.reducer.jobs.queue_pools import pool_may_have_untracked_runs
 from sesamehall.reducer.jobs.testing import activate_jobs
 from sesamehall.reducer.jobs.testing import build_leader
 from sesamehall.reducer.jobs.testing import build_plan
