Send a stop again until its worker accepts it

Cause: the order was repeated only if there was no answer, and a run that is being stopped is not ordered to stop by anything else.

--- a/sesamehall/core/timers.py
+++ b/sesamehall/core/timers.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass
 
+from sesamehall.core.managerevents import OrderRefusal
+
 
 @dataclass(frozen=True, slots=True)
 class BeatTimer:
@@ -140,17 +142,19 @@
 
 @dataclass(frozen=True, slots=True)
 class StopTimer:
-    """Triggers a repetition of an unanswered order to stop a run.
+    """Triggers a repetition of an order to stop a run that was not accepted.
 
     Attributes:
       worker_id: Identifier of the worker.
       task: Identifier of the task.
       number: Number of the run.
+      refusal: Why the worker did not accept the order.
     """
 
     worker_id: str
     task: str
     number: int
+    refusal: OrderRefusal
 
 
 Timer = (
--- a/sesamehall/reducer/jobs/orders.py
+++ b/sesamehall/reducer/jobs/orders.py
@@ -97,9 +97,10 @@
 
 
 def handle_stop_answer(manager: ManagerState, event: StopAnswered) -> Step:
-    """Handle the answer to a stop order, and resend it if there is none.
+    """Handle the answer to a stop order, and resend it unless it is accepted.
 
-    A worker that refuses connections fails each order immediately, so there is
+    A worker that refuses the order, for example while it is unhealthy, does
+    not stop the run later.  It may refuse each order immediately, so there is
     a pause before the next one.
 
     A worker never starts a run after a stop order for it.  So reports that are
@@ -119,15 +120,14 @@
     run = _find_run(manager, event)
     if run is None:
         return Step(manager)
-    match event.refusal:
-        case None if run.acknowledged_ms < 0:
-            run = replace(run, acknowledged_ms=event.at_ms)
-            return Step(put_run(manager, run))
-        case OrderRefusal.SILENT:
-            timer = StopTimer(run.worker_id, run.task, run.number)
-            due_ms = event.at_ms + STOP_RETRY_MS
-            return Step(manager, (SetTimer(timer, due_ms),))
-    return Step(manager)
+    if event.refusal is not None:
+        timer = StopTimer(run.worker_id, run.task, run.number, event.refusal)
+        due_ms = event.at_ms + STOP_RETRY_MS
+        return Step(manager, (SetTimer(timer, due_ms),))
+    if run.acknowledged_ms >= 0:
+        return Step(manager)
+    run = replace(run, acknowledged_ms=event.at_ms)
+    return Step(put_run(manager, run))
 
 
 def resend_stop(manager: ManagerState, timer: StopTimer) -> Step:
@@ -144,7 +144,7 @@
         return Step(manager)
     if (run.worker_id, run.number) != (timer.worker_id, timer.number):
         return Step(manager)
-    return stop_run(manager, run, "no answer")
+    return stop_run(manager, run, f"not accepted: {timer.refusal.value}")
 
 
 def build_start_order(
