--- a/sesamehall/core/managerstate.py
+++ b/sesamehall/core/managerstate.py
@@ -218,7 +218,6 @@
       first_seen_ms_by_job_id: Time at which this node first read each of
         them.
       team_by_job_id: Team of every known job.
-      queue_by_job_id: Queue of every known job.
       phase_by_job_id: Stored phase of the jobs that have progress.
       ended_ms_by_job_id: Time at which a job was first known to have ended.
       cancelled_by_job_id: Jobs with a cancel request of their team.
@@ -299,7 +298,6 @@
     plans_by_id: Map[str, JobPlan] = EMPTY_MAP
     first_seen_ms_by_job_id: Map[str, int] = EMPTY_MAP
     team_by_job_id: Map[str, str] = EMPTY_MAP
-    queue_by_job_id: Map[str, str] = EMPTY_MAP
     phase_by_job_id: Map[str, JobPhase] = EMPTY_MAP
     ended_ms_by_job_id: Map[str, int] = EMPTY_MAP
     cancelled_by_job_id: Map[str, bool] = EMPTY_MAP
--- a/sesamehall/core/workstate.py
+++ b/sesamehall/core/workstate.py
@@ -168,9 +168,6 @@
       watch_in_flight: Whether a watch is in flight.
       clock_ms: The worker's clock at its latest report.
       last_report_ms: This node's clock at that report.
-      answered_watch_sent_ms: Time at which the watch was sent that the latest
-        report answers, or -1. Runs that the worker accepted later may be
-        missing from that report.
       lease_end_ms: Time after which nothing can run on it any more.
       last_applied_end_sequence: Sequence number up to which its ended runs are
         applied.
@@ -203,7 +200,6 @@
     watch_in_flight: bool = False
     clock_ms: int = 0
     last_report_ms: int = -1
-    answered_watch_sent_ms: int = -1
     lease_end_ms: int = 0
     last_applied_end_sequence: int = 0
     last_stored_end_sequence: int = 0
--- a/sesamehall/reducer/jobs/stream_reading.py
+++ b/sesamehall/reducer/jobs/stream_reading.py
@@ -396,11 +396,8 @@
     job_id = plan.job_id
     if job_id in manager.team_by_job_id:
         return Step(manager)
-    manager = replace(
-        manager,
-        team_by_job_id=manager.team_by_job_id.set(job_id, plan.team),
-        queue_by_job_id=manager.queue_by_job_id.set(job_id, plan.queue),
-    )
+    teams = manager.team_by_job_id.set(job_id, plan.team)
+    manager = replace(manager, team_by_job_id=teams)
     if manager.phase_by_job_id.get(job_id) in TERMINAL_PHASES:
         return Step(manager)
     manager = _apply_early_cancels(manager, job_id)
