Drop a pool from a queue's record once no run can be there

A successor waited for workers of pools that the queue had left long ago. A run that takes effect late in such a pool brings it back.

--- a/sesamehall/reducer/jobs/queue_pools.py
+++ b/sesamehall/reducer/jobs/queue_pools.py
@@ -62,11 +62,14 @@
 def request_pool_records(manager: ManagerState, pool: str) -> ManagerState:
     """Have the records written that the waiting tasks of a pool need.
 
+    A record with pools that can have no runs any more is written again, since
+    a successor would wait for workers there.
+
     Args:
       manager: State of the leader.
-      pool: Name of the pool.
+      pool: Name of the pool, to which the manifest sends the tasks' queues.
     Returns:
-      The state, with the queues whose record is missing marked as changed.
+      The state, with the queues that need another record marked as changed.
     """
     job_ids = manager.job_ids_by_pool.get(pool, EMPTY_MAP)
     names = {
@@ -75,14 +78,32 @@
     in_flight = {
         record.queue for record in manager.term.batch_in_flight.queues
     }
-    missing = {
-        name: True
+    outdated = [
+        name
         for name in names - in_flight
-        if not is_pool_stored(manager, name, pool)
-    }
-    if not missing:
+        if not _is_record_current(manager, name, pool)
+    ]
+    return _mark_changed(manager, outdated)
+
+
+def request_record_of_run(
+    manager: ManagerState, queue_name: str, pool: str
+) -> ManagerState:
+    """Have the record written that a run of an earlier leader needs.
+
+    An order that was held up may take effect in a pool that has left the
+    record since.
+
+    Args:
+      manager: State of the leader.
+      queue_name: Name of the queue whose task runs.
+      pool: Pool of the worker that runs it.
+    Returns:
+      The state, with the queue marked as changed if its record lacks the pool.
+    """
+    if is_pool_stored(manager, queue_name, pool):
         return manager
-    return replace(manager, dirty_queues=manager.dirty_queues.update(missing))
+    return _mark_changed(manager, [queue_name])
 
 
 def request_record_deletions(manager: ManagerState) -> ManagerState:
@@ -93,15 +114,13 @@
     Returns:
       The state, with these queues marked as changed.
     """
-    needless = {
-        name: True
+    needless = [
+        name
         for name in manager.pools_by_queue
         if name not in manager.manifest.queues_by_name
         and not _has_jobs(manager, name)
-    }
-    if not needless:
-        return manager
-    return replace(manager, dirty_queues=manager.dirty_queues.update(needless))
+    ]
+    return _mark_changed(manager, needless)
 
 
 def build_record(manager: ManagerState, queue_name: str) -> QueuePools | None:
@@ -128,6 +147,21 @@
     return QueuePools(queue_name, tuple(sorted(pools)))
 
 
+def _is_record_current(manager, queue_name, pool):
+    """Check that a queue's record has its pool and none without runs."""
+    if not is_pool_stored(manager, queue_name, pool):
+        return False
+    if len(manager.pools_by_queue[queue_name]) == 1:
+        return True
+    record = build_record(manager, queue_name)
+    return record.pools == manager.pools_by_queue[queue_name]
+
+
+def _mark_changed(manager, queue_names):
+    dirty = manager.dirty_queues.update(dict.fromkeys(queue_names, True))
+    return replace(manager, dirty_queues=dirty) if queue_names else manager
+
+
 def _possible_pools(manager, queue_name):
     """List the pools in which an earlier leader may have started tasks.
 
--- a/sesamehall/reducer/jobs/queue_pools_test.py
+++ b/sesamehall/reducer/jobs/queue_pools_test.py
@@ -189,6 +189,42 @@
     assert written_pools(write_changed_records(manager)) == [written]
 
 
+# Guards against inherited tasks that wait for pools without runs.
+@pytest.mark.parametrize(
+    ("stored", "active_in", "untracked_in", "written"),
+    [
+        (("a", "b"), "", "", [("b",)]),
+        (("a", "b"), "a", "", []),
+        (("a", "b"), "", "a", []),
+        (("b",), "", "", []),
+        (("b",), "a", "", [("a", "b")]),
+    ],
+    ids=[
+        "no run left",
+        "run left",
+        "run possible",
+        "one pool",
+        "run that was held up",
+    ],
+)
+def test_record_follows_the_runs(stored, active_in, untracked_in, written):
+    manager = build_leader(
+        build_pool_worker("w1", "a"),
+        build_pool_worker("w2", "b"),
+        build_pool_worker("w3", untracked_in or "c", untracked_runs=1),
+        manifest=send_queue_to("b"),
+        pools_by_queue=Map(quotes=stored),
+    )
+    manager = activate_jobs(
+        manager, build_plan(), build_plan(job_id="00000000000000bb")
+    )
+    if active_in:
+        report = build_report("w1", [ActiveRun(task(), 1)])
+        manager = apply_report(manager, report).state
+    manager = place_tasks(manager, "b", NOW_MS).state
+    assert written_pools(write_changed_records(manager)) == written
+
+
 # Guards against records of queues that stay for ever.
 @pytest.mark.parametrize(
     ("plans", "pool", "written", "kept"),
--- a/sesamehall/reducer/jobs/reports.py
+++ b/sesamehall/reducer/jobs/reports.py
@@ -23,6 +23,7 @@
 from sesamehall.reducer.jobs.leases import is_incarnation_confirmed
 from sesamehall.reducer.jobs.progress import is_task_done
 from sesamehall.reducer.jobs.progress import plan_has_task
+from sesamehall.reducer.jobs.queue_pools import request_record_of_run
 from sesamehall.reducer.jobs.runs import abandon_run
 from sesamehall.reducer.jobs.runs import apply_run_end
 from sesamehall.reducer.jobs.runs import schedule_placement
@@ -76,7 +77,6 @@
         watch_in_flight=False,
         clock_ms=event.clock_ms,
         last_report_ms=at_ms,
-        answered_watch_sent_ms=event.sent_ms,
         unanswered_watches=0,
     )
     step = Step(put_worker(step.state, worker), step.effects)
@@ -328,7 +328,10 @@
         run=active.number,
         worker=event.worker_id,
     )
-    return Step(charge_run(manager, run), (line,))
+    manager = request_record_of_run(
+        charge_run(manager, run), job.plan.queue, worker.entry.pool
+    )
+    return Step(manager, (line,))
 
 
 def _abandon_missing_runs(manager, event):
