--- a/sesamehall/reducer/jobs/queueing.py
+++ b/sesamehall/reducer/jobs/queueing.py
@@ -79,26 +79,28 @@
 
 
 def _startable_jobs(manager, pool, at_ms):
-    """List the waiting jobs whose tasks cannot be running unknown to us.
+    """List the waiting jobs of a pool whose tasks certainly have no run.
 
-    Tasks of inherited jobs may have runs on any worker of the pools that their
-    queue had, and a successor must be able to tell these pools.
+    Tasks of an inherited job may have runs on any worker of the pools that are
+    stored for its queue.  Until the pool itself is stored, a successor would
+    not look for runs there.
     """
     jobs = waiting_jobs(manager, pool)
-    queue_names = {job.plan.queue for job in jobs}
     unstored = {
-        name for name in queue_names if not is_pool_stored(manager, name, pool)
+        name
+        for name in {job.plan.queue for job in jobs}
+        if not is_pool_stored(manager, name, pool)
     }
-    untracked = {
+    unresolved = {
         name
-        for name in queue_names
+        for name in {job.plan.queue for job in jobs if job.inherited}
         if queue_may_have_untracked_runs(manager, name)
     }
     return [
         job
         for job in jobs
         if job.plan.queue not in unstored
-        and not (job.inherited and job.plan.queue in untracked)
+        and not (job.inherited and job.plan.queue in unresolved)
         and may_start(manager, job, at_ms)
     ]
 
