--- a/sesamehall/reducer/jobs/queue_pools.py
+++ b/sesamehall/reducer/jobs/queue_pools.py
@@ -9,6 +9,7 @@
 from sesamehall.core.fleet import QueuePools
 from sesamehall.core.managerstate import ManagerState
 from sesamehall.core.replacing import replace
+from sesamehall.reducer.counts import drop_key
 from sesamehall.reducer.jobs.leases import may_have_untracked_runs
 from sesamehall.reducer.jobs.state_updates import pool_workers
 
@@ -123,6 +124,34 @@
     return _mark_changed(manager, needless)
 
 
+def record_queue_pools(
+    manager: ManagerState, queue_pools: QueuePools
+) -> ManagerState:
+    """Record the stored pools of a queue.
+
+    Args:
+      manager: State of a manager.
+      queue_pools: The stored record.
+    Returns:
+      The state.
+    """
+    pools = manager.pools_by_queue.set(queue_pools.queue, queue_pools.pools)
+    return replace(manager, pools_by_queue=pools)
+
+
+def drop_queue_pools(manager: ManagerState, queue_name: str) -> ManagerState:
+    """Record that the record of a queue's pools was deleted.
+
+    Args:
+      manager: State of a manager.
+      queue_name: Name of the queue.
+    Returns:
+      The state.
+    """
+    pools = drop_key(manager.pools_by_queue, queue_name)
+    return replace(manager, pools_by_queue=pools)
+
+
 def build_record(manager: ManagerState, queue_name: str) -> QueuePools | None:
     """Build the record of a queue's pools.
 
--- a/sesamehall/reducer/jobs/storing.py
+++ b/sesamehall/reducer/jobs/storing.py
@@ -6,7 +6,6 @@
 from sesamehall.core.fleet import Leader
 from sesamehall.core.fleet import LeasedWorker
 from sesamehall.core.fleet import OrderedMachines
-from sesamehall.core.fleet import QueuePools
 from sesamehall.core.fleet import StoredRecord
 from sesamehall.core.fleet import WaveRecord
 from sesamehall.core.jobtiming import COMMIT_PERIOD_MS
@@ -25,6 +24,8 @@
 from sesamehall.reducer.jobs.leases import is_resigning
 from sesamehall.reducer.jobs.leases import is_stepping_down
 from sesamehall.reducer.jobs.queue_pools import build_record
+from sesamehall.reducer.jobs.queue_pools import drop_queue_pools
+from sesamehall.reducer.jobs.queue_pools import record_queue_pools
 from sesamehall.reducer.jobs.runs import drop_ended_job
 from sesamehall.reducer.jobs.runs import schedule_placement
 from sesamehall.reducer.jobs.state_updates import put_worker
@@ -291,18 +292,22 @@
 
 
 def _stored_line(epoch, batch, event):
-    """Build the log line of a confirmed write of jobs or workers."""
-    if not batch.jobs and not batch.workers:
+    """Build the log line of a confirmed write of jobs, workers or queues."""
+    if not batch.jobs and not batch.workers and not batch.queues:
         return ()
     ends = ",".join(
         f"{leased.worker_id}:{leased.last_applied_end_sequence}"
         for leased in batch.workers
     )
+    pools = ",".join(
+        f"{record.queue}:{'+'.join(record.pools)}" for record in batch.queues
+    )
     line = log(
         RECORDS_STORED,
         epoch=epoch,
         jobs=len(batch.jobs),
         ends=ends,
+        pools=pools,
         took_ms=event.at_ms - event.sent_ms,
     )
     return (line,)
@@ -352,34 +357,6 @@
     return schedule_placement(manager, queue.pool, at_ms)
 
 
-def record_queue_pools(
-    manager: ManagerState, queue_pools: QueuePools
-) -> ManagerState:
-    """Record the stored pools of a queue.
-
-    Args:
-      manager: State of a manager.
-      queue_pools: The stored record.
-    Returns:
-      The state.
-    """
-    pools = manager.pools_by_queue.set(queue_pools.queue, queue_pools.pools)
-    return replace(manager, pools_by_queue=pools)
-
-
-def drop_queue_pools(manager: ManagerState, queue_name: str) -> ManagerState:
-    """Record that the record of a queue's pools was deleted.
-
-    Args:
-      manager: State of a manager.
-      queue_name: Name of the queue.
-    Returns:
-      The state.
-    """
-    pools = drop_key(manager.pools_by_queue, queue_name)
-    return replace(manager, pools_by_queue=pools)
-
-
 def record_progress(
     manager: ManagerState, progress: Progress, at_ms: int
 ) -> ManagerState:
--- a/sesamehall/reducer/jobs/stream_reading.py
+++ b/sesamehall/reducer/jobs/stream_reading.py
@@ -52,13 +52,13 @@
 from sesamehall.reducer.jobs.leadership import claimable_from_ms
 from sesamehall.reducer.jobs.leadership import end_term
 from sesamehall.reducer.jobs.leadership import record_leader
+from sesamehall.reducer.jobs.queue_pools import drop_queue_pools
+from sesamehall.reducer.jobs.queue_pools import record_queue_pools
 from sesamehall.reducer.jobs.queue_pools import request_record_deletions
 from sesamehall.reducer.jobs.runs import schedule_placement
 from sesamehall.reducer.jobs.state_updates import rebuild_pool_index
-from sesamehall.reducer.jobs.storing import drop_queue_pools
 from sesamehall.reducer.jobs.storing import QUEUE_KEY_PREFIX
 from sesamehall.reducer.jobs.storing import record_progress
-from sesamehall.reducer.jobs.storing import record_queue_pools
 from sesamehall.reducer.jobs.storing import WORKER_KEY_PREFIX
 from sesamehall.reducer.jobs.workers import deregister_worker
 from sesamehall.reducer.jobs.workers import register_worker
