Split the simulated managers' calls out of jobworld

It was the largest file of the tree, with one class for processes, calls to the store and calls to workers.

--- a/bench/job_histories.py
+++ b/bench/job_histories.py
@@ -19,10 +19,10 @@
 
 from immutables import Map
 
+from bench.jobprocesses import ManagerProcess
+from bench.jobprocesses import NO_FAULTS
 from bench.jobworkers import FAILING_COMMAND
 from bench.jobworld import JobSimulation
-from bench.jobworld import ManagerProcess
-from bench.jobworld import NO_FAULTS
 from sesamehall.core.calls import Accepted
 from sesamehall.core.calls import CancelJob
 from sesamehall.core.calls import JobCall
--- a/bench/jobworld.py
+++ b/bench/jobworld.py
@@ -11,17 +11,20 @@
 incarnation that received the call.
 """
 
-from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass
-from dataclasses import field
 from random import Random
 from time import process_time_ns
 
 from bench.event_scheduler import EventScheduler
 from bench.jobchecks import JobChecker
+from bench.jobprocesses import CallFaultRates
+from bench.jobprocesses import ManagerProcess
+from bench.jobprocesses import ProgressWriter
+from bench.jobprocesses import WALL_CLOCK_START_MS
 from bench.jobstore import JobStore
 from bench.jobworkers import WorkerIncarnation
+from bench.storecalls import StoreCalls
+from bench.workercalls import WorkerCalls
 from sesamehall.core.data import Node
 from sesamehall.core.data import NodeKind
 from sesamehall.core.effects import Exit
@@ -31,7 +34,6 @@
 from sesamehall.core.events import Started
 from sesamehall.core.events import StopRequested
 from sesamehall.core.events import TimerFired
-from sesamehall.core.fleet import CancelAsked
 from sesamehall.core.fleet import StoredRecord
 from sesamehall.core.fleet import Stream
 from sesamehall.core.fleet import WorkerEntry
@@ -44,18 +46,7 @@
 from sesamehall.core.managereffects import StoreJob
 from sesamehall.core.managereffects import StoreProgress
 from sesamehall.core.managereffects import WatchWorker
-from sesamehall.core.managerevents import JobStored
 from sesamehall.core.managerevents import MachinesListed
-from sesamehall.core.managerevents import OrderRefusal
-from sesamehall.core.managerevents import OrderTiming
-from sesamehall.core.managerevents import ProgressStored
-from sesamehall.core.managerevents import RunAnswered
-from sesamehall.core.managerevents import StopAnswered
-from sesamehall.core.managerevents import StoreOutcome
-from sesamehall.core.managerevents import StreamRead
-from sesamehall.core.managerevents import StreamUnread
-from sesamehall.core.managerevents import WorkerNotReported
-from sesamehall.core.managerevents import WorkerReported
 from sesamehall.core.managerstate import ManagerState
 from sesamehall.core.managerstate import Timing
 from sesamehall.core.state import Identity
@@ -63,101 +54,11 @@
 from sesamehall.core.work import Size
 from sesamehall.reducer.manager_reducer import reduce_manager
 
-WALL_CLOCK_START_MS = 1_700_000_000_000
-STORE_TIMEOUT_MS = 1_200
-RETRY_PAUSE_MS = 50
-PROGRESS_ATTEMPTS = 3
-WATCH_TIMEOUT_MS = 800
-ORDER_TIMEOUT_MS = 500
 REGISTRATION_EXPIRY_MS = 3_000  # after the termination of the worker
-FIRST_SEQUENCE_LIMIT = 1 << 30
 WORKER_CAPACITY = Size(4_000, 8_000)
 MANAGER_CORES = (0.5, 1.07, 2.15)  # chosen by the manager's name
 
 
-@dataclass(slots=True)
-class CallFaultRates:
-    """Probabilities of faults of calls.
-
-    Attributes:
-      lost: Probability that a call never arrives.
-      response_lost: Probability that a call takes effect but its response is
-        lost.
-      late: Probability that a call is executed late, without a response: 2 to
-        12 seconds at a worker, up to 8 seconds at the store.
-      duplicated: Probability that a call to a worker is executed immediately
-        and again 2 to 12 seconds later, without a response; a call to the
-        store is late instead.
-      slow: Probability that a request takes up to 400 ms instead of 3 ms;
-        drawn again for the response.
-    """
-
-    lost: float = 0.01
-    response_lost: float = 0.02
-    late: float = 0.01
-    duplicated: float = 0.01
-    slow: float = 0.1
-
-
-NO_FAULTS = CallFaultRates(0.0, 0.0, 0.0, 0.0, 0.0)
-
-
-@dataclass(slots=True)
-class ProgressWriter:
-    """Appends of a manager as leader, one at a time.
-
-    Attributes:
-      epoch: Epoch of the latest append.
-      sequence: Sequence number of the next append.
-      unconfirmed: Records of an append whose outcome is unknown.
-      queue: Appends in order; the first one is in flight.
-    """
-
-    epoch: int = 0
-    sequence: int = 0
-    unconfirmed: tuple[StoredRecord, ...] = ()
-    queue: deque = field(default_factory=deque)
-
-
-@dataclass(slots=True, eq=False)
-class ManagerProcess:
-    """The simulated process of a manager, with the faults in force.
-
-    Attributes:
-      name: Name of the manager.
-      state: State of the reducer.
-      clock_skew_ms: Offset of its clock from simulated time.
-      alive: Whether the process runs.
-      start_count: Number of starts; events for an earlier start are dropped.
-      paused_until_ms: Simulated time until which it handles no event.
-      timers: Due time of each timer on the manager's clock.
-      writer: Its appends as leader.
-      store_unreachable: Whether its calls to the store are lost.
-      append_responses_lost: Whether its appends take effect but their
-        responses are lost.
-      unreachable_workers: Ids of the workers that it cannot reach.
-      response_lag_ms: Additional delay of the responses of workers.
-    """
-
-    name: str
-    state: State
-    clock_skew_ms: int
-    alive: bool = True
-    start_count: int = 1
-    paused_until_ms: int = 0
-    timers: dict = field(default_factory=dict)
-    writer: ProgressWriter = field(default_factory=ProgressWriter)
-    store_unreachable: bool = False
-    append_responses_lost: bool = False
-    unreachable_workers: set[str] = field(default_factory=set)
-    response_lag_ms: int = 0
-
-    @property
-    def epoch(self) -> int:
-        """Epoch of its term as leader, 0 while it does not lead."""
-        return self.state.manager.term.epoch
-
-
 class JobSimulation(EventScheduler):
     """Simulated managers, workers and store.
 
@@ -189,7 +90,9 @@
         super().__init__()
         self.random = Random(seed)
         self.fault_rates = CallFaultRates()
-        self.store = JobStore(on_append=self._notify_readers)
+        self._store_calls = StoreCalls(self, retry_unconfirmed)
+        self._worker_calls = WorkerCalls(self)
+        self.store = JobStore(on_append=self._store_calls.notify_readers)
         self.checker = JobChecker(lambda: self.now_ms, max_attempts)
         self.processes_by_name: dict[str, ManagerProcess] = {}
         self.workers_by_address: dict[str, WorkerIncarnation] = {}
@@ -199,10 +102,6 @@
         )
         self.on_effect: Callable = lambda process, effect: None
         self.on_reduced: Callable[[Event, int], None] = lambda event, ns: None
-        self._retries_unconfirmed = retry_unconfirmed
-        self._read_waiters: dict[Stream, list[Callable]] = {
-            s: [] for s in Stream
-        }
 
     def add_manager(self, name: str) -> None:
         """Start a manager.
@@ -418,9 +317,9 @@
                     at_ms,
                 )
             case ReadStream():
-                self._schedule_call(
+                self.schedule_call(
                     process,
-                    self._read_stream,
+                    self._store_calls.read_stream,
                     process,
                     process.start_count,
                     effect,
@@ -428,34 +327,33 @@
             case StoreProgress():
                 process.writer.queue.append(effect)
                 if len(process.writer.queue) == 1:
-                    self._schedule_call(
+                    self.schedule_call(
                         process,
-                        self._append_progress,
+                        self._store_calls.append_progress,
                         process,
                         process.start_count,
                     )
             case OfferToLead():
-                self._schedule_call(
+                self.schedule_call(
                     process,
-                    self._append_offer,
+                    self._store_calls.append_offer,
                     process,
                     process.start_count,
                     effect,
                 )
             case StoreJob():
                 start_count = process.start_count
-                self._schedule_call(
+                self.schedule_call(
                     process,
-                    self._store_job,
+                    self._store_calls.store_job,
                     process,
                     start_count,
                     effect,
-                    False,
                 )
             case WatchWorker() | StartRun() | StopRun():
-                self._schedule_call(
+                self.schedule_call(
                     process,
-                    self._call_worker,
+                    self._worker_calls.call,
                     process,
                     process.start_count,
                     effect,
@@ -483,40 +381,53 @@
                 process, lambda now_ms: TimerFired(now_ms, timer), start_count
             )
 
-    def _schedule_call(self, process, action, *arguments):
+    def schedule_call(
+        self, process: ManagerProcess, action: Callable, *arguments
+    ) -> None:
         """Schedule a call, as if another thread of the manager made it.
 
-        `arguments` are those of the action.  The first is the process, the
-        second its start count when the call was requested.
+        Args:
+          process: The manager.
+          action: Function that executes the call.
+          *arguments: Its arguments.  The first is the process, the second its
+            start count when the call was requested.
         """
         self.call_later(
             self.random.random() * 2,
-            self._start_call,
+            self.start_call,
             process,
             action,
             arguments,
         )
 
-    def _start_call(self, process, action, arguments):
+    def start_call(
+        self, process: ManagerProcess, action: Callable, arguments: tuple
+    ) -> None:
         """Start a call, after the pause if any.
 
         The call is dropped if the manager has been restarted meanwhile.
+
+        Args:
+          process: The manager.
+          action: Function that executes the call.
+          arguments: Its arguments, as for `schedule_call`.
         """
         if not process.alive or arguments[1] != process.start_count:
             return
         if self.now_ms < process.paused_until_ms:
             delay_ms = process.paused_until_ms - self.now_ms
             self.call_later(
-                delay_ms, self._start_call, process, action, arguments
+                delay_ms, self.start_call, process, action, arguments
             )
             return
         action(*arguments)
 
-    def _delay_ms(self):
+    def draw_delay_ms(self) -> float:
+        """Draw the delay of a request or of a response, in milliseconds."""
         slow = self.random.random() < self.fault_rates.slow
         return self.random.uniform(0, 400 if slow else 3)
 
-    def _draw_delivery(self):
+    def draw_delivery(self) -> str:
         """Draw the fault of a call, "answered" for none."""
         fault_rates = self.fault_rates
         chance = self.random.random()
@@ -526,341 +437,6 @@
                 return name
         return "answered"
 
-    def _call_store(
-        self, process, execute, on_outcome, timeout_ms=STORE_TIMEOUT_MS
-    ):
-        """Execute a call to the store; its outcome is None on a timeout."""
-        delivery = self._draw_delivery()
-        delay_ms = self._delay_ms()
-        if self._is_call_rejected():
-            self.call_later(delay_ms, on_outcome, StoreOutcome.REFUSED)
-            return
-        if process.store_unreachable or self.store.unavailable:
-            delivery = "lost"
-        elif self.store.responses_lost or process.append_responses_lost:
-            delivery = "response_lost"
-        if delivery == "answered" and delay_ms < timeout_ms:
-            self.call_later(
-                delay_ms, lambda: self._respond(on_outcome, execute())
-            )
-            return
-        if delivery in ("late", "duplicated"):
-            delay_ms = self.random.randint(200, 8_000)
-        if delivery != "lost":
-            self.call_later(delay_ms, execute)
-        self.call_later(timeout_ms, on_outcome, None)
-
-    def _respond(self, on_outcome, outcome):
-        self.call_later(self._delay_ms(), on_outcome, outcome)
-
-    def _read_stream(self, process, start_count, effect):
-        """Read a stream; at its end, wait up to `wait_ms` for a record.
-
-        A negative offset reads the newest record of each key immediately.  Any
-        fault that is drawn for the call loses it.
-        """
-        sent_ms = self.clock_ms(process)
-        covers_all_keys = effect.from_offset < 0
-        wait_end_ms = self.now_ms + effect.wait_ms
-        answered = []
-
-        def on_outcome(found):
-            if found is None:
-                self.deliver(process, build_stream_unread, start_count)
-                return
-            self.deliver(
-                process,
-                lambda at_ms: build_stream_read(at_ms, *found),
-                start_count,
-            )
-
-        def build_stream_unread(at_ms):
-            return StreamUnread(at_ms, effect.stream, "no answer")
-
-        def build_stream_read(at_ms, records, next_offset):
-            known_until_ms = sent_ms
-            if not records and not covers_all_keys:
-                known_until_ms = min(sent_ms + effect.wait_ms, at_ms)
-            return StreamRead(
-                at_ms,
-                known_until_ms,
-                WALL_CLOCK_START_MS + self.now_ms,
-                effect.stream,
-                records,
-                next_offset,
-                covers_all_keys,
-            )
-
-        def try_respond():
-            """Respond if there is a record or the wait has ended."""
-            found = self.store.read(effect.stream, effect.from_offset)
-            if answered:
-                return
-            if found[0] or covers_all_keys or self.now_ms >= wait_end_ms:
-                answered.append(True)
-                response_lost = self._is_store_silent(process)
-                self.call_later(
-                    self._delay_ms(),
-                    on_outcome,
-                    None if response_lost else found,
-                )
-                return
-            self._read_waiters[effect.stream].append(try_respond)
-
-        def receive():
-            try_respond()
-            if not answered:
-                self.call_later(wait_end_ms - self.now_ms, try_respond)
-
-        if self._is_call_rejected():
-            self.call_later(self._delay_ms(), on_outcome, None)
-            return
-        if (
-            self._is_store_silent(process)
-            or self._draw_delivery() != "answered"
-        ):
-            self.call_later(
-                STORE_TIMEOUT_MS + effect.wait_ms, on_outcome, None
-            )
-            return
-        self.call_later(self._delay_ms(), receive)
-
-    def _is_store_silent(self, process):
-        """Check whether calls get no response, or are lost altogether."""
-        return (
-            process.store_unreachable
-            or self.store.unavailable
-            or self.store.responses_lost
-        )
-
-    def _is_call_rejected(self):
-        return self.store.unavailable and self.store.rejects_calls
-
-    def _notify_readers(self, stream):
-        readers, self._read_waiters[stream] = self._read_waiters[stream], []
-        for try_respond in readers:
-            try_respond()
-
-    def _append_offer(self, process, _, effect):
-        """Append an offer to lead; the outcome is not reported."""
-        records = (StoredRecord("candidate", effect.candidate),)
-        self._call_store(
-            process,
-            lambda: self.store.append(Stream.JOBS, records),
-            lambda outcome: None,
-        )
-
-    def _store_job(self, process, start_count, effect, maybe_stored):
-        """Append a job or cancellation, with retries until the deadline.
-
-        A rejection is conclusive only if no earlier attempt may have been
-        stored.
-        """
-        key = effect.value.job_id
-        if isinstance(effect.value, CancelAsked):
-            key += "/cancel"
-        records = (StoredRecord(key, effect.value),)
-
-        def on_outcome(outcome):
-            refused = outcome is StoreOutcome.REFUSED
-            outcome_unknown = outcome is None or (maybe_stored and refused)
-            if (
-                outcome_unknown
-                and self.clock_ms(process) < effect.not_after_ms
-            ):
-                arguments = (process, start_count, effect, True)
-                self.call_later(
-                    RETRY_PAUSE_MS,
-                    self._start_call,
-                    process,
-                    self._store_job,
-                    arguments,
-                )
-                return
-            reported = StoreOutcome.UNKNOWN if outcome_unknown else outcome
-            self.deliver(
-                process,
-                lambda at_ms: JobStored(at_ms, effect.call_id, reported),
-                start_count,
-            )
-
-        self._call_store(
-            process,
-            lambda: self.store.append(Stream.JOBS, records),
-            on_outcome,
-        )
-
-    def _append_progress(
-        self, process, start_count, attempts_left=PROGRESS_ATTEMPTS
-    ):
-        """Append the first queued records of a leader, with retries.
-
-        If the outcome of an append is unknown, its records are appended again
-        first, under the same sequence number.  New records under that number
-        would be lost if the earlier append had succeeded: the store would
-        discard them as a retry.
-        """
-        writer = process.writer
-        effect = writer.queue[0]
-        if effect.epoch != writer.epoch:
-            writer.epoch = effect.epoch
-            writer.sequence = self.random.randrange(1, FIRST_SEQUENCE_LIMIT)
-            writer.unconfirmed = ()
-        is_claim = effect.expected_end_offset >= 0
-        records = effect.records
-        if self._retries_unconfirmed and not is_claim:
-            records = writer.unconfirmed or records
-        sequence = writer.sequence
-        sent_ms = self.clock_ms(process)
-
-        def execute():
-            return self.store.append_fenced(
-                effect.epoch, sequence, effect.expected_end_offset, records
-            )
-
-        def on_outcome(outcome):
-            if not process.alive or process.start_count != start_count:
-                return
-            if outcome is StoreOutcome.STORED:
-                writer.sequence += 1
-                writer.unconfirmed = ()
-                if records is not effect.records:
-                    self._start_call(
-                        process,
-                        self._append_progress,
-                        (process, start_count, attempts_left),
-                    )
-                    return
-            elif outcome is None and not is_claim:
-                writer.unconfirmed = records
-            conclusive = outcome in (StoreOutcome.STORED, StoreOutcome.FENCED)
-            claim_refused = is_claim and outcome is StoreOutcome.REFUSED
-            if not conclusive and not claim_refused and attempts_left > 1:
-                arguments = (process, start_count, attempts_left - 1)
-                pause_ms = RETRY_PAUSE_MS
-                self.call_later(
-                    pause_ms,
-                    self._start_call,
-                    process,
-                    self._append_progress,
-                    arguments,
-                )
-                return
-            reported = outcome or StoreOutcome.UNKNOWN
-            writer.queue.popleft()
-            if writer.queue:
-                self._schedule_call(
-                    process, self._append_progress, process, start_count
-                )
-            self.deliver(
-                process,
-                lambda at_ms: ProgressStored(
-                    at_ms, sent_ms, effect.epoch, reported
-                ),
-                start_count,
-            )
-
-        self._call_store(process, execute, on_outcome)
-
-    def _call_worker(self, process, start_count, effect):
-        """Call a worker; only the incarnation that receives it executes it."""
-        delivery = self._draw_delivery()
-        if effect.worker_id in process.unreachable_workers:
-            delivery = "lost"
-        wait_ms = getattr(effect, "wait_ms", 0)
-        timeout_ms = ORDER_TIMEOUT_MS
-        if isinstance(effect, WatchWorker):
-            timeout_ms = WATCH_TIMEOUT_MS + wait_ms
-        sent_ms = self.clock_ms(process)
-        answered = []
-
-        def on_outcome(outcome):
-            if answered:
-                return
-            answered.append(True)
-            self.deliver(
-                process,
-                lambda at_ms: _worker_event(at_ms, sent_ms, effect, outcome),
-                start_count,
-            )
-
-        def respond(worker, outcome):
-            if (
-                effect.worker_id in process.unreachable_workers
-                or delivery != "answered"
-            ):
-                return
-            self.call_later(
-                self._delay_ms() + process.response_lag_ms, on_outcome, outcome
-            )
-
-        def try_respond(worker, wait_end_ms):
-            """Respond if a run has ended or the wait is over, else wait."""
-            if not worker.alive:
-                respond(worker, OrderRefusal.SILENT)
-            elif worker.ended or self.now_ms >= wait_end_ms:
-                respond(worker, worker.report())
-            else:
-                worker.waiters.append(lambda: try_respond(worker, wait_end_ms))
-
-        def execute(worker):
-            if not worker.alive:
-                return
-            refusal = worker.execute(effect)
-            if refusal is not None or not isinstance(effect, WatchWorker):
-                respond(worker, refusal)
-                return
-            wait_end_ms = self.now_ms + wait_ms
-            try_respond(worker, wait_end_ms)
-            self.call_later(wait_ms, worker.notify_waiters)
-
-        def receive():
-            worker = self.workers_by_address[effect.address]
-            if not worker.alive:
-                respond(worker, OrderRefusal.SILENT)
-                return
-            if worker.worker_id != effect.worker_id:
-                respond(worker, OrderRefusal.OTHER_INCARNATION)
-                return
-            if delivery != "late":
-                execute(worker)
-            if delivery in ("late", "duplicated"):
-                self.call_later(
-                    self.random.randint(2_000, 12_000), execute, worker
-                )
-
-        self.call_later(timeout_ms, on_outcome, OrderRefusal.SILENT)
-        if delivery != "lost":
-            self.call_later(self._delay_ms(), receive)
-
 
 def _list_no_machines(at_ms):
     return MachinesListed(at_ms, at_ms, ())
-
-
-def _worker_event(at_ms, sent_ms, effect, outcome):
-    """Build the event that reports the outcome of a call to a worker.
-
-    `order_key` identifies the run and the order that the event refers to.
-    """
-    timing = OrderTiming(sent_ms, sent_ms)
-    match effect:
-        case WatchWorker(worker_id, _, epoch):
-            if isinstance(outcome, OrderRefusal):
-                return WorkerNotReported(at_ms, worker_id, epoch, outcome)
-            return WorkerReported(
-                at_ms=at_ms,
-                sent_ms=sent_ms,
-                worker_id=worker_id,
-                epoch=epoch,
-                clock_ms=outcome.clock_ms,
-                started_wall_ms=WALL_CLOCK_START_MS + outcome.started_ms,
-                active=outcome.active,
-                ended=outcome.ended,
-            )
-        case StartRun(worker_id, _, epoch, task, number):
-            order_key = (worker_id, epoch, task, number)
-            return RunAnswered(at_ms, *order_key, outcome, timing=timing)
-        case StopRun(worker_id, _, epoch, task, number):
-            order_key = (worker_id, epoch, task, number)
-            return StopAnswered(at_ms, *order_key, outcome, timing)
--- a/bench/manager_cost.py
+++ b/bench/manager_cost.py
@@ -17,9 +17,9 @@
 
 from immutables import Map
 
+from bench.jobprocesses import ManagerProcess
+from bench.jobprocesses import NO_FAULTS
 from bench.jobworld import JobSimulation
-from bench.jobworld import ManagerProcess
-from bench.jobworld import NO_FAULTS
 from sesamehall.core.calls import JobCall
 from sesamehall.core.calls import JobDraft
 from sesamehall.core.calls import SubmitJob
