--- /dev/null
+++ b/bench/jobguards.py
@@ -0,0 +1,89 @@
+"""Guards of the reducer that job histories can disable."""
+
+from sesamehall.core.replacing import replace
+from sesamehall.reducer.jobs import leases
+from sesamehall.reducer.jobs import orders
+from sesamehall.reducer.jobs import queue_pools
+from sesamehall.reducer.jobs import reports
+from sesamehall.reducer.jobs import runs
+from sesamehall.reducer.jobs import task_placement
+from sesamehall.reducer.jobs import workers
+
+# What the leader fails to do without each guard.
+GUARDS = (
+    # Wait with the ends and runs of a job that it has not read yet, instead of
+    # treating them as those of an unknown job.
+    "unread",
+    # Wait with tasks of inherited jobs until workers have reported their runs.
+    "unresolved",
+    # Stop starting tasks and renewing leases once it has resigned.
+    "resigning",
+    # Store the end of a run before it is acknowledged to the worker.
+    "stored",
+    # Extend its record of a worker's lease when an order or a request for a
+    # report extends the lease.
+    "lease",
+    # Check that its writes were confirmed recently, so that no other leader
+    # can have begun its term.
+    "confirmed",
+    # Retry an append of unknown outcome before its sequence number is used for
+    # other records.
+    "sequence",
+    # Keep an ended job until the write that contains the end is confirmed.
+    "forgotten",
+)
+
+
+def disable_guard(name: str) -> None:
+    """Disable a guard of the reducer in this process.
+
+    Args:
+      name: Name of the guard, "" for none.  "sequence" is a guard of the
+        simulated writer, which `run_history` disables.
+    """
+    match name:
+        case "" | "sequence":
+            pass
+        case "unread":
+            reports._is_job_unread = lambda manager, task: False
+        case "unresolved":
+            queue_pools.pool_may_have_untracked_runs = (
+                lambda manager, pool: False
+            )
+        case "resigning":
+            leases.is_resigning = lambda manager: False
+        case "stored":
+            reports._apply_ends = _apply_ends_as_stored
+        case "lease":
+            for module in (orders, task_placement, workers):
+                module.extend_lease = lambda worker, until_ms: worker
+        case "confirmed":
+            leases.TERM_CONFIRMED_MS = 1 << 40
+        case "forgotten":
+            runs._is_unstored = _is_dirty
+        case _:
+            raise SystemExit(f"unknown guard {name}")
+
+
+def _is_dirty(manager, job_id):
+    """Check whether a job has changes that no write contains yet.
+
+    Unlike `runs._is_unstored`, it ignores a write in flight.
+    """
+    return job_id in manager.dirty_jobs
+
+
+# `disable_guard` replaces the function in its module.
+original_apply_ends = reports._apply_ends
+
+
+def _apply_ends_as_stored(manager, event):
+    """Apply ends and treat them as stored, so they are acknowledged early."""
+    step = original_apply_ends(manager, event)
+    worker = step.state.workers_by_id[event.worker_id]
+    worker = replace(
+        worker, last_stored_end_sequence=worker.last_applied_end_sequence
+    )
+    workers_by_id = step.state.workers_by_id.set(event.worker_id, worker)
+    state = replace(step.state, workers_by_id=workers_by_id)
+    return replace(step, state=state)
--- a/bench/jobhistories_test.py
+++ b/bench/jobhistories_test.py
@@ -11,6 +11,8 @@
 import pytest
 
 from bench import job_histories
+from bench.jobguards import disable_guard
+from bench.jobguards import GUARDS
 from sesamehall.reducer.jobs import leases
 from sesamehall.reducer.jobs import orders
 from sesamehall.reducer.jobs import queue_pools
@@ -63,18 +65,20 @@
 
 
 def test_every_guard_is_named():
-    for guard in job_histories.GUARDS:
-        job_histories.disable_guard(guard)
+    for guard in GUARDS:
+        disable_guard(guard)
     with pytest.raises(SystemExit):
-        job_histories.disable_guard("another")
+        disable_guard("another")
 
 
 HISTORY = """
 from bench import job_histories
+from bench.jobcallers import Caller
+from bench.jobfaults import schedule_faults
 simulation = job_histories.build_simulation(7)
-caller = job_histories.Caller(simulation)
+caller = Caller(simulation)
 job_histories.schedule_jobs(simulation, caller)
-job_histories.schedule_faults(simulation, caller)
+schedule_faults(simulation, caller)
 simulation.run(6_000)
 lengths = [len(log) for log in simulation.store.records_by_stream.values()]
 print(lengths, simulation.checker.starts, simulation.checker.ends)
