Start nothing in a pool that a write in flight takes out of the record

A queue that came back to its earlier pool while that write had no answer could start tasks there that no record names. queue_pools_test: one of the two new rows red before.

--- a/sesamehall/platform/store_test.py
+++ b/sesamehall/platform/store_test.py
@@ -14,6 +14,7 @@
 from sesamehall.core.fleet import Candidate
 from sesamehall.core.fleet import Leader
 from sesamehall.core.fleet import LeasedWorker
+from sesamehall.core.fleet import QueuePools
 from sesamehall.core.fleet import StoredRecord
 from sesamehall.core.fleet import Stream
 from sesamehall.core.fleet import WaveRecord
@@ -66,6 +67,7 @@
         (Stream.JOBS, Candidate("edge-2", 3, 2.15)),
         (Stream.PROGRESS, Leader("edge-1", 3, True, 9, 0.516)),
         (Stream.PROGRESS, LeasedWorker("i-1", "10.0.0.1:1", "p", 5, 7)),
+        (Stream.PROGRESS, QueuePools("quotes", ("a", "b"))),
         (Stream.PROGRESS, WaveRecord(1, ("m-1", "m-2"))),
     ],
     ids=lambda value: type(value).__name__,
--- a/sesamehall/reducer/jobs/queue_pools.py
+++ b/sesamehall/reducer/jobs/queue_pools.py
@@ -55,9 +55,13 @@
       queue_name: Name of the queue.
       pool: Name of the pool.
     Returns:
-      False if tasks of the queue must not be started there yet.
+      False if tasks of the queue must not be started there yet, also while a
+      write in flight takes the pool out of the record.
     """
-    return pool in manager.pools_by_queue.get(queue_name, ())
+    if pool not in manager.pools_by_queue.get(queue_name, ()):
+        return False
+    record = _record_in_flight(manager, queue_name)
+    return record is None or pool in record.pools
 
 
 def request_pool_records(manager: ManagerState, pool: str) -> ManagerState:
@@ -76,13 +80,8 @@
     names = {
         manager.active_jobs_by_id[job_id].plan.queue for job_id in job_ids
     }
-    in_flight = {
-        record.queue for record in manager.term.batch_in_flight.queues
-    }
     outdated = [
-        name
-        for name in names - in_flight
-        if not _is_record_current(manager, name, pool)
+        name for name in names if not _is_record_current(manager, name, pool)
     ]
     return _mark_changed(manager, outdated)
 
@@ -177,7 +176,13 @@
 
 
 def _is_record_current(manager, queue_name, pool):
-    """Check that a queue's record has its pool and none without runs."""
+    """Check that a queue's record has its pool and none without runs.
+
+    The record is the one in flight, if any.
+    """
+    record = _record_in_flight(manager, queue_name)
+    if record is not None:
+        return pool in record.pools
     if not is_pool_stored(manager, queue_name, pool):
         return False
     if len(manager.pools_by_queue[queue_name]) == 1:
@@ -186,6 +191,13 @@
     return record.pools == manager.pools_by_queue[queue_name]
 
 
+def _record_in_flight(manager, queue_name) -> QueuePools | None:
+    for record in manager.term.batch_in_flight.queues:
+        if record.queue == queue_name:
+            return record
+    return None
+
+
 def _mark_changed(manager, queue_names):
     dirty = manager.dirty_queues.update(dict.fromkeys(queue_names, True))
     return replace(manager, dirty_queues=dirty) if queue_names else manager
--- a/sesamehall/reducer/jobs/queue_pools_test.py
+++ b/sesamehall/reducer/jobs/queue_pools_test.py
@@ -19,6 +19,7 @@
 from sesamehall.core.work import ActiveRun
 from sesamehall.reducer.jobs.leadership import handle_progress_stored
 from sesamehall.reducer.jobs.reports import apply_report
+from sesamehall.reducer.jobs.state_updates import put_worker
 from sesamehall.reducer.jobs.storing import write_changed_records
 from sesamehall.reducer.jobs.stream_reading import apply_stream_read
 from sesamehall.reducer.jobs.task_placement import place_tasks
@@ -225,6 +226,35 @@
     assert written_pools(write_changed_records(manager)) == written
 
 
+# Guards against a start in a pool that a write in flight takes out of the
+# record: the manifest sends the queue back while the write has no answer.
+@pytest.mark.parametrize(
+    ("pool", "starts", "written"),
+    [("a", 0, [("a",)]), ("b", 1, [])],
+    ids=["taken out", "kept"],
+)
+def test_pool_is_not_used_while_it_leaves_the_record(pool, starts, written):
+    manager = build_leader(
+        build_pool_worker("w1", "a"),
+        build_pool_worker("w2", "b", quarantined_until_ms=NOW_MS + 1),
+        manifest=send_queue_to("b"),
+        pools_by_queue=Map(quotes=("a", "b")),
+    )
+    manager = activate_jobs(manager, build_plan())
+    manager = place_tasks(manager, "b", NOW_MS).state
+    writing = write_changed_records(manager)
+    assert written_pools(writing) == [("b",)]
+    worker = build_pool_worker("w2", "b")
+    manager = put_worker(writing.state, worker)
+    manager = read_manifest(manager, send_queue_to(pool, version=3))
+    step = place_tasks(manager, pool, NOW_MS)
+    assert len(effects_of(step, StartRun)) == starts
+    stored = ProgressStored(NOW_MS, NOW_MS, 1, StoreOutcome.STORED)
+    manager = handle_progress_stored(step.state, stored).state
+    manager = place_tasks(manager, pool, NOW_MS).state
+    assert written_pools(write_changed_records(manager)) == written
+
+
 # Guards against records of queues that stay for ever.
 @pytest.mark.parametrize(
     ("plans", "pool", "written", "kept"),
--- a/sesamehall/reducer/jobs/waiting_log.py
+++ b/sesamehall/reducer/jobs/waiting_log.py
@@ -61,7 +61,7 @@
             queue_may_have_untracked_runs(manager, name)
             for name in queue_names
         ),
-        unstored=sum(
+        pools_unstored=sum(
             not is_pool_stored(manager, name, pool) for name in queue_names
         ),
         takers=len(workers),
