--- a/sesamehall/reducer/jobs/attempts_test.py
+++ b/sesamehall/reducer/jobs/attempts_test.py
@@ -4,10 +4,7 @@
 import pytest
 
 from sesamehall.core.data import JobPhase
-from sesamehall.core.fleet import StoredRecord
-from sesamehall.core.fleet import Stream
 from sesamehall.core.managereffects import StartRun
-from sesamehall.core.managerevents import StreamRead
 from sesamehall.core.replacing import replace
 from sesamehall.core.work import EndedRun
 from sesamehall.core.work import Progress
@@ -15,10 +12,10 @@
 from sesamehall.core.work import StepProgress
 from sesamehall.reducer.jobs.active_jobs import activate_job
 from sesamehall.reducer.jobs.reports import apply_report
-from sesamehall.reducer.jobs.stream_reading import apply_stream_read
 from sesamehall.reducer.jobs.testing import activate_jobs
 from sesamehall.reducer.jobs.testing import build_leader
-from sesamehall.reducer.jobs.testing import build_manifest
+from sesamehall.reducer.jobs.testing import build_manifest_with
+from sesamehall.reducer.jobs.testing import build_manifest_without_queue
 from sesamehall.reducer.jobs.testing import build_plan
 from sesamehall.reducer.jobs.testing import build_report
 from sesamehall.reducer.jobs.testing import build_worker
@@ -26,6 +23,7 @@
 from sesamehall.reducer.jobs.testing import JOB_ID
 from sesamehall.reducer.jobs.testing import NOW_MS
 from sesamehall.reducer.jobs.testing import place_all
+from sesamehall.reducer.jobs.testing import read_manifest
 from sesamehall.reducer.jobs.testing import task
 
 DROPPED = None  # the manifest does not name the queue
@@ -33,20 +31,9 @@
 
 def build_limit(version, limit):
     """Build a manifest that allows `limit` attempts, or drops the queue."""
-    manifest = replace(build_manifest(), version=version)
     if limit is DROPPED:
-        return replace(manifest, queues_by_name=Map())
-    queue = replace(manifest.queues_by_name["quotes"], max_attempts=limit)
-    return replace(manifest, queues_by_name=Map(quotes=queue))
-
-
-def read_manifest(manager, manifest):
-    """Let a leader read a manifest."""
-    record = StoredRecord("config", manifest)
-    read = StreamRead(
-        NOW_MS, NOW_MS, 0, Stream.OPERATOR, (record,), manifest.version, False
-    )
-    return apply_stream_read(manager, read).state
+        return build_manifest_without_queue(version)
+    return build_manifest_with(version, max_attempts=limit)
 
 
 # Guards against a job that is shown as failed with attempts left, since its
--- a/sesamehall/reducer/jobs/orders_test.py
+++ b/sesamehall/reducer/jobs/orders_test.py
@@ -74,7 +74,7 @@
         ({"state": RunState.RUNNING}, 0),
     ],
     ids=[
-        "still leader_stopping_a_run",
+        "still stopping",
         "later run",
         "other worker",
         "running",
--- a/sesamehall/reducer/jobs/queue_pools_test.py
+++ b/sesamehall/reducer/jobs/queue_pools_test.py
@@ -11,7 +11,6 @@
 from sesamehall.core.managereffects import StoreProgress
 from sesamehall.core.managerevents import ProgressStored
 from sesamehall.core.managerevents import StoreOutcome
-from sesamehall.core.managerevents import StreamRead
 from sesamehall.core.managerstate import ManagerState
 from sesamehall.core.replacing import replace
 from sesamehall.core.step import Step
@@ -21,17 +20,19 @@
 from sesamehall.reducer.jobs.reports import apply_report
 from sesamehall.reducer.jobs.state_updates import put_worker
 from sesamehall.reducer.jobs.storing import write_changed_records
-from sesamehall.reducer.jobs.stream_reading import apply_stream_read
 from sesamehall.reducer.jobs.task_placement import place_tasks
 from sesamehall.reducer.jobs.testing import activate_jobs
 from sesamehall.reducer.jobs.testing import build_leader
-from sesamehall.reducer.jobs.testing import build_manifest
+from sesamehall.reducer.jobs.testing import build_manifest_with
+from sesamehall.reducer.jobs.testing import build_manifest_without_queue
 from sesamehall.reducer.jobs.testing import build_plan
 from sesamehall.reducer.jobs.testing import build_report
 from sesamehall.reducer.jobs.testing import build_worker
 from sesamehall.reducer.jobs.testing import effects_of
 from sesamehall.reducer.jobs.testing import NOW_MS
 from sesamehall.reducer.jobs.testing import place_all
+from sesamehall.reducer.jobs.testing import read_manifest
+from sesamehall.reducer.jobs.testing import read_records
 from sesamehall.reducer.jobs.testing import task
 
 NO_RECORD = None
@@ -46,23 +47,9 @@
 
 def send_queue_to(pool, version=2):
     """Build a manifest that sends the queue to a pool, or drops it."""
-    manifest = replace(build_manifest(), version=version)
     if pool is DROPPED:
-        return replace(manifest, queues_by_name=Map())
-    queue = replace(manifest.queues_by_name["quotes"], pool=pool)
-    return replace(manifest, queues_by_name=Map(quotes=queue))
-
-
-def read_records(manager, stream, *records, covers_all_keys=False):
-    """Let a manager read records of a stream."""
-    read = StreamRead(NOW_MS, NOW_MS, 0, stream, records, 9, covers_all_keys)
-    return apply_stream_read(manager, read).state
-
-
-def read_manifest(manager, manifest):
-    """Let a manager read a manifest."""
-    record = StoredRecord("config", manifest)
-    return read_records(manager, Stream.OPERATOR, record)
+        return build_manifest_without_queue(version)
+    return build_manifest_with(version, pool=pool)
 
 
 def written_pools(step):
--- a/sesamehall/reducer/jobs/testing.py
+++ b/sesamehall/reducer/jobs/testing.py
@@ -5,7 +5,10 @@
 from sesamehall.core.effects import Effect
 from sesamehall.core.effects import Log
 from sesamehall.core.effects import SetTimer
+from sesamehall.core.fleet import StoredRecord
+from sesamehall.core.fleet import Stream
 from sesamehall.core.fleet import WorkerEntry
+from sesamehall.core.managerevents import StreamRead
 from sesamehall.core.managerevents import WorkerReported
 from sesamehall.core.managerstate import ManagerState
 from sesamehall.core.managerstate import Term
@@ -23,6 +26,7 @@
 from sesamehall.core.workstate import Worker
 from sesamehall.reducer.jobs.active_jobs import activate_job
 from sesamehall.reducer.jobs.state_updates import put_worker
+from sesamehall.reducer.jobs.stream_reading import apply_stream_read
 from sesamehall.reducer.jobs.task_placement import place_tasks
 
 NOW_MS = 100_000
@@ -59,6 +63,18 @@
     )
 
 
+def build_manifest_with(version=2, **queue_fields):
+    """Build a later manifest whose queue has other values in some fields."""
+    manifest = replace(build_manifest(), version=version)
+    queue = replace(manifest.queues_by_name["quotes"], **queue_fields)
+    return replace(manifest, queues_by_name=Map(quotes=queue))
+
+
+def build_manifest_without_queue(version=2):
+    """Build a later manifest that does not name the queue."""
+    return replace(build_manifest(), version=version, queues_by_name=Map())
+
+
 def build_registration(name, **others):
     """Build the registration of a worker of pool "a"."""
     fields = {
@@ -117,6 +133,18 @@
     return manager
 
 
+def read_records(manager, stream, *records, covers_all_keys=False):
+    """Let a manager read records of a stream."""
+    read = StreamRead(NOW_MS, NOW_MS, 0, stream, records, 9, covers_all_keys)
+    return apply_stream_read(manager, read).state
+
+
+def read_manifest(manager, manifest):
+    """Let a manager read a manifest."""
+    record = StoredRecord("config", manifest)
+    return read_records(manager, Stream.OPERATOR, record)
+
+
 def place_all(manager, at_ms=NOW_MS) -> Step:
     """Place the waiting tasks of pool "a"."""
     return place_tasks(manager, "a", at_ms)
