--- a/sesamehall/reducer/manager_reducer_test.py
+++ b/sesamehall/reducer/manager_reducer_test.py
@@ -1,4 +1,4 @@
-"""Tests of the graceful shutdown of a manager."""
+"""Tests of the graceful shutdown of a manager, and of its fencing."""
 
 import pytest
 
@@ -11,8 +11,12 @@
 from sesamehall.core.jobtiming import RESIGN_TIMEOUT_MS
 from sesamehall.core.jobtiming import STOP_MIN_MS
 from sesamehall.core.managereffects import StoreProgress
+from sesamehall.core.managerevents import OrderRefusal
 from sesamehall.core.managerevents import ProgressStored
+from sesamehall.core.managerevents import RunAnswered
+from sesamehall.core.managerevents import StopAnswered
 from sesamehall.core.managerevents import StoreOutcome
+from sesamehall.core.managerevents import WorkerNotReported
 from sesamehall.core.replacing import replace
 from sesamehall.core.state import Identity
 from sesamehall.core.state import State
@@ -90,3 +94,23 @@
     state, _ = reduce_events(build_state(), STOP, STORED)
     tick = TimerFired(NOW_MS + after_ms, ManagerTimer())
     assert len(effects_of(reduce_manager(state, tick), Exit)) == exits
+
+
+# Guards against a leader that goes on giving orders although a worker knows a
+# newer one.
+@pytest.mark.parametrize("epoch", [1, 2], ids=["this term", "another term"])
+@pytest.mark.parametrize(
+    "build_answer",
+    [
+        lambda epoch, fenced: RunAnswered(NOW_MS, "w1", epoch, "t", 1, fenced),
+        lambda epoch, fenced: StopAnswered(
+            NOW_MS, "w1", epoch, "t", 1, fenced
+        ),
+        lambda epoch, fenced: WorkerNotReported(NOW_MS, "w1", epoch, fenced),
+    ],
+    ids=["start", "stop", "watch"],
+)
+def test_fenced_answer_ends_its_term(build_answer, epoch):
+    answer = build_answer(epoch, OrderRefusal.FENCED)
+    state, _ = reduce_events(build_state(), answer)
+    assert bool(state.manager.term.epoch) == (epoch != 1)
