--- a/bench/storecalls.py
+++ b/bench/storecalls.py
@@ -188,13 +188,13 @@
             try_respond()
 
     def append_offer(
-        self, process: ManagerProcess, _: int, effect: OfferToLead
+        self, process: ManagerProcess, start_count: int, effect: OfferToLead
     ) -> None:
         """Append an offer to lead; the outcome is not reported.
 
         Args:
           process: The manager.
-          _: Its start count, which an offer does not need.
+          start_count: Its start count; unused, since no outcome is reported.
           effect: The offer.
         """
         records = (StoredRecord("candidate", effect.candidate),)
