Give no runs up when a machine order is answered a second time

Cause: the platform answers an order for a machine as done also when it was carried out before, for an earlier leader or for an earlier copy of the order. The leader sends an order once its worker is idle, and sends it again while it has no answer. So two answers may come. The first one marks the worker as ended; it answers, gets tasks again, and the second answer gave these tasks up at once, although they ran on.

Now only the first acceptance of an order counts, only one of the leader's own term, and it ends no incarnation that has runs: those began after the order was sent, so the order did not end them. If the machine really went away, the lease or the list of machines tells.

The old test rows of late answers stand; the constructor has an epoch.

--- a/sesamehall/core/managerevents.py
+++ b/sesamehall/core/managerevents.py
@@ -288,6 +288,7 @@
     Attributes:
       at_ms: Current time on the node's clock.
       machine: Name of the machine.
+      epoch: Epoch of the leader that sent the order.
       done: Whether the platform accepted the order.
       refused: Whether the order certainly was not and will not be carried
         out.
@@ -296,6 +297,7 @@
 
     at_ms: int
     machine: str
+    epoch: int
     done: bool
     refused: bool = False
     reason: str = ""
--- a/sesamehall/platform/machines.py
+++ b/sesamehall/platform/machines.py
@@ -108,7 +108,11 @@
         if now_ms() >= effect.not_after_ms:
             reason = "too late to be sent"
             return MachineAnswered(
-                now_ms(), effect.machine, done=False, reason=reason
+                now_ms(),
+                effect.machine,
+                effect.epoch,
+                done=False,
+                reason=reason,
             )
         response = self._client.call_json(
             "POST", path, document, headers, RESPONSE_TIMEOUT_S
@@ -118,6 +122,7 @@
         return MachineAnswered(
             at_ms=now_ms(),
             machine=effect.machine,
+            epoch=effect.epoch,
             done=done,
             refused=response.status in REJECTED_STATUSES,
             reason="" if done else reason,
--- a/sesamehall/reducer/machines/fleet.py
+++ b/sesamehall/reducer/machines/fleet.py
@@ -199,19 +199,13 @@
       event: The answer.
     Returns:
       A Step; after a failure without a clear answer the order is sent again,
-      which is harmless. An accepted order ends the worker's incarnation.
+      which is harmless.
     """
     order = manager.fleet.orders_by_machine.get(event.machine)
-    if order is None or order.last_sent_ms < 0:
-        return Step(manager)  # the answer is to an earlier order
+    if order is None or not _is_answer_awaited(manager, order, event):
+        return Step(manager)
     if event.done:
-        order = replace(order, accepted_ms=event.at_ms)
-        manager = put_order(manager, event.machine, order)
-        if order.kind is MachineOrderKind.MAINTENANCE:
-            manager = record_accepted_maintenance(
-                manager, order.wave, event.machine
-            )
-        return end_incarnation(manager, order.worker_id, event.at_ms)
+        return _accept_order(manager, order, event)
     line = log(MACHINE_REFUSED, machine=event.machine, reason=event.reason)
     if not event.refused:
         unsent = replace(order, last_sent_ms=-1)
@@ -222,6 +216,32 @@
     return Step(replace(manager, fleet=fleet), (line,))
 
 
+def _is_answer_awaited(manager, order, event):
+    """Check that an answer is to this order, and the first that accepts it."""
+    if event.epoch != manager.term.epoch or order.last_sent_ms < 0:
+        return False
+    return order.accepted_ms < 0
+
+
+def _accept_order(manager, order, event):
+    """Record that an order was accepted, and end its worker's incarnation.
+
+    The order is sent once its worker is idle. A worker that has runs when the
+    answer arrives got them later, so the order was carried out before, perhaps
+    for an earlier leader, and did not end them.
+    """
+    order = replace(order, accepted_ms=event.at_ms)
+    manager = put_order(manager, event.machine, order)
+    if order.kind is MachineOrderKind.MAINTENANCE:
+        manager = record_accepted_maintenance(
+            manager, order.wave, event.machine
+        )
+    worker = manager.workers_by_id.get(order.worker_id)
+    if worker is None or worker.tasks or worker.untracked_runs:
+        return Step(manager)
+    return end_incarnation(manager, order.worker_id, event.at_ms)
+
+
 def _cancel_evacuation(manager, worker_id):
     """Let a worker get new tasks again."""
     worker = manager.workers_by_id.get(worker_id)
--- a/sesamehall/reducer/machines/fleet_test.py
+++ b/sesamehall/reducer/machines/fleet_test.py
@@ -346,7 +346,7 @@
         reports += effects_of(step, ReportWave)
         for effect in effects_of(step, MaintainMachine):
             done.add(effect.machine)
-            answer = MachineAnswered(at_ms, effect.machine, True)
+            answer = MachineAnswered(at_ms, effect.machine, 1, True)
             manager = handle_machine_answer(manager, answer).state
         at_ms += 1_000
         term = replace(manager.term, confirmed_ms=at_ms)
@@ -392,7 +392,7 @@
     step = advance_fleet(mark_orders_stored(manager), NOW_MS)
     assert "m1" in [move.machine for move in effects_of(step, MoveMachine)]
     manager = step.state
-    answer = MachineAnswered(NOW_MS, "m1", done, refused)
+    answer = MachineAnswered(NOW_MS, "m1", 1, done, refused)
     manager = handle_machine_answer(manager, answer).state
     assert ("m1" in manager.fleet.orders_by_machine) == pending
     worker = manager.workers_by_id["w1"]
@@ -407,17 +407,54 @@
 
 # Guards against waves that are reported as completed too early, and tasks that
 # run twice: the late answer to an earlier order for the machine, from an
-# earlier term or resent, is attributed to an order that is not sent yet.
-def test_answer_to_an_earlier_order_is_ignored():
-    manager = build_fleet(
-        POOL_MACHINES, orders_by_machine=Map(m1=MAINTENANCE_ORDER)
-    )
-    answer = MachineAnswered(NOW_MS, "m1", True)
+# earlier term or resent, is attributed to an order that is not sent yet, or
+# was sent in this term.
+@pytest.mark.parametrize(
+    ("last_sent_ms", "epoch"),
+    [(-1, 1), (NOW_MS, 0)],
+    ids=["not sent yet", "answer of an earlier term"],
+)
+def test_answer_to_an_earlier_order_is_ignored(last_sent_ms, epoch):
+    order = replace(MAINTENANCE_ORDER, last_sent_ms=last_sent_ms)
+    manager = build_fleet(POOL_MACHINES, orders_by_machine=Map(m1=order))
+    answer = MachineAnswered(NOW_MS, "m1", epoch, True)
     manager = handle_machine_answer(manager, answer).state
     assert not manager.maintenance_accepted_by_wave
     assert not manager.workers_by_id["w1"].terminated
 
 
+# Guards against tasks that run again after they were done (rule TWICE): an
+# order that was carried out for an earlier leader is answered as done, also a
+# second time when its worker has got tasks again.  These run on.
+@pytest.mark.parametrize(
+    ("accepted_ms", "plans", "terminated"),
+    [
+        (-1, [], True),
+        (-1, [LONG_RUNNING_ON_ALL], False),
+        (NOW_MS - 200, [], False),
+        (NOW_MS - 200, [LONG_RUNNING_ON_ALL], False),
+    ],
+    ids=[
+        "idle worker",
+        "worker with tasks",
+        "second answer, idle worker",
+        "second answer, worker with tasks",
+    ],
+)
+def test_accepted_order_gives_no_runs_up(accepted_ms, plans, terminated):
+    order = replace(
+        MAINTENANCE_ORDER, last_sent_ms=NOW_MS - 300, accepted_ms=accepted_ms
+    )
+    manager = build_fleet(
+        POOL_MACHINES, plans, orders_by_machine=Map(m1=order)
+    )
+    runs = manager.runs_by_task
+    answer = MachineAnswered(NOW_MS, "m1", 1, True)
+    manager = handle_machine_answer(manager, answer).state
+    assert manager.runs_by_task == runs
+    assert manager.workers_by_id["w1"].terminated == terminated
+
+
 # Guards against more machines down at once than a wave allows: an order of the
 # previous leader is carried out after its successor has listed the machines.
 @pytest.mark.parametrize(
--- a/sesamehall/runtime/effectfailures.py
+++ b/sesamehall/runtime/effectfailures.py
@@ -106,8 +106,12 @@
             return AdviceNotGiven(at_ms, step, reason)
         case ListMachines():
             return MachinesNotListed(at_ms, reason)
-        case MoveMachine(machine) | MaintainMachine(machine):
-            return MachineAnswered(at_ms, machine, done=False, reason=reason)
+        case MoveMachine(machine, _, epoch) | MaintainMachine(
+            machine, _, epoch
+        ):
+            return MachineAnswered(
+                at_ms, machine, epoch, done=False, reason=reason
+            )
         case ReportWave(status):
             return WaveNotReported(at_ms, status, reason)
     return None
