Count a leader's write as confirmed from its first attempt

Cause: a write whose answer is lost is sent again, and the store answers the repeat without writing anew. The confirmation counted from when the repeat was sent, 1.25 s or more after the record that other nodes count the leader's silence from. So the leader took its role as confirmed (0.9 s) and renewed leases (5 s) for that much too long, while another node could have begun its term: it started new jobs and gave silent workers up. A claim counted likewise.

Now the writer returns, with the outcome, when the records were first sent without being refused. The records cannot be older than that, so silence cannot be counted from earlier. The simulated writer of the histories had the same flaw and the same change.

--- a/bench/jobhistories_test.py
+++ b/bench/jobhistories_test.py
@@ -52,7 +52,7 @@
         (8, "lease", True),
         (19, "confirmed", True),
         (69, "sequence", True),
-        (69, "resigning", True),
+        (323, "resigning", True),
         (377, "forgotten", True),
     ],
 )
--- a/bench/jobprocesses.py
+++ b/bench/jobprocesses.py
@@ -45,12 +45,15 @@
       epoch: Epoch of the latest append.
       sequence: Sequence number of the next append.
       unconfirmed: Records of an append whose outcome is unknown.
+      unconfirmed_sent_ms: Time on the manager's clock at which that append,
+        or a claim of unknown outcome, was first sent, or -1.
       queue: Appends in order; the first one is in flight.
     """
 
     epoch: int = 0
     sequence: int = 0
     unconfirmed: tuple[StoredRecord, ...] = ()
+    unconfirmed_sent_ms: int = -1
     queue: deque = field(default_factory=deque)
 
 
--- a/bench/storecalls.py
+++ b/bench/storecalls.py
@@ -282,12 +282,15 @@
                 1, FIRST_SEQUENCE_LIMIT
             )
             writer.unconfirmed = ()
+            writer.unconfirmed_sent_ms = -1
         is_claim = effect.expected_end_offset >= 0
         records = effect.records
         if self._retries_unconfirmed and not is_claim:
             records = writer.unconfirmed or records
         sequence = writer.sequence
         sent_ms = self._simulation.clock_ms(process)
+        if writer.unconfirmed_sent_ms >= 0:
+            sent_ms = writer.unconfirmed_sent_ms
 
         def execute():
             return self._simulation.store.append_fenced(
@@ -300,6 +303,7 @@
             if outcome is StoreOutcome.STORED:
                 writer.sequence += 1
                 writer.unconfirmed = ()
+                writer.unconfirmed_sent_ms = -1
                 if records is not effect.records:
                     self._simulation.start_call(
                         process,
@@ -307,8 +311,10 @@
                         (process, start_count, attempts_left),
                     )
                     return
-            elif outcome is None and not is_claim:
-                writer.unconfirmed = records
+            elif outcome is None:
+                writer.unconfirmed_sent_ms = sent_ms
+                if not is_claim:
+                    writer.unconfirmed = records
             conclusive = outcome in (StoreOutcome.STORED, StoreOutcome.FENCED)
             claim_refused = is_claim and outcome is StoreOutcome.REFUSED
             if not conclusive and not claim_refused and attempts_left > 1:
--- a/sesamehall/core/managerevents.py
+++ b/sesamehall/core/managerevents.py
@@ -98,7 +98,8 @@
 
     Attributes:
       at_ms: Current time on the node's clock.
-      sent_ms: Time at which the write was sent.
+      sent_ms: Time at which the write was first sent without being refused;
+        a retry after a lost answer may only repeat it.
       epoch: Term of the writer.
       outcome: Outcome of the write; FENCED if another leader took over.
       unstorable_keys: Keys of records that were left out, since they cannot
--- a/sesamehall/platform/storehandler.py
+++ b/sesamehall/platform/storehandler.py
@@ -39,6 +39,7 @@
 from sesamehall.platform.store import StoreClient
 from sesamehall.platform.store import TOPIC_BY_STREAM
 from sesamehall.platform.waves import encode_wave_status
+from sesamehall.platform.writer import AppendResult
 from sesamehall.platform.writer import LeaderWriter
 from sesamehall.runtime.application import start_daemon_thread
 from sesamehall.runtime.guarding import perform_and_post
@@ -159,25 +160,27 @@
 
     def _store_progress(self, effect: StoreProgress) -> Event:
         body, unstorable_keys = _encode_storable(effect.records)
-        sent_ms = now_ms()
-        outcome = StoreOutcome.UNKNOWN
+        result = AppendResult(StoreOutcome.UNKNOWN, now_ms())
         for _ in range(MAX_WRITE_ATTEMPTS):
-            sent_ms = now_ms()
-            outcome = self._fenced_writer.append(
+            result = self._fenced_writer.append(
                 effect.epoch, effect.expected_end_offset, body
             )
-            if outcome in (StoreOutcome.STORED, StoreOutcome.FENCED):
+            if result.outcome in (StoreOutcome.STORED, StoreOutcome.FENCED):
                 break
             # A claim of the leader role is refused if the stream has
             # grown; it would be refused again.
             if (
                 effect.expected_end_offset >= 0
-                and outcome is StoreOutcome.REFUSED
+                and result.outcome is StoreOutcome.REFUSED
             ):
                 break
             time.sleep(RETRY_DELAY_S)
         return ProgressStored(
-            now_ms(), sent_ms, effect.epoch, outcome, unstorable_keys
+            now_ms(),
+            result.sent_ms,
+            effect.epoch,
+            result.outcome,
+            unstorable_keys,
         )
 
     def _write_jobs(self):
--- a/sesamehall/platform/storehandler_test.py
+++ b/sesamehall/platform/storehandler_test.py
@@ -1,16 +1,26 @@
-"""Tests of reads of the store: until when the content of a stream is known."""
+"""Tests of the times that reads and writes of the store report.
+
+A read tells until when the content of a stream is known, a write from when it
+counts as confirmed.
+"""
 
 import pytest
 
 from sesamehall.core.fleet import CancelAsked
+from sesamehall.core.fleet import Leader
 from sesamehall.core.fleet import StoredRecord
 from sesamehall.core.fleet import Stream
 from sesamehall.core.managereffects import ReadStream
+from sesamehall.core.managereffects import StoreProgress
+from sesamehall.core.managerevents import StoreOutcome
+from sesamehall.platform import storehandler
+from sesamehall.platform import writer
 from sesamehall.platform.http import HttpResponse
 from sesamehall.platform.records import encode_record
 from sesamehall.platform.store import READ_HEADER
 from sesamehall.platform.store import StoreClient
 from sesamehall.platform.storehandler import StoreEffectHandler
+from sesamehall.platform.writer import LeaderWriter
 from sesamehall.runtime.interpreter import now_ms
 
 JOB_ID = "ab" * 8
@@ -38,3 +48,99 @@
     event = handler._read(ReadStream(Stream.JOBS, 0, 0))
     assert event.next_offset == 1
     assert (event.known_until_ms >= sent_ms) == known
+
+
+STORED = StoreOutcome.STORED
+REFUSED = StoreOutcome.REFUSED
+UNKNOWN = StoreOutcome.UNKNOWN
+CALL_MS = {STORED: 5, REFUSED: 5, UNKNOWN: 1_200}
+
+
+class TimedStore:
+    """A client of the store with given outcomes, and the clock they take."""
+
+    def __init__(self, outcomes):
+        self.now_ms = 50_000
+        self.sent_ms = []
+        self._outcomes = iter(outcomes)
+
+    def append_conditionally(self, topic, query, records):
+        outcome = next(self._outcomes)
+        self.sent_ms.append(self.now_ms)
+        self.now_ms += CALL_MS[outcome]
+        return outcome, {}
+
+    def sleep(self, length_s):
+        self.now_ms += int(length_s * 1_000)
+
+
+def build_write(heartbeat, expected_end_offset=-1):
+    """Build the write of a leader, or its claim at an end offset."""
+    leader = Leader("edge-1", 3, heartbeat=heartbeat)
+    return StoreProgress(
+        3, (StoredRecord("leader", leader),), expected_end_offset
+    )
+
+
+CLAIM = build_write(0, 9)
+FIRST, SECOND = build_write(1), build_write(2)
+
+
+# Guards against a leader that takes its role as confirmed when another may
+# have begun: the answer to a retry counted from when the retry was sent, but
+# the store had carried out the first attempt, whose answer was lost, and the
+# others had counted the leader's silence from there.
+@pytest.mark.parametrize(
+    ("writes", "outcomes", "counts_from"),
+    [
+        ((FIRST,), (STORED,), 0),
+        ((FIRST,), (UNKNOWN, STORED), 0),
+        ((FIRST,), (UNKNOWN, UNKNOWN, STORED), 0),
+        ((FIRST,), (UNKNOWN, REFUSED, STORED), 0),
+        ((FIRST,), (REFUSED, STORED), 1),
+        ((FIRST,), (REFUSED, UNKNOWN, STORED), 1),
+        ((FIRST, SECOND), (STORED, STORED), 1),
+        ((FIRST, SECOND), (STORED, UNKNOWN, STORED), 1),
+        ((FIRST, SECOND), (UNKNOWN,) * 3 + (STORED, STORED), 4),
+        ((FIRST, SECOND), (UNKNOWN,) * 4 + (STORED, STORED), 5),
+        ((FIRST, SECOND), (UNKNOWN,) * 3 + (STORED, UNKNOWN, STORED), 4),
+        ((FIRST, FIRST), (UNKNOWN,) * 3 + (STORED,), 0),
+        ((CLAIM,), (STORED,), 0),
+        ((CLAIM,), (UNKNOWN, STORED), 0),
+        ((CLAIM, CLAIM), (UNKNOWN,) * 3 + (STORED,), 0),
+        ((CLAIM, FIRST), (UNKNOWN, STORED, STORED), 2),
+    ],
+    ids=[
+        "answered",
+        "answer lost",
+        "two answers lost",
+        "answer lost, then refused",
+        "refused",
+        "refused, then answer lost",
+        "two writes",
+        "two writes, answer to the second lost",
+        "earlier write repeated first",
+        "earlier write repeated twice first",
+        "earlier write repeated first, then answer lost",
+        "same records written again",
+        "claim",
+        "answer to a claim lost",
+        "same claim sent again",
+        "write after a claim whose answer was lost",
+    ],
+)
+def test_write_counts_from_its_first_attempt(
+    monkeypatch, writes, outcomes, counts_from
+):
+    store = TimedStore(outcomes)
+    for module in (storehandler, writer):
+        monkeypatch.setattr(
+            module, "now_ms", lambda: store.now_ms, raising=False
+        )
+    monkeypatch.setattr(storehandler.time, "sleep", store.sleep)
+    handler = StoreEffectHandler("127.0.0.1:1", [].append)
+    monkeypatch.setattr(handler, "_fenced_writer", LeaderWriter(store))
+    for write in writes:
+        event = handler._store_progress(write)
+    assert event.outcome is STORED
+    assert event.sent_ms == store.sent_ms[counts_from]
--- a/sesamehall/platform/writer.py
+++ b/sesamehall/platform/writer.py
@@ -1,16 +1,32 @@
 """Idempotent and fenced appends of the leader's records."""
 
+from dataclasses import dataclass
 import random
 
 from sesamehall.core.fleet import Stream
 from sesamehall.core.managerevents import StoreOutcome
 from sesamehall.platform.store import StoreClient
 from sesamehall.platform.store import TOPIC_BY_STREAM
+from sesamehall.runtime.interpreter import now_ms
 
 PRODUCER_NAME = "leader"
 FIRST_SEQUENCE_LIMIT = 1 << 30  # of the first sequence number of a term
 
 
+@dataclass(frozen=True, slots=True)
+class AppendResult:
+    """Result of an append.
+
+    Attributes:
+      outcome: Outcome of the write.
+      sent_ms: Earliest time at which the records may have been stored: when
+        they were first sent without being refused.
+    """
+
+    outcome: StoreOutcome
+    sent_ms: int
+
+
 class LeaderWriter:
     """Appends a leader's records, each exactly once and fenced by its epoch.
 
@@ -29,37 +45,46 @@
         self._epoch = 0
         self._sequence = 0
         self._unacknowledged = b""
+        self._unacknowledged_sent_ms = 0
 
     def append(
         self,
         epoch: int,
         expected_end_offset: int,
         records: bytes,
-    ) -> StoreOutcome:
+    ) -> AppendResult:
         """Append records; a retry after a lost response takes effect once.
 
         An earlier append without a response is retried first.  Nothing else
-        is sent until it has succeeded.
+        is sent until it has succeeded.  The store may have carried out the
+        first attempt, and then other nodes count the leader's silence from
+        there, so a success counts from when that attempt was sent.
 
         Args:
           epoch: Epoch of the leader.
           expected_end_offset: End offset that the stream must have, or -1.
           records: The encoded records.
         Returns:
-          Outcome of the write.
+          Outcome of the write, and from when it counts.
         """
         if epoch != self._epoch:
             self._epoch = epoch
             self._sequence = random.randrange(1, FIRST_SEQUENCE_LIMIT)
             self._unacknowledged = b""
         if self._unacknowledged and self._unacknowledged != records:
-            outcome = self._send(expected_end_offset, self._unacknowledged)
-            if outcome is not StoreOutcome.STORED:
-                return outcome
+            result = self._send(expected_end_offset, self._unacknowledged)
+            if result.outcome is not StoreOutcome.STORED:
+                return result
         return self._send(expected_end_offset, records)
 
-    def _send(self, expected_end_offset, records) -> StoreOutcome:
-        """Send records under the next sequence number."""
+    def _send(self, expected_end_offset, records) -> AppendResult:
+        """Send records under the next sequence number.
+
+        If there are unacknowledged records, it must be these.
+        """
+        sent_ms = now_ms()
+        if self._unacknowledged:
+            sent_ms = self._unacknowledged_sent_ms
         query = {
             "Producer": PRODUCER_NAME,
             "epoch": self._epoch,
@@ -78,12 +103,13 @@
                 self._unacknowledged = b""
             case StoreOutcome.UNKNOWN:
                 self._unacknowledged = records
+                self._unacknowledged_sent_ms = sent_ms
             case StoreOutcome.REFUSED if (
                 expected is not None and expected_end_offset < 0
             ):
                 self._sequence = expected
                 self._unacknowledged = b""
-        return outcome
+        return AppendResult(outcome, sent_ms)
 
 
 def _expected_sequence(document):
--- a/sesamehall/platform/writer_test.py
+++ b/sesamehall/platform/writer_test.py
@@ -102,7 +102,7 @@
         for number in range(6)
     ]
     for record in records:
-        outcome = writer.append(EPOCH, -1, encode_record(record))
+        outcome = writer.append(EPOCH, -1, encode_record(record)).outcome
         stored_count = store.stored().count(encode_record(record))
         if outcome is StoreOutcome.STORED:
             assert stored_count == 1
