Tell successors how long earlier leaders may renew leases

Cause: a leader that is cut off from the store renews leases until 5 s after its last confirmed write. How long a successor has to wait for that was derived from the records that it had read itself. If the next leader stopped or resigned within this time, a node that had not read the records of the first one did not know of it: a node that had started since, the next leader itself after a restart (its name in the record counts as its predecessor stopped), and a node that reads only the newest records, after a lost history or a term of its own. It took workers as lapsed after the length of one lease, started their tasks elsewhere, and acknowledged the ends of the first runs later.

Now each record of a leader, from its claim on, carries for how many milliseconds more the leaders before it may renew leases, 0 once that is over. A node that reads the first record of a term counts them from when it reads, which is no earlier than the writing, and keeps the later of this and of what it knew. A claim adds RENEWAL_CUTOFF_MS - LEADER_TIMEOUT_MS for a predecessor that has not resigned and is another node; otherwise it only passes on what was told. Records of older versions say 0: then it is as before.

Evidence: leadership_test, test_leases_of_a_leader_that_was_not_read. 6 of its 11 rows failed before, the six in which the first leader still renews.

write_changed_records takes the time now; its tests pass it.

--- a/sesamehall/core/fleet.py
+++ b/sesamehall/core/fleet.py
@@ -99,6 +99,9 @@
       heartbeat: Number that changes with each heartbeat.
       cores: Processor cores that it may use, or 0 if unknown.
       behind: Whether it resigns because its calls to workers were slow.
+      earlier_renewals_ms: How much longer the leaders before it may renew
+        leases, in milliseconds from when this was written; 0 once that is
+        over, and in records of older versions.
     """
 
     node: str
@@ -107,6 +110,7 @@
     heartbeat: int = 0
     cores: float = 0.0
     behind: bool = False
+    earlier_renewals_ms: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/sesamehall/core/managerstate.py
+++ b/sesamehall/core/managerstate.py
@@ -229,7 +229,7 @@
       leader: The newest leader record, or None.
       leader_seen_ms: Time at which it was read.
       prior_renewals_end_ms: Time until which the leaders before that one
-        may renew leases.
+        may renew leases; its records tell other nodes.
       term: This node's own term as the leader.
       max_cores_seen: Most processor cores reported by any leader or by any
         node that offered to lead, or 0 before any.
--- a/sesamehall/platform/store_test.py
+++ b/sesamehall/platform/store_test.py
@@ -65,7 +65,7 @@
         (Stream.PROGRESS, PROGRESS),
         (Stream.PROGRESS, Progress("ab" * 8)),
         (Stream.JOBS, Candidate("edge-2", 3, 2.15)),
-        (Stream.PROGRESS, Leader("edge-1", 3, True, 9, 0.516)),
+        (Stream.PROGRESS, Leader("edge-1", 3, True, 9, 0.516, True, 3_800)),
         (Stream.PROGRESS, LeasedWorker("i-1", "10.0.0.1:1", "p", 5, 7)),
         (Stream.PROGRESS, QueuePools("quotes", ("a", "b"))),
         (Stream.PROGRESS, WaveRecord(1, ("m-1", "m-2"))),
--- a/sesamehall/reducer/jobs/handover.py
+++ b/sesamehall/reducer/jobs/handover.py
@@ -158,4 +158,4 @@
     revocation = Step(
         replace(manager, leader=resigned), (RevokeStarts(manager.term.epoch),)
     )
-    return then(revocation, write_changed_records)
+    return then(revocation, write_changed_records, at_ms)
--- a/sesamehall/reducer/jobs/leadership.py
+++ b/sesamehall/reducer/jobs/leadership.py
@@ -52,7 +52,8 @@
 
     Args:
       manager: State of a manager.
-      at_ms: Unused; the time up to which the records are known decides.
+      at_ms: Current time on the node's clock.  The time up to which the
+        records are known decides whether the role is vacant.
     Returns:
       A Step with the claim, or without effects.
     """
@@ -65,7 +66,15 @@
         return Step(manager)
     previous = 0 if manager.leader is None else manager.leader.epoch
     epoch = previous + 1
-    leader = Leader(manager.name, epoch, cores=manager.cores)
+    # The node may stop right after the claim, so the claim has to tell a
+    # successor how long this node would have waited.
+    renewals_end_ms = _renewals_end_ms(manager, at_ms)
+    leader = Leader(
+        manager.name,
+        epoch,
+        cores=manager.cores,
+        earlier_renewals_ms=renewals_end_ms - at_ms,
+    )
     claim = StoreProgress(
         epoch=epoch,
         records=(StoredRecord(LEADER_KEY, leader),),
@@ -192,9 +201,7 @@
         jobs=len(manager.plans_by_id),
         workers=len(manager.leased_workers_by_id),
     )
-    predecessor_stopped = manager.leader is not None and (
-        manager.leader.resigned or manager.leader.node == manager.name
-    )
+    renewals_end_ms = _renewals_end_ms(manager, at_ms)
     manager = replace(
         manager,
         term=Term(
@@ -206,6 +213,7 @@
             ),
         ),
         leader=Leader(manager.name, event.epoch, cores=manager.cores),
+        prior_renewals_end_ms=renewals_end_ms,
         jobs_caught_up=False,
         workers_cursor=StreamCursor(),
         fleet=_build_fleet(manager),
@@ -213,12 +221,6 @@
     step = Step(manager, (line,))
     for job_id in sorted(manager.plans_by_id):
         step = then(step, activate_job, job_id, True, at_ms)
-    renewals_end_ms = max(at_ms, manager.prior_renewals_end_ms)
-    if not predecessor_stopped:
-        silent_since_ms = at_ms - LEADER_TIMEOUT_MS
-        renewals_end_ms = max(
-            renewals_end_ms, silent_since_ms + RENEWAL_CUTOFF_MS
-        )
     max_length_ms = LEASE_MS * (100 + CLOCK_SLACK_PERCENT) // 100
     lease_end_ms = renewals_end_ms + max_length_ms
     for _, leased in sorted(manager.leased_workers_by_id.items()):
@@ -226,6 +228,21 @@
     return step
 
 
+def _renewals_end_ms(manager, at_ms):
+    """Compute until when earlier leaders may renew leases, at least `at_ms`.
+
+    The leader that this node replaces has written nothing for
+    LEADER_TIMEOUT_MS.  It renews none if it has resigned, or if it was this
+    node, but the leaders before it may do so still.
+    """
+    renewals_end_ms = max(at_ms, manager.prior_renewals_end_ms)
+    leader = manager.leader
+    if leader is not None and (leader.resigned or leader.node == manager.name):
+        return renewals_end_ms
+    silent_since_ms = at_ms - LEADER_TIMEOUT_MS
+    return max(renewals_end_ms, silent_since_ms + RENEWAL_CUTOFF_MS)
+
+
 def _behind_grace_end_ms(manager, at_ms):
     """Compute the time from which a new leader may count as behind.
 
@@ -245,7 +262,10 @@
 
     A replaced leader that is cut off from the store may renew leases until
     its last confirmed write is too old.  A leader that has resigned, or whose
-    node leads again, renews none.
+    node leads again, renews none.  This node may not have read the records of
+    all leaders, so the new one's record tells how long those before it may
+    renew leases.  It was written earlier than it is read, so the time from
+    now on is no shorter than that.
 
     Args:
       manager: State of a manager.
@@ -256,6 +276,9 @@
     """
     old = manager.leader
     renewals_end_ms = manager.prior_renewals_end_ms
+    if old is None or old.epoch < leader.epoch:
+        told_ms = at_ms + leader.earlier_renewals_ms
+        renewals_end_ms = max(renewals_end_ms, told_ms)
     replaced = old is not None and old.epoch < leader.epoch
     if replaced and not old.resigned and old.node != leader.node:
         cut_off_ms = manager.leader_seen_ms + RENEWAL_CUTOFF_MS
--- a/sesamehall/reducer/jobs/leadership_test.py
+++ b/sesamehall/reducer/jobs/leadership_test.py
@@ -9,6 +9,7 @@
 from sesamehall.core.fleet import OrderedMachines
 from sesamehall.core.fleet import StoredRecord
 from sesamehall.core.fleet import Stream
+from sesamehall.core.jobtiming import LEADER_TIMEOUT_MS
 from sesamehall.core.jobtiming import LEASE_MS
 from sesamehall.core.jobtiming import RENEWAL_CUTOFF_MS
 from sesamehall.core.managereffects import ForgetWorker
@@ -29,6 +30,7 @@
 from sesamehall.core.work import EndedRun
 from sesamehall.core.work import Progress
 from sesamehall.core.work import RunEnd
+from sesamehall.reducer.jobs.handover import resign
 from sesamehall.reducer.jobs.leadership import claim_if_vacant
 from sesamehall.reducer.jobs.leadership import handle_progress_stored
 from sesamehall.reducer.jobs.leadership import record_leader
@@ -515,6 +517,132 @@
     assert lease_end_ms >= renewed_until_ms + SLOW_CLOCK_LEASE_MS
 
 
+class Chain:
+    """Leaders of which each reads only the newest record of the one before.
+
+    The first one has led as edge-1 and is cut off from the store.  The second
+    one, edge-2, has followed it, and has replaced it.
+    """
+
+    READ_DELAY_MS = 100  # from the writing of a record until it is read
+
+    def __init__(self, first):
+        self.now_ms = NOW_MS
+        follower = build_follower(first, LEADER_TIMEOUT_MS)
+        self.leader, self.newest = follower, None
+        self._claim(follower)
+
+    def _claim(self, manager):
+        """Let a node claim the role, with success."""
+        step = claim_if_vacant(manager, self.now_ms)
+        epoch = step.state.term.claimed_epoch
+        self._write(step)
+        stored = ProgressStored(
+            self.now_ms, self.now_ms, epoch, StoreOutcome.STORED
+        )
+        self.leader = handle_progress_stored(self.leader, stored).state
+
+    def _write(self, step):
+        (store,) = effects_of(step, StoreProgress)
+        self.leader, self.newest = step.state, store.records[-1]
+
+    def write(self, kind, at_ms):
+        """Let the leader write a record; its claim it has written already."""
+        self.now_ms = at_ms
+        match kind:
+            case "heartbeat":
+                self._write(commit(self.leader, at_ms))
+            case "resignation":
+                self._write(resign(self.leader, at_ms, "test", at_ms))
+
+    def replace_leader(self, name, earlier=None):
+        """Let a node take over that has read nothing since its own term."""
+        self.now_ms += self.READ_DELAY_MS
+        manager = ManagerState(
+            name,
+            manifest=build_manifest(),
+            leader=earlier,
+            jobs_cursor=StreamCursor(1, known_until_ms=self.now_ms),
+        )
+        leased = StoredRecord("worker/w1", LeasedWorker("w1", "h:1", "a", 7))
+        read = StreamRead(
+            self.now_ms,
+            self.now_ms,
+            0,
+            Stream.PROGRESS,
+            (self.newest, leased),
+            10,
+            True,
+        )
+        self._claim(apply_stream_read(manager, read).state)
+
+
+RESIGNED_LEADER = replace(OTHER_LEADER, resigned=True)
+CUT_OFF_MS = RENEWAL_CUTOFF_MS - LEADER_TIMEOUT_MS  # after the second's claim
+
+
+# Guards against two runs of a task at once, and ends that are acknowledged
+# later: a node that had not read the records of a leader that was cut off took
+# workers as lapsed whose leases that leader still renewed.
+@pytest.mark.parametrize(
+    ("first", "kind", "after_ms", "names", "earlier", "renewed_for_ms"),
+    [
+        (OTHER_LEADER, "claim", 0, ["edge-2"], None, CUT_OFF_MS),
+        (OTHER_LEADER, "heartbeat", 900, ["edge-2"], None, CUT_OFF_MS),
+        (OTHER_LEADER, "heartbeat", 900, ["edge-2"] * 3, None, CUT_OFF_MS),
+        (OTHER_LEADER, "resignation", 900, ["edge-3"], None, CUT_OFF_MS),
+        (
+            OTHER_LEADER,
+            "resignation",
+            900,
+            ["edge-3"],
+            Leader("edge-3", 2),
+            CUT_OFF_MS,
+        ),
+        (
+            OTHER_LEADER,
+            "resignation",
+            900,
+            ["edge-3", "edge-3"],
+            None,
+            CUT_OFF_MS,
+        ),
+        (OTHER_LEADER, "heartbeat", 5_000, ["edge-2"], None, 0),
+        (OTHER_LEADER, "resignation", 5_000, ["edge-3"], None, 0),
+        (RESIGNED_LEADER, "claim", 0, ["edge-2"], None, 0),
+        (RESIGNED_LEADER, "heartbeat", 900, ["edge-2"], None, 0),
+        (RESIGNED_LEADER, "resignation", 900, ["edge-3"], None, 0),
+    ],
+    ids=[
+        "restarted after its claim",
+        "restarted after a heartbeat",
+        "restarted three times",
+        "resigned, next one has started since",
+        "resigned, next one led before",
+        "resigned, next one restarted",
+        "renewals over, restarted",
+        "renewals over, resigned",
+        "first one resigned, restarted after its claim",
+        "first one resigned, restarted after a heartbeat",
+        "both resigned",
+    ],
+)
+def test_leases_of_a_leader_that_was_not_read(
+    first, kind, after_ms, names, earlier, renewed_for_ms
+):
+    chain = Chain(first)
+    chain.write(kind, NOW_MS + after_ms)
+    for name in names:
+        chain.replace_leader(name, earlier)
+    renewals_end_ms = max(NOW_MS + renewed_for_ms, chain.now_ms)
+    earliest_ms = renewals_end_ms + SLOW_CLOCK_LEASE_MS
+    latest_ms = renewals_end_ms + LEASE_MS * 103 // 100
+    if renewed_for_ms:
+        latest_ms += len(names) * Chain.READ_DELAY_MS
+    lease_end_ms = chain.leader.workers_by_id["w1"].lease_end_ms
+    assert earliest_ms <= lease_end_ms <= latest_ms
+
+
 # Guards against inherited tasks that wait for departed workers: the record
 # that drops a worker was lost with a failed append.
 @pytest.mark.parametrize("terminated", [False, True])
@@ -522,8 +650,10 @@
     manager = build_leader(
         build_worker("w1", terminated=terminated), dirty_workers=Map(w1=True)
     )
-    manager = write_changed_records(manager).state
+    manager = write_changed_records(manager, NOW_MS).state
     lost = ProgressStored(NOW_MS, NOW_MS, 1, StoreOutcome.UNKNOWN)
     manager = handle_progress_stored(manager, lost).state
-    (store,) = effects_of(write_changed_records(manager), StoreProgress)
+    (store,) = effects_of(
+        write_changed_records(manager, NOW_MS), StoreProgress
+    )
     assert "worker/w1" in [record.key for record in store.records]
--- a/sesamehall/reducer/jobs/leases.py
+++ b/sesamehall/reducer/jobs/leases.py
@@ -161,6 +161,18 @@
     return not is_resigning(manager) and since_ms < RENEWAL_CUTOFF_MS
 
 
+def earlier_renewals_ms(manager: ManagerState, at_ms: int) -> int:
+    """Compute how much longer leaders before the newest may renew leases.
+
+    Args:
+      manager: State of a manager.
+      at_ms: Current time on the node's clock.
+    Returns:
+      Milliseconds, 0 once that is over.
+    """
+    return max(manager.prior_renewals_end_ms - at_ms, 0)
+
+
 def is_incarnation_confirmed(
     manager: ManagerState, worker: Worker, at_ms: int
 ) -> bool:
--- a/sesamehall/reducer/jobs/queue_pools_test.py
+++ b/sesamehall/reducer/jobs/queue_pools_test.py
@@ -64,7 +64,7 @@
 
 def store_changes(manager, outcome=StoreOutcome.STORED):
     """Write the changed records, with the given outcome."""
-    manager = write_changed_records(manager).state
+    manager = write_changed_records(manager, NOW_MS).state
     stored = ProgressStored(NOW_MS, NOW_MS, manager.term.epoch, outcome)
     return handle_progress_stored(manager, stored).state
 
@@ -134,10 +134,13 @@
     manager = activate_jobs(manager, build_plan())
     step = place_all(manager)
     assert not effects_of(step, StartRun)
-    assert written_pools(write_changed_records(step.state)) == [("a",)]
+    assert written_pools(write_changed_records(step.state, NOW_MS)) == [("a",)]
     step = place_after_write(manager, "a", outcome)
     assert len(effects_of(step, StartRun)) == starts
-    assert written_pools(write_changed_records(step.state)) == written_again
+    assert (
+        written_pools(write_changed_records(step.state, NOW_MS))
+        == written_again
+    )
 
 
 @pytest.mark.parametrize(
@@ -174,7 +177,7 @@
         manager = activate_jobs(manager, build_plan(job_id="00000000000000bb"))
     manager = read_manifest(manager, send_queue_to("b"))
     manager = place_tasks(manager, "b", NOW_MS).state
-    assert written_pools(write_changed_records(manager)) == [written]
+    assert written_pools(write_changed_records(manager, NOW_MS)) == [written]
 
 
 # Guards against inherited tasks that wait for pools without runs.
@@ -210,7 +213,7 @@
         report = build_report("w1", [ActiveRun(task(), 1)])
         manager = apply_report(manager, report).state
     manager = place_tasks(manager, "b", NOW_MS).state
-    assert written_pools(write_changed_records(manager)) == written
+    assert written_pools(write_changed_records(manager, NOW_MS)) == written
 
 
 # Guards against a start in a pool that a write in flight takes out of the
@@ -229,7 +232,7 @@
     )
     manager = activate_jobs(manager, build_plan())
     manager = place_tasks(manager, "b", NOW_MS).state
-    writing = write_changed_records(manager)
+    writing = write_changed_records(manager, NOW_MS)
     assert written_pools(writing) == [("b",)]
     worker = build_pool_worker("w2", "b")
     manager = put_worker(writing.state, worker)
@@ -239,7 +242,7 @@
     stored = ProgressStored(NOW_MS, NOW_MS, 1, StoreOutcome.STORED)
     manager = handle_progress_stored(step.state, stored).state
     manager = place_tasks(manager, pool, NOW_MS).state
-    assert written_pools(write_changed_records(manager)) == written
+    assert written_pools(write_changed_records(manager, NOW_MS)) == written
 
 
 # Guards against records of queues that stay for ever.
@@ -255,7 +258,7 @@
 def test_record_of_a_dropped_queue_is_deleted(plans, pool, written, kept):
     manager = activate_jobs(build_leader(build_worker("w1")), *plans)
     manager = read_manifest(manager, send_queue_to(pool))
-    assert written_pools(write_changed_records(manager)) == written
+    assert written_pools(write_changed_records(manager, NOW_MS)) == written
     assert ("quotes" in store_changes(manager).pools_by_queue) == kept
 
 
--- a/sesamehall/reducer/jobs/storing.py
+++ b/sesamehall/reducer/jobs/storing.py
@@ -21,6 +21,7 @@
 from sesamehall.core.step import then
 from sesamehall.core.work import Progress
 from sesamehall.reducer.counts import drop_key
+from sesamehall.reducer.jobs.leases import earlier_renewals_ms
 from sesamehall.reducer.jobs.leases import is_resigning
 from sesamehall.reducer.jobs.leases import is_stepping_down
 from sesamehall.reducer.jobs.queue_pools import build_record
@@ -67,14 +68,15 @@
     )
     if not due and elapsed_ms < HEARTBEAT_MS:
         return Step(manager)
-    return write_changed_records(manager)
+    return write_changed_records(manager, at_ms)
 
 
-def write_changed_records(manager: ManagerState) -> Step:
+def write_changed_records(manager: ManagerState, at_ms: int) -> Step:
     """Write all changed records, and the leader's heartbeat or resignation.
 
     Args:
       manager: State of the leader.
+      at_ms: Current time on the node's clock.
     Returns:
       A Step with the records.
     """
@@ -92,6 +94,7 @@
         term.heartbeats,
         manager.cores,
         term.call_times.behind,
+        earlier_renewals_ms(manager, at_ms),
     )
     records = _build_records(manager, batch)
     records += (StoredRecord(LEADER_KEY, leader),)
--- a/sesamehall/reducer/jobs/storing_test.py
+++ b/sesamehall/reducer/jobs/storing_test.py
@@ -34,7 +34,7 @@
     manager = activate_jobs(build_leader(build_worker("w1")), build_plan())
     manager = place_all(manager).state
     manager = end_job(manager, JOB_ID, phase, "test", NOW_MS).state
-    manager = write_changed_records(manager).state
+    manager = write_changed_records(manager, NOW_MS).state
     stopped = EndedRun(1, task(), 1, RunEnd.STOPPED)
     report = build_report("w1", (), [stopped], NOW_MS + 100)
     return apply_report(manager, report).state
@@ -42,7 +42,9 @@
 
 def phases_written(manager):
     """List the jobs and phases that the next write contains."""
-    (store,) = effects_of(write_changed_records(manager), StoreProgress)
+    (store,) = effects_of(
+        write_changed_records(manager, NOW_MS), StoreProgress
+    )
     values = [record.value for record in store.records]
     return [
         (value.job_id, value.phase)
@@ -76,7 +78,7 @@
 )
 def test_progress_of_an_unknown_job_is_logged(dirty, line_count):
     manager = build_leader(dirty_jobs=Map(dirty))
-    lines = effects_of(write_changed_records(manager), Log)
+    lines = effects_of(write_changed_records(manager, NOW_MS), Log)
     assert [line.event for line in lines] == [PROGRESS_NOT_STORED] * line_count
 
 
@@ -102,7 +104,7 @@
         ),
         build_plan(),
     )
-    manager = write_changed_records(manager).state
+    manager = write_changed_records(manager, NOW_MS).state
     stored = ProgressStored(
         NOW_MS + 5, NOW_MS, 1, StoreOutcome.STORED, unstorable
     )
--- a/sesamehall/reducer/jobs/workers_test.py
+++ b/sesamehall/reducer/jobs/workers_test.py
@@ -413,7 +413,9 @@
     manager = apply_report(manager, report).state
     manager = activate_jobs(manager, build_plan())
     assert not effects_of(place_all(manager, NOW_MS + 1_000), StartRun)
-    (store,) = effects_of(write_changed_records(manager), StoreProgress)
+    (store,) = effects_of(
+        write_changed_records(manager, NOW_MS), StoreProgress
+    )
     assert "worker/w1" in {
         record.key for record in store.records if record.value
     }
--- a/sesamehall/reducer/machines/fleet_test.py
+++ b/sesamehall/reducer/machines/fleet_test.py
@@ -144,7 +144,9 @@
     assert not effects_of(step, MoveMachine)
     again = advance_fleet(step.state, NOW_MS)
     assert not effects_of(again, MoveMachine)
-    (store,) = effects_of(write_changed_records(again.state), StoreProgress)
+    (store,) = effects_of(
+        write_changed_records(again.state, NOW_MS), StoreProgress
+    )
     names = [
         record.value.own
         for record in store.records
