Log what a leader knew when it gave a run up

Line 625 names each run that is given up, why, and how old the leader's knowledge was; 626 the report that did not list it; 627 each end of a run that is not tracked; 628 and 629 a worker that answers after its termination and one whose lease is over. 612 remains for ends that workers report, now with their sequence. 614 names unneeded runs once, 637 how long earlier leaders may renew, 638 a confirmation by a retry, 647 records that a write left out, 657 an answer that ends runs or comes again. No decision changes.

--- a/sesamehall/core/logevents.py
+++ b/sesamehall/core/logevents.py
@@ -129,6 +129,11 @@
     623, "worker set aside", "Look at the worker; it is tried again."
 )
 RUN_ENDS_DEFERRED = _info(624, "ends held back")
+RUN_ABANDONED = _info(625, "run given up")
+RUNS_NOT_LISTED = _info(626, "runs not listed")
+RUN_END_LATE = _info(627, "end of an untracked run")
+WORKER_RESUMED = _info(628, "worker used again")
+WORKER_LEASE_EXPIRED = _info(629, "worker lease over")
 TERM_CLAIMED = _info(630, "leadership claimed")
 TERM_BEGUN = _info(631, "leadership begun")
 TERM_ENDED = _warning(
@@ -140,6 +145,8 @@
 LEADER_BEHIND = _warning(
     636, "leader behind", "Look at the node's processor and link; it yields."
 )
+RENEWALS_AWAITED = _info(637, "earlier leaders' renewals")
+TERM_CONFIRMED_BY_RETRY = _info(638, "leadership confirmed by a retry")
 STREAM_UNREADABLE = _warning(
     640, "stream unread", "Look at the platform's store and the way to it."
 )
@@ -155,6 +162,9 @@
     "progress of an unknown job not stored",
     "Report it: the job may run again under the next leader.",
 )
+RECORDS_LEFT_OUT = _warning(
+    647, "records left out", "Report it with the line 309 before it."
+)
 MACHINE_ORDERED = _info(650, "machine ordered")
 MACHINE_REFUSED = _info(651, "machine order refused")
 WAVE_RECEIVED = _info(652, "wave taken in")
@@ -166,6 +176,7 @@
 WAVE_NOT_REPORTED = _warning(
     656, "wave not reported", "Look at the platform's store; it is repeated."
 )
+MACHINE_ORDER_DONE = _info(657, "machine order ended runs")
 
 NODE_STARTED = _info(900, "node started")
 NODE_STOPPING = _info(901, "node stopping")
--- a/sesamehall/core/managerevents.py
+++ b/sesamehall/core/managerevents.py
@@ -103,6 +103,9 @@
       outcome: Outcome of the write; FENCED if another leader took over.
       unstorable_keys: Keys of records that were left out, since they cannot
         be encoded or are too large.
+      attempts: Number of times that the write was sent.
+      first_sent_ms: Time at which the first attempt was sent, or -1 if
+        unknown.
     """
 
     at_ms: int
@@ -110,6 +113,8 @@
     epoch: int
     outcome: StoreOutcome
     unstorable_keys: tuple[str, ...] = ()
+    attempts: int = 1
+    first_sent_ms: int = -1
 
 
 @dataclass(frozen=True, slots=True)
@@ -195,6 +200,7 @@
       refusal: None if the worker accepted the run.
       clock_ms: The worker's own clock when it answered, or -1.
       timing: Times at which the order was issued and sent.
+      status: Status of the worker's response, or 0 if there was none.
     """
 
     at_ms: int
@@ -205,6 +211,7 @@
     refusal: OrderRefusal | None
     clock_ms: int = -1
     timing: OrderTiming | None = None
+    status: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/sesamehall/core/workstate.py
+++ b/sesamehall/core/workstate.py
@@ -189,6 +189,8 @@
         active and ended runs of jobs that it has not read yet, runs that are
         not needed, and further runs of tracked tasks. Their size is unknown,
         so the worker gets no new tasks while there are any.
+      unneeded_runs: Task and number of reported runs that were ordered to stop
+        as not needed, so that each is logged once.
     """
 
     entry: WorkerEntry
@@ -214,6 +216,7 @@
     best_effort_speed_percent: int = 100
     speed_changed_ms: int = 0
     untracked_runs: int = 0
+    unneeded_runs: tuple[tuple[str, int], ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/sesamehall/platform/storehandler.py
+++ b/sesamehall/platform/storehandler.py
@@ -159,9 +159,11 @@
 
     def _store_progress(self, effect: StoreProgress) -> Event:
         body, unstorable_keys = _encode_storable(effect.records)
-        sent_ms = now_ms()
+        sent_ms = first_sent_ms = now_ms()
         outcome = StoreOutcome.UNKNOWN
+        attempts = 0
         for _ in range(MAX_WRITE_ATTEMPTS):
+            attempts += 1
             sent_ms = now_ms()
             outcome = self._fenced_writer.append(
                 effect.epoch, effect.expected_end_offset, body
@@ -177,7 +179,13 @@
                 break
             time.sleep(RETRY_DELAY_S)
         return ProgressStored(
-            now_ms(), sent_ms, effect.epoch, outcome, unstorable_keys
+            at_ms=now_ms(),
+            sent_ms=sent_ms,
+            epoch=effect.epoch,
+            outcome=outcome,
+            unstorable_keys=unstorable_keys,
+            attempts=attempts,
+            first_sent_ms=first_sent_ms,
         )
 
     def _write_jobs(self):
--- a/sesamehall/platform/workers.py
+++ b/sesamehall/platform/workers.py
@@ -175,7 +175,9 @@
     ) -> Event | None:
         """Send an order that was issued earlier, and return its outcome."""
         timing = OrderTiming(issued_ms, sent_ms=now_ms())
-        refusal, clock_ms = self._send_unless_expired(effect, timing.sent_ms)
+        refusal, clock_ms, status = self._send_unless_expired(
+            effect, timing.sent_ms
+        )
         order_key = (
             effect.worker_id,
             effect.epoch,
@@ -185,7 +187,7 @@
         match effect:
             case StartRun():
                 return RunAnswered(
-                    now_ms(), *order_key, refusal, clock_ms, timing
+                    now_ms(), *order_key, refusal, clock_ms, timing, status
                 )
             case StopRun():
                 return StopAnswered(now_ms(), *order_key, refusal, timing)
@@ -194,17 +196,19 @@
     def _send_unless_expired(self, effect, sent_ms):
         """Send an order, but no start order that must not be sent any more.
 
-        Return the reason of a refusal, or None, and the worker's clock.
+        Return the reason of a refusal, or None, the worker's clock, and the
+        status of its response, or 0.
         """
         match effect:
             case StartRun() if not self._start_fence.may_send(effect, sent_ms):
-                return OrderRefusal.NOT_SENT, -1
+                return OrderRefusal.NOT_SENT, -1, 0
         path, document = _encode_order(effect)
         try:
             response = self._call(path, document, ORDER_TIMEOUT_S)
-            return decode_refusal(response), decode_clock_ms(response)
+            refusal = decode_refusal(response)
+            return refusal, decode_clock_ms(response), response.status
         except PlatformError:
-            return OrderRefusal.SILENT, -1
+            return OrderRefusal.SILENT, -1, 0
 
 
 class WorkerClients:
--- a/sesamehall/reducer/jobs/leadership.py
+++ b/sesamehall/reducer/jobs/leadership.py
@@ -20,8 +20,10 @@
 from sesamehall.core.jobtiming import LEASE_MS
 from sesamehall.core.jobtiming import RENEWAL_CUTOFF_MS
 from sesamehall.core.logevents import RECORDS_NOT_STORED
+from sesamehall.core.logevents import RENEWALS_AWAITED
 from sesamehall.core.logevents import TERM_BEGUN
 from sesamehall.core.logevents import TERM_CLAIMED
+from sesamehall.core.logevents import TERM_CONFIRMED_BY_RETRY
 from sesamehall.core.logevents import TERM_ENDED
 from sesamehall.core.managereffects import ForgetWorker
 from sesamehall.core.managereffects import RevokeStarts
@@ -167,7 +169,8 @@
         return Step(manager)
     match event.outcome:
         case StoreOutcome.STORED:
-            return apply_confirmed_write(manager, event)
+            step = Step(manager, _retry_lines(event))
+            return then(step, apply_confirmed_write, event)
         case StoreOutcome.FENCED:
             return end_term(manager, "fenced in the log", event.at_ms)
     line = log(RECORDS_NOT_STORED, outcome=event.outcome.value)
@@ -178,10 +181,28 @@
     """Begin the term if the claim was stored, else remain a follower."""
     manager = replace(manager, term=Term())
     if event.outcome is StoreOutcome.STORED:
-        return _begin_term(manager, event)
+        return then(Step(manager, _retry_lines(event)), _begin_term, event)
     return Step(manager)
 
 
+def _retry_lines(event: ProgressStored):
+    """Build the log line of a write that was confirmed after a retry.
+
+    The term counts as confirmed from the time at which the last attempt was
+    sent, `counts_ago_ms` before; an earlier attempt may have been stored.
+    """
+    if event.attempts <= 1:
+        return ()
+    line = log(
+        TERM_CONFIRMED_BY_RETRY,
+        epoch=event.epoch,
+        attempt=event.attempts,
+        counts_ago_ms=event.at_ms - event.sent_ms,
+        first_sent_ago_ms=event.at_ms - event.first_sent_ms,
+    )
+    return (line,)
+
+
 def _begin_term(manager: ManagerState, event: ProgressStored) -> Step:
     """Take over all jobs and workers."""
     at_ms = event.at_ms
@@ -195,6 +216,8 @@
     predecessor_stopped = manager.leader is not None and (
         manager.leader.resigned or manager.leader.node == manager.name
     )
+    predecessor = manager.leader
+    stopped = _why_stopped(manager)
     manager = replace(
         manager,
         term=Term(
@@ -221,11 +244,34 @@
         )
     max_length_ms = LEASE_MS * (100 + CLOCK_SLACK_PERCENT) // 100
     lease_end_ms = renewals_end_ms + max_length_ms
+    line = log(
+        RENEWALS_AWAITED,
+        epoch=event.epoch,
+        renewals_ms=renewals_end_ms - at_ms,
+        leases_ms=lease_end_ms - at_ms,
+        prior_ms=max(manager.prior_renewals_end_ms - at_ms, 0),
+        predecessor="" if predecessor is None else predecessor.node,
+        predecessor_epoch=0 if predecessor is None else predecessor.epoch,
+        stopped=stopped,
+    )
+    step = Step(step.state, step.effects + (line,))
     for _, leased in sorted(manager.leased_workers_by_id.items()):
         step = then(step, _inherit_worker, leased, lease_end_ms, at_ms)
     return step
 
 
+def _why_stopped(manager: ManagerState) -> str:
+    """Describe why the last leader renews no leases, for the log."""
+    match manager.leader:
+        case None:
+            return "no: none known"
+        case Leader(resigned=True):
+            return "resigned"
+        case Leader(node=manager.name):
+            return "own name"
+    return "no: silent"
+
+
 def _behind_grace_end_ms(manager, at_ms):
     """Compute the time from which a new leader may count as behind.
 
--- a/sesamehall/reducer/jobs/orders.py
+++ b/sesamehall/reducer/jobs/orders.py
@@ -81,6 +81,7 @@
         run=run.number,
         worker=run.worker_id,
         reason=event.refusal.value,
+        status=event.status,
         tries=run.send_count,
     )
     step = Step(manager, (line,))
--- a/sesamehall/reducer/jobs/reports.py
+++ b/sesamehall/reducer/jobs/reports.py
@@ -24,6 +24,9 @@
 from sesamehall.reducer.jobs.progress import is_task_done
 from sesamehall.reducer.jobs.progress import plan_has_task
 from sesamehall.reducer.jobs.queue_pools import request_record_of_run
+from sesamehall.reducer.jobs.runlines import runs_not_listed_line
+from sesamehall.reducer.jobs.runlines import unneeded_run_line
+from sesamehall.reducer.jobs.runlines import worker_resumed_line
 from sesamehall.reducer.jobs.runs import abandon_run
 from sesamehall.reducer.jobs.runs import apply_run_end
 from sesamehall.reducer.jobs.runs import schedule_placement
@@ -59,7 +62,10 @@
         step = begin_incarnation(manager, worker, event.started_wall_ms, at_ms)
         worker = step.state.workers_by_id[event.worker_id]
     if answered_after_termination(worker, event.sent_ms):
-        step = Step(resume_incarnation(step.state, worker), step.effects)
+        line = worker_resumed_line(worker, event)
+        step = Step(
+            resume_incarnation(step.state, worker), step.effects + (line,)
+        )
         worker = step.state.workers_by_id[event.worker_id]
     newly_contacted = not worker.contacted
     first_of_incarnation = worker.first_contact_ms < 0
@@ -203,7 +209,11 @@
     worker = step.state.workers_by_id[event.worker_id]
     if worker.untracked_runs == untracked_count:
         return step
-    worker = replace(worker, untracked_runs=untracked_count)
+    worker = replace(
+        worker,
+        untracked_runs=untracked_count,
+        unneeded_runs=worker.unneeded_runs if untracked_count else (),
+    )
     step = Step(put_worker(step.state, worker), step.effects)
     return then(step, schedule_placement, worker.entry.pool, event.at_ms)
 
@@ -301,7 +311,8 @@
             task=active.task,
             number=active.number,
         )
-        return Step(manager, (order,))
+        step = _log_unneeded_run(manager, worker, active, other_run)
+        return Step(step.state, step.effects + (order,))
     plan_step = job.plan.steps[parsed[1].step]
     run = Run(
         task=active.task,
@@ -334,6 +345,17 @@
     return Step(manager, (line,))
 
 
+def _log_unneeded_run(manager, worker, active, other_run):
+    """Log the first order to stop an untracked run; each report repeats it."""
+    run_key = (active.task, active.number)
+    if run_key in worker.unneeded_runs:
+        return Step(manager)
+    worker_id = worker.entry.worker_id
+    line = unneeded_run_line(manager, worker_id, active, other_run)
+    worker = replace(worker, unneeded_runs=worker.unneeded_runs + (run_key,))
+    return Step(put_worker(manager, worker), (line,))
+
+
 def _abandon_missing_runs(manager, event):
     """Abandon tracked runs that are missing from the report.
 
@@ -348,6 +370,7 @@
         return Step(manager)
     active = {(listed.task, listed.number) for listed in event.active}
     step = Step(manager)
+    missing = []
     for task in sorted(worker.tasks):
         run = step.state.runs_by_task.get(task)
         if run is None or run.worker_id != event.worker_id:
@@ -356,7 +379,11 @@
             continue
         if _should_be_listed(run, event):
             step = then(step, abandon_run, run, "not listed", event.at_ms)
-    return step
+            missing.append(run)
+    if not missing:
+        return step
+    line = runs_not_listed_line(manager, event, missing)
+    return Step(step.state, step.effects + (line,))
 
 
 def _stop_unacknowledged_runs(manager, worker_id):
--- a/sesamehall/reducer/jobs/runs.py
+++ b/sesamehall/reducer/jobs/runs.py
@@ -36,6 +36,8 @@
 from sesamehall.reducer.jobs.progress import with_checkpoint
 from sesamehall.reducer.jobs.progress import with_task_done
 from sesamehall.reducer.jobs.progress import with_task_failure
+from sesamehall.reducer.jobs.runlines import abandoned_run_line
+from sesamehall.reducer.jobs.runlines import late_end_line
 from sesamehall.reducer.jobs.state_updates import add_waiting_task
 from sesamehall.reducer.jobs.state_updates import drop_job
 from sesamehall.reducer.jobs.state_updates import put_job
@@ -96,17 +98,21 @@
         run=ended.number,
         worker=worker_id,
         end=ended.end.value,
+        seq=ended.sequence,
     )
     run = manager.runs_by_task.get(ended.task)
     is_current_run = run is not None and (run.worker_id, run.number) == (
         worker_id,
         ended.number,
     )
+    lines = (line,)
+    if not is_current_run:
+        lines += (late_end_line(manager, worker_id, ended),)
     if is_current_run:
         manager = _record_run_duration(manager, run, ended, run_time_ms, at_ms)
         manager = release_run(manager, run)
     worker = manager.workers_by_id.get(worker_id)
-    step = Step(manager, (line,))
+    step = Step(manager, lines)
     if worker is not None:
         step = then(step, schedule_placement, worker.entry.pool, at_ms)
     job = step.state.active_jobs_by_id.get(job_id)
@@ -160,13 +166,7 @@
     Returns:
       A Step.
     """
-    line = log(
-        RUN_ENDED,
-        task=run.task,
-        run=run.number,
-        worker=run.worker_id,
-        end=reason,
-    )
+    line = abandoned_run_line(manager, run, reason, at_ms)
     manager = release_run(manager, run)
     job = manager.active_jobs_by_id.get(run.job_id)
     if job is not None and run.checkpoint:
--- a/sesamehall/reducer/jobs/storing.py
+++ b/sesamehall/reducer/jobs/storing.py
@@ -11,6 +11,7 @@
 from sesamehall.core.jobtiming import COMMIT_PERIOD_MS
 from sesamehall.core.jobtiming import HEARTBEAT_MS
 from sesamehall.core.logevents import PROGRESS_NOT_STORED
+from sesamehall.core.logevents import RECORDS_LEFT_OUT
 from sesamehall.core.logevents import RECORDS_STORED
 from sesamehall.core.managereffects import StoreProgress
 from sesamehall.core.managerevents import ProgressStored
@@ -36,6 +37,7 @@
 WAVE_KEY_PREFIX = "wave/"
 QUEUE_KEY_PREFIX = "queue/"
 ORDERED_MACHINES_KEY = "machines"
+MAX_LOGGED_KEYS = 50  # keys of records in one log line
 
 
 def commit(manager: ManagerState, at_ms: int) -> Step:
@@ -95,7 +97,7 @@
     )
     records = _build_records(manager, batch)
     records += (StoredRecord(LEADER_KEY, leader),)
-    lines = _unknown_jobs_line(manager)
+    lines = _unknown_jobs_line(manager, batch)
     manager = replace(
         manager,
         term=term,
@@ -201,7 +203,7 @@
     return tuple(records)
 
 
-def _unknown_jobs_line(manager):
+def _unknown_jobs_line(manager, batch):
     """Build the log line for changed jobs that are no longer in the state."""
     unknown = [
         job_id
@@ -210,7 +212,36 @@
     ]
     if not unknown:
         return ()
-    return (log(PROGRESS_NOT_STORED, jobs=len(unknown), job=unknown[0]),)
+    line = log(
+        PROGRESS_NOT_STORED,
+        jobs=len(unknown),
+        job=unknown[0],
+        ends=_ends_text(batch),
+    )
+    return (line,)
+
+
+def _ends_text(batch):
+    """List the workers of a write, and up to which end it covers each."""
+    return ",".join(
+        f"{leased.worker_id}:{leased.last_applied_end_sequence}"
+        for leased in batch.workers
+    )
+
+
+def _left_out_lines(epoch, batch, event):
+    """Build the log line of records that a confirmed write did not contain."""
+    keys = event.unstorable_keys
+    if not keys:
+        return ()
+    line = log(
+        RECORDS_LEFT_OUT,
+        epoch=epoch,
+        records=len(keys),
+        keys=",".join(keys[:MAX_LOGGED_KEYS]),
+        ends=_ends_text(batch),
+    )
+    return (line,)
 
 
 def _may_have_runs(manager, worker_id):
@@ -258,7 +289,8 @@
     for progress in batch.jobs:
         manager = record_progress(manager, progress, event.at_ms)
         manager = drop_ended_job(manager, progress.job_id)
-    step = Step(manager, _stored_line(term.epoch, batch, event))
+    lines = _left_out_lines(term.epoch, batch, event)
+    step = Step(manager, _stored_line(term.epoch, batch, event) + lines)
     for leased in batch.workers:
         step = then(step, _confirm_worker, leased, event.at_ms)
     for queue_pools in batch.queues:
@@ -295,10 +327,7 @@
     """Build the log line of a confirmed write of jobs, workers or queues."""
     if not batch.jobs and not batch.workers and not batch.queues:
         return ()
-    ends = ",".join(
-        f"{leased.worker_id}:{leased.last_applied_end_sequence}"
-        for leased in batch.workers
-    )
+    job_ids = [progress.job_id for progress in batch.jobs]
     pools = ",".join(
         f"{record.queue}:{'+'.join(record.pools)}" for record in batch.queues
     )
@@ -306,7 +335,8 @@
         RECORDS_STORED,
         epoch=epoch,
         jobs=len(batch.jobs),
-        ends=ends,
+        ends=_ends_text(batch),
+        progress=",".join(job_ids[:MAX_LOGGED_KEYS]),
         pools=pools,
         took_ms=event.at_ms - event.sent_ms,
     )
--- a/sesamehall/reducer/jobs/testing.py
+++ b/sesamehall/reducer/jobs/testing.py
@@ -8,6 +8,7 @@
 from sesamehall.core.fleet import StoredRecord
 from sesamehall.core.fleet import Stream
 from sesamehall.core.fleet import WorkerEntry
+from sesamehall.core.logevents import LogEvent
 from sesamehall.core.managerevents import StreamRead
 from sesamehall.core.managerevents import WorkerReported
 from sesamehall.core.managerstate import ManagerState
@@ -173,6 +174,15 @@
     return [effect for effect in step.effects if isinstance(effect, kind)]
 
 
+def details_of(step: Step, event: LogEvent) -> list[dict]:
+    """List the details of the log lines of an event."""
+    return [
+        {field.name: field.value for field in line.details}
+        for line in effects_of(step, Log)
+        if line.event == event
+    ]
+
+
 def decisions_of(step: Step) -> list[Effect]:
     """List the effects other than log lines and timers."""
     return [
--- a/sesamehall/reducer/jobs/workers.py
+++ b/sesamehall/reducer/jobs/workers.py
@@ -28,6 +28,7 @@
 from sesamehall.reducer.jobs.leases import lease_length_ms
 from sesamehall.reducer.jobs.leases import may_renew
 from sesamehall.reducer.jobs.leases import worker_clock_ms
+from sesamehall.reducer.jobs.runlines import worker_lease_lines
 from sesamehall.reducer.jobs.runs import abandon_run
 from sesamehall.reducer.jobs.runs import schedule_placement
 from sesamehall.reducer.jobs.state_updates import drop_worker
@@ -203,7 +204,7 @@
         return Step(manager)
     if not is_term_confirmed(manager, at_ms):
         return Step(manager)
-    step = Step(manager)
+    step = Step(manager, worker_lease_lines(manager, worker, at_ms))
     for task in sorted(worker.tasks):
         run = step.state.runs_by_task[task]
         step = then(step, abandon_run, run, "lease expired", at_ms)
--- a/sesamehall/reducer/machines/fleet.py
+++ b/sesamehall/reducer/machines/fleet.py
@@ -19,6 +19,7 @@
 from sesamehall.core.fleettiming import MACHINE_ORDER_RETRY_MS
 from sesamehall.core.fleettiming import MACHINE_ORDER_TIMEOUT_MS
 from sesamehall.core.fleettiming import MACHINES_PERIOD_MS
+from sesamehall.core.logevents import MACHINE_ORDER_DONE
 from sesamehall.core.logevents import MACHINE_ORDERED
 from sesamehall.core.logevents import MACHINE_REFUSED
 from sesamehall.core.logevents import MACHINES_NOT_LISTED
@@ -146,7 +147,13 @@
     ended = ended_incarnations(manager, event)
     step = Step(replace(manager, fleet=fleet))
     for worker_id in ended:
-        line = log(WORKER_GONE, worker=worker_id, reason="no machine runs it")
+        line = log(
+            WORKER_GONE,
+            worker=worker_id,
+            reason="no machine runs it",
+            runs=len(step.state.workers_by_id[worker_id].tasks),
+            list_ago_ms=event.at_ms - event.sent_ms,
+        )
         step = Step(step.state, step.effects + (line,))
         step = then(step, end_incarnation, worker_id, event.at_ms)
     return step
@@ -205,13 +212,15 @@
     if order is None or order.last_sent_ms < 0:
         return Step(manager)  # the answer is to an earlier order
     if event.done:
+        lines = _order_done_lines(manager, order, event)
         order = replace(order, accepted_ms=event.at_ms)
         manager = put_order(manager, event.machine, order)
         if order.kind is MachineOrderKind.MAINTENANCE:
             manager = record_accepted_maintenance(
                 manager, order.wave, event.machine
             )
-        return end_incarnation(manager, order.worker_id, event.at_ms)
+        step = Step(manager, lines)
+        return then(step, end_incarnation, order.worker_id, event.at_ms)
     line = log(MACHINE_REFUSED, machine=event.machine, reason=event.reason)
     if not event.refused:
         unsent = replace(order, last_sent_ms=-1)
@@ -222,6 +231,29 @@
     return Step(replace(manager, fleet=fleet), (line,))
 
 
+def _order_done_lines(manager, order: PendingOrder, event: MachineAnswered):
+    """Build the log line of an answer that ends runs or comes again."""
+    worker = manager.workers_by_id.get(order.worker_id)
+    runs = 0 if worker is None else len(worker.tasks)
+    accepted_before = order.accepted_ms >= 0
+    if not runs and not accepted_before:
+        return ()
+    line = log(
+        MACHINE_ORDER_DONE,
+        machine=event.machine,
+        order=order.kind.value,
+        worker=order.worker_id,
+        runs=runs,
+        answer="repeated" if accepted_before else "first",
+        sends=order.send_count,
+        sent_ago_ms=event.at_ms - order.last_sent_ms,
+        report_ago_ms=(
+            event.at_ms - worker.last_report_ms if worker is not None else -1
+        ),
+    )
+    return (line,)
+
+
 def _cancel_evacuation(manager, worker_id):
     """Let a worker get new tasks again."""
     worker = manager.workers_by_id.get(worker_id)
