--- a/sesamehall/platform/workers_test.py
+++ b/sesamehall/platform/workers_test.py
@@ -83,3 +83,24 @@
     clients.revoke_starts(RevokeStarts(revoked_epoch))
     clients.send_order(build_start(now_ms() + 60_000))
     assert events.get(timeout=5).refusal is expected
+
+
+@pytest.mark.parametrize(
+    ("response", "expected"),
+    [
+        (HttpResponse(200, b"{}"), (None, 200)),
+        (HttpResponse(409, b'{"Reason":"room"}'), (OrderRefusal.NO_ROOM, 409)),
+        (HttpResponse(502, b""), (OrderRefusal.MALFORMED, 502)),
+        (HttpResponse(503, b""), (OrderRefusal.UNHEALTHY, 503)),
+    ],
+)
+def test_answer_to_a_start_has_the_status(monkeypatch, response, expected):
+    events = []
+    with ThreadPoolExecutor(1) as executor:
+        client = WorkerClient(
+            "w1", "127.0.0.1:1", events.append, executor, StartFence()
+        )
+        monkeypatch.setattr(client, "_call", lambda *_: response)
+        client.send_order(build_start(now_ms() + 60_000))
+    client.close()
+    assert [(event.refusal, event.status) for event in events] == [expected]
--- a/sesamehall/reducer/jobs/leadership_test.py
+++ b/sesamehall/reducer/jobs/leadership_test.py
@@ -11,6 +11,8 @@
 from sesamehall.core.fleet import Stream
 from sesamehall.core.jobtiming import LEASE_MS
 from sesamehall.core.jobtiming import RENEWAL_CUTOFF_MS
+from sesamehall.core.logevents import RENEWALS_AWAITED
+from sesamehall.core.logevents import TERM_CONFIRMED_BY_RETRY
 from sesamehall.core.managereffects import ForgetWorker
 from sesamehall.core.managereffects import StartRun
 from sesamehall.core.managereffects import StopRun
@@ -48,6 +50,7 @@
 from sesamehall.reducer.jobs.testing import build_report
 from sesamehall.reducer.jobs.testing import build_step
 from sesamehall.reducer.jobs.testing import build_worker
+from sesamehall.reducer.jobs.testing import details_of
 from sesamehall.reducer.jobs.testing import effects_of
 from sesamehall.reducer.jobs.testing import JOB_ID
 from sesamehall.reducer.jobs.testing import NOW_MS
@@ -527,3 +530,82 @@
     manager = handle_progress_stored(manager, lost).state
     (store,) = effects_of(write_changed_records(manager), StoreProgress)
     assert "worker/w1" in [record.key for record in store.records]
+
+
+@pytest.mark.parametrize(
+    ("leader", "prior_ms", "renewals_ms", "expected"),
+    [
+        (None, 0, 3_800, {"predecessor": "", "stopped": "no: none known"}),
+        (
+            Leader("edge-1", 3),
+            0,
+            3_800,
+            {"predecessor": "edge-1", "stopped": "no: silent"},
+        ),
+        (Leader("edge-1", 3, resigned=True), 0, 0, {"stopped": "resigned"}),
+        (Leader("edge-2", 3), 0, 0, {"stopped": "own name"}),
+        (
+            Leader("edge-1", 3, resigned=True),
+            700,
+            700,
+            {"stopped": "resigned", "prior_ms": 700, "predecessor_epoch": 3},
+        ),
+    ],
+    ids=[
+        "no leader known",
+        "silent",
+        "resigned",
+        "own earlier term",
+        "resigned, an earlier one may renew",
+    ],
+)
+def test_takeover_is_logged_with_the_renewals_of_earlier_leaders(
+    leader, prior_ms, renewals_ms, expected
+):
+    follower = build_follower(
+        leader,
+        2_000,
+        prior_renewals_end_ms=NOW_MS + prior_ms,
+        leased_workers_by_id=Map(w1=LeasedWorker("w1", "h:1", "a", 7)),
+    )
+    step = claim_role(follower)
+    (line,) = details_of(step, RENEWALS_AWAITED)
+    assert line["renewals_ms"] == renewals_ms
+    lease_end_ms = step.state.workers_by_id["w1"].lease_end_ms
+    assert line["leases_ms"] == lease_end_ms - NOW_MS
+    assert expected.items() <= line.items()
+
+
+@pytest.mark.parametrize("claims", [True, False])
+@pytest.mark.parametrize(
+    ("outcome", "attempts", "lines"),
+    [
+        (StoreOutcome.STORED, 1, 0),
+        (StoreOutcome.STORED, 2, 1),
+        (StoreOutcome.UNKNOWN, 3, 0),
+    ],
+    ids=["first attempt", "second attempt", "not confirmed"],
+)
+def test_confirmation_by_a_retry_is_logged(claims, outcome, attempts, lines):
+    manager = write_changed_records(build_leader()).state
+    if claims:
+        follower = build_follower(OTHER_LEADER, 2_000)
+        manager = claim_if_vacant(follower, NOW_MS).state
+    epoch = manager.term.epoch or manager.term.claimed_epoch
+    stored = ProgressStored(
+        at_ms=NOW_MS + 900,
+        sent_ms=NOW_MS + 850,
+        epoch=epoch,
+        outcome=outcome,
+        attempts=attempts,
+        first_sent_ms=NOW_MS,
+    )
+    step = handle_progress_stored(manager, stored)
+    logged = details_of(step, TERM_CONFIRMED_BY_RETRY)
+    expected = {
+        "epoch": epoch,
+        "attempt": attempts,
+        "counts_ago_ms": 50,
+        "first_sent_ago_ms": 900,
+    }
+    assert logged == [expected] * lines
--- a/sesamehall/reducer/jobs/orders_test.py
+++ b/sesamehall/reducer/jobs/orders_test.py
@@ -7,13 +7,17 @@
 from sesamehall.core.jobtiming import RENEWAL_CUTOFF_MS
 from sesamehall.core.jobtiming import START_LEASE_MS
 from sesamehall.core.jobtiming import STOP_RETRY_MS
+from sesamehall.core.logevents import RUN_ABANDONED
+from sesamehall.core.logevents import RUN_REFUSED
 from sesamehall.core.managereffects import StopRun
 from sesamehall.core.managerevents import OrderRefusal
+from sesamehall.core.managerevents import RunAnswered
 from sesamehall.core.managerevents import StopAnswered
 from sesamehall.core.replacing import replace
 from sesamehall.core.timers import StopTimer
 from sesamehall.core.workstate import RunState
 from sesamehall.reducer.jobs.orders import build_start_order
+from sesamehall.reducer.jobs.orders import handle_start_answer
 from sesamehall.reducer.jobs.orders import handle_stop_answer
 from sesamehall.reducer.jobs.orders import resend_stop
 from sesamehall.reducer.jobs.runs import stop_run
@@ -21,6 +25,7 @@
 from sesamehall.reducer.jobs.testing import build_leader
 from sesamehall.reducer.jobs.testing import build_plan
 from sesamehall.reducer.jobs.testing import build_worker
+from sesamehall.reducer.jobs.testing import details_of
 from sesamehall.reducer.jobs.testing import effects_of
 from sesamehall.reducer.jobs.testing import NOW_MS
 from sesamehall.reducer.jobs.testing import place_all
@@ -113,3 +118,33 @@
     manager = replace(manager, term=term)
     order = build_start_order(manager, run, "spec", NOW_MS)
     assert order.not_after_ms == NOW_MS + valid_ms
+
+
+@pytest.mark.parametrize(
+    ("refusal", "status", "refused", "given_up"),
+    [
+        (None, 200, [], []),
+        (OrderRefusal.SILENT, 0, [], []),
+        (OrderRefusal.NO_ROOM, 409, [("no room", 409)], ["no room"]),
+        (OrderRefusal.MALFORMED, 502, [("malformed", 502)], ["malformed"]),
+        (
+            OrderRefusal.NOT_SENT,
+            0,
+            [("not sent in time", 0)],
+            ["not sent in time"],
+        ),
+    ],
+)
+def test_refused_start_is_logged_with_its_status(
+    refusal, status, refused, given_up
+):
+    manager = activate_jobs(build_leader(build_worker("w1")), build_plan())
+    manager = place_all(manager).state
+    answer = RunAnswered(
+        NOW_MS + 5, "w1", 1, task(), 1, refusal, status=status
+    )
+    step = handle_start_answer(manager, answer)
+    lines = details_of(step, RUN_REFUSED)
+    assert [(line["reason"], line["status"]) for line in lines] == refused
+    lines = details_of(step, RUN_ABANDONED)
+    assert [line["reason"] for line in lines] == given_up
--- a/sesamehall/reducer/jobs/reports.py
+++ b/sesamehall/reducer/jobs/reports.py
@@ -93,6 +93,7 @@
             pool=worker.entry.pool,
             active=len(event.active),
             ended=len(event.ended),
+            acknowledged=worker.last_stored_end_sequence,
         )
         step = Step(step.state, step.effects + (line,))
     step = then(step, _apply_ends, event)
--- a/sesamehall/reducer/jobs/runlines_test.py
+++ b/sesamehall/reducer/jobs/runlines_test.py
@@ -10,8 +10,10 @@
 from sesamehall.core.logevents import RUN_STOP_REQUESTED
 from sesamehall.core.logevents import RUNS_NOT_LISTED
 from sesamehall.core.logevents import WORKER_LEASE_EXPIRED
+from sesamehall.core.logevents import WORKER_REACHED
 from sesamehall.core.logevents import WORKER_RESUMED
 from sesamehall.core.managereffects import StopRun
+from sesamehall.core.managereffects import WatchWorker
 from sesamehall.core.managerevents import OrderRefusal
 from sesamehall.core.managerevents import ProgressStored
 from sesamehall.core.managerevents import StoreOutcome
@@ -310,6 +312,29 @@
     assert not lines or shows(logged, expected)
 
 
+@pytest.mark.parametrize(
+    ("started_wall_ms", "acknowledged"),
+    [(7, 5), (8, 0)],
+    ids=["same incarnation", "later incarnation"],
+)
+def test_worker_reached_shows_which_ends_are_acknowledged(
+    started_wall_ms, acknowledged
+):
+    worker = build_worker(
+        "w1",
+        contacted=False,
+        inherited=True,
+        last_applied_end_sequence=5,
+        last_stored_end_sequence=5,
+    )
+    report = build_report("w1", started_wall_ms=started_wall_ms)
+    step = apply_report(build_leader(worker), report)
+    (line,) = details_of(step, WORKER_REACHED)
+    assert line["acknowledged"] == acknowledged
+    (watch,) = effects_of(step, WatchWorker)
+    assert watch.acknowledged == acknowledged
+
+
 @pytest.mark.parametrize(
     ("terminated", "sent_ms", "lines"),
     [(True, NOW_MS + 10, 1), (True, NOW_MS - 10, 0), (False, NOW_MS + 10, 0)],
--- a/sesamehall/reducer/jobs/storing_test.py
+++ b/sesamehall/reducer/jobs/storing_test.py
@@ -6,6 +6,8 @@
 from sesamehall.core.data import JobPhase
 from sesamehall.core.effects import Log
 from sesamehall.core.logevents import PROGRESS_NOT_STORED
+from sesamehall.core.logevents import RECORDS_LEFT_OUT
+from sesamehall.core.logevents import RECORDS_STORED
 from sesamehall.core.managereffects import StoreProgress
 from sesamehall.core.managerevents import ProgressStored
 from sesamehall.core.managerevents import StoreOutcome
@@ -21,6 +23,7 @@
 from sesamehall.reducer.jobs.testing import build_plan
 from sesamehall.reducer.jobs.testing import build_report
 from sesamehall.reducer.jobs.testing import build_worker
+from sesamehall.reducer.jobs.testing import details_of
 from sesamehall.reducer.jobs.testing import effects_of
 from sesamehall.reducer.jobs.testing import JOB_ID
 from sesamehall.reducer.jobs.testing import NOW_MS
@@ -80,19 +83,33 @@
     assert [line.event for line in lines] == [PROGRESS_NOT_STORED] * line_count
 
 
+def test_progress_of_an_unknown_job_is_logged_with_the_ends_of_the_write():
+    worker = build_worker("w1", last_applied_end_sequence=4)
+    manager = build_leader(
+        worker,
+        dirty_jobs=Map({OTHER_JOB_ID: True}),
+        dirty_workers=Map(w1=True),
+    )
+    step = write_changed_records(manager)
+    (line,) = details_of(step, PROGRESS_NOT_STORED)
+    assert line == {"jobs": 1, "job": OTHER_JOB_ID, "ends": "w1:4"}
+
+
 # Guards against a leader that loses its role over one record: the write goes
 # on without it, and what it stands for is not taken as stored.
 @pytest.mark.parametrize(
-    ("unstorable", "recorded", "leased"),
+    ("unstorable", "recorded", "leased", "ends", "progress"),
     [
-        ((), True, True),
-        (("worker/w1",), True, False),
-        ((JOB_ID,), False, True),
-        ((JOB_ID, "worker/w1", "machines"), False, False),
+        ((), True, True, "w1:0", JOB_ID),
+        (("worker/w1",), True, False, "", JOB_ID),
+        ((JOB_ID,), False, True, "w1:0", ""),
+        ((JOB_ID, "worker/w1", "machines"), False, False, "", ""),
     ],
     ids=["none", "worker", "job", "all"],
 )
-def test_unstorable_record_is_left_out_alone(unstorable, recorded, leased):
+def test_unstorable_record_is_left_out_alone(
+    unstorable, recorded, leased, ends, progress
+):
     worker = build_worker("w1", lease_recorded=False)
     manager = activate_jobs(
         build_leader(
@@ -106,9 +123,17 @@
     stored = ProgressStored(
         NOW_MS + 5, NOW_MS, 1, StoreOutcome.STORED, unstorable
     )
-    manager = handle_progress_stored(manager, stored).state
+    step = handle_progress_stored(manager, stored)
+    manager = step.state
     assert manager.term.confirmed_ms == NOW_MS
     assert not manager.term.write_in_flight
     assert (JOB_ID in manager.phase_by_job_id) is recorded
+    assert [
+        (line["ends"], line["progress"])
+        for line in details_of(step, RECORDS_STORED)
+    ] == ([(ends, progress)] if ends or progress else [])
+    assert [line["keys"] for line in details_of(step, RECORDS_LEFT_OUT)] == (
+        [",".join(unstorable)] if unstorable else []
+    )
     assert manager.workers_by_id["w1"].lease_recorded is leased
     assert not manager.dirty_workers
--- a/sesamehall/reducer/machines/fleet_test.py
+++ b/sesamehall/reducer/machines/fleet_test.py
@@ -12,6 +12,9 @@
 from sesamehall.core.fleetstate import WaveProgress
 from sesamehall.core.fleettiming import MACHINE_ORDER_CONFIRMED_MS
 from sesamehall.core.fleettiming import PEAK_HOLD_MS
+from sesamehall.core.logevents import MACHINE_ORDER_DONE
+from sesamehall.core.logevents import RUN_ABANDONED
+from sesamehall.core.logevents import WORKER_GONE
 from sesamehall.core.managereffects import MaintainMachine
 from sesamehall.core.managereffects import MoveMachine
 from sesamehall.core.managereffects import ReportWave
@@ -30,6 +33,7 @@
 from sesamehall.reducer.jobs.testing import build_plan
 from sesamehall.reducer.jobs.testing import build_step
 from sesamehall.reducer.jobs.testing import build_worker
+from sesamehall.reducer.jobs.testing import details_of
 from sesamehall.reducer.jobs.testing import effects_of
 from sesamehall.reducer.jobs.testing import NOW_MS
 from sesamehall.reducer.jobs.testing import OTHER_JOB_ID
@@ -495,3 +499,54 @@
         order.worker_id for order in again.fleet.orders_by_machine.values()
     }
     assert hosts & later == hosts & first
+
+
+@pytest.mark.parametrize(
+    ("plans", "accepted_ms", "expected"),
+    [
+        ([], -1, []),
+        ([LONG_RUNNING_ON_ALL], -1, [(1, "first")]),
+        ([], NOW_MS - 40, [(0, "repeated")]),
+        ([LONG_RUNNING_ON_ALL], NOW_MS - 40, [(1, "repeated")]),
+    ],
+    ids=[
+        "first answer, idle worker",
+        "first answer, worker with a run",
+        "second answer, idle worker",
+        "second answer, worker with a run",
+    ],
+)
+def test_answer_that_ends_runs_or_comes_again_is_logged(
+    plans, accepted_ms, expected
+):
+    order = replace(
+        MAINTENANCE_ORDER,
+        last_sent_ms=NOW_MS,
+        send_count=2,
+        accepted_ms=accepted_ms,
+    )
+    manager = build_fleet(
+        POOL_MACHINES, plans, orders_by_machine=Map(m1=order)
+    )
+    answer = MachineAnswered(NOW_MS + 30, "m1", True)
+    step = handle_machine_answer(manager, answer)
+    lines = details_of(step, MACHINE_ORDER_DONE)
+    assert [(line["runs"], line["answer"]) for line in lines] == expected
+    facts = {"worker": "w1", "sends": 2, "sent_ago_ms": 30}
+    assert all(facts.items() <= line.items() for line in lines)
+    given_up = details_of(step, RUN_ABANDONED)
+    assert [line["reason"] for line in given_up] == (
+        ["machine ordered"] * len(plans)
+    )
+
+
+@pytest.mark.parametrize(("plans", "runs"), [([], 0), ([WIDE_JOB], 4)])
+def test_worker_that_no_machine_runs_is_logged_with_its_runs(plans, runs):
+    manager = build_fleet(POOL_MACHINES, plans)
+    worker = replace(manager.workers_by_id["w1"], unanswered_watches=2)
+    manager = put_worker(manager, worker)
+    machines = (Machine("m1", "a", UP, "w9"), *POOL_MACHINES[1:])
+    listed = MachinesListed(NOW_MS + 30, NOW_MS + 10, machines)
+    (line,) = details_of(apply_machine_list(manager, listed), WORKER_GONE)
+    assert line["worker"] == "w1"
+    assert (line["runs"], line["list_ago_ms"]) == (runs, 20)
--- a/sesamehall/runtime/jobtimeline_test.py
+++ b/sesamehall/runtime/jobtimeline_test.py
@@ -32,6 +32,56 @@
     assert [line.number for line in timeline] == numbers
 
 
+AGAIN_LOG = f"""
+  1.1 edge-b {DAY}:01,100 INFO 610 run ordered task={JOB}.0.0.0 run=1 worker=w1
+  1.2 edge-b {DAY}:01,200 INFO 625 run given up task={JOB}.0.0.0 worker=w1
+  1.3 edge-b {DAY}:01,300 INFO 612 run ended task={JOB}.0.0.0 worker=w1 seq=5
+  1.4 edge-b {DAY}:01,400 INFO 627 end of an untracked run task={JOB}.0.0.0
+"""
+
+
+@pytest.mark.parametrize(
+    ("text", "shown"),
+    [
+        ("01,350 INFO 645 records stored ends=w2:9,w1:5 progress=''", True),
+        ("01,350 INFO 645 records stored ends=w1:7", True),
+        ("01,350 INFO 645 records stored ends=w1:4", False),
+        ("01,350 INFO 645 records stored ends=w11:5", False),
+        ("01,350 INFO 645 records stored ends=''", False),
+        ("01,250 INFO 645 records stored ends=w1:5", False),
+        (f"01,250 INFO 645 records stored progress=ff,{JOB}", True),
+        ("01,150 INFO 626 runs not listed worker=w1 runs=1", True),
+        ("01,150 INFO 626 runs not listed worker=w2 runs=1", False),
+        ("01,150 INFO 629 worker lease over worker=w1", True),
+        ("01,150 INFO 637 earlier leaders' renewals epoch=3", True),
+        ("01,150 INFO 638 leadership confirmed by a retry epoch=3", True),
+        ("01,150 WARNING 647 records left out keys=worker/w1", True),
+        ("01,150 INFO 657 machine order ended runs worker=w1", True),
+        ("09,150 INFO 657 machine order ended runs worker=w1", False),
+        ("01,150 INFO 628 worker used again worker=w1", True),
+        ("01,150 INFO 624 ends held back worker=w1", True),
+    ],
+)
+def test_lines_that_explain_a_second_run(text, shown):
+    lines = [f"1.0 edge-b {DAY}:{text}", *AGAIN_LOG.splitlines()]
+    timeline = build_timeline(parse_lines(lines, "file"), JOB)
+    number = int(text.split()[2])
+    assert (number in [line.number for line in timeline]) is shown
+    assert {610, 612, 625, 627} <= {line.number for line in timeline}
+
+
+def test_only_the_first_write_that_covers_an_end_is_shown():
+    stored = [
+        f"1.5 edge-b {DAY}:01,5{n}0 INFO 645 records stored ends=w1:{n + 4}"
+        for n in range(4)
+    ]
+    lines = [*stored, *AGAIN_LOG.splitlines()]
+    timeline = build_timeline(parse_lines(lines, "file"), JOB)
+    assert [line.text for line in timeline if line.number == 645] == [
+        "records stored ends=w1:5"
+    ]
+
+
 @pytest.mark.parametrize(
     ("text", "node"),
     [
--- a/sesamehall/runtime/metrics.py
+++ b/sesamehall/runtime/metrics.py
@@ -1,7 +1,7 @@
 """Prometheus counters and histograms that are derived from log events.
 
-Every log event increments a counter; durations in the details of some events
-are observed in histograms.
+Every log event increments a counter, some of them one by a detail as well;
+durations in the details of some events are observed in histograms.
 """
 
 from collections.abc import Iterable
@@ -18,7 +18,11 @@
 from sesamehall.core.logevents import DECISIONS_TALLIED
 from sesamehall.core.logevents import JOB_FINISHED
 from sesamehall.core.logevents import LOG_EVENTS
+from sesamehall.core.logevents import RUN_ABANDONED
+from sesamehall.core.logevents import RUN_END_LATE
 from sesamehall.core.logevents import RUN_ORDERED
+from sesamehall.core.managerevents import OrderRefusal
+from sesamehall.core.work import RunEnd
 
 BUCKETS_S = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2, 3, 5, 10, 30)
 HISTOGRAMS = (
@@ -39,6 +43,26 @@
         "Time spent on decisions in a second.",
     ),
 )
+OTHER_LABEL = "other"
+GIVEN_UP_REASONS = ("lease expired", "machine ordered", "not listed")
+GIVEN_UP_REASONS += tuple(refusal.value for refusal in OrderRefusal)
+# Each has one label, the detail named; values not listed count as "other".
+COUNTERS = (
+    (
+        RUN_ABANDONED,
+        "reason",
+        "runs_given_up",
+        "Runs given up by the leader, by reason.",
+        GIVEN_UP_REASONS,
+    ),
+    (
+        RUN_END_LATE,
+        "end",
+        "late_ends",
+        "Reported ends of runs that the leader does not track, by end.",
+        tuple(end.value for end in RunEnd),
+    ),
+)
 
 
 class Metrics:
@@ -59,6 +83,12 @@
             )
             for event in LOG_EVENTS
         }
+        self._counters_by_detail = {
+            (event.number, detail): self._build_counters(
+                detail, name, text, values
+            )
+            for event, detail, name, text, values in COUNTERS
+        }
         self._histograms_by_detail = {
             (event.number, detail): Histogram(
                 f"sesamehall_{name}_seconds",
@@ -69,8 +99,17 @@
             for event, detail, name, text in HISTOGRAMS
         }
 
+    def _build_counters(self, detail, name, text, values):
+        """Create a counter for each value of its label."""
+        counter = Counter(
+            f"sesamehall_{name}", text, [detail], registry=self._registry
+        )
+        return {
+            value: counter.labels(value) for value in (*values, OTHER_LABEL)
+        }
+
     def count(self, effect: Log) -> None:
-        """Count a log event and observe its durations.
+        """Count a log event, also by its details, and observe its durations.
 
         Args:
           effect: The log event and its details.
@@ -78,6 +117,9 @@
         number = effect.event.number
         self._counters_by_number[number].inc()
         for detail in effect.details:
+            counters = self._counters_by_detail.get((number, detail.name))
+            if counters is not None:
+                counters.get(detail.value, counters[OTHER_LABEL]).inc()
             histogram = self._histograms_by_detail.get((number, detail.name))
             if histogram is not None:
                 histogram.observe(detail.value / 1_000)
--- a/sesamehall/runtime/metrics_test.py
+++ b/sesamehall/runtime/metrics_test.py
@@ -5,6 +5,8 @@
 from sesamehall.core.effects import log
 from sesamehall.core.logevents import DECISIONS_TALLIED
 from sesamehall.core.logevents import JOB_FINISHED
+from sesamehall.core.logevents import RUN_ABANDONED
+from sesamehall.core.logevents import RUN_END_LATE
 from sesamehall.core.logevents import RUN_ORDERED
 from sesamehall.core.logevents import WORKER_SILENT
 from sesamehall.runtime.metrics import Metrics
@@ -42,6 +44,23 @@
             [log(DECISIONS_TALLIED, oldest_ms=420, busy_ms=30)],
             "sesamehall_deciding_seconds_sum 0.03",
         ),
+        (
+            [log(RUN_ABANDONED, task="t", reason="not listed")] * 2,
+            'sesamehall_runs_given_up_total{reason="not listed"} 2.0',
+        ),
+        (
+            [log(RUN_ABANDONED, task="t", reason="unhealthy")],
+            'sesamehall_runs_given_up_total{reason="unhealthy"} 1.0',
+        ),
+        (
+            [log(RUN_ABANDONED, task="t", reason=f"at {n}") for n in "abc"],
+            'sesamehall_runs_given_up_total{reason="other"} 3.0',
+        ),
+        (
+            [log(RUN_END_LATE, task="t", end="done")],
+            'sesamehall_late_ends_total{end="done"} 1.0',
+        ),
+        ([], 'sesamehall_late_ends_total{end="failed"} 0.0'),
     ],
     ids=[
         "counter",
@@ -50,6 +69,11 @@
         "event without its duration",
         "first of two durations",
         "second of two durations",
+        "run given up",
+        "run refused",
+        "run given up for another reason",
+        "late end",
+        "no late end",
     ],
 )
 def test_metrics(lines, expected):
