--- a/sesamehall/core/managerevents.py
+++ b/sesamehall/core/managerevents.py
@@ -104,6 +104,7 @@
       outcome: Outcome of the write; FENCED if another leader took over.
       unstorable_keys: Keys of records that were left out, since they cannot
         be encoded or are too large.
+      attempts: Number of times that the write was sent.
     """
 
     at_ms: int
@@ -111,6 +112,7 @@
     epoch: int
     outcome: StoreOutcome
     unstorable_keys: tuple[str, ...] = ()
+    attempts: int = 1
 
 
 @dataclass(frozen=True, slots=True)
@@ -196,6 +198,7 @@
       refusal: None if the worker accepted the run.
       clock_ms: The worker's own clock when it answered, or -1.
       timing: Times at which the order was issued and sent.
+      status: Status of the worker's response, or 0 if there was none.
     """
 
     at_ms: int
@@ -206,6 +209,7 @@
     refusal: OrderRefusal | None
     clock_ms: int = -1
     timing: OrderTiming | None = None
+    status: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/sesamehall/platform/storehandler.py
+++ b/sesamehall/platform/storehandler.py
@@ -161,7 +161,9 @@
     def _store_progress(self, effect: StoreProgress) -> Event:
         body, unstorable_keys = _encode_storable(effect.records)
         result = AppendResult(StoreOutcome.UNKNOWN, now_ms())
+        attempts = 0
         for _ in range(MAX_WRITE_ATTEMPTS):
+            attempts += 1
             result = self._fenced_writer.append(
                 effect.epoch, effect.expected_end_offset, body
             )
@@ -176,11 +178,12 @@
                 break
             time.sleep(RETRY_DELAY_S)
         return ProgressStored(
-            now_ms(),
-            result.sent_ms,
-            effect.epoch,
-            result.outcome,
-            unstorable_keys,
+            at_ms=now_ms(),
+            sent_ms=result.sent_ms,
+            epoch=effect.epoch,
+            outcome=result.outcome,
+            unstorable_keys=unstorable_keys,
+            attempts=attempts,
         )
 
     def _write_jobs(self):
--- a/sesamehall/platform/storehandler_test.py
+++ b/sesamehall/platform/storehandler_test.py
@@ -19,7 +19,9 @@
 from sesamehall.platform.records import encode_record
 from sesamehall.platform.store import READ_HEADER
 from sesamehall.platform.store import StoreClient
+from sesamehall.platform.storehandler import MAX_WRITE_ATTEMPTS
 from sesamehall.platform.storehandler import StoreEffectHandler
+from sesamehall.platform.writer import AppendResult
 from sesamehall.platform.writer import LeaderWriter
 from sesamehall.runtime.interpreter import now_ms
 
@@ -144,3 +146,25 @@
         event = handler._store_progress(write)
     assert event.outcome is STORED
     assert event.sent_ms == store.sent_ms[counts_from]
+
+
+@pytest.mark.parametrize(
+    ("outcomes", "attempts"),
+    [
+        ([STORED], 1),
+        ([UNKNOWN, STORED], 2),
+        ([UNKNOWN, REFUSED], 2),
+        ([UNKNOWN] * MAX_WRITE_ATTEMPTS, MAX_WRITE_ATTEMPTS),
+    ],
+    ids=["at once", "at the second attempt", "refused", "never"],
+)
+def test_attempts_of_a_write_are_counted(monkeypatch, outcomes, attempts):
+    handler = StoreEffectHandler("127.0.0.1:1", lambda event: None)
+    left = [AppendResult(outcome, 0) for outcome in outcomes]
+    monkeypatch.setattr(
+        handler._fenced_writer, "append", lambda *_: left.pop(0)
+    )
+    claim = StoreProgress(1, (), expected_end_offset=9)
+    event = handler._store_progress(claim)
+    assert event.outcome is outcomes[-1]
+    assert event.attempts == attempts
--- a/sesamehall/reducer/machines/fleet.py
+++ b/sesamehall/reducer/machines/fleet.py
@@ -19,6 +19,7 @@
 from sesamehall.core.fleettiming import MACHINE_ORDER_RETRY_MS
 from sesamehall.core.fleettiming import MACHINE_ORDER_TIMEOUT_MS
 from sesamehall.core.fleettiming import MACHINES_PERIOD_MS
+from sesamehall.core.logevents import MACHINE_ANSWER_STALE
 from sesamehall.core.logevents import MACHINE_ORDERED
 from sesamehall.core.logevents import MACHINE_REFUSED
 from sesamehall.core.logevents import MACHINES_NOT_LISTED
@@ -146,7 +147,13 @@
     ended = ended_incarnations(manager, event)
     step = Step(replace(manager, fleet=fleet))
     for worker_id in ended:
-        line = log(WORKER_GONE, worker=worker_id, reason="no machine runs it")
+        line = log(
+            WORKER_GONE,
+            worker=worker_id,
+            reason="no machine runs it",
+            runs=len(step.state.workers_by_id[worker_id].tasks),
+            list_ago_ms=event.at_ms - event.sent_ms,
+        )
         step = Step(step.state, step.effects + (line,))
         step = then(step, end_incarnation, worker_id, event.at_ms)
     return step
@@ -202,10 +209,13 @@
       which is harmless.
     """
     order = manager.fleet.orders_by_machine.get(event.machine)
-    if order is None or not _is_answer_awaited(manager, order, event):
+    if order is None or not _is_own_answer(manager, order, event):
         return Step(manager)
+    if order.accepted_ms >= 0:
+        return Step(manager, _stale_answer_lines(manager, order, event))
     if event.done:
-        return _accept_order(manager, order, event)
+        lines = _stale_answer_lines(manager, order, event)
+        return then(Step(manager, lines), _accept_order, order, event)
     line = log(MACHINE_REFUSED, machine=event.machine, reason=event.reason)
     if not event.refused:
         unsent = replace(order, last_sent_ms=-1)
@@ -216,11 +226,9 @@
     return Step(replace(manager, fleet=fleet), (line,))
 
 
-def _is_answer_awaited(manager, order, event):
-    """Check that an answer is to this order, and the first that accepts it."""
-    if event.epoch != manager.term.epoch or order.last_sent_ms < 0:
-        return False
-    return order.accepted_ms < 0
+def _is_own_answer(manager, order, event):
+    """Check that an answer is to an order of this term that was sent."""
+    return event.epoch == manager.term.epoch and order.last_sent_ms >= 0
 
 
 def _accept_order(manager, order, event):
@@ -242,6 +250,29 @@
     return end_incarnation(manager, order.worker_id, event.at_ms)
 
 
+def _stale_answer_lines(manager, order: PendingOrder, event: MachineAnswered):
+    """Build the log line of an acceptance that comes again or meets runs."""
+    worker = manager.workers_by_id.get(order.worker_id)
+    runs = 0 if worker is None else len(worker.tasks)
+    accepted_before = order.accepted_ms >= 0
+    if not event.done or not (runs or accepted_before):
+        return ()
+    line = log(
+        MACHINE_ANSWER_STALE,
+        machine=event.machine,
+        order=order.kind.value,
+        worker=order.worker_id,
+        runs=runs,
+        answer="repeated" if accepted_before else "first",
+        sends=order.send_count,
+        sent_ago_ms=event.at_ms - order.last_sent_ms,
+        report_ago_ms=(
+            event.at_ms - worker.last_report_ms if worker is not None else -1
+        ),
+    )
+    return (line,)
+
+
 def _cancel_evacuation(manager, worker_id):
     """Let a worker get new tasks again."""
     worker = manager.workers_by_id.get(worker_id)
