Send no order for machines while a leader steps down

What callers may see: an order for a machine that ends tasks which a successor has started there, and orders of two nodes for one machine less than the pause apart.

Cause: a successor does not wait for the silence of a leader that has resigned. Starts that wait for a thread are therefore revoked before the resignation is sent, but orders for machines were not: they could leave for up to 1 s after the last confirmed write. And a leader that handed the role over decided such orders until its term had ended; only a stop of the process kept it from that. The pause of 3 s counts from the beginning of the successor's term, so it does not cover that second.

Now a leader that steps down sends none, and the threads compare with the revoked term just before they send. RevokeStarts has become RevokeOrders, and the fence of the workers' client a module that both clients use.

--- a/sesamehall/core/managereffects.py
+++ b/sesamehall/core/managereffects.py
@@ -137,8 +137,10 @@
 
 
 @dataclass(frozen=True, slots=True)
-class RevokeStarts:
-    """Do not send the start orders of a term that still wait for a thread.
+class RevokeOrders:
+    """Send no order of a term that still waits for a thread.
+
+    These are orders to start runs and orders for machines.
 
     Attributes:
       epoch: The term; orders of earlier terms are not sent either.
@@ -282,7 +284,7 @@
     | StoreProgress
     | WatchWorker
     | StartRun
-    | RevokeStarts
+    | RevokeOrders
     | RequestAdvice
     | StopRun
     | ThrottleRun
--- a/sesamehall/platform/application.py
+++ b/sesamehall/platform/application.py
@@ -21,7 +21,7 @@
 from sesamehall.core.managereffects import ReadStream
 from sesamehall.core.managereffects import ReportWave
 from sesamehall.core.managereffects import RequestAdvice
-from sesamehall.core.managereffects import RevokeStarts
+from sesamehall.core.managereffects import RevokeOrders
 from sesamehall.core.managereffects import SetReady
 from sesamehall.core.managereffects import StartRun
 from sesamehall.core.managereffects import StopRun
@@ -159,8 +159,9 @@
                 self._worker_clients.watch(effect)
             case StartRun() | StopRun() | ThrottleRun():
                 self._worker_clients.send_order(effect)
-            case RevokeStarts():
-                self._worker_clients.revoke_starts(effect)
+            case RevokeOrders():
+                self._worker_clients.revoke_orders(effect)
+                self._machine_handler.revoke_orders(effect)
             case ForgetWorker():
                 self._worker_clients.release(effect)
             case AnswerCall():
--- a/sesamehall/platform/machines.py
+++ b/sesamehall/platform/machines.py
@@ -11,9 +11,11 @@
 from sesamehall.core.managereffects import ListMachines
 from sesamehall.core.managereffects import MaintainMachine
 from sesamehall.core.managereffects import MoveMachine
+from sesamehall.core.managereffects import RevokeOrders
 from sesamehall.core.managerevents import MachineAnswered
 from sesamehall.core.managerevents import MachinesListed
 from sesamehall.platform.http import HttpClient
+from sesamehall.platform.orderfence import OrderFence
 from sesamehall.platform.workerdecoding import decode_machine
 from sesamehall.runtime.guarding import perform_and_post
 from sesamehall.runtime.interpreter import now_ms
@@ -43,6 +45,7 @@
         self._client = client
         self._post_event = post_event
         self._executor = ThreadPoolExecutor(MAX_CONCURRENT_CALLS, "machines")
+        self._order_fence = OrderFence()
 
     def list_machines(self, effect: ListMachines) -> None:
         """List all machines; the result is posted as an event.
@@ -55,10 +58,10 @@
         )
 
     def send_order(self, effect: MoveMachine | MaintainMachine) -> None:
-        """Send an order for a machine unless the order has expired.
+        """Send an order for a machine unless it has expired or was revoked.
 
-        The sending thread checks the expiry immediately before the call, since
-        the process may have been paused after the decision.
+        The sending thread checks that immediately before the call, since the
+        process may have been paused after the decision.
 
         Args:
           effect: The order.
@@ -67,6 +70,14 @@
             perform_and_post, self._send_order, effect, self._post_event
         )
 
+    def revoke_orders(self, effect: RevokeOrders) -> None:
+        """Revoke the orders that still wait for a thread.
+
+        Args:
+          effect: The term whose orders are revoked.
+        """
+        self._order_fence.revoke(effect)
+
     def _list_machines(self, _: ListMachines) -> Event:
         sent_ms = now_ms()
         machines = self._fetch_all_pages()
@@ -105,8 +116,8 @@
             "Lease-Holder": self._node,
             "Fencing-Token": str(effect.epoch),
         }
-        if now_ms() >= effect.not_after_ms:
-            reason = "too late to be sent"
+        if not self._order_fence.may_send(effect, now_ms()):
+            reason = "expired or revoked"
             return MachineAnswered(
                 now_ms(), effect.machine, done=False, reason=reason
             )
--- a/sesamehall/platform/machines_test.py
+++ b/sesamehall/platform/machines_test.py
@@ -7,6 +7,7 @@
 
 from sesamehall.core.managereffects import MaintainMachine
 from sesamehall.core.managereffects import MoveMachine
+from sesamehall.core.managereffects import RevokeOrders
 from sesamehall.core.replacing import replace
 from sesamehall.platform.http import HttpResponse
 from sesamehall.platform.machines import MachineEffectHandler
@@ -47,3 +48,34 @@
     event = events.get(timeout=WAIT_S)
     assert client.paths == paths
     assert (event.done, event.refused) == (bool(paths), False)
+
+
+# Guards against an order that ends another leader's runs, or comes less than
+# the pause before that leader's own: it waited for a thread while its leader
+# resigned, whose successor does not wait for it.
+@pytest.mark.parametrize(
+    ("order", "revoked_epoch", "paths"),
+    [
+        (MoveMachine("m1", "a", 3, 0), 2, ["/machine-move"]),
+        (MoveMachine("m1", "a", 3, 0), 3, []),
+        (MoveMachine("m1", "a", 3, 0), 4, []),
+        (MaintainMachine("m1", 1, 3, 0), 2, ["/machine-upkeep"]),
+        (MaintainMachine("m1", 1, 3, 0), 3, []),
+    ],
+    ids=[
+        "move, earlier term",
+        "move, own term",
+        "move, later term",
+        "maintenance, earlier term",
+        "maintenance, own term",
+    ],
+)
+def test_revoked_order_is_not_sent(order, revoked_epoch, paths):
+    client = RecordingClient()
+    events = SimpleQueue()
+    handler = MachineEffectHandler("edge-1", client, events.put)
+    handler.revoke_orders(RevokeOrders(revoked_epoch))
+    handler.send_order(replace(order, not_after_ms=now_ms() + 60_000))
+    event = events.get(timeout=WAIT_S)
+    assert client.paths == paths
+    assert (event.done, event.refused) == (bool(paths), False)
--- a/sesamehall/platform/workers.py
+++ b/sesamehall/platform/workers.py
@@ -15,7 +15,7 @@
 from sesamehall.core.codes import PlatformError
 from sesamehall.core.events import Event
 from sesamehall.core.managereffects import ForgetWorker
-from sesamehall.core.managereffects import RevokeStarts
+from sesamehall.core.managereffects import RevokeOrders
 from sesamehall.core.managereffects import StartRun
 from sesamehall.core.managereffects import StopRun
 from sesamehall.core.managereffects import ThrottleRun
@@ -28,6 +28,7 @@
 from sesamehall.core.managerevents import WorkerReported
 from sesamehall.platform.http import HttpClient
 from sesamehall.platform.httpconnection import HttpResponse
+from sesamehall.platform.orderfence import OrderFence
 from sesamehall.platform.serialexecutor import SerialExecutor
 from sesamehall.platform.workerdecoding import decode_active_runs
 from sesamehall.platform.workerdecoding import decode_ended_runs
@@ -48,39 +49,6 @@
 }
 
 
-class StartFence:
-    """The term whose queued start orders must not be sent any more.
-
-    Orders wait for a thread after they were decided.  A leader that resigns
-    or has lost its term revokes those that still wait.
-    """
-
-    def __init__(self):
-        """Create a fence that revokes nothing."""
-        self._revoked_epoch = 0
-
-    def revoke(self, effect: RevokeStarts) -> None:
-        """Revoke the start orders of a term and of earlier ones.
-
-        Args:
-          effect: The term.
-        """
-        self._revoked_epoch = max(self._revoked_epoch, effect.epoch)
-
-    def may_send(self, effect: StartRun, at_ms: int) -> bool:
-        """Check whether a start order may be sent now.
-
-        Args:
-          effect: The order.
-          at_ms: Current time on the node's clock.
-        Returns:
-          False if it has expired or was revoked.
-        """
-        return at_ms < effect.not_after_ms and (
-            effect.epoch > self._revoked_epoch
-        )
-
-
 class WorkerClient:
     """Client for one worker: its connections and the thread that polls it.
 
@@ -94,7 +62,7 @@
         address: str,
         post_event: Callable[[Event], None],
         order_executor: Executor,
-        start_fence: StartFence,
+        order_fence: OrderFence,
     ):
         """Create the client; it connects on its first call.
 
@@ -103,7 +71,7 @@
           address: "host:port" of its HTTP interface.
           post_event: Queues an event for the interpreter.
           order_executor: Thread pool that sends the orders to all workers.
-          start_fence: Tells which start orders must not be sent any more.
+          order_fence: Tells which start orders must not be sent any more.
         """
         self.address = address
         self._client = HttpClient(address, MAX_IDLE_CONNECTIONS)
@@ -111,7 +79,7 @@
         self._post_event = post_event
         self._watch_executor = SerialExecutor(f"watch {worker_id}")
         self._order_executor = order_executor
-        self._start_fence = start_fence
+        self._order_fence = order_fence
 
     def watch(self, effect: WatchWorker) -> None:
         """Request the worker's lists of runs; the result becomes an event.
@@ -197,7 +165,7 @@
         Return the reason of a refusal, or None, and the worker's clock.
         """
         match effect:
-            case StartRun() if not self._start_fence.may_send(effect, sent_ms):
+            case StartRun() if not self._order_fence.may_send(effect, sent_ms):
                 return OrderRefusal.NOT_SENT, -1
         path, document = _encode_order(effect)
         try:
@@ -220,7 +188,7 @@
         self._order_executor = ThreadPoolExecutor(
             MAX_CONCURRENT_ORDERS, "order"
         )
-        self._start_fence = StartFence()
+        self._order_fence = OrderFence()
         self._clients_by_id: dict[str, WorkerClient] = {}
 
     def watch(self, effect: WatchWorker) -> None:
@@ -239,13 +207,13 @@
         """
         self._client_for(effect).send_order(effect)
 
-    def revoke_starts(self, effect: RevokeStarts) -> None:
+    def revoke_orders(self, effect: RevokeOrders) -> None:
         """Revoke the start orders that still wait for a thread.
 
         Args:
           effect: The term whose orders are revoked.
         """
-        self._start_fence.revoke(effect)
+        self._order_fence.revoke(effect)
 
     def release(self, effect: ForgetWorker) -> None:
         """Close the client for a worker.
@@ -268,7 +236,7 @@
             effect.address,
             self._post_event,
             self._order_executor,
-            self._start_fence,
+            self._order_fence,
         )
         self._clients_by_id[effect.worker_id] = client
         return client
--- a/sesamehall/platform/workers_test.py
+++ b/sesamehall/platform/workers_test.py
@@ -5,12 +5,12 @@
 
 import pytest
 
-from sesamehall.core.managereffects import RevokeStarts
+from sesamehall.core.managereffects import RevokeOrders
 from sesamehall.core.managereffects import StartRun
 from sesamehall.core.managerevents import OrderRefusal
 from sesamehall.platform.http import HttpResponse
+from sesamehall.platform.orderfence import OrderFence
 from sesamehall.platform.workers import decode_clock_ms
-from sesamehall.platform.workers import StartFence
 from sesamehall.platform.workers import WorkerClient
 from sesamehall.platform.workers import WorkerClients
 from sesamehall.runtime.interpreter import now_ms
@@ -58,7 +58,7 @@
     events = []
     with ThreadPoolExecutor(1) as executor:
         client = WorkerClient(
-            "w1", "127.0.0.1:1", events.append, executor, StartFence()
+            "w1", "127.0.0.1:1", events.append, executor, OrderFence()
         )
         client.send_order(build_start(now_ms() + time_left_ms))
     client.close()
@@ -80,6 +80,6 @@
 def test_revoked_start_order_is_not_sent(revoked_epoch, expected):
     events = SimpleQueue()
     clients = WorkerClients(events.put)
-    clients.revoke_starts(RevokeStarts(revoked_epoch))
+    clients.revoke_orders(RevokeOrders(revoked_epoch))
     clients.send_order(build_start(now_ms() + 60_000))
     assert events.get(timeout=5).refusal is expected
--- a/sesamehall/reducer/jobs/handover.py
+++ b/sesamehall/reducer/jobs/handover.py
@@ -17,7 +17,7 @@
 from sesamehall.core.logevents import HANDOVER_BEGUN
 from sesamehall.core.logevents import HANDOVER_OFFERED
 from sesamehall.core.managereffects import OfferToLead
-from sesamehall.core.managereffects import RevokeStarts
+from sesamehall.core.managereffects import RevokeOrders
 from sesamehall.core.managerstate import LeadershipOffer
 from sesamehall.core.managerstate import ManagerState
 from sesamehall.core.replacing import replace
@@ -156,6 +156,6 @@
         return end_term(manager, reason, at_ms)
     resigned = replace(manager.leader, resigned=True)
     revocation = Step(
-        replace(manager, leader=resigned), (RevokeStarts(manager.term.epoch),)
+        replace(manager, leader=resigned), (RevokeOrders(manager.term.epoch),)
     )
     return then(revocation, write_changed_records, at_ms)
--- a/sesamehall/reducer/jobs/handover_test.py
+++ b/sesamehall/reducer/jobs/handover_test.py
@@ -15,7 +15,7 @@
 from sesamehall.core.jobtiming import MANAGER_TICK_MS
 from sesamehall.core.jobtiming import RESIGN_TIMEOUT_MS
 from sesamehall.core.managereffects import OfferToLead
-from sesamehall.core.managereffects import RevokeStarts
+from sesamehall.core.managereffects import RevokeOrders
 from sesamehall.core.managereffects import StoreProgress
 from sesamehall.core.managerevents import ProgressStored
 from sesamehall.core.managerevents import StoreOutcome
@@ -240,7 +240,7 @@
     [read_of(Candidate("edge-2", 1, STRONG_CORES)), StopRequested(NOW_MS)],
     ids=["handover", "stop"],
 )
-def test_queued_starts_are_revoked_before_the_resignation_is_sent(event):
+def test_queued_orders_are_revoked_before_the_resignation_is_sent(event):
     leader = WeakLeader()
     first = reduce_manager(leader.state, event)
     tick = TimerFired(NOW_MS + 100, ManagerTimer())
@@ -248,12 +248,12 @@
     effects = [
         effect
         for effect in first.effects + second.effects
-        if isinstance(effect, RevokeStarts | StoreProgress)
+        if isinstance(effect, RevokeOrders | StoreProgress)
     ]
-    assert effects[0] == RevokeStarts(1)
+    assert effects[0] == RevokeOrders(1)
     assert isinstance(effects[1], StoreProgress)
 
 
-def test_queued_starts_are_revoked_when_the_term_ends():
+def test_queued_orders_are_revoked_when_the_term_ends():
     step = end_term(build_leader(), "test", NOW_MS)
-    assert effects_of(step, RevokeStarts) == [RevokeStarts(1)]
+    assert effects_of(step, RevokeOrders) == [RevokeOrders(1)]
--- a/sesamehall/reducer/jobs/leadership.py
+++ b/sesamehall/reducer/jobs/leadership.py
@@ -24,7 +24,7 @@
 from sesamehall.core.logevents import TERM_CLAIMED
 from sesamehall.core.logevents import TERM_ENDED
 from sesamehall.core.managereffects import ForgetWorker
-from sesamehall.core.managereffects import RevokeStarts
+from sesamehall.core.managereffects import RevokeOrders
 from sesamehall.core.managereffects import StoreProgress
 from sesamehall.core.managerevents import ProgressStored
 from sesamehall.core.managerevents import StoreOutcome
@@ -385,5 +385,5 @@
         waiting_logged_ms_by_pool=EMPTY_MAP,
         fleet=_build_fleet(manager),
     )
-    revocation = RevokeStarts(epoch)
+    revocation = RevokeOrders(epoch)
     return Step(manager, (line, revocation) + forget_effects)
--- a/sesamehall/reducer/machines/fleet.py
+++ b/sesamehall/reducer/machines/fleet.py
@@ -34,6 +34,7 @@
 from sesamehall.core.step import Step
 from sesamehall.core.step import then
 from sesamehall.reducer.counts import drop_key
+from sesamehall.reducer.jobs.leases import is_stepping_down
 from sesamehall.reducer.jobs.leases import may_have_untracked_runs
 from sesamehall.reducer.jobs.state_updates import put_worker
 from sesamehall.reducer.jobs.workers import end_incarnation
@@ -107,13 +108,16 @@
 
 
 def _may_send_orders(manager, at_ms):
-    """Check whether this node may send orders: it leads and is not stopping.
+    """Check whether this node may send orders.
 
     While the latest confirmation of its term is recent, no other node can lead
-    and send orders.
+    and send orders, unless this one steps down: a successor does not wait for
+    the silence of a leader that has resigned.
     """
+    if is_stepping_down(manager):
+        return False
     elapsed_ms = at_ms - manager.term.confirmed_ms
-    return elapsed_ms < MACHINE_ORDER_CONFIRMED_MS and not manager.stopping
+    return elapsed_ms < MACHINE_ORDER_CONFIRMED_MS
 
 
 def apply_machine_list(manager: ManagerState, event: MachinesListed) -> Step:
--- a/sesamehall/reducer/machines/fleet_test.py
+++ b/sesamehall/reducer/machines/fleet_test.py
@@ -3,6 +3,7 @@
 from immutables import Map
 import pytest
 
+from sesamehall.core.fleet import Leader
 from sesamehall.core.fleet import Machine
 from sesamehall.core.fleet import MachineState
 from sesamehall.core.fleet import WaveStatus
@@ -174,6 +175,31 @@
     assert len(sent_moves(replace(manager, term=term))) == sent
 
 
+# Guards against orders of two leaders for one machine within the pause, and an
+# order that ends runs which a successor has started: a leader that hands the
+# role over sent orders until its term had ended.
+@pytest.mark.parametrize(
+    ("change", "sent"),
+    [
+        ({}, 3),
+        ({"leader": Leader("edge-1", 1)}, 3),
+        ({"leader": Leader("edge-1", 1, resigned=True)}, 0),
+        ({"stopping": True}, 0),
+    ],
+    ids=["leads", "leads, record read", "resignation sent", "stopping"],
+)
+def test_no_order_after_a_resignation(change, sent):
+    manager = build_fleet(POOL_MACHINES)
+    assert len(sent_moves(replace(manager, **change))) == sent
+
+
+@pytest.mark.parametrize(("since_ms", "sent"), [(-1, 3), (NOW_MS, 0)])
+def test_no_order_during_a_handover(since_ms, sent):
+    manager = build_fleet(POOL_MACHINES)
+    term = replace(manager.term, handover_since_ms=since_ms)
+    assert len(sent_moves(replace(manager, term=term))) == sent
+
+
 # Guards against unavailable tasks and repeated runs (rules AVAIL and ONE): a
 # leader that was paused before sending an order must not send it when another
 # node may lead and may have started tasks on the machine.
