Keep runs whose end may be beyond a cut list

Cause: a worker lists at most 500 ended runs. While ends could not be acknowledged, a run that had ended beyond these was neither active nor among the listed ends, and was taken for lost.

Now a report says whether it is whole, which is decided where the limit of the protocol is known. Whatever concludes something from what a report lacks asks it: runs that are missing from a cut report count as ended in an unknown way, keep their place, have not stalled, and are not at work for AVAIL; while the report is cut, inherited tasks of the pool wait and the worker's machine gets no order. The list of active runs is never cut, so no more runs can wait for their ends than fit on the worker.

--- a/bench/workercalls.py
+++ b/bench/workercalls.py
@@ -138,6 +138,7 @@
                 started_wall_ms=WALL_CLOCK_START_MS + outcome.started_ms,
                 active=outcome.active,
                 ended=outcome.ended,
+                is_whole=True,
             )
         case StartRun(worker_id, _, epoch, task, number):
             order_key = (worker_id, epoch, task, number)
--- a/sesamehall/core/managerevents.py
+++ b/sesamehall/core/managerevents.py
@@ -125,6 +125,9 @@
       started_wall_ms: Time of its start, since 1970; 0 if unknown.
       active: Active runs.
       ended: Ended runs that are not acknowledged yet.
+      is_whole: Whether `ended` contains all of them. A report that is cut
+        lists only the first ones, so a run in neither list may have ended in
+        any way.
     """
 
     at_ms: int
@@ -135,6 +138,7 @@
     started_wall_ms: int
     active: tuple[ActiveRun, ...]
     ended: tuple[EndedRun, ...]
+    is_whole: bool
 
 
 class OrderRefusal(Enum):
--- a/sesamehall/core/workstate.py
+++ b/sesamehall/core/workstate.py
@@ -62,11 +62,16 @@
 
 
 class RunState(Enum):
-    """State of a run, from the start order to the stop order."""
+    """State of a run, from the start order to its end.
+
+    A run has ended unread if its worker does not list it as active any more,
+    while the leader does not know yet how it ended.
+    """
 
     STARTING = "starting"
     RUNNING = "running"
     STOPPING = "stopping"
+    ENDED_UNREAD = "ended unread"
 
 
 @dataclass(frozen=True)
@@ -189,6 +194,8 @@
         active and ended runs of jobs that it has not read yet, runs that are
         not needed, and further runs of tracked tasks. Their size is unknown,
         so the worker gets no new tasks while there are any.
+      reported_whole: Whether its latest report listed all ended runs. If not,
+        further runs that the leader does not track may have ended on it.
     """
 
     entry: WorkerEntry
@@ -214,6 +221,7 @@
     best_effort_speed_percent: int = 100
     speed_changed_ms: int = 0
     untracked_runs: int = 0
+    reported_whole: bool = True
 
 
 @dataclass(frozen=True, slots=True)
--- a/sesamehall/platform/workers.py
+++ b/sesamehall/platform/workers.py
@@ -38,6 +38,7 @@
 WATCH_TIMEOUT_S = 0.8  # beyond the requested wait; then it counts as silent
 ORDER_TIMEOUT_S = 0.5  # a start order without a response is resent after this
 MAX_CONCURRENT_ORDERS = 32  # unanswered orders must not delay the others
+MAX_LISTED_ENDS = 500  # a worker lists no more ended runs in one report
 MAX_IDLE_CONNECTIONS = 16  # per worker; a placement round sends it many orders
 REFUSAL_BY_REASON = {
     "fence": OrderRefusal.FENCED,
@@ -339,6 +340,7 @@
 
 def _decode_report(effect, sent_ms, response) -> WorkerReported:
     document = response.json()
+    ended = decode_ended_runs(decode_rows(document, "Finished"))
     return WorkerReported(
         at_ms=now_ms(),
         sent_ms=sent_ms,
@@ -347,5 +349,6 @@
         clock_ms=decode_integer(document, "ClockMs"),
         started_wall_ms=decode_integer(document, "born", 0),
         active=decode_active_runs(decode_rows(document, "Active")),
-        ended=decode_ended_runs(decode_rows(document, "Finished")),
+        ended=ended,
+        is_whole=len(ended) < MAX_LISTED_ENDS,
     )
--- a/sesamehall/platform/workers_test.py
+++ b/sesamehall/platform/workers_test.py
@@ -1,13 +1,17 @@
 """Tests of orders to workers and of their responses."""
 
 from concurrent.futures import ThreadPoolExecutor
+import json
 from queue import SimpleQueue
 
 import pytest
 
+from sesamehall.core.managereffects import ForgetWorker
 from sesamehall.core.managereffects import RevokeStarts
 from sesamehall.core.managereffects import StartRun
+from sesamehall.core.managereffects import WatchWorker
 from sesamehall.core.managerevents import OrderRefusal
+from sesamehall.platform.http import HttpClient
 from sesamehall.platform.http import HttpResponse
 from sesamehall.platform.workers import decode_clock_ms
 from sesamehall.platform.workers import StartFence
@@ -83,3 +87,25 @@
     clients.revoke_starts(RevokeStarts(revoked_epoch))
     clients.send_order(build_start(now_ms() + 60_000))
     assert events.get(timeout=5).refusal is expected
+
+
+# Guards against tasks that run again after they were done: a worker lists at
+# most 500 ended runs, and a run beyond them was taken for lost.
+@pytest.mark.parametrize(
+    ("ended_count", "is_whole"),
+    [(0, True), (499, True), (500, False), (501, False)],
+)
+def test_report_with_as_many_ends_as_fit_may_be_cut(
+    monkeypatch, ended_count, is_whole
+):
+    rows = [[n, "t", n, "done", ""] for n in range(1, ended_count + 1)]
+    report = {"ClockMs": 5, "born": 7, "Active": [], "Finished": rows}
+    response = HttpResponse(200, json.dumps(report).encode())
+    monkeypatch.setattr(HttpClient, "call_json", lambda *_: response)
+    events = SimpleQueue()
+    clients = WorkerClients(events.put)
+    clients.watch(WatchWorker("w1", "127.0.0.1:1", 3, 0, -1, 0))
+    event = events.get(timeout=5)
+    clients.release(ForgetWorker("w1"))
+    assert len(event.ended) == ended_count
+    assert event.is_whole is is_whole
--- a/sesamehall/reducer/jobs/leases.py
+++ b/sesamehall/reducer/jobs/leases.py
@@ -34,12 +34,15 @@
       worker: The worker.
     Returns:
       True while a worker on which an earlier leader may have started runs
-      has not reported, or has reported runs that are not adopted.
+      has not reported, has reported runs that are not adopted, or did not
+      list all runs that have ended.
     """
     if not worker.lease_recorded or worker.terminated:
         return False
     not_contacted = not worker.contacted and worker.lease_end_ms > 0
-    return not_contacted or worker.untracked_runs > 0
+    return (
+        not_contacted or worker.untracked_runs > 0 or not worker.reported_whole
+    )
 
 
 def worker_clock_ms(worker: Worker, at_ms: int) -> int:
--- a/sesamehall/reducer/jobs/reports.py
+++ b/sesamehall/reducer/jobs/reports.py
@@ -78,6 +78,7 @@
         clock_ms=event.clock_ms,
         last_report_ms=at_ms,
         unanswered_watches=0,
+        reported_whole=event.is_whole,
     )
     step = Step(put_worker(step.state, worker), step.effects)
     if newly_contacted:
@@ -91,7 +92,7 @@
         step = Step(step.state, step.effects + (line,))
     step = then(step, _apply_ends, event)
     step = then(step, _apply_active_runs, event)
-    step = then(step, _abandon_missing_runs, event)
+    step = then(step, _handle_missing_runs, event)
     if first_of_incarnation:
         step = then(step, _stop_unacknowledged_runs, event.worker_id)
     step = then(step, stop_stalled_runs, event.worker_id, at_ms)
@@ -250,7 +251,7 @@
 def _refresh_run(run, active, event):
     """Update a run from the report, which also acknowledges its start."""
     state = run.state
-    if state is RunState.STARTING:
+    if state is not RunState.STOPPING:
         state = RunState.RUNNING
     acknowledged_ms = run.acknowledged_ms
     if acknowledged_ms < 0:
@@ -334,8 +335,12 @@
     return Step(manager, (line,))
 
 
-def _abandon_missing_runs(manager, event):
-    """Abandon tracked runs that are missing from the report.
+def _handle_missing_runs(manager, event):
+    """Abandon tracked runs that are missing from a whole report.
+
+    A run that is missing from a cut report has ended too, but its end may be
+    one that the worker has not listed yet.  So it is kept until the end is
+    listed or a whole report does not contain it.
 
     Reports of an incarnation that another leader may have contacted before
     this one are not used: that leader may have stored the end of the run, or
@@ -346,19 +351,42 @@
         manager, worker, event.at_ms
     ):
         return Step(manager)
-    active = {(listed.task, listed.number) for listed in event.active}
+    missing = _missing_runs(manager, worker, event)
+    if not event.is_whole:
+        return Step(_mark_ended_unread(manager, missing))
     step = Step(manager)
-    for task in sorted(worker.tasks):
-        run = step.state.runs_by_task.get(task)
-        if run is None or run.worker_id != event.worker_id:
-            continue
-        if (run.task, run.number) in active:
-            continue
-        if _should_be_listed(run, event):
-            step = then(step, abandon_run, run, "not listed", event.at_ms)
+    for run in missing:
+        step = then(step, abandon_run, run, "not listed", event.at_ms)
     return step
 
 
+def _missing_runs(manager, worker, event):
+    """List the worker's runs that the report would contain if active."""
+    active = {(listed.task, listed.number) for listed in event.active}
+    runs = (manager.runs_by_task.get(task) for task in sorted(worker.tasks))
+    return [
+        run
+        for run in runs
+        if run is not None
+        and run.worker_id == event.worker_id
+        and (run.task, run.number) not in active
+        and _should_be_listed(run, event)
+    ]
+
+
+def _mark_ended_unread(manager, runs):
+    """Mark runs as ended whose ends are not known yet."""
+    marked = {
+        run.task: replace(run, state=RunState.ENDED_UNREAD)
+        for run in runs
+        if run.state not in (RunState.STOPPING, RunState.ENDED_UNREAD)
+    }
+    if not marked:
+        return manager
+    runs_by_task = manager.runs_by_task.update(marked)
+    return replace(manager, runs_by_task=runs_by_task)
+
+
 def _stop_unacknowledged_runs(manager, worker_id):
     """Stop runs whose start order may still reach a new incarnation.
 
--- a/sesamehall/reducer/jobs/testing.py
+++ b/sesamehall/reducer/jobs/testing.py
@@ -152,7 +152,13 @@
 
 def build_report(worker_id, active=(), ended=(), at_ms=NOW_MS, **others):
     """Build a worker's report of its runs."""
-    fields = {"started_wall_ms": 7, "epoch": 1, "sent_ms": at_ms, **others}
+    fields = {
+        "started_wall_ms": 7,
+        "epoch": 1,
+        "sent_ms": at_ms,
+        "is_whole": True,
+        **others,
+    }
     return WorkerReported(
         at_ms=at_ms,
         worker_id=worker_id,
--- a/sesamehall/reducer/jobs/workers.py
+++ b/sesamehall/reducer/jobs/workers.py
@@ -216,6 +216,7 @@
             lease_end_ms=0,
             last_applied_end_sequence=worker.last_stored_end_sequence,
             untracked_runs=0,
+            reported_whole=True,
         )
         return Step(put_worker(step.state, worker), step.effects)
     line = log(WORKER_GONE, worker=worker_id, pool=worker.entry.pool)
--- a/sesamehall/runtime/interpreter_test.py
+++ b/sesamehall/runtime/interpreter_test.py
@@ -134,7 +134,7 @@
     assert FailingInterpreter(monkeypatch).process_two(*events) == events
 
 
-REPORT = WorkerReported(1, 0, "w1", 3, 0, 0, (), ())
+REPORT = WorkerReported(1, 0, "w1", 3, 0, 0, (), (), True)
 READ = StreamRead(1, 1, 0, Stream.JOBS, (), 2, False)
 
 
