Keep a run whose listed end waits behind another

What callers saw: after a change of leader, a work item whose end `done` the worker had listed could be started again.

Cause: a new leader applies a worker's ends in order, up to the first one of a job that it has not read yet. A run that ended behind that one is not active any more, and was taken for lost although its end is in the same report.

A run whose end is in the report never counts as missing now; it is kept until the end is applied.

Evidence: the row "its end is behind one of an unread job" of cut_reports_test failed before and passes now; the row beside it shows that a run without a listed end is still given up.

--- a/sesamehall/reducer/jobs/cut_reports_test.py
+++ b/sesamehall/reducer/jobs/cut_reports_test.py
@@ -2,7 +2,7 @@
 
 Guards against tasks that run again after they were done: a run that is neither
 active nor among the listed ends was taken for lost, although its end was only
-not listed yet.
+not listed yet, or not applied yet.
 """
 
 import pytest
@@ -31,6 +31,8 @@
 from sesamehall.reducer.machines.evacuation import may_stop_run
 
 LATER_MS = NOW_MS + 500
+UNREAD_END = EndedRun(1, task(job_id=OTHER_JOB_ID), 1, RunEnd.DONE)
+DONE_BEHIND = EndedRun(2, task(), 1, RunEnd.DONE)
 STALLED_MS = NOW_MS + 1_300  # the percentage has not changed for 1,200 ms
 EXPIRED_MS = NOW_MS + 9_000  # no start order can be carried out any more
 OTHER_END = EndedRun(1, task(index=1), 1, RunEnd.DONE)
@@ -55,6 +57,8 @@
     [
         (True, [OTHER_END], LATER_MS, {"is_whole": True}, False),
         (True, [OTHER_END], LATER_MS, {"is_whole": False}, True),
+        (True, [UNREAD_END, DONE_BEHIND], LATER_MS, {"is_whole": True}, True),
+        (True, [UNREAD_END], LATER_MS, {"is_whole": True}, False),
         (True, [], LATER_MS, {"is_whole": False}, True),
         (False, [OTHER_END], EXPIRED_MS, {"is_whole": True}, False),
         (False, [OTHER_END], EXPIRED_MS, {"is_whole": False}, True),
@@ -63,6 +67,8 @@
     ids=[
         "whole report",
         "cut report",
+        "its end is behind one of an unread job",
+        "only an end of an unread job",
         "cut report, no new end",
         "whole report, start order expired",
         "cut report, start order expired",
@@ -72,7 +78,7 @@
 def test_run_that_is_not_active_any_more(
     acknowledged, ended, at_ms, report_fields, kept
 ):
-    manager = build_leader_with_run(acknowledged)
+    manager = build_leader_with_run(acknowledged, jobs_caught_up=False)
     report = build_report("w1", (), ended, at_ms, **report_fields)
     manager = apply_report(manager, report).state
     assert (task() in manager.runs_by_task) is kept
--- a/sesamehall/reducer/jobs/reports.py
+++ b/sesamehall/reducer/jobs/reports.py
@@ -340,7 +340,8 @@
 
     A run that is missing from a cut report has ended too, but its end may be
     one that the worker has not listed yet.  So it is kept until the end is
-    listed or a whole report does not contain it.
+    listed or a whole report does not contain it.  A run whose end is listed
+    but deferred is kept until the end is applied.
 
     Reports of an incarnation that another leader may have contacted before
     this one are not used: that leader may have stored the end of the run, or
@@ -352,11 +353,17 @@
     ):
         return Step(manager)
     missing = _missing_runs(manager, worker, event)
-    if not event.is_whole:
-        return Step(_mark_ended_unread(manager, missing))
-    step = Step(manager)
+    ended = {(end.task, end.number) for end in event.ended}
+    unread = [
+        run
+        for run in missing
+        if not event.is_whole or (run.task, run.number) in ended
+    ]
+    unread_tasks = {run.task for run in unread}
+    step = Step(_mark_ended_unread(manager, unread))
     for run in missing:
-        step = then(step, abandon_run, run, "not listed", event.at_ms)
+        if run.task not in unread_tasks:
+            step = then(step, abandon_run, run, "not listed", event.at_ms)
     return step
 
 
