Take only named answers for "nothing was done"

What callers saw: a work item could run twice, if a worker carried out an order to start it and the answer was a status that the protocol does not name (500, 502, 504), or a 409 without a known reason.

Cause: every such answer counted as a refusal of the order, and the run was given up. It may have been carried out all the same.

Orders for machines count as refused only after 400 or a 409 with a reason of the API; after any other answer they were sent again already.

--- a/sesamehall/core/managerevents.py
+++ b/sesamehall/core/managerevents.py
@@ -142,7 +142,11 @@
 
 
 class OrderRefusal(Enum):
-    """Reason why a worker did not carry out an order."""
+    """Reason why a worker did not carry out an order.
+
+    After SILENT and UNCLEAR it may have been carried out all the same: there
+    was no answer, or one that does not say that nothing was done.
+    """
 
     FENCED = "fenced"
     OLD_RUN = "old run"
@@ -153,6 +157,7 @@
     OTHER_INCARNATION = "other life"
     MALFORMED = "malformed"
     SILENT = "silent"
+    UNCLEAR = "unclear answer"
     NOT_SENT = "not sent in time"
 
 
--- a/sesamehall/core/timers.py
+++ b/sesamehall/core/timers.py
@@ -157,6 +157,21 @@
     refusal: OrderRefusal
 
 
+@dataclass(frozen=True, slots=True)
+class StartTimer:
+    """Triggers a repetition of a start order whose answer was unclear.
+
+    Attributes:
+      worker_id: Identifier of the worker.
+      task: Identifier of the task.
+      number: Number of the run.
+    """
+
+    worker_id: str
+    task: str
+    number: int
+
+
 Timer = (
     BeatTimer
     | LoadTimer
@@ -174,4 +189,5 @@
     | DueTimer
     | WatchTimer
     | StopTimer
+    | StartTimer
 )
--- a/sesamehall/platform/machines.py
+++ b/sesamehall/platform/machines.py
@@ -14,12 +14,13 @@
 from sesamehall.core.managerevents import MachineAnswered
 from sesamehall.core.managerevents import MachinesListed
 from sesamehall.platform.http import HttpClient
+from sesamehall.platform.http import HttpResponse
 from sesamehall.platform.workerdecoding import decode_machine
 from sesamehall.runtime.guarding import perform_and_post
 from sesamehall.runtime.interpreter import now_ms
 
 MAX_CONCURRENT_CALLS = 8  # a call without a response must not delay the others
-REJECTED_STATUSES = (400, 409)
+REJECTION_REASONS = ("fence", "busy", "wave")  # of a response 409
 RESPONSE_TIMEOUT_S = 1.0  # the cloud API may be slow
 
 
@@ -119,6 +120,29 @@
             at_ms=now_ms(),
             machine=effect.machine,
             done=done,
-            refused=response.status in REJECTED_STATUSES,
+            refused=is_rejected(response),
             reason="" if done else reason,
         )
+
+
+def is_rejected(response: HttpResponse) -> bool:
+    """Check whether the platform certainly has not carried out an order.
+
+    Args:
+      response: The response to the order.
+    Returns:
+      True only for the answers that the platform's API names.
+    """
+    match response.status:
+        case 400:
+            return True
+        case 409:
+            return _decode_reason(response) in REJECTION_REASONS
+    return False
+
+
+def _decode_reason(response):
+    try:
+        return response.json().get("Reason")
+    except PlatformError:
+        return None
--- a/sesamehall/platform/workers.py
+++ b/sesamehall/platform/workers.py
@@ -303,7 +303,8 @@
     Args:
       response: The response.
     Returns:
-      Why it refused, or None if it accepted.
+      Why it refused, or None if it accepted.  Any answer that the protocol
+      does not name is unclear: the order may have been carried out.
     Raises:
       PlatformError: The body of a refusal is not a JSON object.
     """
@@ -313,13 +314,15 @@
         case 409:
             reason = response.json().get("Reason")
             if type(reason) is not str:
-                return OrderRefusal.MALFORMED
-            return REFUSAL_BY_REASON.get(reason, OrderRefusal.MALFORMED)
+                return OrderRefusal.UNCLEAR
+            return REFUSAL_BY_REASON.get(reason, OrderRefusal.UNCLEAR)
+        case 400:
+            return OrderRefusal.MALFORMED
         case 421:
             return OrderRefusal.OTHER_INCARNATION
         case 429 | 503:
             return OrderRefusal.UNHEALTHY
-    return OrderRefusal.MALFORMED
+    return OrderRefusal.UNCLEAR
 
 
 def decode_clock_ms(response: HttpResponse) -> int:
--- a/sesamehall/platform/workers_test.py
+++ b/sesamehall/platform/workers_test.py
@@ -14,6 +14,7 @@
 from sesamehall.platform.http import HttpClient
 from sesamehall.platform.http import HttpResponse
 from sesamehall.platform.workers import decode_clock_ms
+from sesamehall.platform.workers import decode_refusal
 from sesamehall.platform.workers import StartFence
 from sesamehall.platform.workers import WorkerClient
 from sesamehall.platform.workers import WorkerClients
@@ -89,6 +90,37 @@
     assert events.get(timeout=5).refusal is expected
 
 
+# Guards against tasks that run twice: an answer that does not say that nothing
+# was done was taken for a refusal.
+@pytest.mark.parametrize(
+    ("status", "body", "refusal"),
+    [
+        (200, b"{}", None),
+        (400, b"", OrderRefusal.MALFORMED),
+        (409, b'{"Reason":"fence"}', OrderRefusal.FENCED),
+        (409, b'{"Reason":"old"}', OrderRefusal.OLD_RUN),
+        (409, b'{"Reason":"late"}', OrderRefusal.TOO_LATE),
+        (409, b'{"Reason":"room"}', OrderRefusal.NO_ROOM),
+        (409, b'{"Reason":"ticket"}', OrderRefusal.NO_TICKET),
+        (409, b'{"Reason":"other"}', OrderRefusal.UNCLEAR),
+        (409, b'{"Reason":["room"]}', OrderRefusal.UNCLEAR),
+        (409, b"{}", OrderRefusal.UNCLEAR),
+        (421, b"", OrderRefusal.OTHER_INCARNATION),
+        (429, b"", OrderRefusal.UNHEALTHY),
+        (503, b"", OrderRefusal.UNHEALTHY),
+        (201, b"{}", OrderRefusal.UNCLEAR),
+        (302, b"", OrderRefusal.UNCLEAR),
+        (404, b"", OrderRefusal.UNCLEAR),
+        (408, b"", OrderRefusal.UNCLEAR),
+        (500, b"", OrderRefusal.UNCLEAR),
+        (502, b"", OrderRefusal.UNCLEAR),
+        (504, b"", OrderRefusal.UNCLEAR),
+    ],
+)
+def test_only_named_answers_say_that_nothing_was_done(status, body, refusal):
+    assert decode_refusal(HttpResponse(status, body)) is refusal
+
+
 # Guards against tasks that run again after they were done: a worker lists at
 # most 500 ended runs, and a run beyond them was taken for lost.
 @pytest.mark.parametrize(
--- a/sesamehall/reducer/jobs/orders.py
+++ b/sesamehall/reducer/jobs/orders.py
@@ -2,8 +2,10 @@
 
 from sesamehall.core.effects import log
 from sesamehall.core.effects import SetTimer
+from sesamehall.core.jobtiming import MAX_UNCLEAR_STARTS
 from sesamehall.core.jobtiming import RENEWAL_CUTOFF_MS
 from sesamehall.core.jobtiming import START_LEASE_MS
+from sesamehall.core.jobtiming import START_RETRY_MS
 from sesamehall.core.jobtiming import STOP_RETRY_MS
 from sesamehall.core.jobtiming import WORKER_REFUSAL_QUARANTINE_MS
 from sesamehall.core.logevents import RUN_REFUSED
@@ -15,6 +17,7 @@
 from sesamehall.core.replacing import replace
 from sesamehall.core.step import Step
 from sesamehall.core.step import then
+from sesamehall.core.timers import StartTimer
 from sesamehall.core.timers import StopTimer
 from sesamehall.core.workstate import Run
 from sesamehall.core.workstate import RunState
@@ -39,7 +42,9 @@
     """Handle the answer to a start order.
 
     An order without an answer may still be carried out.  It is sent again,
-    since a worker answers a repeated order like the first one.
+    since a worker answers a repeated order like the first one.  The same holds
+    for an order whose answer is unclear, but a worker may give such an answer
+    immediately each time, so there is a pause, and a limit.
 
     Args:
       manager: State of the leader.
@@ -75,15 +80,9 @@
             return Step(put_run(manager, run))
         case OrderRefusal.SILENT:
             return _resend_start(manager, run, at_ms)
-    line = log(
-        RUN_REFUSED,
-        task=run.task,
-        run=run.number,
-        worker=run.worker_id,
-        reason=event.refusal.value,
-        tries=run.send_count,
-    )
-    step = Step(manager, (line,))
+    step = Step(manager, (_refused_line(run, event.refusal),))
+    if event.refusal is OrderRefusal.UNCLEAR:
+        return then(step, _handle_unclear_start, run, at_ms)
     if run.send_count > 1 or run.acknowledged_ms >= 0:
         return step  # an earlier copy may have arrived; reports will show it
     match event.refusal:
@@ -96,6 +95,29 @@
     return then(step, abandon_run, run, event.refusal.value, at_ms)
 
 
+def _refused_line(run, refusal):
+    return log(
+        RUN_REFUSED,
+        task=run.task,
+        run=run.number,
+        worker=run.worker_id,
+        reason=refusal.value,
+        tries=run.send_count,
+    )
+
+
+def _handle_unclear_start(manager, run, at_ms):
+    """Schedule another start order, and give the worker no others for now.
+
+    After the last one, the worker's list shows whether the run exists.
+    """
+    step = _quarantine_worker(manager, run.worker_id, at_ms)
+    if run.send_count >= MAX_UNCLEAR_STARTS:
+        return step
+    timer = StartTimer(run.worker_id, run.task, run.number)
+    return Step(step.state, (SetTimer(timer, at_ms + START_RETRY_MS),))
+
+
 def handle_stop_answer(manager: ManagerState, event: StopAnswered) -> Step:
     """Handle the answer to a stop order, and resend it unless it is accepted.
 
@@ -147,6 +169,24 @@
     return stop_run(manager, run, f"not accepted: {timer.refusal.value}")
 
 
+def resend_start(manager: ManagerState, timer: StartTimer, at_ms: int) -> Step:
+    """Resend a start order whose answer was unclear, if it is still needed.
+
+    Args:
+      manager: State of a manager.
+      timer: Timer that identifies the run.
+      at_ms: Current time on the node's clock.
+    Returns:
+      A Step.
+    """
+    run = manager.runs_by_task.get(timer.task)
+    if run is None or not manager.term.epoch:
+        return Step(manager)
+    if (run.worker_id, run.number) != (timer.worker_id, timer.number):
+        return Step(manager)
+    return _resend_start(manager, run, at_ms)
+
+
 def build_start_order(
     manager: ManagerState, run: Run, command: str, at_ms: int
 ) -> StartRun:
--- a/sesamehall/reducer/manager_reducer.py
+++ b/sesamehall/reducer/manager_reducer.py
@@ -39,6 +39,7 @@
 from sesamehall.core.timers import DueTimer
 from sesamehall.core.timers import ManagerTimer
 from sesamehall.core.timers import PlaceTimer
+from sesamehall.core.timers import StartTimer
 from sesamehall.core.timers import StopTimer
 from sesamehall.core.timers import WatchTimer
 from sesamehall.reducer.jobs.active_jobs import start_due_occurrences
@@ -57,6 +58,7 @@
 from sesamehall.reducer.jobs.order_window import expire_orders
 from sesamehall.reducer.jobs.orders import handle_start_answer
 from sesamehall.reducer.jobs.orders import handle_stop_answer
+from sesamehall.reducer.jobs.orders import resend_start
 from sesamehall.reducer.jobs.orders import resend_stop
 from sesamehall.reducer.jobs.reports import apply_report
 from sesamehall.reducer.jobs.storing import commit
@@ -158,6 +160,8 @@
             return watch_worker(manager, worker_id, at_ms)
         case StopTimer():
             return resend_stop(manager, event.timer)
+        case StartTimer():
+            return resend_start(manager, event.timer, at_ms)
         case DueTimer(job_id):
             return start_due_occurrences(manager, job_id, at_ms)
     raise TypeError(f"no handler for timer {type(event.timer).__name__}")
