Store progress compactly, so that it fits a record

Cause: progress was stored with an object for each step of each occurrence, so that of 2,700 occurrences of 5 steps outgrew a record of 262,144 bytes. It was left out of the writes.

What is stored now has a bit for each completed occurrence, a bit for each task of every other that has begun, and the failures and checkpoints of unfinished tasks only. The leader works on the progress as before; the form is expanded when a job is activated. Records of older versions are read as they are; an older version cannot use the new ones.

--- a/bench/job_histories.py
+++ b/bench/job_histories.py
@@ -32,7 +32,7 @@
 from sesamehall.core.manifest import Queue
 from sesamehall.core.manifest import Quota
 from sesamehall.core.manifest import WorkerPool
-from sesamehall.core.work import Progress
+from sesamehall.core.work import CompactProgress
 
 MAX_ATTEMPTS = 2
 WARMUP_MS = 2_500  # until the first leader has connected to its workers
@@ -82,7 +82,7 @@
     simulation.run(RECOVERY_PERIOD_MS // 2)
     for job_id in caller.accepted:
         stored = simulation.store.newest_value(Stream.PROGRESS, job_id)
-        phase = stored.phase if isinstance(stored, Progress) else None
+        phase = stored.phase if isinstance(stored, CompactProgress) else None
         simulation.checker.check_completed(job_id, phase)
     violations = tuple(simulation.checker.violations)
     return HistoryResult(
--- a/sesamehall/core/fleet.py
+++ b/sesamehall/core/fleet.py
@@ -5,6 +5,7 @@
 
 from sesamehall.core.manifest import Manifest
 from sesamehall.core.manifest import Wave
+from sesamehall.core.work import CompactProgress
 from sesamehall.core.work import JobPlan
 from sesamehall.core.work import NO_SIZE
 from sesamehall.core.work import Progress
@@ -202,6 +203,7 @@
     JobPlan
     | CancelAsked
     | Progress
+    | CompactProgress
     | Leader
     | Candidate
     | LeasedWorker
--- a/sesamehall/core/managerstate.py
+++ b/sesamehall/core/managerstate.py
@@ -20,6 +20,7 @@
 from sesamehall.core.jobtiming import LEADER_CORES
 from sesamehall.core.jobtiming import ORDER_WINDOW_INITIAL
 from sesamehall.core.manifest import Manifest
+from sesamehall.core.work import CompactProgress
 from sesamehall.core.work import JobPlan
 from sesamehall.core.work import Progress
 from sesamehall.core.work import Size
@@ -97,7 +98,7 @@
       dropped_queues: Queues whose record the write deletes.
     """
 
-    jobs: tuple[Progress, ...] = ()
+    jobs: tuple[CompactProgress, ...] = ()
     workers: tuple[LeasedWorker, ...] = ()
     dropped_workers: tuple[str, ...] = ()
     waves: tuple[int, ...] = ()
@@ -302,7 +303,7 @@
     ended_ms_by_job_id: Map[str, int] = EMPTY_MAP
     cancelled_by_job_id: Map[str, bool] = EMPTY_MAP
     early_cancels_by_job_id: Map[str, tuple[CancelAsked, ...]] = EMPTY_MAP
-    progress_by_id: Map[str, Progress] = EMPTY_MAP
+    progress_by_id: Map[str, Progress | CompactProgress] = EMPTY_MAP
     leased_workers_by_id: Map[str, LeasedWorker] = EMPTY_MAP
     pools_by_queue: Map[str, tuple[str, ...]] = EMPTY_MAP
     leader: Leader | None = None
--- a/sesamehall/core/work.py
+++ b/sesamehall/core/work.py
@@ -120,7 +120,9 @@
 
 @dataclass(frozen=True, slots=True)
 class Progress:
-    """The stored progress of a job; its plan is stored separately.
+    """The progress of a job.
+
+    Older versions stored it like this; now its compact form is stored.
 
     Attributes:
       job_id: Identifier of the job.
@@ -136,6 +138,34 @@
     occurrences: tuple[tuple[int, tuple[StepProgress, ...]], ...] = ()
 
 
+@dataclass(frozen=True, slots=True)
+class CompactProgress:
+    """The stored progress of a job; its plan is stored separately.
+
+    The tasks of an occurrence are numbered through its steps in their order.
+
+    Attributes:
+      job_id: Identifier of the job.
+      phase: Phase of the job.
+      detail: Human-readable reason for the final phase.
+      completed: Bitmap of the occurrences whose tasks have all succeeded.
+      done: Number of each other occurrence with tasks that have succeeded, and
+        the bitmap of these tasks.
+      failures: Occurrence, task and number of failed runs, of unfinished tasks
+        that had any.
+      checkpoints: Occurrence, task and newest checkpoint, of unfinished tasks
+        that have one.
+    """
+
+    job_id: str
+    phase: JobPhase
+    detail: str = ""
+    completed: bytes = b""
+    done: tuple[tuple[int, bytes], ...] = ()
+    failures: tuple[tuple[int, int, int], ...] = ()
+    checkpoints: tuple[tuple[int, int, str], ...] = ()
+
+
 class RunEnd(Enum):
     """How a run ended."""
 
--- a/sesamehall/platform/store_test.py
+++ b/sesamehall/platform/store_test.py
@@ -19,6 +19,7 @@
 from sesamehall.core.fleet import Stream
 from sesamehall.core.fleet import WaveRecord
 from sesamehall.core.jobtiming import LEADER_CLAIM_RECOVERY_DELAY_MS
+from sesamehall.core.work import CompactProgress
 from sesamehall.core.work import JobPlan
 from sesamehall.core.work import Progress
 from sesamehall.core.work import Size
@@ -56,6 +57,16 @@
     ),
 )
 
+COMPACT = CompactProgress(
+    "ab" * 8,
+    JobPhase.RUNNING,
+    "",
+    b"\x03",
+    ((2, b"\x0f"),),
+    ((2, 5, 1),),
+    ((2, 5, "c0"),),
+)
+
 
 @pytest.mark.parametrize(
     ("stream", "value"),
@@ -63,6 +74,7 @@
         (Stream.JOBS, JobPlan("ab" * 8, "q", "t", "spec", (STEP, STEP))),
         (Stream.JOBS, CancelAsked("ab" * 8)),
         (Stream.PROGRESS, PROGRESS),
+        (Stream.PROGRESS, COMPACT),
         (Stream.PROGRESS, Progress("ab" * 8)),
         (Stream.JOBS, Candidate("edge-2", 3, 2.15)),
         (Stream.PROGRESS, Leader("edge-1", 3, True, 9, 0.516)),
--- a/sesamehall/reducer/jobs/active_jobs.py
+++ b/sesamehall/reducer/jobs/active_jobs.py
@@ -15,6 +15,7 @@
 from sesamehall.core.work import Progress
 from sesamehall.core.work import task_id
 from sesamehall.reducer.jobs.arrivals import record_arrival
+from sesamehall.reducer.jobs.compacting import expand_progress
 from sesamehall.reducer.jobs.durations import duration_ratio
 from sesamehall.reducer.jobs.progress import build_active_job
 from sesamehall.reducer.jobs.progress import is_task_done
@@ -50,7 +51,9 @@
     queue = None
     if manager.manifest is not None:
         queue = manager.manifest.queues_by_name.get(plan.queue)
-    progress = manager.progress_by_id.get(job_id, Progress(job_id))
+    progress = expand_progress(
+        manager.progress_by_id.get(job_id, Progress(job_id)), plan
+    )
     wall_ms = at_ms + manager.wall_offset_ms
     ratio = duration_ratio(manager, plan.queue)
     first_seen_ms = manager.first_seen_ms_by_job_id.get(job_id, at_ms)
--- /dev/null
+++ b/sesamehall/reducer/jobs/compacting.py
@@ -0,0 +1,144 @@
+"""The compact form in which the progress of a job is stored.
+
+The store refuses records beyond a size, so the form takes a bit for each
+occurrence that is completed, and a few bytes, with a bit for each task, for
+each other one that has begun.
+"""
+
+from sesamehall.core.replacing import replace
+from sesamehall.core.work import CompactProgress
+from sesamehall.core.work import has_bit
+from sesamehall.core.work import JobPlan
+from sesamehall.core.work import Progress
+from sesamehall.core.work import StepProgress
+
+
+def compact_progress(progress: Progress, plan: JobPlan) -> CompactProgress:
+    """Build the stored form of a job's progress.
+
+    Args:
+      progress: The progress.
+      plan: The job.
+    Returns:
+      The stored form, without failures and checkpoints of tasks that have
+      succeeded.
+    """
+    offsets = _step_offsets(plan)
+    all_done = (1 << offsets[-1]) - 1
+    completed = 0
+    done = []
+    failures = []
+    checkpoints = []
+    for occurrence, progress_by_step in progress.occurrences:
+        bits = _flatten(progress_by_step, offsets)
+        if bits == all_done:
+            completed |= 1 << occurrence
+            continue
+        if bits:
+            done.append((occurrence, _to_bytes(bits)))
+        for offset, step in zip(offsets, progress_by_step, strict=False):
+            failures += _unfinished(occurrence, offset, step, step.failures)
+            checkpoints += _unfinished(
+                occurrence, offset, step, step.checkpoints
+            )
+    return CompactProgress(
+        job_id=progress.job_id,
+        phase=progress.phase,
+        detail=progress.detail,
+        completed=_to_bytes(completed),
+        done=tuple(done),
+        failures=tuple(failures),
+        checkpoints=tuple(checkpoints),
+    )
+
+
+def expand_progress(
+    stored: Progress | CompactProgress, plan: JobPlan
+) -> Progress:
+    """Build a job's progress from its stored form.
+
+    Args:
+      stored: The stored form, or the progress itself as older versions stored
+        it.
+      plan: The job.
+    Returns:
+      The progress.
+    """
+    match stored:
+        case Progress():
+            return stored
+    offsets = _step_offsets(plan)
+    all_done = (1 << offsets[-1]) - 1
+    completed = _unflatten(all_done, offsets)
+    occurrences = {
+        occurrence: completed
+        for occurrence in range(len(stored.completed) * 8)
+        if has_bit(stored.completed, occurrence)
+    }
+    for occurrence, bits in stored.done:
+        number = int.from_bytes(bits, "little") & all_done
+        occurrences[occurrence] = _unflatten(number, offsets)
+    for field, rows in (
+        ("failures", stored.failures),
+        ("checkpoints", stored.checkpoints),
+    ):
+        _add_rows(occurrences, field, rows, offsets)
+    return Progress(
+        stored.job_id,
+        stored.phase,
+        stored.detail,
+        tuple(sorted(occurrences.items())),
+    )
+
+
+def _step_offsets(plan: JobPlan) -> list[int]:
+    """Number each step's first task, and the end of the last one's tasks."""
+    offsets = [0]
+    for step in plan.steps:
+        offsets.append(offsets[-1] + step.count)
+    return offsets
+
+
+def _flatten(progress_by_step, offsets):
+    """Join the bitmaps of an occurrence's steps to one number."""
+    bits = 0
+    for offset, step in zip(offsets, progress_by_step, strict=False):
+        bits |= int.from_bytes(step.done, "little") << offset
+    return bits
+
+
+def _unflatten(bits, offsets) -> tuple[StepProgress, ...]:
+    """Split the number of an occurrence into bitmaps of its steps."""
+    return tuple(
+        StepProgress(_to_bytes(bits >> start & (1 << (end - start)) - 1))
+        for start, end in zip(offsets, offsets[1:], strict=False)
+    )
+
+
+def _to_bytes(bits: int) -> bytes:
+    return bits.to_bytes((bits.bit_length() + 7) // 8, "little")
+
+
+def _unfinished(occurrence, offset, step, values):
+    """Build the rows of a step's tasks that have not succeeded."""
+    return [
+        (occurrence, offset + index, value)
+        for index, value in values
+        if not has_bit(step.done, index)
+    ]
+
+
+def _add_rows(occurrences, field, rows, offsets):
+    """Add failures or checkpoints to the progress of occurrences."""
+    for occurrence, task, value in rows:
+        number = _step_of(task, offsets)
+        steps = list(occurrences.get(occurrence) or _unflatten(0, offsets))
+        values = getattr(steps[number], field)
+        added = (*values, (task - offsets[number], value))
+        steps[number] = replace(steps[number], **{field: added})
+        occurrences[occurrence] = tuple(steps)
+
+
+def _step_of(task, offsets):
+    """Find the number of the step that a task belongs to."""
+    return sum(start <= task for start in offsets[1:-1])
--- a/sesamehall/reducer/jobs/storing.py
+++ b/sesamehall/reducer/jobs/storing.py
@@ -19,8 +19,10 @@
 from sesamehall.core.replacing import replace
 from sesamehall.core.step import Step
 from sesamehall.core.step import then
+from sesamehall.core.work import CompactProgress
 from sesamehall.core.work import Progress
 from sesamehall.reducer.counts import drop_key
+from sesamehall.reducer.jobs.compacting import compact_progress
 from sesamehall.reducer.jobs.leases import is_resigning
 from sesamehall.reducer.jobs.leases import is_stepping_down
 from sesamehall.reducer.jobs.queue_pools import build_record
@@ -153,7 +155,7 @@
         machines = tuple(sorted(manager.fleet.last_decision_ms_by_machine))
     return Batch(
         jobs=tuple(
-            manager.active_jobs_by_id[job_id].progress
+            _compact(manager.active_jobs_by_id[job_id])
             for job_id in sorted(manager.dirty_jobs)
             if job_id in manager.active_jobs_by_id
         ),
@@ -176,6 +178,10 @@
     )
 
 
+def _compact(job):
+    return compact_progress(job.progress, job.plan)
+
+
 def _build_records(manager, batch: Batch) -> tuple[StoredRecord, ...]:
     """Build the records of a write, except for the leader's own."""
     records = [StoredRecord(job.job_id, job) for job in batch.jobs]
@@ -358,7 +364,7 @@
 
 
 def record_progress(
-    manager: ManagerState, progress: Progress, at_ms: int
+    manager: ManagerState, progress: Progress | CompactProgress, at_ms: int
 ) -> ManagerState:
     """Record the stored progress of a job.
 
--- a/sesamehall/reducer/jobs/storing_test.py
+++ b/sesamehall/reducer/jobs/storing_test.py
@@ -9,8 +9,8 @@
 from sesamehall.core.managereffects import StoreProgress
 from sesamehall.core.managerevents import ProgressStored
 from sesamehall.core.managerevents import StoreOutcome
+from sesamehall.core.work import CompactProgress
 from sesamehall.core.work import EndedRun
-from sesamehall.core.work import Progress
 from sesamehall.core.work import RunEnd
 from sesamehall.reducer.jobs.leadership import handle_progress_stored
 from sesamehall.reducer.jobs.reports import apply_report
@@ -47,7 +47,7 @@
     return [
         (value.job_id, value.phase)
         for value in values
-        if isinstance(value, Progress)
+        if isinstance(value, CompactProgress)
     ]
 
 
--- a/sesamehall/reducer/jobs/stream_reading.py
+++ b/sesamehall/reducer/jobs/stream_reading.py
@@ -41,6 +41,7 @@
 from sesamehall.core.replacing import replace
 from sesamehall.core.step import Step
 from sesamehall.core.step import then
+from sesamehall.core.work import CompactProgress
 from sesamehall.core.work import JobPlan
 from sesamehall.core.work import Progress
 from sesamehall.reducer.counts import drop_key
@@ -466,7 +467,7 @@
         return Step(manager)
     leased_by_id = manager.leased_workers_by_id
     match value:
-        case Progress():
+        case Progress() | CompactProgress():
             return Step(record_progress(manager, value, at_ms))
         case OrderedMachines():
             return Step(replace(manager, ordered_machines=value))
--- a/sesamehall/reducer/jobs/takeover_test.py
+++ b/sesamehall/reducer/jobs/takeover_test.py
@@ -23,6 +23,7 @@
 from sesamehall.core.work import ActiveRun
 from sesamehall.core.work import EndedRun
 from sesamehall.core.work import RunEnd
+from sesamehall.reducer.jobs.compacting import expand_progress
 from sesamehall.reducer.jobs.leadership import claim_if_vacant
 from sesamehall.reducer.jobs.leadership import handle_progress_stored
 from sesamehall.reducer.jobs.reports import apply_report
@@ -142,5 +143,6 @@
     assert not takeover.orders
     job = takeover.manager.active_jobs_by_id[JOB_ID]
     assert job.progress.phase is JobPhase.RUNNING
-    assert takeover.manager.progress_by_id[JOB_ID] == job.progress
+    stored = takeover.manager.progress_by_id[JOB_ID]
+    assert expand_progress(stored, JOB) == job.progress
     assert takeover.acknowledged == 1
