Acknowledge no end whose progress is not stored

Cause: progress that cannot be stored is left out of a write, but the records of workers in the same write said that its ends were contained, and they were acknowledged.

Now these records are held back with it, and the job ends as failed. That is a small record, with which the workers' records are written at once; so ends of other jobs wait for one more write only, and no end is acknowledged before what followed from it is stored.

"leaves out alone" of storing_test expects a further write in its two rows with a job: that of the job's end.

--- a/sesamehall/core/managerevents.py
+++ b/sesamehall/core/managerevents.py
@@ -103,6 +103,8 @@
       outcome: Outcome of the write; FENCED if another leader took over.
       unstorable_keys: Keys of records that were left out, since they cannot
         be encoded or are too large.
+      held_keys: Keys of workers' records that were left out, since they say
+        that ends are contained in progress which was left out.
     """
 
     at_ms: int
@@ -110,6 +112,7 @@
     epoch: int
     outcome: StoreOutcome
     unstorable_keys: tuple[str, ...] = ()
+    held_keys: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/sesamehall/platform/effecthandlers_test.py
+++ b/sesamehall/platform/effecthandlers_test.py
@@ -11,7 +11,9 @@
 
 from sesamehall.core.codes import DecodeError
 from sesamehall.core.codes import PlatformError
+from sesamehall.core.data import JobPhase
 from sesamehall.core.fleet import Leader
+from sesamehall.core.fleet import LeasedWorker
 from sesamehall.core.fleet import StoredRecord
 from sesamehall.core.fleet import Stream
 from sesamehall.core.fleet import WaveStatus
@@ -40,6 +42,7 @@
 from sesamehall.core.managerevents import StreamUnread
 from sesamehall.core.managerevents import WaveNotReported
 from sesamehall.core.managerevents import WorkerNotReported
+from sesamehall.core.work import CompactProgress
 from sesamehall.core.work import JobPlan
 from sesamehall.core.work import StepPlan
 from sesamehall.platform import store as store_module
@@ -47,8 +50,11 @@
 from sesamehall.platform.http import HttpClient
 from sesamehall.platform.httpconnection import HttpResponse
 from sesamehall.platform.machines import MachineEffectHandler
+from sesamehall.platform.records import split_key
+from sesamehall.platform.records import split_records
 from sesamehall.platform.storehandler import StoreEffectHandler
 from sesamehall.platform.workers import WorkerClients
+from sesamehall.platform.writer import LeaderWriter
 from sesamehall.runtime.effectfailures import failure_event
 from sesamehall.runtime.interpreter import now_ms
 
@@ -237,6 +243,49 @@
     assert event.unstorable_keys == ("worker/odd",)
 
 
+LEASED = StoredRecord("worker/w1", LeasedWorker("w1", "h:1", "a", 7, 5))
+STORABLE_JOB = StoredRecord("j1", CompactProgress("j1", JobPhase.RUNNING))
+TOO_LARGE_JOB = StoredRecord(
+    "j2", CompactProgress("j2", JobPhase.RUNNING, completed=b"1" * 300_000)
+)
+
+
+# Guards against tasks that run again after they were done: a worker's record
+# said that ends were contained in progress that was left out of the write.
+@pytest.mark.parametrize(
+    ("records", "stored", "unstorable", "held"),
+    [
+        ((STORABLE_JOB, LEASED, LEADER), ["j1", "worker/w1"], (), ()),
+        (
+            (STORABLE_JOB, TOO_LARGE_JOB, LEASED, LEADER),
+            ["j1"],
+            ("j2",),
+            ("worker/w1",),
+        ),
+        ((LEASED, TOO_LARGE_JOB, LEADER), [], ("j2",), ("worker/w1",)),
+    ],
+    ids=["all fit", "a job does not fit", "order does not matter"],
+)
+def test_ends_are_not_stored_without_the_progress_that_contains_them(
+    monkeypatch, records, stored, unstorable, held
+):
+    bodies = []
+
+    def record_body(self, epoch, expected_end_offset, body):
+        bodies.append(body)
+        return StoreOutcome.STORED
+
+    monkeypatch.setattr(LeaderWriter, "append", record_body)
+    events = SimpleQueue()
+    handler = StoreEffectHandler(ADDRESS, events.put)
+    handler.store_progress(StoreProgress(3, records))
+    event = events.get(timeout=5)
+    keys = [split_key(content)[0] for content in split_records(bodies[0])]
+    assert keys == [*stored, LEADER.key]
+    assert event.unstorable_keys == unstorable
+    assert event.held_keys == held
+
+
 @pytest.mark.parametrize(
     ("status", "outcome"),
     [
--- a/sesamehall/platform/storehandler.py
+++ b/sesamehall/platform/storehandler.py
@@ -16,6 +16,7 @@
 
 from sesamehall.core.events import Event
 from sesamehall.core.fleet import CancelAsked
+from sesamehall.core.fleet import LeasedWorker
 from sesamehall.core.fleet import StoredRecord
 from sesamehall.core.fleet import Stream
 from sesamehall.core.logevents import RECORD_UNSTORABLE
@@ -30,6 +31,8 @@
 from sesamehall.core.managerevents import StreamRead
 from sesamehall.core.managerevents import StreamUnread
 from sesamehall.core.managerevents import WaveNotReported
+from sesamehall.core.work import CompactProgress
+from sesamehall.core.work import Progress
 from sesamehall.platform.records import encode_record
 from sesamehall.platform.records import MAX_LOGGED_CHARS
 from sesamehall.platform.records import RecordUnstorableError
@@ -158,7 +161,7 @@
         )
 
     def _store_progress(self, effect: StoreProgress) -> Event:
-        body, unstorable_keys = _encode_storable(effect.records)
+        body, unstorable_keys, held_keys = _encode_storable(effect.records)
         sent_ms = now_ms()
         outcome = StoreOutcome.UNKNOWN
         for _ in range(MAX_WRITE_ATTEMPTS):
@@ -177,7 +180,12 @@
                 break
             time.sleep(RETRY_DELAY_S)
         return ProgressStored(
-            now_ms(), sent_ms, effect.epoch, outcome, unstorable_keys
+            at_ms=now_ms(),
+            sent_ms=sent_ms,
+            epoch=effect.epoch,
+            outcome=outcome,
+            unstorable_keys=unstorable_keys,
+            held_keys=held_keys,
         )
 
     def _write_jobs(self):
@@ -247,17 +255,49 @@
 
 def _encode_storable(
     records: tuple[StoredRecord, ...],
-) -> tuple[bytes, tuple[str, ...]]:
-    """Encode the records that can be stored; return the keys of the others."""
-    body = b""
-    unstorable_keys: list[str] = []
+) -> tuple[bytes, tuple[str, ...], tuple[str, ...]]:
+    """Encode the records that can be stored.
+
+    A worker's record says which ends are contained in the progress of jobs.
+    So these records are held back if some progress cannot be stored.
+
+    Returns:
+      The encoded records, the keys of those that cannot be stored, and the
+      keys of those that are held back.
+    """
+    encoded: list[tuple[StoredRecord, bytes]] = []
+    unstorable: list[StoredRecord] = []
     for record in records:
         try:
-            body += encode_record(record)
+            encoded.append((record, encode_record(record)))
         except RecordUnstorableError as error:
             _log_unstorable(record.key, error)
-            unstorable_keys.append(record.key)
-    return body, tuple(unstorable_keys)
+            unstorable.append(record)
+    holds = any(_contains_ends(record) for record in unstorable)
+    held_keys = tuple(
+        record.key for record, _ in encoded if holds and _counts_ends(record)
+    )
+    return (
+        b"".join(
+            data for record, data in encoded if record.key not in held_keys
+        ),
+        tuple(record.key for record in unstorable),
+        held_keys,
+    )
+
+
+def _contains_ends(record):
+    match record.value:
+        case Progress() | CompactProgress():
+            return True
+    return False
+
+
+def _counts_ends(record):
+    match record.value:
+        case LeasedWorker():
+            return True
+    return False
 
 
 def _log_unstorable(key, error):
--- a/sesamehall/reducer/jobs/storing.py
+++ b/sesamehall/reducer/jobs/storing.py
@@ -1,6 +1,7 @@
 """Writes of the leader's records and the effects of confirmed writes."""
 
 from sesamehall.core.data import EMPTY_MAP
+from sesamehall.core.data import JobPhase
 from sesamehall.core.data import TERMINAL_PHASES
 from sesamehall.core.effects import log
 from sesamehall.core.fleet import Leader
@@ -29,6 +30,7 @@
 from sesamehall.reducer.jobs.queue_pools import drop_queue_pools
 from sesamehall.reducer.jobs.queue_pools import record_queue_pools
 from sesamehall.reducer.jobs.runs import drop_ended_job
+from sesamehall.reducer.jobs.runs import end_job
 from sesamehall.reducer.jobs.runs import schedule_placement
 from sesamehall.reducer.jobs.state_updates import put_worker
 from sesamehall.reducer.jobs.workers import watch_worker
@@ -247,7 +249,9 @@
       A Step that starts the next write if one is due.
     """
     term = manager.term
-    batch = _without_unstorable(term.batch_in_flight, event.unstorable_keys)
+    written = term.batch_in_flight
+    left_out = event.unstorable_keys + event.held_keys
+    batch = _without_left_out(written, left_out)
     manager = replace(
         manager,
         term=replace(
@@ -265,6 +269,12 @@
         manager = record_progress(manager, progress, event.at_ms)
         manager = drop_ended_job(manager, progress.job_id)
     step = Step(manager, _stored_line(term.epoch, batch, event))
+    for progress in written.jobs:
+        if progress.job_id in event.unstorable_keys:
+            step = then(
+                step, _end_unstorable_job, progress.job_id, event.at_ms
+            )
+    step = then(step, _mark_held_workers, event.held_keys)
     for leased in batch.workers:
         step = then(step, _confirm_worker, leased, event.at_ms)
     for queue_pools in batch.queues:
@@ -272,11 +282,31 @@
     return then(step, commit, event.at_ms)
 
 
-def _without_unstorable(batch: Batch, keys: tuple[str, ...]) -> Batch:
-    """Leave out what a write could not contain.
+def _end_unstorable_job(manager, job_id, at_ms):
+    """End a job as failed whose progress cannot be stored.
 
-    It counts as neither stored nor changed, and is written again with its
-    next change.  So a worker whose record cannot be stored gets no tasks.
+    Its tasks would run again under the next leader, and no end of any worker
+    could be acknowledged meanwhile.  The record of its end is small.
+    """
+    job = manager.active_jobs_by_id.get(job_id)
+    if job is None or job.progress.phase in TERMINAL_PHASES:
+        return Step(manager)
+    reason = "its progress is too large to be stored"
+    return end_job(manager, job_id, JobPhase.FAILED, reason, at_ms)
+
+
+def _mark_held_workers(manager, keys):
+    """Mark workers as changed whose records were held back."""
+    worker_ids = [key.removeprefix(WORKER_KEY_PREFIX) for key in keys]
+    dirty = _mark_dirty(manager.dirty_workers, worker_ids)
+    return Step(replace(manager, dirty_workers=dirty))
+
+
+def _without_left_out(batch: Batch, keys: tuple[str, ...]) -> Batch:
+    """Leave out what a write did not contain.
+
+    It does not count as stored.  A worker whose own record cannot be stored
+    gets no tasks; the record is written again with its next change.
     """
     if not keys:
         return batch
--- a/sesamehall/reducer/jobs/storing_test.py
+++ b/sesamehall/reducer/jobs/storing_test.py
@@ -7,6 +7,7 @@
 from sesamehall.core.effects import Log
 from sesamehall.core.logevents import PROGRESS_NOT_STORED
 from sesamehall.core.managereffects import StoreProgress
+from sesamehall.core.managereffects import WatchWorker
 from sesamehall.core.managerevents import ProgressStored
 from sesamehall.core.managerevents import StoreOutcome
 from sesamehall.core.work import CompactProgress
@@ -20,6 +21,7 @@
 from sesamehall.reducer.jobs.testing import build_leader
 from sesamehall.reducer.jobs.testing import build_plan
 from sesamehall.reducer.jobs.testing import build_report
+from sesamehall.reducer.jobs.testing import build_step
 from sesamehall.reducer.jobs.testing import build_worker
 from sesamehall.reducer.jobs.testing import effects_of
 from sesamehall.reducer.jobs.testing import JOB_ID
@@ -83,16 +85,18 @@
 # Guards against a leader that loses its role over one record: the write goes
 # on without it, and what it stands for is not taken as stored.
 @pytest.mark.parametrize(
-    ("unstorable", "recorded", "leased"),
+    ("unstorable", "recorded", "leased", "writes_again"),
     [
-        ((), True, True),
-        (("worker/w1",), True, False),
-        ((JOB_ID,), False, True),
-        ((JOB_ID, "worker/w1", "machines"), False, False),
+        ((), True, True, False),
+        (("worker/w1",), True, False, False),
+        ((JOB_ID,), False, True, True),
+        ((JOB_ID, "worker/w1", "machines"), False, False, True),
     ],
     ids=["none", "worker", "job", "all"],
 )
-def test_unstorable_record_is_left_out_alone(unstorable, recorded, leased):
+def test_unstorable_record_is_left_out_alone(
+    unstorable, recorded, leased, writes_again
+):
     worker = build_worker("w1", lease_recorded=False)
     manager = activate_jobs(
         build_leader(
@@ -108,7 +112,62 @@
     )
     manager = handle_progress_stored(manager, stored).state
     assert manager.term.confirmed_ms == NOW_MS
-    assert not manager.term.write_in_flight
+    assert manager.term.write_in_flight is writes_again
     assert (JOB_ID in manager.phase_by_job_id) is recorded
     assert manager.workers_by_id["w1"].lease_recorded is leased
     assert not manager.dirty_workers
+
+
+def build_leader_writing_an_end(worker_names=("w1", "w2")):
+    """Build a leader that writes a task's end, of which it knows from w1."""
+    workers = [build_worker(name) for name in worker_names]
+    manager = build_leader(*workers, dirty_workers=Map(w2=True))
+    manager = activate_jobs(manager, build_plan(build_step(count=2)))
+    done = EndedRun(1, task(), 1, RunEnd.DONE)
+    manager = apply_report(manager, build_report("w1", (), [done])).state
+    return write_changed_records(manager).state
+
+
+def acknowledged_by(step):
+    """Return the ends of w1 that watches acknowledge."""
+    watches = effects_of(step, WatchWorker)
+    return [watch.acknowledged for watch in watches if watch.worker_id == "w1"]
+
+
+# Guards against tasks that run again after they were done: progress could not
+# be stored, but the ends that it contained were acknowledged.
+def test_end_is_acknowledged_only_once_its_progress_is_stored():
+    manager = build_leader_writing_an_end()
+    left_out = ProgressStored(
+        NOW_MS + 5,
+        NOW_MS,
+        1,
+        StoreOutcome.STORED,
+        unstorable_keys=(JOB_ID,),
+        held_keys=("worker/w1", "worker/w2"),
+    )
+    step = handle_progress_stored(manager, left_out)
+    assert not acknowledged_by(step)
+    (store,) = effects_of(step, StoreProgress)
+    values = {record.key: record.value for record in store.records}
+    assert values[JOB_ID].phase is JobPhase.FAILED
+    assert values["worker/w1"].last_applied_end_sequence == 1
+    assert "worker/w2" in values
+    stored = ProgressStored(NOW_MS + 10, NOW_MS + 5, 1, StoreOutcome.STORED)
+    step = handle_progress_stored(step.state, stored)
+    assert acknowledged_by(step) == [1]
+    assert step.state.phase_by_job_id[JOB_ID] is JobPhase.FAILED
+
+
+def test_job_that_ended_while_its_progress_was_refused_keeps_its_end():
+    manager = build_leader_writing_an_end()
+    done = EndedRun(2, task(1), 1, RunEnd.DONE)
+    manager = apply_report(manager, build_report("w1", (), [done])).state
+    left_out = ProgressStored(
+        NOW_MS + 5, NOW_MS, 1, StoreOutcome.STORED, (JOB_ID,), ("worker/w1",)
+    )
+    step = handle_progress_stored(manager, left_out)
+    (store,) = effects_of(step, StoreProgress)
+    values = {record.key: record.value for record in store.records}
+    assert values[JOB_ID].phase is JobPhase.DONE
+    assert values["worker/w1"].last_applied_end_sequence == 2
