--- a/sesamehall/core/managerevents.py
+++ b/sesamehall/core/managerevents.py
@@ -104,6 +104,8 @@
       outcome: Outcome of the write; FENCED if another leader took over.
       unstorable_keys: Keys of records that were left out, since they cannot
         be encoded or are too large.
+      held_keys: Keys of workers' records that were left out, since they say
+        that ends are contained in progress which was left out.
       attempts: Number of times that the write was sent.
     """
 
@@ -112,6 +114,7 @@
     epoch: int
     outcome: StoreOutcome
     unstorable_keys: tuple[str, ...] = ()
+    held_keys: tuple[str, ...] = ()
     attempts: int = 1
 
 
@@ -128,6 +131,9 @@
       started_wall_ms: Time of its start, since 1970; 0 if unknown.
       active: Active runs.
       ended: Ended runs that are not acknowledged yet.
+      is_whole: Whether `ended` contains all of them. A report that is cut
+        lists only the first ones, so a run in neither list may have ended in
+        any way.
     """
 
     at_ms: int
@@ -138,10 +144,15 @@
     started_wall_ms: int
     active: tuple[ActiveRun, ...]
     ended: tuple[EndedRun, ...]
+    is_whole: bool
 
 
 class OrderRefusal(Enum):
-    """Reason why a worker did not carry out an order."""
+    """Reason why a worker did not carry out an order.
+
+    After SILENT and UNCLEAR it may have been carried out all the same: there
+    was no answer, or one that does not say that nothing was done.
+    """
 
     FENCED = "fenced"
     OLD_RUN = "old run"
@@ -152,6 +163,7 @@
     OTHER_INCARNATION = "other life"
     MALFORMED = "malformed"
     SILENT = "silent"
+    UNCLEAR = "unclear answer"
     NOT_SENT = "not sent in time"
 
 
--- a/sesamehall/core/workstate.py
+++ b/sesamehall/core/workstate.py
@@ -62,11 +62,16 @@
 
 
 class RunState(Enum):
-    """State of a run, from the start order to the stop order."""
+    """State of a run, from the start order to its end.
+
+    A run has ended unread if its worker does not list it as active any more,
+    while the leader does not know yet how it ended.
+    """
 
     STARTING = "starting"
     RUNNING = "running"
     STOPPING = "stopping"
+    ENDED_UNREAD = "ended unread"
 
 
 @dataclass(frozen=True)
@@ -191,6 +196,8 @@
         so the worker gets no new tasks while there are any.
       unneeded_runs: Task and number of reported runs that were ordered to stop
         as not needed, so that each is logged once.
+      reported_whole: Whether its latest report listed all ended runs. If not,
+        further runs that the leader does not track may have ended on it.
     """
 
     entry: WorkerEntry
@@ -217,6 +224,7 @@
     speed_changed_ms: int = 0
     untracked_runs: int = 0
     unneeded_runs: tuple[tuple[str, int], ...] = ()
+    reported_whole: bool = True
 
 
 @dataclass(frozen=True, slots=True)
--- a/sesamehall/platform/machines.py
+++ b/sesamehall/platform/machines.py
@@ -15,13 +15,14 @@
 from sesamehall.core.managerevents import MachineAnswered
 from sesamehall.core.managerevents import MachinesListed
 from sesamehall.platform.http import HttpClient
+from sesamehall.platform.http import HttpResponse
 from sesamehall.platform.orderfence import OrderFence
 from sesamehall.platform.workerdecoding import decode_machine
 from sesamehall.runtime.guarding import perform_and_post
 from sesamehall.runtime.interpreter import now_ms
 
 MAX_CONCURRENT_CALLS = 8  # a call without a response must not delay the others
-REJECTED_STATUSES = (400, 409)
+REJECTION_REASONS = ("fence", "busy", "wave")  # of a response 409
 RESPONSE_TIMEOUT_S = 1.0  # the cloud API may be slow
 
 
@@ -135,6 +136,29 @@
             machine=effect.machine,
             epoch=effect.epoch,
             done=done,
-            refused=response.status in REJECTED_STATUSES,
+            refused=is_rejected(response),
             reason="" if done else reason,
         )
+
+
+def is_rejected(response: HttpResponse) -> bool:
+    """Check whether the platform certainly has not carried out an order.
+
+    Args:
+      response: The response to the order.
+    Returns:
+      True only for the answers that the platform's API names.
+    """
+    match response.status:
+        case 400:
+            return True
+        case 409:
+            return _decode_reason(response) in REJECTION_REASONS
+    return False
+
+
+def _decode_reason(response):
+    try:
+        return response.json().get("Reason")
+    except PlatformError:
+        return None
--- a/sesamehall/platform/workers.py
+++ b/sesamehall/platform/workers.py
@@ -39,6 +39,7 @@
 WATCH_TIMEOUT_S = 0.8  # beyond the requested wait; then it counts as silent
 ORDER_TIMEOUT_S = 0.5  # a start order without a response is resent after this
 MAX_CONCURRENT_ORDERS = 32  # unanswered orders must not delay the others
+MAX_LISTED_ENDS = 500  # a worker lists no more ended runs in one report
 MAX_IDLE_CONNECTIONS = 16  # per worker; a placement round sends it many orders
 REFUSAL_BY_REASON = {
     "fence": OrderRefusal.FENCED,
@@ -274,7 +275,8 @@
     Args:
       response: The response.
     Returns:
-      Why it refused, or None if it accepted.
+      Why it refused, or None if it accepted.  Any answer that the protocol
+      does not name is unclear: the order may have been carried out.
     Raises:
       PlatformError: The body of a refusal is not a JSON object.
     """
@@ -284,13 +286,15 @@
         case 409:
             reason = response.json().get("Reason")
             if type(reason) is not str:
-                return OrderRefusal.MALFORMED
-            return REFUSAL_BY_REASON.get(reason, OrderRefusal.MALFORMED)
+                return OrderRefusal.UNCLEAR
+            return REFUSAL_BY_REASON.get(reason, OrderRefusal.UNCLEAR)
+        case 400:
+            return OrderRefusal.MALFORMED
         case 421:
             return OrderRefusal.OTHER_INCARNATION
         case 429 | 503:
             return OrderRefusal.UNHEALTHY
-    return OrderRefusal.MALFORMED
+    return OrderRefusal.UNCLEAR
 
 
 def decode_clock_ms(response: HttpResponse) -> int:
@@ -311,6 +315,7 @@
 
 def _decode_report(effect, sent_ms, response) -> WorkerReported:
     document = response.json()
+    ended = decode_ended_runs(decode_rows(document, "Finished"))
     return WorkerReported(
         at_ms=now_ms(),
         sent_ms=sent_ms,
@@ -319,5 +324,6 @@
         clock_ms=decode_integer(document, "ClockMs"),
         started_wall_ms=decode_integer(document, "born", 0),
         active=decode_active_runs(decode_rows(document, "Active")),
-        ended=decode_ended_runs(decode_rows(document, "Finished")),
+        ended=ended,
+        is_whole=len(ended) < MAX_LISTED_ENDS,
     )
--- a/sesamehall/reducer/jobs/reports.py
+++ b/sesamehall/reducer/jobs/reports.py
@@ -84,6 +84,7 @@
         clock_ms=event.clock_ms,
         last_report_ms=at_ms,
         unanswered_watches=0,
+        reported_whole=event.is_whole,
     )
     step = Step(put_worker(step.state, worker), step.effects)
     if newly_contacted:
@@ -98,7 +99,7 @@
         step = Step(step.state, step.effects + (line,))
     step = then(step, _apply_ends, event)
     step = then(step, _apply_active_runs, event)
-    step = then(step, _abandon_missing_runs, event)
+    step = then(step, _handle_missing_runs, event)
     if first_of_incarnation:
         step = then(step, _stop_unacknowledged_runs, event.worker_id)
     step = then(step, stop_stalled_runs, event.worker_id, at_ms)
@@ -261,7 +262,7 @@
 def _refresh_run(run, active, event):
     """Update a run from the report, which also acknowledges its start."""
     state = run.state
-    if state is RunState.STARTING:
+    if state is not RunState.STOPPING:
         state = RunState.RUNNING
     acknowledged_ms = run.acknowledged_ms
     if acknowledged_ms < 0:
@@ -357,8 +358,13 @@
     return Step(put_worker(manager, worker), (line,))
 
 
-def _abandon_missing_runs(manager, event):
-    """Abandon tracked runs that are missing from the report.
+def _handle_missing_runs(manager, event):
+    """Abandon tracked runs that are missing from a whole report.
+
+    A run that is missing from a cut report has ended too, but its end may be
+    one that the worker has not listed yet.  So it is kept until the end is
+    listed or a whole report does not contain it.  A run whose end is listed
+    but deferred is kept until the end is applied.
 
     Reports of an incarnation that another leader may have contacted before
     this one are not used: that leader may have stored the end of the run, or
@@ -369,24 +375,54 @@
         manager, worker, event.at_ms
     ):
         return Step(manager)
-    active = {(listed.task, listed.number) for listed in event.active}
-    step = Step(manager)
-    missing = []
-    for task in sorted(worker.tasks):
-        run = step.state.runs_by_task.get(task)
-        if run is None or run.worker_id != event.worker_id:
-            continue
-        if (run.task, run.number) in active:
-            continue
-        if _should_be_listed(run, event):
+    missing = _missing_runs(manager, worker, event)
+    ended = {(end.task, end.number) for end in event.ended}
+    unread = [
+        run
+        for run in missing
+        if not event.is_whole or (run.task, run.number) in ended
+    ]
+    unread_tasks = {run.task for run in unread}
+    step = Step(_mark_ended_unread(manager, unread))
+    for run in missing:
+        if run.task not in unread_tasks:
             step = then(step, abandon_run, run, "not listed", event.at_ms)
-            missing.append(run)
-    if not missing:
+    unlogged = [
+        run for run in missing if run.state is not RunState.ENDED_UNREAD
+    ]
+    if not unlogged:
         return step
-    line = runs_not_listed_line(manager, event, missing)
+    line = runs_not_listed_line(manager, event, unlogged)
     return Step(step.state, step.effects + (line,))
 
 
+def _missing_runs(manager, worker, event):
+    """List the worker's runs that the report would contain if active."""
+    active = {(listed.task, listed.number) for listed in event.active}
+    runs = (manager.runs_by_task.get(task) for task in sorted(worker.tasks))
+    return [
+        run
+        for run in runs
+        if run is not None
+        and run.worker_id == event.worker_id
+        and (run.task, run.number) not in active
+        and _should_be_listed(run, event)
+    ]
+
+
+def _mark_ended_unread(manager, runs):
+    """Mark runs as ended whose ends are not known yet."""
+    marked = {
+        run.task: replace(run, state=RunState.ENDED_UNREAD)
+        for run in runs
+        if run.state not in (RunState.STOPPING, RunState.ENDED_UNREAD)
+    }
+    if not marked:
+        return manager
+    runs_by_task = manager.runs_by_task.update(marked)
+    return replace(manager, runs_by_task=runs_by_task)
+
+
 def _stop_unacknowledged_runs(manager, worker_id):
     """Stop runs whose start order may still reach a new incarnation.
 
--- a/sesamehall/reducer/jobs/runlines.py
+++ b/sesamehall/reducer/jobs/runlines.py
@@ -125,6 +125,7 @@
         runs=len(missing),
         task=missing[0].task,
         sent_ago_ms=event.at_ms - event.sent_ms,
+        whole=int(event.is_whole),
         active=len(event.active),
         ended=len(sequences),
         taken=taken,
--- a/sesamehall/reducer/jobs/storing.py
+++ b/sesamehall/reducer/jobs/storing.py
@@ -1,6 +1,7 @@
 """Writes of the leader's records and the effects of confirmed writes."""
 
 from sesamehall.core.data import EMPTY_MAP
+from sesamehall.core.data import JobPhase
 from sesamehall.core.data import TERMINAL_PHASES
 from sesamehall.core.effects import log
 from sesamehall.core.fleet import Leader
@@ -20,8 +21,10 @@
 from sesamehall.core.replacing import replace
 from sesamehall.core.step import Step
 from sesamehall.core.step import then
+from sesamehall.core.work import CompactProgress
 from sesamehall.core.work import Progress
 from sesamehall.reducer.counts import drop_key
+from sesamehall.reducer.jobs.compacting import compact_progress
 from sesamehall.reducer.jobs.leases import earlier_renewals_ms
 from sesamehall.reducer.jobs.leases import is_resigning
 from sesamehall.reducer.jobs.leases import is_stepping_down
@@ -29,6 +32,7 @@
 from sesamehall.reducer.jobs.queue_pools import drop_queue_pools
 from sesamehall.reducer.jobs.queue_pools import record_queue_pools
 from sesamehall.reducer.jobs.runs import drop_ended_job
+from sesamehall.reducer.jobs.runs import end_job
 from sesamehall.reducer.jobs.runs import schedule_placement
 from sesamehall.reducer.jobs.state_updates import put_worker
 from sesamehall.reducer.jobs.workers import watch_worker
@@ -158,7 +162,7 @@
         machines = tuple(sorted(manager.fleet.last_decision_ms_by_machine))
     return Batch(
         jobs=tuple(
-            manager.active_jobs_by_id[job_id].progress
+            _compact(manager.active_jobs_by_id[job_id])
             for job_id in sorted(manager.dirty_jobs)
             if job_id in manager.active_jobs_by_id
         ),
@@ -181,6 +185,10 @@
     )
 
 
+def _compact(job):
+    return compact_progress(job.progress, job.plan)
+
+
 def _build_records(manager, batch: Batch) -> tuple[StoredRecord, ...]:
     """Build the records of a write, except for the leader's own."""
     records = [StoredRecord(job.job_id, job) for job in batch.jobs]
@@ -275,7 +283,9 @@
       A Step that starts the next write if one is due.
     """
     term = manager.term
-    batch = _without_unstorable(term.batch_in_flight, event.unstorable_keys)
+    written = term.batch_in_flight
+    left_out = event.unstorable_keys + event.held_keys
+    batch = _without_left_out(written, left_out)
     manager = replace(
         manager,
         term=replace(
@@ -294,6 +304,12 @@
         manager = drop_ended_job(manager, progress.job_id)
     lines = _left_out_lines(term.epoch, batch, event)
     step = Step(manager, _stored_line(term.epoch, batch, event) + lines)
+    for progress in written.jobs:
+        if progress.job_id in event.unstorable_keys:
+            step = then(
+                step, _end_unstorable_job, progress.job_id, event.at_ms
+            )
+    step = then(step, _mark_held_workers, event.held_keys)
     for leased in batch.workers:
         step = then(step, _confirm_worker, leased, event.at_ms)
     for queue_pools in batch.queues:
@@ -301,11 +317,31 @@
     return then(step, commit, event.at_ms)
 
 
-def _without_unstorable(batch: Batch, keys: tuple[str, ...]) -> Batch:
-    """Leave out what a write could not contain.
+def _end_unstorable_job(manager, job_id, at_ms):
+    """End a job as failed whose progress cannot be stored.
+
+    Its tasks would run again under the next leader, and no end of any worker
+    could be acknowledged meanwhile.  The record of its end is small.
+    """
+    job = manager.active_jobs_by_id.get(job_id)
+    if job is None or job.progress.phase in TERMINAL_PHASES:
+        return Step(manager)
+    reason = "its progress is too large to be stored"
+    return end_job(manager, job_id, JobPhase.FAILED, reason, at_ms)
+
+
+def _mark_held_workers(manager, keys):
+    """Mark workers as changed whose records were held back."""
+    worker_ids = [key.removeprefix(WORKER_KEY_PREFIX) for key in keys]
+    dirty = _mark_dirty(manager.dirty_workers, worker_ids)
+    return Step(replace(manager, dirty_workers=dirty))
+
+
+def _without_left_out(batch: Batch, keys: tuple[str, ...]) -> Batch:
+    """Leave out what a write did not contain.
 
-    It counts as neither stored nor changed, and is written again with its
-    next change.  So a worker whose record cannot be stored gets no tasks.
+    It does not count as stored.  A worker whose own record cannot be stored
+    gets no tasks; the record is written again with its next change.
     """
     if not keys:
         return batch
@@ -391,7 +427,7 @@
 
 
 def record_progress(
-    manager: ManagerState, progress: Progress, at_ms: int
+    manager: ManagerState, progress: Progress | CompactProgress, at_ms: int
 ) -> ManagerState:
     """Record the stored progress of a job.
 
--- a/sesamehall/reducer/machines/fleet.py
+++ b/sesamehall/reducer/machines/fleet.py
@@ -249,7 +249,7 @@
             manager, order.wave, event.machine
         )
     worker = manager.workers_by_id.get(order.worker_id)
-    if worker is None or worker.tasks or worker.untracked_runs:
+    if worker is None or worker.tasks or may_have_untracked_runs(worker):
         return Step(manager)
     return end_incarnation(manager, order.worker_id, event.at_ms)
 
