End a silent worker only if its machine is listed

What callers saw: nothing so far. A work item could run twice, if a list of machines lacked a machine whose worker was silent.

Cause: a silent worker counted as ended, and its tasks were run elsewhere, if no listed machine ran it. A list that lacks its machine shows that too; pages of a list are read one after the other.

Now the worker's own machine has to be listed, with another worker or between two. Which one it is, is known from the list before, or from the worker's record, which holds the machine once it was listed, also for the next leader. An inherited worker whose record has no machine yet waits for its lease.

The rows of incarnations_test where an inherited worker ends have a record with its machine now; rows without one are added.

--- a/sesamehall/core/fleet.py
+++ b/sesamehall/core/fleet.py
@@ -136,6 +136,7 @@
       started_wall_ms: Time of its start, since 1970; 0 if unknown.
       last_applied_end_sequence: Sequence number up to which its ended runs
         are applied to the jobs' progress.
+      machine: Name of its machine, or "" if the leader did not know it.
     """
 
     worker_id: str
@@ -143,6 +144,7 @@
     pool: str
     started_wall_ms: int = 0
     last_applied_end_sequence: int = 0
+    machine: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/sesamehall/reducer/jobs/storing.py
+++ b/sesamehall/reducer/jobs/storing.py
@@ -33,6 +33,7 @@
 from sesamehall.reducer.jobs.runs import end_job
 from sesamehall.reducer.jobs.runs import schedule_placement
 from sesamehall.reducer.jobs.state_updates import put_worker
+from sesamehall.reducer.jobs.worker_machines import machine_names
 from sesamehall.reducer.jobs.workers import watch_worker
 
 LEADER_KEY = "leader"
@@ -148,6 +149,7 @@
 def _collect_batch(manager) -> Batch:
     """Collect the records that have changed since the last write."""
     worker_ids = sorted(manager.dirty_workers)
+    names = machine_names(manager) if worker_ids else {}
     queues = {
         name: build_record(manager, name)
         for name in sorted(manager.dirty_queues)
@@ -162,7 +164,9 @@
             if job_id in manager.active_jobs_by_id
         ),
         workers=tuple(
-            _leased_record(manager.workers_by_id[worker_id])
+            _leased_record(
+                manager.workers_by_id[worker_id], names.get(worker_id, "")
+            )
             for worker_id in worker_ids
             if _may_have_runs(manager, worker_id)
         ),
@@ -226,7 +230,7 @@
     return worker is not None and not worker.terminated
 
 
-def _leased_record(worker):
+def _leased_record(worker, machine_name):
     entry = worker.entry
     return LeasedWorker(
         worker_id=entry.worker_id,
@@ -234,6 +238,7 @@
         pool=entry.pool,
         started_wall_ms=entry.started_wall_ms,
         last_applied_end_sequence=worker.last_applied_end_sequence,
+        machine=machine_name,
     )
 
 
--- a/sesamehall/reducer/machines/fleet.py
+++ b/sesamehall/reducer/machines/fleet.py
@@ -36,6 +36,7 @@
 from sesamehall.reducer.counts import drop_key
 from sesamehall.reducer.jobs.leases import may_have_untracked_runs
 from sesamehall.reducer.jobs.state_updates import put_worker
+from sesamehall.reducer.jobs.worker_machines import machine_names
 from sesamehall.reducer.jobs.workers import end_incarnation
 from sesamehall.reducer.machines.evacuation import evacuate_worker
 from sesamehall.reducer.machines.incarnations import ended_incarnations
@@ -144,7 +145,7 @@
         orders_by_machine=orders,
     )
     ended = ended_incarnations(manager, event)
-    step = Step(replace(manager, fleet=fleet))
+    step = Step(_mark_unstored_machines(replace(manager, fleet=fleet)))
     for worker_id in ended:
         line = log(WORKER_GONE, worker=worker_id, reason="no machine runs it")
         step = Step(step.state, step.effects + (line,))
@@ -152,6 +153,25 @@
     return step
 
 
+def _mark_unstored_machines(manager: ManagerState) -> ManagerState:
+    """Mark the workers as changed that are stored without their machine.
+
+    A successor needs the machine to know when the worker has ended.
+    """
+    leased_by_id = manager.leased_workers_by_id
+    changed = {
+        worker_id: True
+        for worker_id, name in machine_names(manager).items()
+        if worker_id in manager.workers_by_id
+        and worker_id in leased_by_id
+        and leased_by_id[worker_id].machine != name
+    }
+    if not changed:
+        return manager
+    dirty = manager.dirty_workers.update(changed)
+    return replace(manager, dirty_workers=dirty)
+
+
 def _is_resolved(
     machine: Machine, order: PendingOrder, event: MachinesListed
 ) -> bool:
--- a/sesamehall/reducer/machines/incarnations.py
+++ b/sesamehall/reducer/machines/incarnations.py
@@ -1,9 +1,10 @@
 """Workers of the manager that the list of machines shows to have ended.
 
 A worker is one incarnation of a machine. The tasks of a silent worker normally
-wait until its lease has certainly expired. If every machine has another
-incarnation by now, or is between two, the silent one has ended and nothing
-runs on it, so its tasks can be rerun immediately.
+wait until its lease has certainly expired. If the list shows that its machine
+has another incarnation by now, or is between two, the silent one has ended and
+nothing runs on it, so its tasks can be rerun immediately. A machine that a
+list lacks shows nothing.
 """
 
 from sesamehall.core.fleet import Machine
@@ -11,6 +12,7 @@
 from sesamehall.core.managerevents import MachinesListed
 from sesamehall.core.managerstate import ManagerState
 from sesamehall.core.workstate import Worker
+from sesamehall.reducer.jobs.worker_machines import machine_names
 
 NEW_INCARNATION_LISTED_MS = 1_000  # delay until a new one is listed
 RESTARTING_STATES = (MachineState.MOVING, MachineState.MAINTENANCE)
@@ -33,19 +35,19 @@
     if event.sent_ms < manager.term.began_ms:
         return []
     alive = {machine.worker_id for machine in event.machines}
-    machines = manager.fleet.machines_by_name.values()
-    were_alive = {machine.worker_id for machine in machines}
-    if event.sent_ms - manager.term.began_ms >= NEW_INCARNATION_LISTED_MS:
-        were_alive.update(_inherited_worker_ids(manager))
+    listed = {machine.name for machine in event.machines}
+    term_ms = event.sent_ms - manager.term.began_ms
+    uses_inherited = term_ms >= NEW_INCARNATION_LISTED_MS
+    names = machine_names(manager, uses_inherited)
     all_known = all(
         _is_incarnation_known(manager, machine) for machine in event.machines
     )
-    if not all_known or not event.machines:
+    if not all_known:
         return []
     return [
         worker_id
         for worker_id, worker in sorted(manager.workers_by_id.items())
-        if worker_id in were_alive
+        if names.get(worker_id) in listed
         and worker_id not in alive
         and _is_silent(worker)
     ]
@@ -63,15 +65,6 @@
     return up and pool is not None and pool.standby
 
 
-def _inherited_worker_ids(manager: ManagerState) -> list[str]:
-    """Return the workers on which an earlier leader may have started runs."""
-    return [
-        worker_id
-        for worker_id, worker in manager.workers_by_id.items()
-        if worker.inherited
-    ]
-
-
 def _is_silent(worker: Worker) -> bool:
     """Check whether a worker that may have runs does not answer."""
     return (
--- a/sesamehall/reducer/machines/incarnations_test.py
+++ b/sesamehall/reducer/machines/incarnations_test.py
@@ -3,12 +3,15 @@
 from immutables import Map
 import pytest
 
+from sesamehall.core.fleet import LeasedWorker
 from sesamehall.core.fleet import Machine
 from sesamehall.core.fleet import MachineState
 from sesamehall.core.fleetstate import FleetState
 from sesamehall.core.managereffects import StartRun
+from sesamehall.core.managereffects import StoreProgress
 from sesamehall.core.managerevents import MachinesListed
 from sesamehall.reducer.jobs.queue_pools import pool_may_have_untracked_runs
+from sesamehall.reducer.jobs.storing import write_changed_records
 from sesamehall.reducer.jobs.testing import activate_jobs
 from sesamehall.reducer.jobs.testing import build_leader
 from sesamehall.reducer.jobs.testing import build_plan
@@ -30,11 +33,19 @@
 }
 
 
-def apply_list(machines, earlier=(), sent_ms=NOW_MS, **others):
+def apply_list(
+    machines, earlier=(), sent_ms=NOW_MS, stored_machine="m2", **others
+):
     """Apply a list of machines to a leader whose worker w2 is silent."""
     worker = build_worker("w2", **{**INHERITED, **others})
     fleet = FleetState(Map((machine.name, machine) for machine in earlier))
-    manager = build_leader(build_worker("w1"), worker, fleet=fleet)
+    leased = LeasedWorker("w2", "h:1", "a", 7, machine=stored_machine)
+    manager = build_leader(
+        build_worker("w1"),
+        worker,
+        fleet=fleet,
+        leased_workers_by_id=Map(w2=leased),
+    )
     manager = activate_jobs(manager, build_plan(), inherited=True)
     event = MachinesListed(NOW_MS, sent_ms, (REPORTING, *machines))
     return apply_machine_list(manager, event).state
@@ -74,6 +85,7 @@
 
 BEFORE = Machine("m2", "a", UP, "w2")
 MOVED = Machine("m2", "b", UP, "w3")
+OTHER = Machine("m4", "b", UP, "w4")
 BEGAN_MS = NOW_MS - 5_000
 
 
@@ -86,8 +98,11 @@
         ([BEFORE], BEGAN_MS, {}, True),
         ([BEFORE], NOW_MS, {"unanswered_watches": 0}, False),
         ([BEFORE], NOW_MS, {"lease_recorded": False}, False),
-        ([], NOW_MS, {"inherited": False}, False),
+        ([], NOW_MS, {"inherited": False, "stored_machine": ""}, False),
+        ([], NOW_MS, {"inherited": False}, True),
         ([BEFORE], NOW_MS, {"inherited": False}, True),
+        ([], NOW_MS, {"stored_machine": ""}, False),
+        ([BEFORE], NOW_MS, {"stored_machine": ""}, True),
     ],
     ids=[
         "w2 may have started after the list",
@@ -97,7 +112,10 @@
         "answers",
         "no runs started",
         "own worker, never listed",
+        "own worker, not in the previous list but before",
         "own worker, listed earlier",
+        "inherited, machine unknown",
+        "inherited, machine unknown, listed earlier",
     ],
 )
 def test_list_must_be_newer_than_the_incarnation(
@@ -105,3 +123,55 @@
 ):
     manager = apply_list([MOVED], earlier, sent_ms, **others)
     assert manager.workers_by_id["w2"].terminated == terminated
+
+
+# Guards against two runs of a task: a list that lacked a machine was taken as
+# a sign that its worker had ended.
+@pytest.mark.parametrize(
+    ("earlier", "machines", "others", "terminated"),
+    [
+        ([BEFORE], [], {"inherited": False}, False),
+        ([BEFORE], [OTHER], {"inherited": False}, False),
+        ([], [], {}, False),
+        ([], [OTHER], {}, False),
+        ([BEFORE], [OTHER, MOVED], {"inherited": False}, True),
+        ([], [OTHER, MOVED], {}, True),
+    ],
+    ids=[
+        "machine of an own worker missing",
+        "machine of an own worker missing, another listed",
+        "machine of an inherited worker missing",
+        "machine of an inherited worker missing, another listed",
+        "own worker replaced",
+        "inherited worker replaced",
+    ],
+)
+def test_worker_whose_machine_is_not_listed_may_still_run(
+    earlier, machines, others, terminated
+):
+    manager = apply_list(machines, earlier, **others)
+    assert manager.workers_by_id["w2"].terminated == terminated
+
+
+# Guards against a successor that waits until a lease expires, as it does not
+# know which machine a worker ran on.
+@pytest.mark.parametrize(
+    ("stored_machine", "written"),
+    [("", [("w2", "m2")]), ("m2", []), ("m9", [("w2", "m2")])],
+    ids=["unknown", "known", "changed"],
+)
+def test_machine_of_a_worker_is_stored_once_it_is_listed(
+    stored_machine, written
+):
+    leased = LeasedWorker("w2", "h:1", "a", 7, machine=stored_machine)
+    manager = build_leader(
+        build_worker("w2"), leased_workers_by_id=Map(w2=leased)
+    )
+    event = MachinesListed(NOW_MS, NOW_MS, (REPORTING, BEFORE))
+    manager = apply_machine_list(manager, event).state
+    (store,) = effects_of(write_changed_records(manager), StoreProgress)
+    assert [
+        (record.value.worker_id, record.value.machine)
+        for record in store.records
+        if isinstance(record.value, LeasedWorker)
+    ] == written
