Keep a machine's order while a list lacks it

What callers saw: nothing so far. More machines of a wave could be down than allowed, if a list of machines lacked one that was being maintained.

Cause: an order was dropped if its machine was missing from the list, so the machine did not count against the wave's bound any more.

An order that was sent is kept now until it is seen carried out, refused or timed out. An order for a machine that is gone is refused when it is sent again; one that was not sent is dropped as before.

Evidence: before, the rows "no answer yet" and "accepted" failed; all pass now.

--- a/sesamehall/reducer/machines/fleet.py
+++ b/sesamehall/reducer/machines/fleet.py
@@ -121,8 +121,8 @@
     """Apply the list of machines.
 
     Drops orders that the list shows to be carried out, that have timed out, or
-    whose machine is missing. Abandons the runs of workers that the list shows
-    to have ended.
+    that are not sent and whose machine is missing. Abandons the runs of
+    workers that the list shows to have ended.
 
     Args:
       manager: State of a manager.
@@ -134,7 +134,7 @@
     orders = manager.fleet.orders_by_machine
     for name, order in orders.items():
         machine = machines.get(name)
-        if machine is None or _is_resolved(machine, order, event):
+        if _is_resolved(machine, order, event):
             orders = orders.delete(name)
             manager = _cancel_evacuation(manager, order.worker_id)
     fleet = replace(
@@ -173,14 +173,19 @@
 
 
 def _is_resolved(
-    machine: Machine, order: PendingOrder, event: MachinesListed
+    machine: Machine | None, order: PendingOrder, event: MachinesListed
 ) -> bool:
     """Check whether an accepted order is carried out or has timed out.
 
+    A list that lacks the machine shows nothing about an order that was sent;
+    an order for a machine that is gone is refused when it is sent again.
+
     A list that was requested before the platform accepted the order, or that
     arrived less than MACHINES_PERIOD_MS after that, may show the machine as it
     was before the order.
     """
+    if machine is None and not order.send_count:
+        return True
     if order.accepted_ms < 0 or event.sent_ms <= order.accepted_ms:
         return False
     elapsed_ms = event.at_ms - order.accepted_ms
@@ -188,7 +193,7 @@
         return False
     if elapsed_ms >= MACHINE_ORDER_TIMEOUT_MS:
         return True  # the outcome is unknown; the machine is considered again
-    if machine.state is not MachineState.UP:
+    if machine is None or machine.state is not MachineState.UP:
         return False
     return order.pool in ("", machine.pool)
 
--- a/sesamehall/reducer/machines/fleet_test.py
+++ b/sesamehall/reducer/machines/fleet_test.py
@@ -11,6 +11,7 @@
 from sesamehall.core.fleetstate import PendingOrder
 from sesamehall.core.fleetstate import WaveProgress
 from sesamehall.core.fleettiming import MACHINE_ORDER_CONFIRMED_MS
+from sesamehall.core.fleettiming import MACHINE_ORDER_TIMEOUT_MS
 from sesamehall.core.fleettiming import PEAK_HOLD_MS
 from sesamehall.core.managereffects import MaintainMachine
 from sesamehall.core.managereffects import MoveMachine
@@ -40,6 +41,7 @@
 from sesamehall.reducer.machines.fleet import handle_machine_answer
 from sesamehall.reducer.machines.waves import advance_waves
 from sesamehall.reducer.machines.waves import handle_wave_not_reported
+from sesamehall.reducer.machines.waves import unavailable_machines
 
 UP = MachineState.UP
 POOL_MACHINES = tuple(Machine(f"m{n}", "a", UP, f"w{n}") for n in range(1, 5))
@@ -499,3 +501,40 @@
         order.worker_id for order in again.fleet.orders_by_machine.values()
     }
     assert hosts & later == hosts & first
+
+
+# Guards against more machines of a wave that are down than allowed (LIMIT): an
+# order was dropped because one list lacked its machine, which then did not
+# count any more.
+@pytest.mark.parametrize(
+    ("change", "listed_ms", "pending"),
+    [
+        ({}, NOW_MS + 900, False),
+        ({"send_count": 1, "last_sent_ms": NOW_MS}, NOW_MS + 900, True),
+        (
+            {"send_count": 1, "last_sent_ms": NOW_MS, "accepted_ms": NOW_MS},
+            NOW_MS + 900,
+            True,
+        ),
+        (
+            {"send_count": 1, "last_sent_ms": NOW_MS, "accepted_ms": NOW_MS},
+            NOW_MS + MACHINE_ORDER_TIMEOUT_MS,
+            False,
+        ),
+    ],
+    ids=["not sent", "no answer yet", "accepted", "accepted, timed out"],
+)
+def test_order_whose_machine_a_list_lacks(change, listed_ms, pending):
+    manager = build_fleet(
+        POOL_MACHINES, waves_by_number=build_waves(max_unavailable=1)
+    )
+    order = PendingOrder(
+        MachineOrderKind.MAINTENANCE, "", 1, "w1", NOW_MS, **change
+    )
+    fleet = replace(manager.fleet, orders_by_machine=Map(m1=order))
+    manager = replace(manager, fleet=fleet)
+    listed = MachinesListed(listed_ms, listed_ms, POOL_MACHINES[1:])
+    manager = apply_machine_list(manager, listed).state
+    assert ("m1" in manager.fleet.orders_by_machine) is pending
+    (progress,) = manager.fleet.waves_by_number.values()
+    assert ("m1" in unavailable_machines(manager, progress)) is pending
