--- a/sesamehall/reducer/machines/fleet.py
+++ b/sesamehall/reducer/machines/fleet.py
@@ -38,6 +38,7 @@
 from sesamehall.reducer.jobs.leases import is_stepping_down
 from sesamehall.reducer.jobs.leases import may_have_untracked_runs
 from sesamehall.reducer.jobs.state_updates import put_worker
+from sesamehall.reducer.jobs.worker_machines import machine_names
 from sesamehall.reducer.jobs.workers import end_incarnation
 from sesamehall.reducer.machines.evacuation import evacuate_worker
 from sesamehall.reducer.machines.incarnations import ended_incarnations
@@ -125,8 +126,8 @@
     """Apply the list of machines.
 
     Drops orders that the list shows to be carried out, that have timed out, or
-    whose machine is missing. Abandons the runs of workers that the list shows
-    to have ended.
+    that are not sent and whose machine is missing. Abandons the runs of
+    workers that the list shows to have ended.
 
     Args:
       manager: State of a manager.
@@ -138,7 +139,7 @@
     orders = manager.fleet.orders_by_machine
     for name, order in orders.items():
         machine = machines.get(name)
-        if machine is None or _is_resolved(machine, order, event):
+        if _is_resolved(machine, order, event):
             orders = orders.delete(name)
             manager = _cancel_evacuation(manager, order.worker_id)
     fleet = replace(
@@ -149,7 +150,7 @@
         orders_by_machine=orders,
     )
     ended = ended_incarnations(manager, event)
-    step = Step(replace(manager, fleet=fleet))
+    step = Step(_mark_unstored_machines(replace(manager, fleet=fleet)))
     for worker_id in ended:
         line = log(
             WORKER_GONE,
@@ -163,15 +164,39 @@
     return step
 
 
+def _mark_unstored_machines(manager: ManagerState) -> ManagerState:
+    """Mark the workers as changed that are stored without their machine.
+
+    A successor needs the machine to know when the worker has ended.
+    """
+    leased_by_id = manager.leased_workers_by_id
+    changed = {
+        worker_id: True
+        for worker_id, name in machine_names(manager).items()
+        if worker_id in manager.workers_by_id
+        and worker_id in leased_by_id
+        and leased_by_id[worker_id].machine != name
+    }
+    if not changed:
+        return manager
+    dirty = manager.dirty_workers.update(changed)
+    return replace(manager, dirty_workers=dirty)
+
+
 def _is_resolved(
-    machine: Machine, order: PendingOrder, event: MachinesListed
+    machine: Machine | None, order: PendingOrder, event: MachinesListed
 ) -> bool:
     """Check whether an accepted order is carried out or has timed out.
 
+    A list that lacks the machine shows nothing about an order that was sent;
+    an order for a machine that is gone is refused when it is sent again.
+
     A list that was requested before the platform accepted the order, or that
     arrived less than MACHINES_PERIOD_MS after that, may show the machine as it
     was before the order.
     """
+    if machine is None and not order.send_count:
+        return True
     if order.accepted_ms < 0 or event.sent_ms <= order.accepted_ms:
         return False
     elapsed_ms = event.at_ms - order.accepted_ms
@@ -179,7 +204,7 @@
         return False
     if elapsed_ms >= MACHINE_ORDER_TIMEOUT_MS:
         return True  # the outcome is unknown; the machine is considered again
-    if machine.state is not MachineState.UP:
+    if machine is None or machine.state is not MachineState.UP:
         return False
     return order.pool in ("", machine.pool)
 
