--- a/sesamehall/reducer/machines/incarnations_test.py
+++ b/sesamehall/reducer/machines/incarnations_test.py
@@ -169,7 +169,9 @@
     )
     event = MachinesListed(NOW_MS, NOW_MS, (REPORTING, BEFORE))
     manager = apply_machine_list(manager, event).state
-    (store,) = effects_of(write_changed_records(manager, NOW_MS), StoreProgress)
+    (store,) = effects_of(
+        write_changed_records(manager, NOW_MS), StoreProgress
+    )
     assert [
         (record.value.worker_id, record.value.machine)
         for record in store.records
