--- a/sesamehall/platform/storehandler_test.py
+++ b/sesamehall/platform/storehandler_test.py
@@ -168,3 +168,21 @@
     event = handler._store_progress(claim)
     assert event.outcome is outcomes[-1]
     assert event.attempts == attempts
+
+
+# Guards against a claim that is lost to itself: a claim without an answer is
+# claimed again, and tells another time for which leases may be renewed.
+@pytest.mark.parametrize("renewals_ms", [3_800, 2_500])
+def test_repeated_claim_is_stored_once(monkeypatch, renewals_ms):
+    store = TimedStore((UNKNOWN,) * 3 + (STORED, REFUSED))
+    monkeypatch.setattr(writer, "now_ms", lambda: store.now_ms)
+    leader_writer = LeaderWriter(store)
+    claims = [
+        encode_record(
+            StoredRecord("leader", Leader("e", 3, earlier_renewals_ms=told))
+        )
+        for told in (3_800, renewals_ms)
+    ]
+    for _ in range(MAX_WRITE_ATTEMPTS):
+        leader_writer.append(3, 9, claims[0])
+    assert leader_writer.append(3, 9, claims[1]).outcome is STORED
--- a/sesamehall/platform/workers_test.py
+++ b/sesamehall/platform/workers_test.py
@@ -126,6 +126,8 @@
         (409, b'{"Reason":"other"}', OrderRefusal.UNCLEAR),
         (409, b'{"Reason":["room"]}', OrderRefusal.UNCLEAR),
         (409, b"{}", OrderRefusal.UNCLEAR),
+        (409, b"not JSON", OrderRefusal.UNCLEAR),
+        (409, b"[]", OrderRefusal.UNCLEAR),
         (421, b"", OrderRefusal.OTHER_INCARNATION),
         (429, b"", OrderRefusal.UNHEALTHY),
         (503, b"", OrderRefusal.UNHEALTHY),
--- a/sesamehall/reducer/jobs/cut_reports_test.py
+++ b/sesamehall/reducer/jobs/cut_reports_test.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from sesamehall.core.logevents import RUNS_NOT_LISTED
 from sesamehall.core.managereffects import StartRun
 from sesamehall.core.managereffects import StopRun
 from sesamehall.core.replacing import replace
@@ -23,6 +24,7 @@
 from sesamehall.reducer.jobs.testing import build_report
 from sesamehall.reducer.jobs.testing import build_step
 from sesamehall.reducer.jobs.testing import build_worker
+from sesamehall.reducer.jobs.testing import details_of
 from sesamehall.reducer.jobs.testing import effects_of
 from sesamehall.reducer.jobs.testing import NOW_MS
 from sesamehall.reducer.jobs.testing import OTHER_JOB_ID
@@ -173,3 +175,18 @@
     assert not pool_may_have_untracked_runs(manager, "a")
     orders = effects_of(place_all(manager, LATER_MS), StartRun)
     assert len(orders) == starts
+
+
+# Guards against a line for each of some 12 reports a second of each worker.
+@pytest.mark.parametrize(
+    "state", [RunState.RUNNING, RunState.STOPPING, RunState.ENDED_UNREAD]
+)
+def test_runs_missing_from_cut_reports_are_logged_once(state):
+    manager = build_leader_with_run()
+    run = replace(manager.runs_by_task[task()], state=state)
+    manager = put_run(manager, run)
+    for at_ms in (LATER_MS, LATER_MS + 80):
+        cut = build_report("w1", (), [OTHER_END], at_ms, is_whole=False)
+        step = apply_report(manager, cut)
+        manager = step.state
+    assert not details_of(step, RUNS_NOT_LISTED)
--- a/sesamehall/reducer/machines/fleet_test.py
+++ b/sesamehall/reducer/machines/fleet_test.py
@@ -6,6 +6,7 @@
 from sesamehall.core.fleet import Leader
 from sesamehall.core.fleet import Machine
 from sesamehall.core.fleet import MachineState
+from sesamehall.core.fleet import OrderedMachines
 from sesamehall.core.fleet import WaveStatus
 from sesamehall.core.fleetstate import FleetState
 from sesamehall.core.fleetstate import MachineOrderKind
@@ -653,3 +654,54 @@
     assert ("m1" in manager.fleet.orders_by_machine) is pending
     (progress,) = manager.fleet.waves_by_number.values()
     assert ("m1" in unavailable_machines(manager, progress)) is pending
+
+
+# Guards against more machines down at once than a wave allows (LIMIT): the
+# answer to the first order was lost, so the machine is down, and a repeat is
+# refused as busy (not up).
+@pytest.mark.parametrize(
+    ("send_count", "pending"),
+    [(1, False), (2, True)],
+    ids=["only order", "an earlier one had no clear answer"],
+)
+def test_refusal_of_a_repeated_order_does_not_undo_the_first(
+    send_count, pending
+):
+    order = replace(
+        MAINTENANCE_ORDER, last_sent_ms=NOW_MS, send_count=send_count
+    )
+    manager = build_fleet(
+        POOL_MACHINES,
+        waves_by_number=build_waves(max_unavailable=1),
+        orders_by_machine=Map(m1=order),
+    )
+    answer = MachineAnswered(NOW_MS, "m1", 1, False, True, "busy")
+    manager = handle_machine_answer(manager, answer).state
+    (progress,) = manager.fleet.waves_by_number.values()
+    assert ("m1" in unavailable_machines(manager, progress)) is pending
+
+
+# Guards against more machines down at once than a wave allows (LIMIT): an
+# order that this node sent before its restart is carried out after the node
+# has listed the machines again.  It may only be repeated meanwhile.
+@pytest.mark.parametrize(
+    ("own", "decided"),
+    [((), ["m2"]), (("m1",), [])],
+    ids=["no order before", "order before the restart"],
+)
+def test_wave_counts_orders_sent_before_a_restart(own, decided):
+    manager = build_fleet(
+        POOL_MACHINES, waves_by_number=build_waves(max_unavailable=1)
+    )
+    ordered = OrderedMachines(manager.name, own, ())
+    term = Term(epoch=2, began_ms=NOW_MS, confirmed_ms=NOW_MS)
+    manager = replace(manager, ordered_machines=ordered, term=term)
+    unheard = replace(
+        manager.workers_by_id["w1"],
+        contacted=False,
+        lease_recorded=True,
+        lease_end_ms=NOW_MS + 3_000,
+    )
+    manager = put_worker(manager, unheard)
+    manager = advance_waves(manager, NOW_MS).state
+    assert sorted(set(manager.fleet.orders_by_machine) - {"m1"}) == decided
