--- a/sesamehall/reducer/machines/fleet_test.py
+++ b/sesamehall/reducer/machines/fleet_test.py
@@ -705,3 +705,34 @@
     manager = put_worker(manager, unheard)
     manager = advance_waves(manager, NOW_MS).state
     assert sorted(set(manager.fleet.orders_by_machine) - {"m1"}) == decided
+
+
+# Guards against more machines down at once than a wave allows (LIMIT), and
+# against a wave that is said to be completed before its last machine's upkeep
+# (MIXED): one list, whose pages are read one after the other, lacks a machine.
+@pytest.mark.parametrize(
+    ("state", "accepted", "unavailable"),
+    [
+        (MachineState.MAINTENANCE, ("m4",), ["m4"]),
+        (UP, (), []),
+    ],
+    ids=["in maintenance for an earlier leader", "not maintained yet"],
+)
+def test_list_that_lacks_a_machine_does_not_complete_its_wave(
+    state, accepted, unavailable
+):
+    machines = POOL_MACHINES[:3] + (replace(POOL_MACHINES[3], state=state),)
+    manager = build_fleet(
+        machines, waves_by_number=build_waves(max_unavailable=1)
+    )
+    manager = replace(
+        manager,
+        maintenance_accepted_by_wave=Map({1: ("m1", "m2", "m3") + accepted}),
+    )
+    at_ms = NOW_MS + 500
+    listed = MachinesListed(at_ms, at_ms - 50, POOL_MACHINES[:3])
+    manager = apply_machine_list(manager, listed).state
+    (progress,) = manager.fleet.waves_by_number.values()
+    assert sorted(unavailable_machines(manager, progress)) == unavailable
+    reports = effects_of(advance_waves(manager, at_ms), ReportWave)
+    assert not any(report.status.completed for report in reports)
