End no worker by the list of machines without a confirmed term

Cause: a leader that is cut off from the store and from a worker, but not from the cloud API, goes on with known jobs for 5 s. Its successor takes the worker's ends in, acknowledges them, and moves or maintains the idle machine. The old leader sees that in the list of machines and gives the runs up as lost, at once, without asking whether its term is confirmed, as the expiry of a lease does. Then it starts the tasks again where it can.

Now such a list is used only while the term is confirmed when it arrives: then no successor can have begun before, and what ended, ended with its ends unknown to anyone.

--- a/sesamehall/reducer/machines/incarnations.py
+++ b/sesamehall/reducer/machines/incarnations.py
@@ -12,6 +12,7 @@
 from sesamehall.core.managerevents import MachinesListed
 from sesamehall.core.managerstate import ManagerState
 from sesamehall.core.workstate import Worker
+from sesamehall.reducer.jobs.leases import is_term_confirmed
 from sesamehall.reducer.jobs.worker_machines import machine_names
 
 NEW_INCARNATION_LISTED_MS = 1_000  # delay until a new one is listed
@@ -28,10 +29,14 @@
       event: The new list of machines.
     Returns:
       Sorted worker identifiers; empty while a machine is down, since its
-      worker may be cut off from the network and still run.
+      worker may be cut off from the network and still run, and while the term
+      is not confirmed, since a successor may have ended the worker after it
+      stored what was done there.
     """
     if not manager.term.epoch or manager.manifest is None:
         return []
+    if not is_term_confirmed(manager, event.at_ms):
+        return []
     if event.sent_ms < manager.term.began_ms:
         return []
     alive = {machine.worker_id for machine in event.machines}
--- a/sesamehall/reducer/machines/incarnations_test.py
+++ b/sesamehall/reducer/machines/incarnations_test.py
@@ -10,7 +10,9 @@
 from sesamehall.core.managereffects import StartRun
 from sesamehall.core.managereffects import StoreProgress
 from sesamehall.core.managerevents import MachinesListed
+from sesamehall.core.replacing import replace
 from sesamehall.reducer.jobs.queue_pools import pool_may_have_untracked_runs
+from sesamehall.reducer.jobs.state_updates import put_worker
 from sesamehall.reducer.jobs.storing import write_changed_records
 from sesamehall.reducer.jobs.testing import activate_jobs
 from sesamehall.reducer.jobs.testing import build_leader
@@ -19,6 +21,7 @@
 from sesamehall.reducer.jobs.testing import effects_of
 from sesamehall.reducer.jobs.testing import NOW_MS
 from sesamehall.reducer.jobs.testing import place_all
+from sesamehall.reducer.jobs.testing import task
 from sesamehall.reducer.machines.fleet import apply_machine_list
 from sesamehall.reducer.machines.incarnations import NEW_INCARNATION_LISTED_MS
 
@@ -125,6 +128,32 @@
     assert manager.workers_by_id["w2"].terminated == terminated
 
 
+# Guards against tasks that run again after they were done (rule TWICE): a
+# leader that is cut off from the store, and from a worker, sees in the list of
+# machines that the worker has ended.  But its successor ended it, and knows
+# what was done there; the leader would start the tasks again.
+@pytest.mark.parametrize(
+    ("confirmed_ago_ms", "gives_up"),
+    [(0, True), (899, True), (900, False), (3_000, False)],
+)
+def test_list_ends_no_worker_without_confirmation(confirmed_ago_ms, gives_up):
+    fleet = FleetState(Map(m2=BEFORE))
+    manager = build_leader(build_worker("w2"), fleet=fleet)
+    manager = place_all(activate_jobs(manager, build_plan())).state
+    silent = replace(manager.workers_by_id["w2"], unanswered_watches=1)
+    manager = put_worker(put_worker(manager, silent), build_worker("w1"))
+    term = replace(manager.term, confirmed_ms=NOW_MS - confirmed_ago_ms)
+    manager = replace(manager, term=term)
+    event = MachinesListed(NOW_MS, NOW_MS - 50, (REPORTING, MOVED))
+    step = apply_machine_list(manager, event)
+    orders = effects_of(place_all(step.state), StartRun)
+    assert [order.worker_id for order in orders] == (
+        ["w1"] if gives_up else []
+    )
+    assert (task() in step.state.runs_by_task) != gives_up
+    assert step.state.workers_by_id["w2"].terminated == gives_up
+
+
 # Guards against two runs of a task: a list that lacked a machine was taken as
 # a sign that its worker had ended.
 @pytest.mark.parametrize(
