Take a conflict without a JSON object for an unclear answer

It counted as silence, so the start was sent again at once and without a limit, and its status was lost. Two rows of test_only_named_answers_say_that_nothing_was_done failed before.

--- a/sesamehall/platform/workers.py
+++ b/sesamehall/platform/workers.py
@@ -277,17 +277,12 @@
     Returns:
       Why it refused, or None if it accepted.  Any answer that the protocol
       does not name is unclear: the order may have been carried out.
-    Raises:
-      PlatformError: The body of a refusal is not a JSON object.
     """
     match response.status:
         case 200:
             return None
         case 409:
-            reason = response.json().get("Reason")
-            if type(reason) is not str:
-                return OrderRefusal.UNCLEAR
-            return REFUSAL_BY_REASON.get(reason, OrderRefusal.UNCLEAR)
+            return _decode_conflict(response)
         case 400:
             return OrderRefusal.MALFORMED
         case 421:
@@ -297,6 +292,17 @@
     return OrderRefusal.UNCLEAR
 
 
+def _decode_conflict(response):
+    """Decode the reason of a refusal with status 409."""
+    try:
+        reason = response.json().get("Reason")
+    except PlatformError:
+        return OrderRefusal.UNCLEAR
+    if type(reason) is not str:
+        return OrderRefusal.UNCLEAR
+    return REFUSAL_BY_REASON.get(reason, OrderRefusal.UNCLEAR)
+
+
 def decode_clock_ms(response: HttpResponse) -> int:
     """Decode the worker's clock in its response to an order.
 
