Log runs that a cut report lacks once, also those being stopped

Each cut report, every 80 ms for each worker in an outage of the store, repeated line 626 for runs in STOPPING.

--- a/sesamehall/reducer/jobs/reports.py
+++ b/sesamehall/reducer/jobs/reports.py
@@ -40,6 +40,9 @@
 from sesamehall.reducer.jobs.workers import resume_incarnation
 from sesamehall.reducer.jobs.workers import watch_worker
 
+# A run that is missing from a report keeps these states.
+ENDING_STATES = (RunState.STOPPING, RunState.ENDED_UNREAD)
+
 
 def apply_report(manager: ManagerState, event: WorkerReported) -> Step:
     """Apply a worker's report of its runs.
@@ -241,10 +244,9 @@
     return tracked, untracked
 
 
-def _is_ended_in(event, active):
+def _is_ended_in(event, run):
     return any(
-        (end.task, end.number) == (active.task, active.number)
-        for end in event.ended
+        (end.task, end.number) == (run.task, run.number) for end in event.ended
     )
 
 
@@ -376,24 +378,24 @@
     ):
         return Step(manager)
     missing = _missing_runs(manager, worker, event)
-    ended = {(end.task, end.number) for end in event.ended}
-    unread = [
+    lost = [run for run in missing if not _has_unread_end(run, event)]
+    newly_ended = [
         run
         for run in missing
-        if not event.is_whole or (run.task, run.number) in ended
-    ]
-    unread_tasks = {run.task for run in unread}
-    step = Step(_mark_ended_unread(manager, unread))
-    for run in missing:
-        if run.task not in unread_tasks:
-            step = then(step, abandon_run, run, "not listed", event.at_ms)
-    unlogged = [
-        run for run in missing if run.state is not RunState.ENDED_UNREAD
+        if _has_unread_end(run, event) and run.state not in ENDING_STATES
     ]
-    if not unlogged:
-        return step
-    line = runs_not_listed_line(manager, event, unlogged)
-    return Step(step.state, step.effects + (line,))
+    if not lost and not newly_ended:
+        return Step(manager)
+    line = runs_not_listed_line(manager, event, lost + newly_ended)
+    step = Step(_mark_ended_unread(manager, newly_ended), (line,))
+    for run in lost:
+        step = then(step, abandon_run, run, "not listed", event.at_ms)
+    return step
+
+
+def _has_unread_end(run, event):
+    """Check whether a missing run may have an end that is not applied yet."""
+    return not event.is_whole or _is_ended_in(event, run)
 
 
 def _missing_runs(manager, worker, event):
@@ -413,12 +415,8 @@
 def _mark_ended_unread(manager, runs):
     """Mark runs as ended whose ends are not known yet."""
     marked = {
-        run.task: replace(run, state=RunState.ENDED_UNREAD)
-        for run in runs
-        if run.state not in (RunState.STOPPING, RunState.ENDED_UNREAD)
+        run.task: replace(run, state=RunState.ENDED_UNREAD) for run in runs
     }
-    if not marked:
-        return manager
     runs_by_task = manager.runs_by_task.update(marked)
     return replace(manager, runs_by_task=runs_by_task)
 
