Drop checkpoints before a job ends as failed for the size of its record

A job that could be done was shown as failed if its record did not fit. What remains large of the compact progress are checkpoints, which cost work when they are lost, not the job. test_checkpoints_are_dropped_before_a_job_ends_as_failed fails before.

--- a/sesamehall/reducer/jobs/progress.py
+++ b/sesamehall/reducer/jobs/progress.py
@@ -361,6 +361,40 @@
     return _with_step_progress(job, place.occurrence, tuple(progress_by_step))
 
 
+def has_checkpoints(job: ActiveJob) -> bool:
+    """Check whether a job has checkpoints of any task.
+
+    Args:
+      job: The job.
+    Returns:
+      True if it has.
+    """
+    return any(
+        step.checkpoints
+        for _, progress_by_step in job.progress.occurrences
+        for step in progress_by_step
+    )
+
+
+def without_checkpoints(job: ActiveJob) -> ActiveJob:
+    """Drop the checkpoints of all tasks of a job.
+
+    Args:
+      job: The job.
+    Returns:
+      The job, whose unfinished tasks begin anew the next time they run.
+    """
+    occurrences = tuple(
+        (
+            occurrence,
+            tuple(replace(step, checkpoints=()) for step in progress_by_step),
+        )
+        for occurrence, progress_by_step in job.progress.occurrences
+    )
+    progress = replace(job.progress, occurrences=occurrences)
+    return replace(job, progress=progress)
+
+
 def checkpoint_of(job: ActiveJob, place: TaskPlace) -> str:
     """Find the checkpoint that a task resumes from.
 
--- a/sesamehall/reducer/jobs/storing.py
+++ b/sesamehall/reducer/jobs/storing.py
@@ -28,12 +28,15 @@
 from sesamehall.reducer.jobs.leases import earlier_renewals_ms
 from sesamehall.reducer.jobs.leases import is_resigning
 from sesamehall.reducer.jobs.leases import is_stepping_down
+from sesamehall.reducer.jobs.progress import has_checkpoints
+from sesamehall.reducer.jobs.progress import without_checkpoints
 from sesamehall.reducer.jobs.queue_pools import build_record
 from sesamehall.reducer.jobs.queue_pools import drop_queue_pools
 from sesamehall.reducer.jobs.queue_pools import record_queue_pools
 from sesamehall.reducer.jobs.runs import drop_ended_job
 from sesamehall.reducer.jobs.runs import end_job
 from sesamehall.reducer.jobs.runs import schedule_placement
+from sesamehall.reducer.jobs.state_updates import put_job
 from sesamehall.reducer.jobs.state_updates import put_worker
 from sesamehall.reducer.jobs.worker_machines import machine_names
 from sesamehall.reducer.jobs.workers import watch_worker
@@ -312,7 +315,7 @@
     for progress in written.jobs:
         if progress.job_id in event.unstorable_keys:
             step = then(
-                step, _end_unstorable_job, progress.job_id, event.at_ms
+                step, _shrink_unstorable_job, progress.job_id, event.at_ms
             )
     step = then(step, _mark_held_workers, event.held_keys)
     for leased in batch.workers:
@@ -322,15 +325,21 @@
     return then(step, commit, event.at_ms)
 
 
-def _end_unstorable_job(manager, job_id, at_ms):
-    """End a job as failed whose progress cannot be stored.
+def _shrink_unstorable_job(manager, job_id, at_ms):
+    """Drop the checkpoints of a job whose progress cannot be stored.
 
-    Its tasks would run again under the next leader, and no end of any worker
-    could be acknowledged meanwhile.  The record of its end is small.
+    Without checkpoints, its unfinished tasks begin anew.  If it has none, it
+    ends as failed, since its tasks would run again under the next leader, and
+    no end of any worker could be acknowledged meanwhile.  The record of its
+    end is small.
     """
     job = manager.active_jobs_by_id.get(job_id)
     if job is None or job.progress.phase in TERMINAL_PHASES:
         return Step(manager)
+    if has_checkpoints(job):
+        manager = put_job(manager, without_checkpoints(job))
+        dirty = manager.dirty_jobs.set(job_id, True)
+        return Step(replace(manager, dirty_jobs=dirty))
     reason = "its progress is too large to be stored"
     return end_job(manager, job_id, JobPhase.FAILED, reason, at_ms)
 
--- a/sesamehall/reducer/jobs/storing_test.py
+++ b/sesamehall/reducer/jobs/storing_test.py
@@ -1,4 +1,4 @@
-"""Tests of jobs that end while a write is in flight."""
+"""Tests of the leader's writes, and of what they leave out."""
 
 from immutables import Map
 import pytest
@@ -12,12 +12,19 @@
 from sesamehall.core.managereffects import WatchWorker
 from sesamehall.core.managerevents import ProgressStored
 from sesamehall.core.managerevents import StoreOutcome
+from sesamehall.core.replacing import replace
+from sesamehall.core.step import then
 from sesamehall.core.work import CompactProgress
 from sesamehall.core.work import EndedRun
 from sesamehall.core.work import RunEnd
+from sesamehall.core.work import TaskPlace
 from sesamehall.reducer.jobs.leadership import handle_progress_stored
+from sesamehall.reducer.jobs.progress import with_checkpoint
+from sesamehall.reducer.jobs.progress import with_task_done
 from sesamehall.reducer.jobs.reports import apply_report
 from sesamehall.reducer.jobs.runs import end_job
+from sesamehall.reducer.jobs.state_updates import put_job
+from sesamehall.reducer.jobs.storing import commit
 from sesamehall.reducer.jobs.storing import write_changed_records
 from sesamehall.reducer.jobs.testing import activate_jobs
 from sesamehall.reducer.jobs.testing import build_leader
@@ -184,6 +191,30 @@
     assert step.state.phase_by_job_id[JOB_ID] is JobPhase.FAILED
 
 
+# Guards against a job that is shown as failed although it can be done: only
+# its checkpoints are too large.
+def test_checkpoints_are_dropped_before_a_job_ends_as_failed():
+    manager = activate_jobs(build_leader(), build_plan(build_step(count=2)))
+    job = manager.active_jobs_by_id[JOB_ID]
+    job = with_checkpoint(job, TaskPlace(0, 0, 0), "saved")
+    manager = replace(
+        put_job(manager, with_task_done(job, TaskPlace(0, 0, 1))),
+        dirty_jobs=Map({JOB_ID: True}),
+    )
+    manager = write_changed_records(manager, NOW_MS).state
+    left_out = ProgressStored(
+        NOW_MS + 5, NOW_MS, 1, StoreOutcome.STORED, (JOB_ID,)
+    )
+    step = handle_progress_stored(manager, left_out)
+    step = then(step, commit, NOW_MS + 50)
+    (store,) = effects_of(step, StoreProgress)
+    (progress,) = [
+        record.value for record in store.records if record.key == JOB_ID
+    ]
+    assert progress.phase is JobPhase.RUNNING
+    assert (progress.checkpoints, progress.done) == ((), ((0, b"\x02"),))
+
+
 def test_job_that_ended_while_its_progress_was_refused_keeps_its_end():
     manager = build_leader_writing_an_end()
     done = EndedRun(2, task(1), 1, RunEnd.DONE)
