--- a/sesamehall/core/managerstate.py
+++ b/sesamehall/core/managerstate.py
@@ -229,7 +229,7 @@
         tasks are started only in these.
       leader: The newest leader record, or None.
       leader_seen_ms: Time at which it was read.
-      prior_renewals_end_ms: Time until which the leaders before that one
+      earlier_renewals_end_ms: Time until which the leaders before that one
         may renew leases; its records tell other nodes.
       term: This node's own term as the leader.
       max_cores_seen: Most processor cores reported by any leader or by any
@@ -308,7 +308,7 @@
     pools_by_queue: Map[str, tuple[str, ...]] = EMPTY_MAP
     leader: Leader | None = None
     leader_seen_ms: int = 0
-    prior_renewals_end_ms: int = 0
+    earlier_renewals_end_ms: int = 0
     term: Term = Term()
     max_cores_seen: float = 0.0
     leadership_offer: LeadershipOffer = LeadershipOffer()
--- a/sesamehall/platform/storehandler.py
+++ b/sesamehall/platform/storehandler.py
@@ -275,9 +275,11 @@
         except RecordUnstorableError as error:
             _log_unstorable(record.key, error)
             unstorable.append(record)
-    holds = any(_contains_ends(record) for record in unstorable)
+    holds = any(_is_progress(record) for record in unstorable)
     held_keys = tuple(
-        record.key for record, _ in encoded if holds and _counts_ends(record)
+        record.key
+        for record, _ in encoded
+        if holds and _is_worker_record(record)
     )
     return (
         b"".join(
@@ -288,14 +290,14 @@
     )
 
 
-def _contains_ends(record):
+def _is_progress(record):
     match record.value:
         case Progress() | CompactProgress():
             return True
     return False
 
 
-def _counts_ends(record):
+def _is_worker_record(record):
     match record.value:
         case LeasedWorker():
             return True
--- a/sesamehall/reducer/jobs/leadership.py
+++ b/sesamehall/reducer/jobs/leadership.py
@@ -230,7 +230,7 @@
         epoch=event.epoch,
         renewals_ms=renewals_end_ms - at_ms,
         leases_ms=lease_end_ms - at_ms,
-        prior_ms=earlier_renewals_ms(manager, at_ms),
+        earlier_ms=earlier_renewals_ms(manager, at_ms),
         predecessor="" if manager.leader is None else manager.leader.node,
         predecessor_epoch=(
             0 if manager.leader is None else manager.leader.epoch
@@ -248,7 +248,7 @@
             ),
         ),
         leader=Leader(manager.name, event.epoch, cores=manager.cores),
-        prior_renewals_end_ms=renewals_end_ms,
+        earlier_renewals_end_ms=renewals_end_ms,
         jobs_caught_up=False,
         workers_cursor=StreamCursor(),
         fleet=_build_fleet(manager),
@@ -268,7 +268,7 @@
     LEADER_TIMEOUT_MS.  It renews none if it has resigned, or if it was this
     node, but the leaders before it may do so still.
     """
-    renewals_end_ms = max(at_ms, manager.prior_renewals_end_ms)
+    renewals_end_ms = max(at_ms, manager.earlier_renewals_end_ms)
     leader = manager.leader
     if leader is not None and (leader.resigned or leader.node == manager.name):
         return renewals_end_ms
@@ -320,7 +320,7 @@
       The state.
     """
     old = manager.leader
-    renewals_end_ms = manager.prior_renewals_end_ms
+    renewals_end_ms = manager.earlier_renewals_end_ms
     if old is None or old.epoch < leader.epoch:
         told_ms = at_ms + leader.earlier_renewals_ms
         renewals_end_ms = max(renewals_end_ms, told_ms)
@@ -333,7 +333,7 @@
         leader=leader,
         leader_seen_ms=at_ms,
         max_cores_seen=max(manager.max_cores_seen, leader.cores),
-        prior_renewals_end_ms=renewals_end_ms,
+        earlier_renewals_end_ms=renewals_end_ms,
     )
 
 
--- a/sesamehall/reducer/jobs/leadership_test.py
+++ b/sesamehall/reducer/jobs/leadership_test.py
@@ -663,7 +663,7 @@
 
 
 @pytest.mark.parametrize(
-    ("leader", "prior_ms", "renewals_ms", "expected"),
+    ("leader", "earlier_ms", "renewals_ms", "expected"),
     [
         (None, 0, 3_800, {"predecessor": "", "stopped": "no: none known"}),
         (
@@ -678,7 +678,7 @@
             Leader("edge-1", 3, resigned=True),
             700,
             700,
-            {"stopped": "resigned", "prior_ms": 700, "predecessor_epoch": 3},
+            {"stopped": "resigned", "earlier_ms": 700, "predecessor_epoch": 3},
         ),
     ],
     ids=[
@@ -690,12 +690,12 @@
     ],
 )
 def test_takeover_is_logged_with_the_renewals_of_earlier_leaders(
-    leader, prior_ms, renewals_ms, expected
+    leader, earlier_ms, renewals_ms, expected
 ):
     follower = build_follower(
         leader,
         2_000,
-        prior_renewals_end_ms=NOW_MS + prior_ms,
+        earlier_renewals_end_ms=NOW_MS + earlier_ms,
         leased_workers_by_id=Map(w1=LeasedWorker("w1", "h:1", "a", 7)),
     )
     step = claim_role(follower)
--- a/sesamehall/reducer/jobs/leases.py
+++ b/sesamehall/reducer/jobs/leases.py
@@ -173,7 +173,7 @@
     Returns:
       Milliseconds, 0 once that is over.
     """
-    return max(manager.prior_renewals_end_ms - at_ms, 0)
+    return max(manager.earlier_renewals_end_ms - at_ms, 0)
 
 
 def is_incarnation_confirmed(
