Let the soak compare every pair of runs of a task

A rerun was found only if it directly followed the acknowledged success, and an overlap only between neighbouring runs. Now any later run counts.

--- a/soak/promises.py
+++ b/soak/promises.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterator
 from dataclasses import dataclass
+from itertools import combinations
 
 from soak.callers import SubmittedJob
 from soak.cluster import WORKER_CPU_MILLI
@@ -56,13 +57,19 @@
 
 
 def _check_runs(runs: list[RunRecord]) -> Iterator[Violation]:
-    """Check that no task runs concurrently or after acknowledged success."""
-    for earlier, later in zip(runs, runs[1:], strict=False):
+    """Check that no task runs concurrently or after acknowledged success.
+
+    Every pair counts: other runs may lie between the success and a rerun.
+
+    Args:
+      runs: All runs of one task, in the order of their starts.
+    Yields:
+      A violation for each pair of runs that must not both have happened.
+    """
+    for earlier, later in combinations(runs, 2):
         if not earlier.outcome or earlier.ended_s > later.started_s:
             yield Violation("concurrent runs", f"{earlier} and {later}")
-    for earlier, later in zip(runs, runs[1:], strict=False):
-        succeeded = earlier.outcome == "done" and earlier.acknowledged
-        if succeeded and earlier.ended_s <= later.started_s:
+        elif earlier.outcome == "done" and earlier.acknowledged:
             yield Violation("rerun after done", f"{earlier} and {later}")
 
 
--- a/soak/promises_test.py
+++ b/soak/promises_test.py
@@ -32,6 +32,7 @@
     acknowledged=True,
 )
 LAPSED = replace(RUN, outcome="lapsed", acknowledged=False)
+FAILED_LATER = replace(RUN, outcome="failed", started_s=3.0, ended_s=3.5)
 
 
 def violations_of(job, *runs_of_workers):
@@ -57,6 +58,29 @@
             [[RUN], [replace(RUN, started_s=2.5, outcome="stopped")]],
             ["rerun after done"],
         ),
+        (
+            JOB,
+            [[RUN], [FAILED_LATER, replace(RUN, started_s=4.0, ended_s=5.0)]],
+            ["rerun after done", "rerun after done"],
+        ),
+        (
+            JOB,
+            [
+                [replace(RUN, ended_s=6.0)],
+                [replace(FAILED_LATER, outcome="lost")],
+                [replace(RUN, started_s=4.0, ended_s=5.0)],
+            ],
+            ["concurrent runs", "concurrent runs"],
+        ),
+        (
+            JOB,
+            [
+                [replace(RUN, outcome="", ended_s=0.0)],
+                [FAILED_LATER],
+                [replace(RUN, started_s=4.0, ended_s=5.0)],
+            ],
+            ["concurrent runs", "concurrent runs"],
+        ),
         (
             JOB,
             [[replace(RUN, cpu_milli=WORKER_CPU_MILLI + 1)]],
@@ -86,6 +110,9 @@
         "rerun after its lease expired",
         "concurrent runs",
         "rerun after done",
+        "rerun after done and failure",
+        "concurrent with the run after the next",
+        "concurrent with all later runs",
         "over capacity",
         "not submitted",
         "rejected",
