End runs of the worker stand-in at the times at which they are due

An expired lease kills everything at that moment. The stand-in ended runs when it was next looked at, up to half a second later, so that a run seemed to overlap its rerun; and work that was due after the lease counted as done.

--- a/standins/jobworker.py
+++ b/standins/jobworker.py
@@ -92,8 +92,9 @@
         """Stop serving immediately; active runs are lost."""
         with self._changed:
             self.alive = False
+            self._end_due_runs()
             for record in list(self._active_by_task.values()):
-                self._end(record, "lost")
+                self._end(record, "lost", time.monotonic())
             self._changed.notify_all()
 
     def handle(self, request: HttpRequest) -> HttpResponse:
@@ -196,7 +197,7 @@
         self._highest_number_by_task[task_id] = highest
         record = self._active_by_task.get(task_id)
         if record is not None and record.number <= number:
-            self._end(record, "stopped")
+            self._end(record, "stopped", time.monotonic())
         return self._ok_response({})
 
     def _renew_and_report(self, order) -> HttpResponse:
@@ -231,17 +232,20 @@
         return self._ok_response({"Active": active, "Finished": ended})
 
     def _end_due_runs(self):
+        """End due runs at the times at which they were due."""
         now_s = time.monotonic()
-        lease_expired = self._clock_ms() >= self._lease_deadline_ms
-        for record in list(self._active_by_task.values()):
-            if record.completes_s <= now_s:
-                self._end(record, "done")
-            elif lease_expired:
-                self._end(record, "lapsed")
-
-    def _end(self, record: RunRecord, outcome: str) -> None:
+        lease_s = self._lease_deadline_ms / 1_000 / self._clock_rate
+        lease_end_s = self._started_s + lease_s
+        active = self._active_by_task.values()
+        for record in sorted(active, key=lambda run: run.completes_s):
+            if record.completes_s <= min(now_s, lease_end_s):
+                self._end(record, "done", record.completes_s)
+            elif lease_end_s <= now_s:
+                self._end(record, "lapsed", lease_end_s)
+
+    def _end(self, record: RunRecord, outcome: str, ended_s: float) -> None:
         record.outcome = outcome
-        record.ended_s = time.monotonic()
+        record.ended_s = max(ended_s, record.started_s)
         del self._active_by_task[record.task_id]
         self._last_end_sequence += 1
         self._unacknowledged_runs.append((self._last_end_sequence, record))
--- a/standins/jobworker_test.py
+++ b/standins/jobworker_test.py
@@ -67,10 +67,19 @@
     assert (received_status, content.get("Reason")) == (status, reason)
 
 
-def test_run_ends_when_its_lease_expires():
+@pytest.mark.parametrize(
+    ("seconds", "outcome", "length_s"),
+    [(5.0, "lapsed", 0.15), (0.2, "lapsed", 0.15), (0.1, "done", 0.1)],
+    ids=["never done", "done after the lease", "done within the lease"],
+)
+def test_run_ends_in_time_though_seen_later(seconds, outcome, length_s):
     worker = JobWorker("w1")
-    start(worker, seconds=5.0)
+    start(worker, seconds=seconds)
     time.sleep(2 * LEASE_MS / 1_000)
     _, report = call(worker, "/hold")
+    (record,) = worker.records
     assert not report["Active"]
-    assert [row[3] for row in report["Finished"]] == ["lapsed"]
+    assert [row[3] for row in report["Finished"]] == [outcome]
+    assert record.ended_s - record.started_s == pytest.approx(
+        length_s, abs=0.05
+    )
