--- a/soak/callers.py
+++ b/soak/callers.py
@@ -22,6 +22,9 @@
 CANCEL_SHARE = 0.1
 MAX_STEPS = 3
 MAX_TASKS_PER_STEP = 6
+WIDE_TASKS = (10, 20)
+WIDE_SECONDS = (0.2, 3.0)
+LONG_SECONDS = (3.0, 8.0)
 HEADERS = {"Authorization": f"Token {API_KEY}", "Host": HOST}
 
 
@@ -61,13 +64,18 @@
     Successive attempts for a job go to the managers in turn.
     """
 
-    def __init__(self, addresses: list[str], seed: int):
+    def __init__(
+        self, addresses: list[str], seed: int, varied_share: float = 0.0
+    ):
         """Initialize the generator.
 
         Args:
           addresses: "host:port" of each manager.
           seed: Seed for the jobs and their timing.
+          varied_share: Share of jobs with many tasks, and of jobs with long
+            ones.
         """
+        self._varied_share = varied_share
         self._random = random.Random(seed)
         self._connections = []
         for address in addresses:
@@ -129,6 +137,14 @@
         )
         seconds = rng.uniform(0.05, 1.5)
         cpu_milli = rng.choice((500, 1_000, 3_000))
+        if self._varied_share:
+            kind = rng.random()
+            if kind < self._varied_share:
+                step_sizes = (rng.randint(*WIDE_TASKS),)
+                seconds, cpu_milli = rng.uniform(*WIDE_SECONDS), 500
+            elif kind < 2 * self._varied_share:
+                step_sizes = (rng.randint(1, 3),)
+                seconds, cpu_milli = rng.uniform(*LONG_SECONDS), 500
         job_id = f"{rng.getrandbits(64):016x}"
         command = f"work {seconds:.3f} {cpu_milli} {job_id}"
         return SubmittedJob(
--- a/soak/cluster.py
+++ b/soak/cluster.py
@@ -5,6 +5,7 @@
 import os
 from pathlib import Path
 import random
+import re
 import signal
 import subprocess
 import sys
@@ -27,12 +28,36 @@
 API_KEY = "soak-key"
 TEAM = "soak"
 HEARTBEAT_S = 0.5  # between renewals of the workers' registrations
-MOVE_S = 0.5  # time that a machine takes to move
+MOVE_S = 0.5  # time that a machine's move or maintenance takes
 SERVER_THREADS = 24
 SLOWEST_CLOCK_RATE = 0.98
+EXPIRED_AFTER_S = 3 * HEARTBEAT_S  # without a renewal, a registration goes
+BOUND_MANAGER = Path(__file__).with_name("boundmanager.py")
+TERM_BEGUN = re.compile(rb" 631 leadership begun epoch=(\d+)")
 POOL_BY_QUEUE = {"quotes": POOLS[0], "bookings": POOLS[1]}
 
 
+@dataclass(frozen=True, slots=True)
+class Layout:
+    """What the cluster consists of.
+
+    Attributes:
+      managers: Number of managers.
+      zones: Names of the zones; managers and machines are spread over them in
+        turn.
+      cores: Processor cores that the settings of each manager state, or empty
+        to state none.
+      page_items: Most records in a page of the store's lists.
+      tree: Work tree from which the managers run.
+    """
+
+    managers: int = 3
+    zones: tuple[str, ...] = ("dc",)
+    cores: tuple[float, ...] = ()
+    page_items: int = 500
+    tree: Path = Path(__file__).parent.parent
+
+
 @dataclass(slots=True)
 class Incarnation:
     """A machine from the start of its worker until that stops.
@@ -43,6 +68,8 @@
       worker: Worker that runs on it.
       server: HTTP server of the worker.
       proxy: Proxy through which managers reach the worker.
+      registered_s: Monotonic time of the latest renewal of its registration,
+        or 0 if it has none.
     """
 
     machine: str
@@ -50,6 +77,7 @@
     worker: JobWorker
     server: Server
     proxy: Proxy
+    registered_s: float = 0.0
 
 
 class Cluster:
@@ -61,27 +89,31 @@
     Attributes:
       store: Stand-in for the metadata store.
       store_proxies: Proxy through which each manager reaches the store.
+      cloud_proxies: Proxy through which each manager reaches the cloud API.
+      layout: What the cluster consists of.
       cloud: Stand-in for the cloud API.
       incarnations_by_machine: Machines that have a worker.
       workers: All workers that were started, including terminated ones.
       manager_processes: Process of each manager, or None before its start.
     """
 
-    def __init__(self, folder: Path, manager_count: int, seed: int):
+    def __init__(self, folder: Path, layout: Layout, seed: int):
         """Start the stand-ins, but no managers.
 
         Args:
           folder: Folder for settings and logs.
-          manager_count: Number of managers.
+          layout: What the cluster consists of.
           seed: Seed for worker identifiers and clock rates.
         """
         self._folder = folder
         self._random = random.Random(seed)
+        self.layout = layout
         self.store = MetadataStore()
+        self.store.page_items = layout.page_items
         self._store_server = _start_server(self.store.handle)
         store_address = _address(self._store_server)
         self.store_proxies = [
-            Proxy(store_address) for _ in range(manager_count)
+            Proxy(store_address) for _ in range(layout.managers)
         ]
         pools = (POOLS[0], POOLS[0], POOLS[1], POOLS[1])
         pool_by_machine = {
@@ -90,14 +122,22 @@
             )
             for number in range(MACHINES)
         }
-        self.cloud = CloudApi(pool_by_machine, self._move)
+        self.cloud = CloudApi(pool_by_machine, self._move, self.stop_worker)
         self._cloud_server = _start_server(self.cloud.handle)
+        cloud_address = _address(self._cloud_server)
+        self.cloud_proxies = [
+            Proxy(cloud_address) for _ in range(layout.managers)
+        ]
         self._lock = threading.Lock()
         self.incarnations_by_machine: dict[str, Incarnation] = {}
         self.workers: list[JobWorker] = []
         self.manager_processes: list[subprocess.Popen | None] = [
             None
-        ] * manager_count
+        ] * layout.managers
+        self._cut_zone = ""
+        self._log_positions = [0] * layout.managers
+        self._last_terms = [0] * layout.managers
+        self._waves = 0
         self._closed = False
         self._put_manifest()
         for machine, pool in pool_by_machine.items():
@@ -124,10 +164,15 @@
         settings = self._folder / f"node-{index}.json"
         settings.write_text(json.dumps(self._settings(index)))
         # SETTINGS_PATH_VARIABLE in sesamehall/platform/listening.py
-        environment = {**os.environ, "SESAMEHALL_BOOT": str(settings)}
+        environment = {
+            **os.environ,
+            "SESAMEHALL_BOOT": str(settings),
+            "PYTHONPATH": str(self.layout.tree),
+        }
         with open(self._folder / f"node-{index}.log", "ab") as log:
             self.manager_processes[index] = subprocess.Popen(
-                [sys.executable, "-m", "sesamehall.scripts.manager"],
+                [sys.executable, str(BOUND_MANAGER), _loopback_ip(index)],
+                cwd=self.layout.tree,
                 stdout=log,
                 stderr=subprocess.STDOUT,
                 env=environment,
@@ -144,6 +189,92 @@
         if process is not None and process.poll() is None:
             process.send_signal(signal_number)
 
+    def leader(self) -> tuple[int, int]:
+        """Find the manager whose term began last, from the logs.
+
+        Returns:
+          Epoch and index of the manager, or (0, -1) before the first term.
+        """
+        for index in range(self.layout.managers):
+            path = self._folder / f"node-{index}.log"
+            if not path.exists():
+                continue
+            with open(path, "rb") as log:
+                log.seek(self._log_positions[index])
+                text = log.read()
+            complete = text[: text.rfind(b"\n") + 1]
+            self._log_positions[index] += len(complete)
+            epochs = map(int, TERM_BEGUN.findall(complete))
+            self._last_terms[index] = max(
+                epochs, default=self._last_terms[index]
+            )
+        epoch = max(self._last_terms)
+        return epoch, self._last_terms.index(epoch) if epoch else -1
+
+    def zone_of_manager(self, index: int) -> str:
+        """Return the zone of a manager.
+
+        Args:
+          index: Index of the manager.
+        Returns:
+          Name of the zone.
+        """
+        return self.layout.zones[index % len(self.layout.zones)]
+
+    def cut_zone(self, zone: str) -> None:
+        """Cut a zone's managers and workers off from the store and the rest.
+
+        Args:
+          zone: Name of the zone; an earlier cut must have ended.
+        """
+        self._cut_zone = zone
+        for index, proxy in self._platform_proxies(zone):
+            proxy.cut_sources = frozenset((_loopback_ip(index),))
+        with self._lock:
+            for incarnation in self.incarnations_by_machine.values():
+                self._apply_cut(incarnation)
+
+    def heal_zone(self, deliver: bool) -> None:
+        """End the cut of a zone.
+
+        Args:
+          deliver: Whether requests that the cut has held up arrive now,
+            instead of being lost.
+        """
+        proxies = [
+            proxy for _, proxy in self._platform_proxies(self._cut_zone)
+        ]
+        self._cut_zone = ""
+        with self._lock:
+            proxies += [
+                incarnation.proxy
+                for incarnation in self.incarnations_by_machine.values()
+            ]
+        for proxy in proxies:
+            if not deliver:
+                proxy.reset(proxy.cut_sources)
+            proxy.cut_sources = frozenset()
+
+    def start_wave(self, within_s: int, max_unavailable: int) -> None:
+        """Ask for the maintenance of all machines that have a worker.
+
+        Args:
+          within_s: Time until its end, in seconds.
+          max_unavailable: Most machines in maintenance at once.
+        """
+        with self._lock:
+            machines = sorted(self.incarnations_by_machine)
+            self._waves += 1
+            number = self._waves
+        self.cloud.add_wave(number, tuple(machines))
+        wave = {
+            "Wave": number,
+            "Machines": machines,
+            "CompleteByS": within_s,
+            "Cap": max_unavailable,
+        }
+        self.store.put("keyed.op", f"wave/{number}", json.dumps(wave).encode())
+
     def close(self) -> None:
         """Kill all managers and stop the HTTP servers of the stand-ins.
 
@@ -176,6 +307,7 @@
         proxy = Proxy(_address(server))
         incarnation = Incarnation(machine, pool, worker, server, proxy)
         with self._lock:
+            self._apply_cut(incarnation)
             self.incarnations_by_machine[machine] = incarnation
             self.workers.append(worker)
         self.cloud.set_worker(machine, worker_id)
@@ -217,14 +349,46 @@
                 self._register(incarnation)
             time.sleep(HEARTBEAT_S)
 
+    def _platform_proxies(self, zone: str) -> list[tuple[int, Proxy]]:
+        """List the proxies of a zone's managers, with their indexes."""
+        return [
+            (index, proxy)
+            for proxies in (self.store_proxies, self.cloud_proxies)
+            for index, proxy in enumerate(proxies)
+            if self.zone_of_manager(index) == zone
+        ]
+
+    def _zone_of_machine(self, machine: str) -> str:
+        return self.layout.zones[int(machine[1:]) % len(self.layout.zones)]
+
+    def _apply_cut(self, incarnation: Incarnation) -> None:
+        """Cut a worker off from the managers beyond the cut, if any."""
+        inside = self._zone_of_machine(incarnation.machine) == self._cut_zone
+        incarnation.proxy.cut_sources = frozenset(
+            _loopback_ip(index)
+            for index in range(self.layout.managers)
+            if self._cut_zone
+            and inside != (self.zone_of_manager(index) == self._cut_zone)
+        )
+
     def _register(self, incarnation):
+        """Renew a registration; delete it after too long a cut."""
         if not incarnation.worker.alive:
             return
+        zone = self._zone_of_machine(incarnation.machine)
+        worker_id = incarnation.worker.worker_id
+        now_s = time.monotonic()
+        if zone == self._cut_zone:
+            if 0 < incarnation.registered_s < now_s - EXPIRED_AFTER_S:
+                self.store.put("keyed.servers", worker_id, b"")
+                incarnation.registered_s = 0.0
+            return
+        incarnation.registered_s = now_s
         rack = int(incarnation.machine[1:]) // RACK_SIZE
         entry = {
             "Service": incarnation.pool,
             "Address": incarnation.proxy.address,
-            "Zone": "dc",
+            "Zone": zone,
             "Version": "v1",
             "Slots": 8,
             "State": "ready",
@@ -234,7 +398,6 @@
             "Labels": ["a", f"r1-{rack}"],
             "born": incarnation.worker.started_wall_ms,
         }
-        worker_id = incarnation.worker.worker_id
         self.store.put("keyed.servers", worker_id, json.dumps(entry).encode())
 
     def _put_manifest(self):
@@ -263,17 +426,22 @@
 
     def _settings(self, index):
         ip = _loopback_ip(index)
+        cores = self.layout.cores
+        limits = (
+            {"Limits": {"CpuShare": 1, "Cores": cores[index]}} if cores else {}
+        )
         return {
+            **limits,
             "Node": f"edge-{index}",
             "Ip": ip,
-            "Zone": "dc",
+            "Zone": self.zone_of_manager(index),
             "Listen": {
                 "Front": self.front_address(index),
                 "Ready": f"{ip}:8343",
             },
             "platform": {"Address": self.store_proxies[index].address},
-            "CloudApi": {"Address": _address(self._cloud_server)},
-            "Bounds": {"MoveS": MOVE_S},
+            "CloudApi": {"Address": self.cloud_proxies[index].address},
+            "Bounds": {"MoveS": MOVE_S, "UpkeepS": MOVE_S},
         }
 
 
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -14,6 +14,14 @@
 MEAN_INTERVAL_S = 0.6  # between the starts of two faults
 MIN_DURATION_S = 0.2
 MAX_DURATION_S = 4.0
+MIN_CUT_S = 1.0
+MAX_CUT_S = 12.0
+LEADERS_REPLACED = (2, 3)
+NEW_LEADER_TIMEOUT_S = 6.0  # until the next term of a series begins
+LEADER_POLL_S = 0.05
+TERM_LENGTH_S = (0.1, 1.0)  # of the leaders in a series
+WAVE_LENGTH_S = 8
+WAVE_MACHINES = 2  # in maintenance at once
 
 
 @dataclass(frozen=True, slots=True)
@@ -73,6 +81,47 @@
     """Crash a worker; its machine starts another after a delay."""
 
 
+@dataclass(frozen=True, slots=True)
+class CutZone:
+    """Cut off a zone with its managers and workers.
+
+    Attributes:
+      leader: Whether it is the leader's zone, else one drawn at random.
+    """
+
+    leader: bool
+
+
+@dataclass(frozen=True, slots=True)
+class ReplaceLeaders:
+    """Restart each new leader soon after its term has begun, several times.
+
+    Attributes:
+      hold_first: How the leader before these is held up meanwhile.
+      signal_number: Signal that ends the leaders.
+    """
+
+    hold_first: "CutZone | PauseManager | None"
+    signal_number: signal.Signals
+
+
+@dataclass(frozen=True, slots=True)
+class LoseLeaderAnswers:
+    """Lose the store's responses to the leader, then deliver them again."""
+
+
+@dataclass(frozen=True, slots=True)
+class DegradeCloudLink:
+    """Degrade the connections of all managers to the cloud API."""
+
+    mode: ProxyMode
+
+
+@dataclass(frozen=True, slots=True)
+class MaintainMachines:
+    """Ask for the maintenance of all machines in use."""
+
+
 Fault = (
     KillManager
     | StopManager
@@ -84,6 +133,11 @@
     | FailStore
     | CompactStore
     | CrashWorker
+    | CutZone
+    | ReplaceLeaders
+    | LoseLeaderAnswers
+    | DegradeCloudLink
+    | MaintainMachines
 )
 DEGRADED_MODES = (
     ProxyMode.DELAY,
@@ -103,6 +157,18 @@
     *map(DegradeStoreLink, DEGRADED_MODES),
     *map(DegradeWorkerLink, DEGRADED_MODES),
 )
+ZONE_FAULTS: tuple[Fault, ...] = (
+    CutZone(leader=True),
+    CutZone(leader=False),
+    *(
+        ReplaceLeaders(hold_first, signal_number)
+        for hold_first in (CutZone(leader=True), PauseManager(), None)
+        for signal_number in (signal.SIGTERM, signal.SIGKILL)
+    ),
+    LoseLeaderAnswers(),
+    *map(DegradeCloudLink, DEGRADED_MODES),
+    MaintainMachines(),
+)
 
 
 class FaultInjector:
@@ -116,7 +182,12 @@
     """
 
     def __init__(
-        self, cluster: Cluster, seed: int, log: Callable[[str], None]
+        self,
+        cluster: Cluster,
+        seed: int,
+        log: Callable[[str], None],
+        faults: tuple[Fault, ...] = FAULTS,
+        mean_interval_s: float = MEAN_INTERVAL_S,
     ):
         """Initialize the injector.
 
@@ -125,7 +196,11 @@
           seed: Seed for the types, times and durations of faults and for the
             managers and workers that they affect.
           log: Called with a line of text for each fault.
+          faults: Faults to draw from.
+          mean_interval_s: Mean time between the starts of two faults.
         """
+        self._faults = faults
+        self._mean_interval_s = mean_interval_s
         self._cluster = cluster
         self._random = random.Random(seed)
         # Drawn apart, so that the faults of a seed stay the same.
@@ -133,6 +208,8 @@
         self._log = log
         self._threads: list[threading.Thread] = []
         self._managers_with_fault: set[int] = set()
+        self._cutting = threading.Lock()
+        self._replacing = threading.Lock()
         self._lock = threading.Lock()
 
     def inject_for(self, seconds: float) -> None:
@@ -143,7 +220,7 @@
         """
         started_s = time.monotonic()
         while time.monotonic() < started_s + seconds:
-            fault = self._random.choice(FAULTS)
+            fault = self._random.choice(self._faults)
             duration_s = self._random.uniform(MIN_DURATION_S, MAX_DURATION_S)
             # Selects a manager or worker, modulo their number at that time.
             selector = self._random.getrandbits(16)
@@ -160,7 +237,7 @@
             thread.start()
             self._threads.append(thread)
             self._put_odd_entry()
-            time.sleep(self._random.expovariate(1 / MEAN_INTERVAL_S))
+            time.sleep(self._random.expovariate(1 / self._mean_interval_s))
         for thread in self._threads:
             thread.join()
 
@@ -220,6 +297,95 @@
                     time.sleep(duration_s)
                     if pool:
                         cluster.start_worker(machine, pool)
+            case CutZone():
+                share = (duration_s - MIN_DURATION_S) / (
+                    MAX_DURATION_S - MIN_DURATION_S
+                )
+                cut_s = MIN_CUT_S + share * (MAX_CUT_S - MIN_CUT_S)
+                self._cut(fault, selector, threading.Event(), cut_s)
+            case ReplaceLeaders():
+                self._replace_leaders(fault, selector)
+            case LoseLeaderAnswers():
+                _, leader = cluster.leader()
+                proxy = cluster.store_proxies[leader]
+                _degrade(proxy, ProxyMode.DROP_RESPONSES, duration_s)
+            case DegradeCloudLink(mode):
+                for proxy in cluster.cloud_proxies:
+                    proxy.mode = mode
+                time.sleep(duration_s)
+                for proxy in cluster.cloud_proxies:
+                    proxy.mode = ProxyMode.FORWARD
+                    proxy.reset()
+            case MaintainMachines():
+                cluster.start_wave(WAVE_LENGTH_S, WAVE_MACHINES)
+
+    def _cut(self, fault, selector, release, longest_s):
+        """Cut off a zone until released, unless another one is cut off."""
+        if not self._cutting.acquire(blocking=False):
+            return
+        try:
+            _, leader = self._cluster.leader()
+            index = leader if fault.leader else selector
+            self._cluster.cut_zone(self._cluster.zone_of_manager(index))
+            release.wait(longest_s)
+            self._cluster.heal_zone(deliver=bool(selector & 1))
+        finally:
+            self._cutting.release()
+
+    def _replace_leaders(self, fault: ReplaceLeaders, selector: int) -> None:
+        """Restart new leaders in turn while the first one is held up."""
+        if not self._replacing.acquire(blocking=False):
+            return
+        rng = random.Random(selector)
+        release = threading.Event()
+        epoch, first = self._cluster.leader()
+        hold = self._hold_leader(fault.hold_first, first, selector, release)
+        try:
+            if fault.hold_first is None:
+                self._end_leader(first, fault.signal_number)
+            for _ in range(rng.randint(*LEADERS_REPLACED)):
+                epoch, leader = self._await_leader_after(epoch)
+                if leader < 0:
+                    break
+                time.sleep(rng.uniform(*TERM_LENGTH_S))
+                self._end_leader(leader, fault.signal_number)
+            time.sleep(rng.uniform(MIN_DURATION_S, MAX_DURATION_S))
+        finally:
+            release.set()
+            hold.join()
+            self._replacing.release()
+
+    def _hold_leader(self, hold, leader, selector, release):
+        """Hold a leader up in a thread, until released."""
+
+        def run():
+            match hold:
+                case CutZone():
+                    self._cut(hold, selector, release, MAX_CUT_S)
+                case PauseManager():
+                    self._run_exclusively(
+                        leader,
+                        MAX_CUT_S,
+                        lambda *_: self._pause_until(leader, release),
+                    )
+
+        thread = threading.Thread(target=run, daemon=True)
+        thread.start()
+        return thread
+
+    def _await_leader_after(self, epoch: int) -> tuple[int, int]:
+        """Wait for the next term; return its epoch and leader, or 0 and -1."""
+        deadline_s = time.monotonic() + NEW_LEADER_TIMEOUT_S
+        while time.monotonic() < deadline_s:
+            latest, leader = self._cluster.leader()
+            if latest > epoch:
+                return latest, leader
+            time.sleep(LEADER_POLL_S)
+        return 0, -1
+
+    def _end_leader(self, index, signal_number):
+        end = self._stop if signal_number == signal.SIGTERM else self._kill
+        self._run_exclusively(index, 0.0, end)
 
     def _run_exclusively(self, index, duration_s, inject):
         """Inject a fault unless the manager already has one in progress."""
@@ -244,6 +410,11 @@
         self._cluster.manager_processes[index].wait()
         self._cluster.start_manager(index)
 
+    def _pause_until(self, index, release):
+        self._cluster.signal_manager(index, signal.SIGSTOP)
+        release.wait(MAX_CUT_S)
+        self._cluster.signal_manager(index, signal.SIGCONT)
+
     def _pause(self, index, duration_s):
         self._cluster.signal_manager(index, signal.SIGSTOP)
         time.sleep(duration_s)
--- a/soak/main.py
+++ b/soak/main.py
@@ -1,5 +1,6 @@
 """Run the soak with `python -m soak.main --seeds 50`."""
 
+from dataclasses import replace
 from pathlib import Path
 import random
 import signal
@@ -15,44 +16,58 @@
 from soak.faults import FaultInjector
 from soak.promises import check_invariants
 from soak.promises import Violation
+from soak.scenario import draw_scenario
+from soak.scenario import Scenario
 
-MANAGERS = 3
 START_TIMEOUT_S = 30.0  # a busy machine takes this long to start all managers
 COMPLETION_TIMEOUT_S = 25.0  # for accepted jobs to end after the last fault
 POLL_INTERVAL_S = 0.5
-JOBS_PER_S = 4.0
 
 
-def run_seed(seed: int, folder: Path, seconds: float) -> list[Violation]:
+def run_seed(
+    seed: int, folder: Path, seconds: float, scenario: Scenario = Scenario()
+) -> list[Violation]:
     """Run the soak with one seed.
 
     Args:
       seed: Seed for jobs, faults and workers.
       folder: Folder for settings, logs and the list of injected faults.
       seconds: Time during which jobs are submitted and faults injected.
+      scenario: The cluster, its load and the faults to draw from.
     Returns:
       Violations of invariants.
     """
-    cluster = Cluster(folder, MANAGERS, seed)
+    cluster = Cluster(folder, scenario.layout, seed)
+    managers = range(scenario.layout.managers)
     try:
-        for index in range(MANAGERS):
+        for index in managers:
             cluster.start_manager(index)
-        addresses = [cluster.front_address(index) for index in range(MANAGERS)]
-        load = LoadGenerator(addresses, seed)
+        addresses = [cluster.front_address(index) for index in managers]
+        load = LoadGenerator(addresses, seed, scenario.varied_share)
         await_start(load)
         with open(folder / "faults.log", "w", encoding="utf-8") as log:
 
             def log_fault(line):
                 print(line, file=log, flush=True)
 
-            injector = FaultInjector(cluster, seed, log_fault)
+            log_fault(f"{scenario}")
+            injector = FaultInjector(
+                cluster,
+                seed,
+                log_fault,
+                scenario.faults,
+                scenario.mean_interval_s,
+            )
             injecting = threading.Thread(
                 target=injector.inject_for, args=(seconds,), daemon=True
             )
             injecting.start()
-            load.submit_for(seconds, JOBS_PER_S)
+            load.submit_for(seconds, scenario.jobs_per_s)
             injecting.join()
         await_completion(load)
+        starts = sum(len(worker.records) for worker in cluster.workers)
+        epoch, _ = cluster.leader()
+        print(f"jobs={len(load.jobs)} starts={starts} terms={epoch}")
         return check_invariants(load.jobs, cluster.workers)
     finally:
         cluster.close()
@@ -94,20 +109,33 @@
         time.sleep(POLL_INTERVAL_S)
 
 
-def main(*, seeds: int = 1, first: int = 0, seconds: float = 20.0) -> None:
+def main(
+    *,
+    seeds: int = 1,
+    first: int = 0,
+    seconds: float = 20.0,
+    plain: bool = False,
+    tree: Path | None = None,
+) -> None:
     """Run a number of seeds; the last line is soak=NUMBER of violations.
 
     Args:
       seeds: Number of consecutive seeds to run.
       first: First seed, or 0 to draw one at random.
       seconds: Time per seed during which jobs and faults are generated.
+      plain: Whether all managers are equal and in one zone.
+      tree: Work tree from which the managers run, or none for this one.
     """
     signal.signal(signal.SIGTERM, _exit)
     first = first or random.randrange(1, 1 << 30)
     total = 0
     for seed in range(first, first + seeds):
         folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
-        violations = run_seed(seed, folder, seconds)
+        scenario = Scenario() if plain else draw_scenario(seed)
+        if tree is not None:
+            layout = replace(scenario.layout, tree=tree.resolve())
+            scenario = replace(scenario, layout=layout)
+        violations = run_seed(seed, folder, seconds, scenario)
         total += len(violations)
         print(f"seed={seed} violations={len(violations)} logs={folder}")
         for violation in violations[:5]:
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -25,6 +25,12 @@
     """Forwards connections to one target.
 
     The mode applies to open connections too and may change at any time.
+
+    Attributes:
+      address: "host:port" at which the proxy listens.
+      mode: How bytes are treated.
+      delay_s: Delay of each chunk in the mode DELAY, in seconds.
+      cut_sources: Addresses whose connections stall in any mode.
     """
 
     def __init__(self, target: str, host: str = "127.0.0.1"):
@@ -40,15 +46,24 @@
         self.address = f"{host}:{self._listener.getsockname()[1]}"
         self.mode = ProxyMode.FORWARD
         self.delay_s = 0.3
+        self.cut_sources: frozenset[str] = frozenset()
         self._lock = threading.Lock()
         self._pairs: set[tuple[socket.socket, socket.socket]] = set()
         threading.Thread(target=self._accept, daemon=True).start()
 
-    def reset(self) -> None:
-        """Reset all open connections."""
+    def reset(self, sources: frozenset[str] | None = None) -> None:
+        """Reset open connections.
+
+        Args:
+          sources: Addresses whose connections are reset; None for all.
+        """
         with self._lock:
-            pairs = list(self._pairs)
-            self._pairs.clear()
+            pairs = [
+                pair
+                for pair in self._pairs
+                if sources is None or _source(pair[0]) in sources
+            ]
+            self._pairs.difference_update(pairs)
         for pair in pairs:
             _reset(*pair)
 
@@ -84,9 +99,10 @@
 
     def _forward(self, pair, source, sink, is_response):
         """Forward bytes in one direction until either end closes."""
+        client_ip = _source(pair[0])
         try:
             while chunk := source.recv(CHUNK_BYTES):
-                if self._wait_to_forward(is_response):
+                if self._wait_to_forward(client_ip, is_response):
                     sink.sendall(chunk)
         except OSError:
             pass
@@ -99,15 +115,23 @@
                 pass
             end.close()
 
-    def _wait_to_forward(self, is_response: bool) -> bool:
+    def _wait_to_forward(self, client_ip: str, is_response: bool) -> bool:
         """Wait while the mode says so; return whether to forward the bytes."""
-        while self.mode is ProxyMode.STALL:
+        while self.mode is ProxyMode.STALL or client_ip in self.cut_sources:
             time.sleep(POLL_INTERVAL_S)
         if self.mode is ProxyMode.DELAY:
             time.sleep(self.delay_s)
         return not (is_response and self.mode is ProxyMode.DROP_RESPONSES)
 
 
+def _source(client: socket.socket) -> str:
+    """Return the address of a client, or "" if it has gone."""
+    try:
+        return client.getpeername()[0]
+    except OSError:
+        return ""
+
+
 def _reset(*ends: socket.socket) -> None:
     for end in ends:
         try:
--- a/soak/soak_test.py
+++ b/soak/soak_test.py
@@ -6,6 +6,7 @@
 
 from soak.callers import LoadGenerator
 from soak.cluster import Cluster
+from soak.cluster import Layout
 from soak.main import await_completion
 from soak.main import await_start
 from soak.main import run_seed
@@ -34,7 +35,7 @@
 # Guards against a fleet without a leader: one entry of another writer, whose
 # worker's record could not be encoded, took the role from each leader in turn.
 def test_odd_entries_cost_neither_role_nor_work(tmp_path):
-    cluster = Cluster(tmp_path, manager_count=3, seed=7)
+    cluster = Cluster(tmp_path, Layout(), seed=7)
     try:
         for index in range(3):
             cluster.start_manager(index)
--- a/standins/metadatastore.py
+++ b/standins/metadatastore.py
@@ -68,11 +68,13 @@
 
     Attributes:
       busy: Whether all requests are rejected with status 503.
+      page_items: Most records in a page of a topic's newest records.
     """
 
     def __init__(self):
         """Initialize a store without topics."""
         self.busy = False
+        self.page_items = PAGE_ITEMS
         self._changed = threading.Condition()
         self._partitions_by_topic: dict[str, Partition] = {}
 
@@ -180,12 +182,12 @@
                     ).decode(),
                     "Offset": partition.newest_by_key[key][0],
                 }
-                for key in keys[:PAGE_ITEMS]
+                for key in keys[: self.page_items]
             ]
             return json_response(
                 {
                     "items": items,
-                    "HasMore": len(keys) > PAGE_ITEMS,
+                    "HasMore": len(keys) > self.page_items,
                     "EndOffset": partition.end_offset,
                 }
             )
