--- a/soak/faults.py
+++ b/soak/faults.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
+from datetime import datetime
 import random
 import signal
 import threading
@@ -241,6 +242,11 @@
         for thread in self._threads:
             thread.join()
 
+    def _log_step(self, text: str) -> None:
+        """Log a step of a fault with the time that managers log."""
+        wall = datetime.now().strftime("%H:%M:%S,%f")[:-3]
+        self._log(f"  {wall} {text}")
+
     def _put_odd_entry(self) -> None:
         """Put an odd entry into a topic that other writers reach."""
         entry = self._entry_random.choice(ODD_ENTRIES)
@@ -326,8 +332,11 @@
         try:
             _, leader = self._cluster.leader()
             index = leader if fault.leader else selector
-            self._cluster.cut_zone(self._cluster.zone_of_manager(index))
+            zone = self._cluster.zone_of_manager(index)
+            self._log_step(f"zone {zone} is cut off, leader {leader}")
+            self._cluster.cut_zone(zone)
             release.wait(longest_s)
+            self._log_step(f"zone {zone} heals")
             self._cluster.heal_zone(deliver=bool(selector & 1))
         finally:
             self._cutting.release()
@@ -384,6 +393,7 @@
         return 0, -1
 
     def _end_leader(self, index, signal_number):
+        self._log_step(f"leader {index} receives signal {signal_number}")
         end = self._stop if signal_number == signal.SIGTERM else self._kill
         self._run_exclusively(index, 0.0, end)
 
@@ -411,8 +421,10 @@
         self._cluster.start_manager(index)
 
     def _pause_until(self, index, release):
+        self._log_step(f"leader {index} is suspended")
         self._cluster.signal_manager(index, signal.SIGSTOP)
         release.wait(MAX_CUT_S)
+        self._log_step(f"manager {index} resumes")
         self._cluster.signal_manager(index, signal.SIGCONT)
 
     def _pause(self, index, duration_s):
--- a/soak/scenario.py
+++ b/soak/scenario.py
@@ -54,8 +54,9 @@
         cores=rng.choice(((), cores)),
         page_items=rng.choice(PAGE_ITEMS),
     )
+    candidates = rng.choice((FAULTS + ZONE_FAULTS, ZONE_FAULTS))
     faults = (rng.choice(ZONE_FAULTS),) + tuple(
-        rng.choice(FAULTS + ZONE_FAULTS)
+        rng.choice(candidates)
         for _ in range(rng.randint(*KINDS_OF_FAULTS) - 1)
     )
     return Scenario(
