Test that a successor waits for leases of leaders before the last

A leader is cut off with a worker, its successor is killed at once and claims anew: it gives the worker up while the first leader still renews its lease.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -110,6 +110,16 @@
         for thread in self._threads:
             thread.join()
 
+    def submit(self, job: SubmittedJob) -> None:
+        """Submit a job at the first manager, once.
+
+        Args:
+          job: The job; it counts as accepted if the manager says so.
+        """
+        self.jobs.append(job)
+        status, _ = self._request("POST", job, _job_body(job), 0)
+        job.accepted = status == 200
+
     def poll_state(self, job: SubmittedJob, first: int = 0) -> str:
         """Query the state of a job, trying one manager after another.
 
--- a/soak/soak_test.py
+++ b/soak/soak_test.py
@@ -1,10 +1,14 @@
 """Short soak runs with fixed seeds on real manager processes."""
 
+from functools import partial
 import re
+import signal
+import time
 
 import pytest
 
 from soak.callers import LoadGenerator
+from soak.callers import SubmittedJob
 from soak.cluster import Cluster
 from soak.cluster import Layout
 from soak.main import await_completion
@@ -66,3 +70,64 @@
         ]
         assert len(lines) <= 3 * 2  # each manager; at most once a change
         assert all(len(line) < 1_000 for line in lines)
+
+
+SUCCESSOR_TASKS = 12  # more than fit on one worker
+SUCCESSOR_COMMAND = f"work 20.0 1000 {'c0' * 8}"  # runs until the test ends
+CUT_S = 9.5  # the first leader renews for 5 s, a lease lasts 3.6 s more
+READY_TIMEOUT_S = 20.0
+
+
+def await_condition(condition):
+    """Wait until a condition holds."""
+    deadline_s = time.monotonic() + READY_TIMEOUT_S
+    while not condition():
+        assert time.monotonic() < deadline_s
+        time.sleep(0.02)
+
+
+def is_ready(folder, index):
+    """Check whether a manager has read all that it needs."""
+    log = folder / f"node-{index}.log"
+    return log.exists() and b" 643 readiness changed" in log.read_bytes()
+
+
+# The first leader, cut off with a zone, renews the leases of its workers.  Its
+# successor is killed at once, and the process that takes over from that one
+# has never seen the first leader's records.
+def test_successor_waits_for_leases_of_leaders_before_the_last(tmp_path):
+    layout = Layout(managers=2, zones=("dc-a", "dc-b"))
+    cluster = Cluster(tmp_path, layout, seed=11)
+    try:
+        cluster.start_manager(0)
+        await_condition(lambda: cluster.leader() == (1, 0))
+        cluster.start_manager(1)
+        for index in range(layout.managers):
+            await_condition(partial(is_ready, tmp_path, index))
+        addresses = [cluster.front_address(0)]
+        load = LoadGenerator(addresses, 11)
+        load.submit(
+            SubmittedJob(
+                "c0" * 8, "quotes", SUCCESSOR_COMMAND, (SUCCESSOR_TASKS,)
+            )
+        )
+        await_condition(
+            lambda: sum(len(worker.records) for worker in cluster.workers)
+            == SUCCESSOR_TASKS
+        )
+        cluster.cut_zone("dc-a")
+        cut_end_s = time.monotonic() + CUT_S
+        await_condition(lambda: cluster.leader() == (2, 1))
+        cluster.signal_manager(1, signal.SIGKILL)
+        cluster.manager_processes[1].wait()
+        cluster.start_manager(1)
+        await_condition(lambda: cluster.leader() == (3, 1))
+        time.sleep(max(cut_end_s - time.monotonic(), 0.0))
+        violations = check_invariants(load.jobs, cluster.workers)
+    finally:
+        cluster.close()
+    assert not [
+        violation
+        for violation in violations
+        if violation.invariant in ("concurrent runs", "rerun after done")
+    ]
