--- a/soak/faults.py
+++ b/soak/faults.py
@@ -100,10 +100,13 @@
     Attributes:
       hold_first: How the leader before these is held up meanwhile.
       signal_number: Signal that ends the leaders.
+      restart_others: Whether all other managers restart when the first new
+        term has begun, and so have not seen the leader before it.
     """
 
     hold_first: "CutZone | PauseManager | None"
     signal_number: signal.Signals
+    restart_others: bool
 
 
 @dataclass(frozen=True, slots=True)
@@ -158,12 +161,18 @@
     *map(DegradeStoreLink, DEGRADED_MODES),
     *map(DegradeWorkerLink, DEGRADED_MODES),
 )
+SERIES_WITH_CUT: tuple[Fault, ...] = tuple(
+    ReplaceLeaders(CutZone(leader=True), signal_number, restart_others)
+    for signal_number in (signal.SIGTERM, signal.SIGKILL)
+    for restart_others in (False, True)
+)
 ZONE_FAULTS: tuple[Fault, ...] = (
     CutZone(leader=True),
     CutZone(leader=False),
+    *SERIES_WITH_CUT,
     *(
-        ReplaceLeaders(hold_first, signal_number)
-        for hold_first in (CutZone(leader=True), PauseManager(), None)
+        ReplaceLeaders(hold_first, signal_number, restart_others=False)
+        for hold_first in (PauseManager(), None)
         for signal_number in (signal.SIGTERM, signal.SIGKILL)
     ),
     LoseLeaderAnswers(),
@@ -352,10 +361,12 @@
         try:
             if fault.hold_first is None:
                 self._end_leader(first, fault.signal_number)
-            for _ in range(rng.randint(*LEADERS_REPLACED)):
+            for number in range(rng.randint(*LEADERS_REPLACED)):
                 epoch, leader = self._await_leader_after(epoch)
                 if leader < 0:
                     break
+                if fault.restart_others and not number:
+                    self._restart_others((first, leader))
                 time.sleep(rng.uniform(*TERM_LENGTH_S))
                 self._end_leader(leader, fault.signal_number)
             time.sleep(rng.uniform(MIN_DURATION_S, MAX_DURATION_S))
@@ -392,6 +403,16 @@
             time.sleep(LEADER_POLL_S)
         return 0, -1
 
+    def _restart_others(self, spared: tuple[int, ...]) -> None:
+        """Kill and restart all managers but some, without waiting."""
+        for index in range(len(self._cluster.manager_processes)):
+            if index not in spared:
+                threading.Thread(
+                    target=self._run_exclusively,
+                    args=(index, 0.0, self._kill),
+                    daemon=True,
+                ).start()
+
     def _end_leader(self, index, signal_number):
         self._log_step(f"leader {index} receives signal {signal_number}")
         end = self._stop if signal_number == signal.SIGTERM else self._kill
--- a/soak/scenario.py
+++ b/soak/scenario.py
@@ -7,6 +7,7 @@
 from soak.faults import Fault
 from soak.faults import FAULTS
 from soak.faults import MEAN_INTERVAL_S
+from soak.faults import SERIES_WITH_CUT
 from soak.faults import ZONE_FAULTS
 
 ZONED_MANAGERS = 4
@@ -54,7 +55,9 @@
         cores=rng.choice(((), cores)),
         page_items=rng.choice(PAGE_ITEMS),
     )
-    candidates = rng.choice((FAULTS + ZONE_FAULTS, ZONE_FAULTS))
+    candidates = rng.choice(
+        (FAULTS + ZONE_FAULTS, ZONE_FAULTS, SERIES_WITH_CUT)
+    )
     faults = (rng.choice(ZONE_FAULTS),) + tuple(
         rng.choice(candidates)
         for _ in range(rng.randint(*KINDS_OF_FAULTS) - 1)
