--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -1,5 +1,6 @@
 """A TCP proxy that injects network faults on loopback connections."""
 
+from dataclasses import dataclass
 from enum import Enum
 import socket
 import struct
@@ -21,6 +22,40 @@
     DROP_RESPONSES = "answers lost"
 
 
+@dataclass(eq=False, slots=True)
+class Link:
+    """A client's connection and the one to the target that it leads to.
+
+    The sockets are closed when no thread uses them any more: their numbers
+    may be those of other sockets at once.
+
+    Attributes:
+      client_ip: Address that the client connects from.
+      ends: Sockets to the client and to the target.
+      forwarding: Directions that a thread still forwards.
+    """
+
+    client_ip: str
+    ends: tuple[socket.socket, socket.socket]
+    forwarding: int = 2
+
+    def shut_down(self, reset: bool) -> None:
+        """Let both threads end.
+
+        Args:
+          reset: Whether closing sends a TCP reset to both sides.
+        """
+        for end in self.ends:
+            try:
+                if reset:
+                    end.setsockopt(
+                        socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET
+                    )
+                end.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                pass
+
+
 class Proxy:
     """Forwards connections to one target.
 
@@ -48,7 +83,7 @@
         self.delay_s = 0.3
         self.cut_sources: frozenset[str] = frozenset()
         self._lock = threading.Lock()
-        self._pairs: set[tuple[socket.socket, socket.socket]] = set()
+        self._links: set[Link] = set()
         threading.Thread(target=self._accept, daemon=True).start()
 
     def reset(self, sources: frozenset[str] | None = None) -> None:
@@ -58,85 +93,78 @@
           sources: Addresses whose connections are reset; None for all.
         """
         with self._lock:
-            pairs = [
-                pair
-                for pair in self._pairs
-                if sources is None or _source(pair[0]) in sources
+            links = [
+                link
+                for link in self._links
+                if sources is None or link.client_ip in sources
             ]
-            self._pairs.difference_update(pairs)
-        for pair in pairs:
-            _reset(*pair)
+            self._links.difference_update(links)
+        for link in links:
+            link.shut_down(reset=True)
 
     def close(self) -> None:
         """Stop listening and reset all connections."""
+        try:
+            self._listener.shutdown(socket.SHUT_RDWR)  # wakes the thread
+        except OSError:
+            pass
         self._listener.close()
         self.reset()
 
     def _accept(self):
         while True:
             try:
-                client, _ = self._listener.accept()
+                client, (client_ip, _) = self._listener.accept()
             except OSError:
                 return
             try:
                 server = socket.create_connection(self._target, timeout=5)
                 server.settimeout(None)
             except OSError:
-                _reset(client)
+                client.setsockopt(
+                    socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET
+                )
+                client.close()
                 continue
-            pair = (client, server)
+            link = Link(client_ip, (client, server))
             with self._lock:
-                self._pairs.add(pair)
+                self._links.add(link)
             for source, sink, is_response in (
                 (client, server, False),
                 (server, client, True),
             ):
                 threading.Thread(
                     target=self._forward,
-                    args=(pair, source, sink, is_response),
+                    args=(link, source, sink, is_response),
                     daemon=True,
                 ).start()
 
-    def _forward(self, pair, source, sink, is_response):
+    def _forward(self, link: Link, source, sink, is_response: bool):
         """Forward bytes in one direction until either end closes."""
-        client_ip = _source(pair[0])
         try:
             while chunk := source.recv(CHUNK_BYTES):
-                if self._wait_to_forward(client_ip, is_response):
+                if self._wait_to_forward(link, is_response):
                     sink.sendall(chunk)
         except OSError:
             pass
+        link.shut_down(reset=False)
         with self._lock:
-            self._pairs.discard(pair)
-        for end in pair:
-            try:
-                end.shutdown(socket.SHUT_RDWR)
-            except OSError:
-                pass
-            end.close()
-
-    def _wait_to_forward(self, client_ip: str, is_response: bool) -> bool:
+            self._links.discard(link)
+            link.forwarding -= 1
+            unused = not link.forwarding
+        if unused:
+            for end in link.ends:
+                end.close()
+
+    def _wait_to_forward(self, link: Link, is_response: bool) -> bool:
         """Wait while the mode says so; return whether to forward the bytes."""
-        while self.mode is ProxyMode.STALL or client_ip in self.cut_sources:
+        while self._is_held_up(link) and link in self._links:
             time.sleep(POLL_INTERVAL_S)
         if self.mode is ProxyMode.DELAY:
             time.sleep(self.delay_s)
-        return not (is_response and self.mode is ProxyMode.DROP_RESPONSES)
-
-
-def _source(client: socket.socket) -> str:
-    """Return the address of a client, or "" if it has gone."""
-    try:
-        return client.getpeername()[0]
-    except OSError:
-        return ""
-
+        dropped = is_response and self.mode is ProxyMode.DROP_RESPONSES
+        return link in self._links and not dropped
 
-def _reset(*ends: socket.socket) -> None:
-    for end in ends:
-        try:
-            end.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET)
-            end.shutdown(socket.SHUT_RDWR)
-        except OSError:
-            pass
-        end.close()
+    def _is_held_up(self, link: Link) -> bool:
+        stalled = self.mode is ProxyMode.STALL
+        return stalled or link.client_ip in self.cut_sources
