--- a/soak/scenario.py
+++ b/soak/scenario.py
@@ -14,9 +14,9 @@
 ZONES = ("dc-a", "dc-b")
 CORES = (0.5, 2.2)  # of the weakest and the strongest manager
 PAGE_ITEMS = (5, 20, 500)  # short pages stand for a store with many keys
-ZONED_JOBS_PER_S = 2.5
+ZONED_JOBS_PER_S = 4.0
 ZONED_INTERVAL_S = 1.5
-VARIED_SHARE = 0.15
+VARIED_SHARE = 0.25
 KINDS_OF_FAULTS = (2, 6)  # few kinds at once meet more often
 
 
