--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -117,27 +117,37 @@
                 client, (client_ip, _) = self._listener.accept()
             except OSError:
                 return
-            try:
-                server = socket.create_connection(self._target, timeout=5)
-                server.settimeout(None)
-            except OSError:
-                client.setsockopt(
-                    socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET
-                )
-                client.close()
-                continue
+            server = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
             link = Link(client_ip, (client, server))
             with self._lock:
                 self._links.add(link)
-            for source, sink, is_response in (
-                (client, server, False),
-                (server, client, True),
-            ):
-                threading.Thread(
-                    target=self._forward,
-                    args=(link, source, sink, is_response),
-                    daemon=True,
-                ).start()
+            threading.Thread(
+                target=self._open, args=(link,), daemon=True
+            ).start()
+
+    def _open(self, link: Link) -> None:
+        """Connect a client to the target once bytes are forwarded.
+
+        A connection without a request would occupy a thread of the target.
+        """
+        client, server = link.ends
+        while self._is_held_up(link) and link in self._links:
+            time.sleep(POLL_INTERVAL_S)
+        try:
+            server.connect(self._target)
+        except OSError:
+            link.shut_down(reset=True)
+            with self._lock:
+                self._links.discard(link)
+            client.close()
+            server.close()
+            return
+        threading.Thread(
+            target=self._forward,
+            args=(link, server, client, True),
+            daemon=True,
+        ).start()
+        self._forward(link, client, server, False)
 
     def _forward(self, link: Link, source, sink, is_response: bool):
         """Forward bytes in one direction until either end closes."""
