Test that a leader without the store reruns nothing of a worker that ended

The successor has taken in that the tasks are done, and the list of machines tells the first leader that their worker has ended: it starts them again.

--- a/soak/cluster.py
+++ b/soak/cluster.py
@@ -221,14 +221,15 @@
         """
         return self.layout.zones[index % len(self.layout.zones)]
 
-    def cut_zone(self, zone: str) -> None:
+    def cut_zone(self, zone: str, cloud: bool = True) -> None:
         """Cut a zone's managers and workers off from the store and the rest.
 
         Args:
           zone: Name of the zone; an earlier cut must have ended.
+          cloud: Whether its managers are cut off from the cloud API too.
         """
         self._cut_zone = zone
-        for index, proxy in self._platform_proxies(zone):
+        for index, proxy in self._platform_proxies(zone, cloud):
             proxy.cut_sources = frozenset((_loopback_ip(index),))
         with self._lock:
             for incarnation in self.incarnations_by_machine.values():
@@ -242,7 +243,8 @@
             instead of being lost.
         """
         proxies = [
-            proxy for _, proxy in self._platform_proxies(self._cut_zone)
+            proxy
+            for _, proxy in self._platform_proxies(self._cut_zone, cloud=True)
         ]
         self._cut_zone = ""
         with self._lock:
@@ -349,11 +351,16 @@
                 self._register(incarnation)
             time.sleep(HEARTBEAT_S)
 
-    def _platform_proxies(self, zone: str) -> list[tuple[int, Proxy]]:
+    def _platform_proxies(
+        self, zone: str, cloud: bool
+    ) -> list[tuple[int, Proxy]]:
         """List the proxies of a zone's managers, with their indexes."""
         return [
             (index, proxy)
-            for proxies in (self.store_proxies, self.cloud_proxies)
+            for proxies in (
+                self.store_proxies,
+                self.cloud_proxies if cloud else (),
+            )
             for index, proxy in enumerate(proxies)
             if self.zone_of_manager(index) == zone
         ]
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -343,7 +343,7 @@
             index = leader if fault.leader else selector
             zone = self._cluster.zone_of_manager(index)
             self._log_step(f"zone {zone} is cut off, leader {leader}")
-            self._cluster.cut_zone(zone)
+            self._cluster.cut_zone(zone, cloud=bool(selector & 2))
             release.wait(longest_s)
             self._log_step(f"zone {zone} heals")
             self._cluster.heal_zone(deliver=bool(selector & 1))
--- a/soak/soak_test.py
+++ b/soak/soak_test.py
@@ -1,5 +1,6 @@
 """Short soak runs with fixed seeds on real manager processes."""
 
+from dataclasses import dataclass
 from functools import partial
 import re
 import signal
@@ -72,8 +73,10 @@
         assert all(len(line) < 1_000 for line in lines)
 
 
-SUCCESSOR_TASKS = 12  # more than fit on one worker
-SUCCESSOR_COMMAND = f"work 20.0 1000 {'c0' * 8}"  # runs until the test ends
+JOB_ID = "c0" * 8
+JOB_TASKS = 12  # more than fit on one worker
+LONG_TASK_S = 20.0  # until the end of the test
+SHORT_TASK_S = 1.5  # until the first leader is cut off
 CUT_S = 9.5  # the first leader renews for 5 s, a lease lasts 3.6 s more
 READY_TIMEOUT_S = 20.0
 
@@ -92,42 +95,84 @@
     return log.exists() and b" 643 readiness changed" in log.read_bytes()
 
 
-# The first leader, cut off with a zone, renews the leases of its workers.  Its
-# successor is killed at once, and the process that takes over from that one
-# has never seen the first leader's records.
-def test_successor_waits_for_leases_of_leaders_before_the_last(tmp_path):
+@dataclass(slots=True)
+class CutLeader:
+    """A leader of zone dc-a that is about to be cut off.
+
+    Attributes:
+      cluster: The cluster, with a second manager in zone dc-b.
+      load: Has submitted the only job.
+    """
+
+    cluster: Cluster
+    load: LoadGenerator
+
+
+@pytest.fixture(name="start_cut_leader")
+def cut_leader_starter(tmp_path):
+    """Return a function that starts two managers and a job of each zone."""
     layout = Layout(managers=2, zones=("dc-a", "dc-b"))
     cluster = Cluster(tmp_path, layout, seed=11)
-    try:
+
+    def start(seconds):
         cluster.start_manager(0)
         await_condition(lambda: cluster.leader() == (1, 0))
         cluster.start_manager(1)
         for index in range(layout.managers):
             await_condition(partial(is_ready, tmp_path, index))
-        addresses = [cluster.front_address(0)]
-        load = LoadGenerator(addresses, 11)
-        load.submit(
-            SubmittedJob(
-                "c0" * 8, "quotes", SUCCESSOR_COMMAND, (SUCCESSOR_TASKS,)
-            )
-        )
+        load = LoadGenerator([cluster.front_address(0)], 11)
+        command = f"work {seconds} 1000 {JOB_ID}"
+        load.submit(SubmittedJob(JOB_ID, "quotes", command, (JOB_TASKS,)))
         await_condition(
             lambda: sum(len(worker.records) for worker in cluster.workers)
-            == SUCCESSOR_TASKS
+            == JOB_TASKS
         )
-        cluster.cut_zone("dc-a")
-        cut_end_s = time.monotonic() + CUT_S
-        await_condition(lambda: cluster.leader() == (2, 1))
-        cluster.signal_manager(1, signal.SIGKILL)
-        cluster.manager_processes[1].wait()
-        cluster.start_manager(1)
-        await_condition(lambda: cluster.leader() == (3, 1))
-        time.sleep(max(cut_end_s - time.monotonic(), 0.0))
-        violations = check_invariants(load.jobs, cluster.workers)
-    finally:
-        cluster.close()
-    assert not [
+        return CutLeader(cluster, load)
+
+    yield start
+    cluster.close()
+
+
+def violations_of_runs(cut):
+    """List the violations that a task's runs show."""
+    return [
         violation
-        for violation in violations
+        for violation in check_invariants(cut.load.jobs, cut.cluster.workers)
         if violation.invariant in ("concurrent runs", "rerun after done")
     ]
+
+
+# The first leader, cut off with a zone, renews the leases of its workers.  Its
+# successor is killed at once, and the process that takes over from that one
+# has never seen the first leader's records.
+def test_successor_waits_for_leases_of_leaders_before_the_last(
+    start_cut_leader,
+):
+    cut = start_cut_leader(LONG_TASK_S)
+    cluster = cut.cluster
+    cluster.cut_zone("dc-a")
+    cut_end_s = time.monotonic() + CUT_S
+    await_condition(lambda: cluster.leader() == (2, 1))
+    cluster.signal_manager(1, signal.SIGKILL)
+    cluster.manager_processes[1].wait()
+    cluster.start_manager(1)
+    await_condition(lambda: cluster.leader() == (3, 1))
+    time.sleep(max(cut_end_s - time.monotonic(), 0.0))
+    assert not violations_of_runs(cut)
+
+
+# The successor takes in that the tasks of a worker are done.  Then the worker
+# restarts, and the list of machines tells the first leader that it has ended.
+def test_cut_off_leader_reruns_nothing_of_a_worker_that_restarted(
+    start_cut_leader,
+):
+    cut = start_cut_leader(SHORT_TASK_S)
+    cluster = cut.cluster
+    worker = cluster.incarnations_by_machine["m1"].worker
+    cluster.cut_zone("dc-a", cloud=False)
+    cut_end_s = time.monotonic() + CUT_S
+    await_condition(lambda: all(run.acknowledged for run in worker.records))
+    cluster.start_worker("m1", cluster.stop_worker("m1"))
+    time.sleep(max(cut_end_s - time.monotonic(), 0.0))
+    assert worker.records
+    assert not violations_of_runs(cut)
