--- a/standins/serving.py
+++ b/standins/serving.py
@@ -79,7 +79,12 @@
     """
 
     def application(environ, start_response):
-        response = handle(_parse_request(environ))
+        request = _parse_request(environ)
+        if len(request.body) < int(environ.get("CONTENT_LENGTH") or 0):
+            # The client broke off; such a request is not carried out.
+            response = HttpResponse(400, b"incomplete")
+        else:
+            response = handle(request)
         content_length = ("Content-Length", str(len(response.body)))
         start_response(
             f"{response.status} Status",
