Histories: a scenario of cut-off zones, and a stricter check of TWICE

Histories take turns in scenarios; 'general' is what they were, with the same seeds. 'zones' cuts the leader off with the workers of its zone and stops or quickly restarts its successor. Starts in the millisecond of an acknowledged end count, and starts long after a job was shown as done.

--- a/bench/job_histories.py
+++ b/bench/job_histories.py
@@ -9,6 +9,9 @@
 every accepted job ends after the last fault.  The result is the number of
 violations.
 
+Histories take turns in the scenarios, each of which adds faults of one kind.
+`--scenario NAME` runs one scenario alone.
+
 `--without GUARD` disables a guard, to show that the checks detect its absence.
 """
 
@@ -25,6 +28,9 @@
 from bench.jobfaults import FAULT_PERIOD_MS
 from bench.jobfaults import schedule_faults
 from bench.jobguards import disable_guard
+from bench.jobscenariofaults import schedule_scenario
+from bench.jobscenarios import Limits
+from bench.jobscenarios import SCENARIOS_BY_NAME
 from bench.jobworld import JobSimulation
 from sesamehall.core.fleet import StoredRecord
 from sesamehall.core.fleet import Stream
@@ -36,8 +42,6 @@
 
 MAX_ATTEMPTS = 2
 WARMUP_MS = 2_500  # until the first leader has connected to its workers
-RECOVERY_PERIOD_MS = 22_000  # late orders are executed, and all jobs end
-LEADER_CHANGES = 4  # per history; others follow some of them, or an outage
 JOBS_PER_LEADER_CHANGE = 6
 
 
@@ -47,51 +51,64 @@
 
     Attributes:
       seed: Seed of the history.
+      scenario: Name of its scenario.
       violations: Descriptions of the violations.
       starts: Number of started runs.
       terms: Number of leaders' terms.
     """
 
     seed: int
+    scenario: str
     violations: tuple[str, ...]
     starts: int
     terms: int
 
 
-def run_history(seed: int, disabled_guard: str = "") -> HistoryResult:
+def run_history(
+    seed: int, disabled_guard: str = "", scenario_name: str = "general"
+) -> HistoryResult:
     """Run one history.
 
     Args:
       seed: Seed of the random generator; runs of a seed are identical.
       disabled_guard: Name of the guard to disable, "" for none.
+      scenario_name: Name of the scenario.
     Returns:
       The result.
     """
     disable_guard(disabled_guard)
+    scenario = SCENARIOS_BY_NAME[scenario_name]
     simulation = build_simulation(
-        seed, retry_unconfirmed=disabled_guard != "sequence"
+        seed,
+        retry_unconfirmed=disabled_guard != "sequence",
+        limits=scenario.limits,
     )
     caller = Caller(simulation)
     simulation.run(WARMUP_MS)
-    schedule_jobs(simulation, caller)
-    schedule_faults(simulation, caller)
+    schedule_jobs(simulation, caller, scenario.leader_changes)
+    schedule_faults(simulation, caller, scenario.general_faults)
+    schedule_scenario(simulation, caller, scenario)
     simulation.run(FAULT_PERIOD_MS)
     end_faults(simulation)
-    simulation.run(RECOVERY_PERIOD_MS // 2)
+    simulation.run(scenario.recovery_ms // 2)
     simulation.checker.faults_over = True
-    simulation.run(RECOVERY_PERIOD_MS // 2)
+    simulation.run(scenario.recovery_ms // 2)
     for job_id in caller.accepted:
         stored = simulation.store.newest_value(Stream.PROGRESS, job_id)
         phase = stored.phase if isinstance(stored, Progress) else None
         simulation.checker.check_completed(job_id, phase)
     violations = tuple(simulation.checker.violations)
     return HistoryResult(
-        seed, violations, simulation.checker.starts, simulation.store.epoch
+        seed,
+        scenario_name,
+        violations,
+        simulation.checker.starts,
+        simulation.store.epoch,
     )
 
 
 def build_simulation(
-    seed: int, retry_unconfirmed: bool = True
+    seed: int, retry_unconfirmed: bool = True, limits: Limits = Limits()
 ) -> JobSimulation:
     """Build a simulation with managers, workers and a manifest.
 
@@ -99,10 +116,11 @@
       seed: Seed of the random generator; runs of a seed are identical.
       retry_unconfirmed: Whether an append of unknown outcome is retried
         before the next one uses its sequence number.
+      limits: Limits of the simulated platform.
     Returns:
       The simulation.
     """
-    simulation = JobSimulation(seed, MAX_ATTEMPTS, retry_unconfirmed)
+    simulation = JobSimulation(seed, MAX_ATTEMPTS, retry_unconfirmed, limits)
     queue = Queue("quotes", "q.example", "/q/", "a", max_attempts=MAX_ATTEMPTS)
     manifest = Manifest(
         version=1,
@@ -121,18 +139,21 @@
     return simulation
 
 
-def schedule_jobs(simulation: JobSimulation, caller: Caller) -> None:
+def schedule_jobs(
+    simulation: JobSimulation, caller: Caller, leader_changes: int
+) -> None:
     """Schedule submissions of jobs, most of them around leader changes.
 
     Args:
       simulation: Simulated managers and workers.
       caller: Caller that submits them.
+      leader_changes: Number of changes of the leader; others follow some.
     """
     for _ in range(10):
         simulation.call_later(
             simulation.random.randrange(FAULT_PERIOD_MS), caller.submit
         )
-    for _ in range(LEADER_CHANGES):
+    for _ in range(leader_changes):
         at_ms = simulation.random.randrange(FAULT_PERIOD_MS)
         for _ in range(JOBS_PER_LEADER_CHANGE):
             # Up to 700 ms before the change, or up to 200 ms after it.
@@ -146,26 +167,40 @@
             )
 
 
-def run_all(*, histories: int = 1000, seed: int = 0, without: str = "") -> int:
+def run_all(
+    *,
+    histories: int = 1000,
+    seed: int = 0,
+    without: str = "",
+    scenario: str = "",
+) -> int:
     """Run histories in parallel and print the number of violations.
 
     Args:
       histories: Number of histories.
       seed: Seed of the first history; the others follow it.
       without: Name of the guard to disable, "" for none.
+      scenario: Name of the only scenario, "" for all in turn.
     Returns:
       The number of violations.
     """
     seeds = range(seed, seed + histories)
+    names = [scenario] if scenario else list(SCENARIOS_BY_NAME)
+    scenarios = [names[seed % len(names)] for seed in seeds]
     with ProcessPoolExecutor(max(os.cpu_count() // 2, 1)) as processes:
         results = list(
             processes.map(
-                run_history, seeds, [without] * histories, chunksize=4
+                run_history,
+                seeds,
+                [without] * histories,
+                scenarios,
+                chunksize=4,
             )
         )
     failed = [result for result in results if result.violations]
     for result in failed[:10]:
-        print(f"seed {result.seed}: {result.violations[0]}")
+        print(f"seed {result.seed} of scenario {result.scenario}:")
+        print(f"  {result.violations[0]}")
     counts_by_rule = Counter(
         line.partition(" ")[0]
         for result in failed
--- a/bench/jobcallers.py
+++ b/bench/jobcallers.py
@@ -1,6 +1,7 @@
 """Callers of job histories: they submit, show and cancel jobs."""
 
 from bench.jobworkers import FAILING_COMMAND
+from bench.jobworkers import LONG_COMMAND
 from bench.jobworld import JobSimulation
 from sesamehall.core.calls import Accepted
 from sesamehall.core.calls import CancelJob
@@ -19,6 +20,7 @@
 CALL_TIMEOUT_MS = 3_000
 CALL_ATTEMPTS = 8
 FAILING_JOB_TASKS = 3  # the first of them always fails
+LONG_JOB_TASKS = 2
 TASK_SIZE = Size(1_000, 1_000)
 
 
@@ -56,6 +58,13 @@
         steps = (StepPlan(FAILING_JOB_TASKS, TASK_SIZE, 400),)
         self._submit(job_id, JobDraft(FAILING_COMMAND, steps))
 
+    def submit_long_job(self) -> None:
+        """Submit a job whose tasks all take long."""
+        self._serial += 1
+        job_id = f"{self._serial:016x}"
+        steps = (StepPlan(LONG_JOB_TASKS, TASK_SIZE, 3_000),)
+        self._submit(job_id, JobDraft(LONG_COMMAND, steps))
+
     def _submit(self, job_id, draft):
         self._simulation.checker.record_submission(job_id, draft.steps)
         self._call_manager(job_id, SubmitJob(draft), CALL_ATTEMPTS, False)
--- a/bench/jobchecks.py
+++ b/bench/jobchecks.py
@@ -5,7 +5,9 @@
 managers' state is not checked.  Violations carry the names of the broken
 rules:
 
-  TWICE: a task runs twice at once, or again after it was done.
+  TWICE: a task runs twice at once, or again after any earlier run of it was
+    done, if that end is acknowledged then or later, or after its job was shown
+    as done.
   BUDGET: a task runs again after its last permitted failure.
   ORDER: a step starts before the steps that it depends on are done.
   REFUSED: a rejected job runs.
@@ -27,6 +29,7 @@
 from sesamehall.core.work import TaskPlace
 
 MAX_CANCEL_DELAY_MS = 3_000  # tasks may start this long after cancellation
+MAX_SHOWN_DELAY_MS = 1_000  # and this long after their job was shown as done
 
 
 class JobChecker:
@@ -36,7 +39,8 @@
       cancelled_ms_by_job: Time at which a cancellation was accepted.
       violations: Descriptions of the violations.
       faults_over: Whether the faults ended so long ago that delays are
-        bounded; starts after a cancellation are checked only then.
+        bounded; starts after a cancellation, or after a job was shown as
+        done, are checked only then.
       starts: Number of started runs.
       ends: Number of ended runs by outcome, without those that were lost with
         their worker.
@@ -54,6 +58,7 @@
         self._steps_by_job: dict[str, tuple[StepPlan, ...]] = {}
         self._runs_by_task: dict[str, list[SimulatedRun]] = defaultdict(list)
         self._rejected_by_job: dict[str, bool] = {}
+        self._shown_done_ms_by_job: dict[str, int] = {}
         self.cancelled_ms_by_job: dict[str, int] = {}
         self.violations: list[str] = []
         self.faults_over = False
@@ -110,10 +115,21 @@
         for number in self._steps_by_job[job_id][place.step].depends_on:
             early = not self._is_step_done(job_id, number)
             self._record_violation_if(early, "ORDER", run.task_id, run)
-        cancelled_ms = self.cancelled_ms_by_job.get(job_id)
-        if self.faults_over and cancelled_ms is not None:
-            late = self._read_clock_ms() - cancelled_ms > MAX_CANCEL_DELAY_MS
-            self._record_violation_if(late, "UNASKED", run.task_id, run)
+        if not self.faults_over:
+            return
+        late = self._is_after(
+            self.cancelled_ms_by_job, job_id, MAX_CANCEL_DELAY_MS
+        )
+        self._record_violation_if(late, "UNASKED", run.task_id, run)
+        late = self._is_after(
+            self._shown_done_ms_by_job, job_id, MAX_SHOWN_DELAY_MS
+        )
+        self._record_violation_if(late, "TWICE", run.task_id, run)
+
+    def _is_after(self, times_ms_by_job, job_id, delay_ms):
+        """Check whether a job's time, if any, is longer ago than a delay."""
+        at_ms = times_ms_by_job.get(job_id)
+        return at_ms is not None and self._read_clock_ms() - at_ms > delay_ms
 
     def record_end(self, run: SimulatedRun) -> None:
         """Count an ended run.
@@ -146,7 +162,12 @@
         if not run.acknowledged:
             return
         others = self._runs_by_task[run.task_id]
-        later = [other for other in others if other.started_ms > run.ended_ms]
+        # The runs are in the order of their starts, also within a millisecond.
+        later = [
+            other
+            for other in others[others.index(run) + 1 :]
+            if other.started_ms >= run.ended_ms
+        ]
         if run.outcome is RunEnd.DONE:
             self._record_violation_if(
                 bool(later), "TWICE", run.task_id, run, later
@@ -167,6 +188,9 @@
           phase: The shown phase.
         """
         if phase is JobPhase.DONE:
+            self._shown_done_ms_by_job.setdefault(
+                job_id, self._read_clock_ms()
+            )
             numbers = range(len(self._steps_by_job[job_id]))
             done = all(
                 self._is_step_done(job_id, number) for number in numbers
--- a/bench/jobfaults.py
+++ b/bench/jobfaults.py
@@ -6,7 +6,6 @@
 from bench.jobworld import JobSimulation
 
 FAULT_PERIOD_MS = 12_000
-FAULT_COUNT = 6  # per history, besides the changes of the leader
 FAILING_JOB_MAX_ADVANCE_MS = 700  # the last failure may fall into the outage
 RESPONSE_LAG_RANGE_MS = (50, 300)  # of a slow manager
 
@@ -82,7 +81,9 @@
         disconnect_worker(simulation, address, manager_names, duration_ms)
 
 
-def schedule_faults(simulation: JobSimulation, caller: Caller) -> None:
+def schedule_faults(
+    simulation: JobSimulation, caller: Caller, count: int
+) -> None:
     """Schedule restarts and disconnections of workers and store outages.
 
     Jobs that always fail are submitted shortly before each outage, so that
@@ -91,6 +92,7 @@
     Args:
       simulation: Simulated managers and workers.
       caller: Caller that submits these jobs.
+      count: Number of faults.
     """
     random = simulation.random
     faults = (
@@ -102,7 +104,7 @@
         "store outage",
         "store outage",
     )
-    for index in range(FAULT_COUNT):
+    for index in range(count):
         at_ms = random.randrange(FAULT_PERIOD_MS)
         duration_ms = random.randint(300, 7_000)
         address = random.choice(list(simulation.workers_by_address))
--- a/bench/jobhistories_test.py
+++ b/bench/jobhistories_test.py
@@ -77,8 +77,8 @@
 from bench.jobfaults import schedule_faults
 simulation = job_histories.build_simulation(7)
 caller = Caller(simulation)
-job_histories.schedule_jobs(simulation, caller)
-schedule_faults(simulation, caller)
+job_histories.schedule_jobs(simulation, caller, 4)
+schedule_faults(simulation, caller, 6)
 simulation.run(6_000)
 lengths = [len(log) for log in simulation.store.records_by_stream.values()]
 print(lengths, simulation.checker.starts, simulation.checker.ends)
--- /dev/null
+++ b/bench/jobscenariofaults.py
@@ -0,0 +1,97 @@
+"""Faults of the scenarios of job histories."""
+
+from bench.jobcallers import Caller
+from bench.jobfaults import disconnect_worker
+from bench.jobfaults import FAULT_PERIOD_MS
+from bench.jobprocesses import ManagerProcess
+from bench.jobprocesses import NO_FAULTS
+from bench.jobscenarios import Fault
+from bench.jobscenarios import Scenario
+from bench.jobscenarios import ZonePartition
+from bench.jobworld import JobSimulation
+
+ZONES = 3  # managers and workers are dealt to them in turn
+PARTITION_RANGE_MS = (5_000, 10_000)
+PARTITION_JOBS = 8  # from shortly before a partition until shortly after it
+PARTITION_JOBS_RANGE_MS = (-1_500, 1_500)
+SUCCESSOR_CHANGE_RANGE_MS = (1_300, 3_500)  # after the partition
+QUICK_RESTART_RANGE_MS = (100, 800)
+
+
+def schedule_scenario(
+    simulation: JobSimulation, caller: Caller, scenario: Scenario
+) -> None:
+    """Schedule the faults of a scenario, and jobs around them.
+
+    Args:
+      simulation: Simulated managers and workers.
+      caller: Caller that submits the jobs.
+      scenario: The scenario.
+    """
+    for fault in scenario.faults:
+        _schedule_fault(simulation, caller, fault)
+
+
+def _schedule_fault(
+    simulation: JobSimulation, caller: Caller, fault: Fault
+) -> None:
+    at_ms = simulation.random.randrange(FAULT_PERIOD_MS)
+    match fault:
+        case ZonePartition():
+            for _ in range(PARTITION_JOBS):
+                offset_ms = simulation.random.randint(*PARTITION_JOBS_RANGE_MS)
+                simulation.call_later(
+                    at_ms + offset_ms, caller.submit_long_job
+                )
+            simulation.call_later(at_ms, _partition_leader_zone, simulation)
+
+
+def _partition_leader_zone(simulation: JobSimulation) -> None:
+    """Cut the leader off with the workers of its zone."""
+    process = simulation.leader()
+    if process is None or simulation.fault_rates is NO_FAULTS:
+        return
+    random = simulation.random
+    duration_ms = random.randint(*PARTITION_RANGE_MS)
+    process.store_unreachable = True
+    simulation.call_later(
+        duration_ms, setattr, process, "store_unreachable", False
+    )
+    names = list(simulation.processes_by_name)
+    others = [name for name in names if name != process.name]
+    zone = _zone(names, process.name)
+    addresses = list(simulation.workers_by_address)
+    for address in addresses:
+        same_zone = _zone(addresses, address) == zone
+        disconnected = others if same_zone else [process.name]
+        disconnect_worker(simulation, address, disconnected, duration_ms)
+    for _ in range(random.randint(1, 2)):
+        simulation.call_later(
+            random.randint(*SUCCESSOR_CHANGE_RANGE_MS),
+            _change_successor,
+            simulation,
+            process,
+        )
+
+
+def _zone(names: list[str], name: str) -> int:
+    return names.index(name) % ZONES
+
+
+def _change_successor(
+    simulation: JobSimulation, predecessor: ManagerProcess
+) -> None:
+    """Stop the leader, or kill it and restart it quickly.
+
+    Args:
+      simulation: Simulated managers and workers.
+      predecessor: The manager that was cut off, which is left alone.
+    """
+    process = simulation.leader()
+    if process in (None, predecessor) or simulation.fault_rates is NO_FAULTS:
+        return
+    restart_after_ms = simulation.random.randint(*QUICK_RESTART_RANGE_MS)
+    if simulation.random.random() < 0.5:
+        simulation.stop(process.name)
+    else:
+        simulation.kill(process.name, restart_after_ms)
--- /dev/null
+++ b/bench/jobscenarios.py
@@ -0,0 +1,68 @@
+"""Scenarios of job histories: limits and faults besides the general ones.
+
+Each scenario concentrates on one kind of fault, which random general faults
+hardly ever combine.  All its histories have the general faults too.
+"""
+
+from dataclasses import dataclass
+
+ENDS_PER_REPORT = 500  # at most, as the workers' protocol says
+LONG_RECOVERY_MS = 50_000  # for the additional jobs of a scenario
+
+
+@dataclass(frozen=True, slots=True)
+class Limits:
+    """Limits of the simulated platform.
+
+    Attributes:
+      ends_per_report: Maximum number of ends in a worker's report; the later
+        ones wait until these are acknowledged.
+    """
+
+    ends_per_report: int = ENDS_PER_REPORT
+
+
+@dataclass(frozen=True, slots=True)
+class ZonePartition:
+    """The leader's zone is cut off; then the leader changes again.
+
+    The leader reaches only the workers of its zone, which no other manager
+    reaches, and it does not reach the store.  Its successor is stopped, or
+    killed and restarted quickly, before the leader has to stop renewing
+    leases.
+    """
+
+
+Fault = ZonePartition
+
+
+@dataclass(frozen=True, slots=True)
+class Scenario:
+    """Limits and faults of the histories of a scenario.
+
+    Attributes:
+      limits: Limits of the simulated platform.
+      faults: Faults, each of which occurs once at a random time.
+      leader_changes: Number of general changes of the leader; others follow
+        some of them, or an outage.
+      general_faults: Number of other general faults.
+      recovery_ms: Time after the last fault in which late orders are executed
+        and all jobs end.
+    """
+
+    limits: Limits = Limits()
+    faults: tuple[Fault, ...] = ()
+    leader_changes: int = 4
+    general_faults: int = 6
+    recovery_ms: int = 22_000
+
+
+SCENARIOS_BY_NAME = {
+    "general": Scenario(),
+    "zones": Scenario(
+        faults=(ZonePartition(), ZonePartition()),
+        leader_changes=1,
+        general_faults=1,
+        recovery_ms=LONG_RECOVERY_MS,
+    ),
+}
--- a/bench/jobworkers.py
+++ b/bench/jobworkers.py
@@ -20,6 +20,7 @@
 LONG_RUN_RATE = 0.25  # long runs outlast most leases
 FAILED_RUN_MS = (2, 300)
 FAILING_COMMAND = "failing"  # command of a job whose first task always fails
+LONG_COMMAND = "long"  # command of a job whose tasks all take long
 SHORT_RUN_MS = (60, 900)
 LONG_RUN_MS = (1_000, 5_000)
 
@@ -61,7 +62,7 @@
       clock_ms: Clock of the worker.
       started_ms: Simulated time of the worker's start.
       active: Active runs.
-      ended: Ended runs that are not yet acknowledged.
+      ended: First ended runs that are not yet acknowledged.
     """
 
     clock_ms: int
@@ -82,6 +83,7 @@
       call_later: Schedules a function after a delay in milliseconds.
       now_ms: Returns the simulated time.
       checker: Checker that observes starts, ends and acknowledgements.
+      ends_per_report: Maximum number of ends in a report.
       alive: Whether the process runs.
       highest_epoch: Highest epoch received; calls with a lower one are fenced.
       lease_end_ms: End of the lease on the worker's clock.
@@ -99,6 +101,7 @@
     call_later: Callable
     now_ms: Callable[[], int]
     checker: object
+    ends_per_report: int
     alive: bool = True
     highest_epoch: int = 0
     lease_end_ms: int = 0
@@ -145,7 +148,7 @@
         """Build the response to a watch call.
 
         Returns:
-          The active runs and the ends that are not yet acknowledged.
+          The active runs and the first ends that are not yet acknowledged.
         """
         active = tuple(
             ActiveRun(
@@ -155,7 +158,7 @@
         )
         ended = tuple(
             EndedRun(run.end_sequence, run.task_id, run.number, run.outcome)
-            for run in self.ended
+            for run in self.ended[: self.ends_per_report]
         )
         return WorkerReport(self.clock_ms(), self.started_ms, active, ended)
 
@@ -216,6 +219,8 @@
             if first:
                 return RunEnd.FAILED, self.random.randint(*FAILED_RUN_MS)
             return RunEnd.DONE, self.random.randint(*LONG_RUN_MS)
+        if effect.command == LONG_COMMAND:
+            return RunEnd.DONE, self.random.randint(*LONG_RUN_MS)
         chance = self.random.random()
         if chance < FAILURE_RATE:
             return RunEnd.FAILED, self.random.randint(*FAILED_RUN_MS)
--- a/bench/jobworld.py
+++ b/bench/jobworld.py
@@ -21,6 +21,7 @@
 from bench.jobprocesses import ManagerProcess
 from bench.jobprocesses import ProgressWriter
 from bench.jobprocesses import WALL_CLOCK_START_MS
+from bench.jobscenarios import Limits
 from bench.jobstore import JobStore
 from bench.jobworkers import WorkerIncarnation
 from bench.storecalls import StoreCalls
@@ -77,7 +78,11 @@
     """
 
     def __init__(
-        self, seed: int, max_attempts: int = 2, retry_unconfirmed: bool = True
+        self,
+        seed: int,
+        max_attempts: int = 2,
+        retry_unconfirmed: bool = True,
+        limits: Limits = Limits(),
     ):
         """Start without managers and workers.
 
@@ -86,8 +91,10 @@
           max_attempts: Number of failed runs after which a task has failed.
           retry_unconfirmed: Whether an append of unknown outcome is retried
             before the next one uses its sequence number.
+          limits: Limits of the simulated platform.
         """
         super().__init__()
+        self._limits = limits
         self.random = Random(seed)
         self.fault_rates = CallFaultRates()
         self._store_calls = StoreCalls(self, retry_unconfirmed)
@@ -139,6 +146,7 @@
             call_later=self.call_later,
             now_ms=lambda: self.now_ms,
             checker=self.checker,
+            ends_per_report=self._limits.ends_per_report,
         )
         self.workers_by_address[address] = worker
         self.call_later(
