--- a/bench/jobcallers.py
+++ b/bench/jobcallers.py
@@ -21,6 +21,7 @@
 CALL_ATTEMPTS = 8
 FAILING_JOB_TASKS = 3  # the first of them always fails
 LONG_JOB_TASKS = 2
+WIDE_JOB_TASKS = 40
 TASK_SIZE = Size(1_000, 1_000)
 
 
@@ -65,6 +66,13 @@
         steps = (StepPlan(LONG_JOB_TASKS, TASK_SIZE, 3_000),)
         self._submit(job_id, JobDraft(LONG_COMMAND, steps))
 
+    def submit_wide_job(self) -> None:
+        """Submit a job with many tasks."""
+        self._serial += 1
+        job_id = f"{self._serial:016x}"
+        steps = (StepPlan(WIDE_JOB_TASKS, TASK_SIZE, 400),)
+        self._submit(job_id, JobDraft("work", steps))
+
     def _submit(self, job_id, draft):
         self._simulation.checker.record_submission(job_id, draft.steps)
         self._call_manager(job_id, SubmitJob(draft), CALL_ATTEMPTS, False)
--- a/bench/jobscenariofaults.py
+++ b/bench/jobscenariofaults.py
@@ -2,10 +2,12 @@
 
 from bench.jobcallers import Caller
 from bench.jobfaults import disconnect_worker
+from bench.jobfaults import fail_store
 from bench.jobfaults import FAULT_PERIOD_MS
 from bench.jobprocesses import ManagerProcess
 from bench.jobprocesses import NO_FAULTS
 from bench.jobscenarios import Fault
+from bench.jobscenarios import ManyEnds
 from bench.jobscenarios import Scenario
 from bench.jobscenarios import ZonePartition
 from bench.jobworld import JobSimulation
@@ -16,6 +18,8 @@
 PARTITION_JOBS_RANGE_MS = (-1_500, 1_500)
 SUCCESSOR_CHANGE_RANGE_MS = (1_300, 3_500)  # after the partition
 QUICK_RESTART_RANGE_MS = (100, 800)
+OUTAGE_RANGE_MS = (1_000, 6_000)
+OUTAGE_DELAY_RANGE_MS = (50, 1_000)  # after a wide job was submitted
 
 
 def schedule_scenario(
@@ -44,6 +48,15 @@
                     at_ms + offset_ms, caller.submit_long_job
                 )
             simulation.call_later(at_ms, _partition_leader_zone, simulation)
+        case ManyEnds():
+            duration_ms = simulation.random.randint(*OUTAGE_RANGE_MS)
+            simulation.call_later(at_ms, caller.submit_wide_job)
+            simulation.call_later(
+                at_ms + simulation.random.randint(*OUTAGE_DELAY_RANGE_MS),
+                fail_store,
+                simulation,
+                duration_ms,
+            )
 
 
 def _partition_leader_zone(simulation: JobSimulation) -> None:
--- a/bench/jobscenarios.py
+++ b/bench/jobscenarios.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass
 
 ENDS_PER_REPORT = 500  # at most, as the workers' protocol says
-LONG_RECOVERY_MS = 50_000  # for the additional jobs of a scenario
+LONG_RECOVERY_MS = 50_000  # for the additional jobs of some scenarios
 
 
 @dataclass(frozen=True, slots=True)
@@ -33,7 +33,16 @@
     """
 
 
-Fault = ZonePartition
+@dataclass(frozen=True, slots=True)
+class ManyEnds:
+    """Many short tasks end on workers while the store is down.
+
+    The ends are not acknowledged meanwhile.  The store recovers before the
+    leader has to stop renewing leases, or after that.
+    """
+
+
+Fault = ZonePartition | ManyEnds
 
 
 @dataclass(frozen=True, slots=True)
@@ -65,4 +74,11 @@
         general_faults=1,
         recovery_ms=LONG_RECOVERY_MS,
     ),
+    "ends": Scenario(
+        limits=Limits(ends_per_report=5),
+        faults=(ManyEnds(), ManyEnds()),
+        leader_changes=1,
+        general_faults=1,
+        recovery_ms=LONG_RECOVERY_MS,
+    ),
 }
