--- a/bench/jobfaults.py
+++ b/bench/jobfaults.py
@@ -241,5 +241,6 @@
     for process in simulation.processes_by_name.values():
         process.store_unreachable = False
         process.append_responses_lost = False
+        process.append_deliveries.clear()
         process.response_lag_ms = 0
         process.unreachable_workers.clear()
--- a/bench/jobprocesses.py
+++ b/bench/jobprocesses.py
@@ -70,6 +70,8 @@
       store_unreachable: Whether its calls to the store are lost.
       append_responses_lost: Whether its appends take effect but their
         responses are lost.
+      append_deliveries: Faults of its next appends, in order, "answered" for
+        none; later ones are drawn.
       unreachable_workers: Ids of the workers that it cannot reach.
       response_lag_ms: Additional delay of the responses of workers.
     """
@@ -84,6 +86,7 @@
     writer: ProgressWriter = field(default_factory=ProgressWriter)
     store_unreachable: bool = False
     append_responses_lost: bool = False
+    append_deliveries: deque[str] = field(default_factory=deque)
     unreachable_workers: set[str] = field(default_factory=set)
     response_lag_ms: int = 0
 
--- a/bench/jobscenariofaults.py
+++ b/bench/jobscenariofaults.py
@@ -7,6 +7,7 @@
 from bench.jobprocesses import ManagerProcess
 from bench.jobprocesses import NO_FAULTS
 from bench.jobscenarios import Fault
+from bench.jobscenarios import LostConfirmation
 from bench.jobscenarios import ManyEnds
 from bench.jobscenarios import Scenario
 from bench.jobscenarios import ZonePartition
@@ -18,6 +19,10 @@
 PARTITION_JOBS_RANGE_MS = (-1_500, 1_500)
 SUCCESSOR_CHANGE_RANGE_MS = (1_300, 3_500)  # after the partition
 QUICK_RESTART_RANGE_MS = (100, 800)
+CONFIRMATION_JOBS = 8
+CONFIRMATION_JOBS_RANGE_MS = (800, 2_800)  # after the append without answer
+LOST_APPENDS = 3  # after the one whose retry is answered
+CUT_RANGE_MS = (2_000, 6_000)  # of the zone from the other managers
 OUTAGE_RANGE_MS = (1_000, 6_000)
 OUTAGE_DELAY_RANGE_MS = (50, 1_000)  # after a wide job was submitted
 
@@ -57,6 +62,13 @@
                 simulation,
                 duration_ms,
             )
+        case LostConfirmation():
+            for _ in range(CONFIRMATION_JOBS):
+                offset_ms = simulation.random.randint(
+                    *CONFIRMATION_JOBS_RANGE_MS
+                )
+                simulation.call_later(at_ms + offset_ms, caller.submit)
+            simulation.call_later(at_ms, _lose_confirmation, simulation)
 
 
 def _partition_leader_zone(simulation: JobSimulation) -> None:
@@ -70,6 +82,37 @@
     simulation.call_later(
         duration_ms, setattr, process, "store_unreachable", False
     )
+    _cut_workers(simulation, process, duration_ms)
+    for _ in range(random.randint(1, 2)):
+        simulation.call_later(
+            random.randint(*SUCCESSOR_CHANGE_RANGE_MS),
+            _change_successor,
+            simulation,
+            process,
+        )
+
+
+def _lose_confirmation(simulation: JobSimulation) -> None:
+    """Lose a response to the leader's append, and the appends after it."""
+    process = simulation.leader()
+    if process is None or simulation.fault_rates is NO_FAULTS:
+        return
+    process.append_deliveries.extend(
+        ("response_lost", "answered") + ("lost",) * LOST_APPENDS
+    )
+    _cut_workers(simulation, process, simulation.random.randint(*CUT_RANGE_MS))
+
+
+def _cut_workers(
+    simulation: JobSimulation, process: ManagerProcess, duration_ms: int
+) -> None:
+    """Cut a manager and the workers of its zone off from the others.
+
+    Args:
+      simulation: Simulated managers and workers.
+      process: The manager.
+      duration_ms: Length of the disconnection.
+    """
     names = list(simulation.processes_by_name)
     others = [name for name in names if name != process.name]
     zone = _zone(names, process.name)
@@ -78,13 +121,6 @@
         same_zone = _zone(addresses, address) == zone
         disconnected = others if same_zone else [process.name]
         disconnect_worker(simulation, address, disconnected, duration_ms)
-    for _ in range(random.randint(1, 2)):
-        simulation.call_later(
-            random.randint(*SUCCESSOR_CHANGE_RANGE_MS),
-            _change_successor,
-            simulation,
-            process,
-        )
 
 
 def _zone(names: list[str], name: str) -> int:
--- a/bench/storecalls.py
+++ b/bench/storecalls.py
@@ -40,9 +40,19 @@
             stream: [] for stream in Stream
         }
 
-    def _call(self, process, execute, on_outcome, timeout_ms=STORE_TIMEOUT_MS):
-        """Execute a call to the store; its outcome is None on a timeout."""
-        delivery = self._simulation.draw_delivery()
+    def _call(
+        self,
+        process,
+        execute,
+        on_outcome,
+        timeout_ms=STORE_TIMEOUT_MS,
+        delivery="",
+    ):
+        """Execute a call to the store; its outcome is None on a timeout.
+
+        The fault of the call is drawn unless a delivery is given.
+        """
+        delivery = delivery or self._simulation.draw_delivery()
         delay_ms = self._simulation.draw_delay_ms()
         if self._is_rejected():
             self._simulation.call_later(
@@ -336,4 +346,7 @@
                 start_count,
             )
 
-        self._call(process, execute, on_outcome)
+        delivery = ""
+        if process.append_deliveries:
+            delivery = process.append_deliveries.popleft()
+        self._call(process, execute, on_outcome, delivery=delivery)
