Histories: a scenario of progress that is too large to be stored

Runs write checkpoints there, and the simulated store refuses records of progress with several of them; the leader changes while a wide job runs.

--- a/bench/jobscenariofaults.py
+++ b/bench/jobscenariofaults.py
@@ -1,12 +1,14 @@
 """Faults of the scenarios of job histories."""
 
 from bench.jobcallers import Caller
+from bench.jobfaults import change_leader
 from bench.jobfaults import disconnect_worker
 from bench.jobfaults import fail_store
 from bench.jobfaults import FAULT_PERIOD_MS
 from bench.jobprocesses import ManagerProcess
 from bench.jobprocesses import NO_FAULTS
 from bench.jobscenarios import Fault
+from bench.jobscenarios import LargeProgress
 from bench.jobscenarios import LostConfirmation
 from bench.jobscenarios import ManyEnds
 from bench.jobscenarios import Scenario
@@ -23,6 +25,7 @@
 CONFIRMATION_JOBS_RANGE_MS = (800, 2_800)  # after the append without answer
 LOST_APPENDS = 3  # after the one whose retry is answered
 CUT_RANGE_MS = (2_000, 6_000)  # of the zone from the other managers
+WIDE_JOB_RUNS_RANGE_MS = (500, 4_000)  # before the leader changes
 OUTAGE_RANGE_MS = (1_000, 6_000)
 OUTAGE_DELAY_RANGE_MS = (50, 1_000)  # after a wide job was submitted
 
@@ -69,6 +72,13 @@
                 )
                 simulation.call_later(at_ms + offset_ms, caller.submit)
             simulation.call_later(at_ms, _lose_confirmation, simulation)
+        case LargeProgress():
+            simulation.call_later(at_ms, caller.submit_wide_job)
+            simulation.call_later(
+                at_ms + simulation.random.randint(*WIDE_JOB_RUNS_RANGE_MS),
+                change_leader,
+                simulation,
+            )
 
 
 def _partition_leader_zone(simulation: JobSimulation) -> None:
--- a/bench/jobscenarios.py
+++ b/bench/jobscenarios.py
@@ -17,9 +17,12 @@
     Attributes:
       ends_per_report: Maximum number of ends in a worker's report; the later
         ones wait until these are acknowledged.
+      checkpoints_per_record: Maximum number of checkpoints in a stored
+        progress; a larger one cannot be stored.  -1 if runs write none.
     """
 
     ends_per_report: int = ENDS_PER_REPORT
+    checkpoints_per_record: int = -1
 
 
 @dataclass(frozen=True, slots=True)
@@ -52,7 +55,15 @@
     """
 
 
-Fault = ZonePartition | ManyEnds | LostConfirmation
+@dataclass(frozen=True, slots=True)
+class LargeProgress:
+    """The progress of a job with many tasks becomes too large to be stored.
+
+    The leader changes while the job runs.
+    """
+
+
+Fault = ZonePartition | ManyEnds | LostConfirmation | LargeProgress
 
 
 @dataclass(frozen=True, slots=True)
@@ -97,4 +108,11 @@
         general_faults=1,
         recovery_ms=LONG_RECOVERY_MS,
     ),
+    "records": Scenario(
+        limits=Limits(checkpoints_per_record=1),
+        faults=(LargeProgress(), LargeProgress()),
+        leader_changes=1,
+        general_faults=1,
+        recovery_ms=LONG_RECOVERY_MS,
+    ),
 }
--- a/bench/jobworkers.py
+++ b/bench/jobworkers.py
@@ -84,6 +84,7 @@
       now_ms: Returns the simulated time.
       checker: Checker that observes starts, ends and acknowledgements.
       ends_per_report: Maximum number of ends in a report.
+      writes_checkpoints: Whether its runs write checkpoints.
       alive: Whether the process runs.
       highest_epoch: Highest epoch received; calls with a lower one are fenced.
       lease_end_ms: End of the lease on the worker's clock.
@@ -102,6 +103,7 @@
     now_ms: Callable[[], int]
     checker: object
     ends_per_report: int
+    writes_checkpoints: bool
     alive: bool = True
     highest_epoch: int = 0
     lease_end_ms: int = 0
@@ -152,16 +154,28 @@
         """
         active = tuple(
             ActiveRun(
-                run.task_id, run.number, percent=self._progress_percent(run)
+                run.task_id,
+                run.number,
+                self._checkpoint(run),
+                self._progress_percent(run),
             )
             for run in self.active_by_task.values()
         )
         ended = tuple(
-            EndedRun(run.end_sequence, run.task_id, run.number, run.outcome)
+            EndedRun(
+                run.end_sequence,
+                run.task_id,
+                run.number,
+                run.outcome,
+                self._checkpoint(run),
+            )
             for run in self.ended[: self.ends_per_report]
         )
         return WorkerReport(self.clock_ms(), self.started_ms, active, ended)
 
+    def _checkpoint(self, run):
+        return f"{run.task_id}/{run.number}" if self.writes_checkpoints else ""
+
     def _progress_percent(self, run):
         return 100 * (self.now_ms() - run.started_ms) // run.run_time_ms
 
--- a/bench/jobworld.py
+++ b/bench/jobworld.py
@@ -97,7 +97,9 @@
         self._limits = limits
         self.random = Random(seed)
         self.fault_rates = CallFaultRates()
-        self._store_calls = StoreCalls(self, retry_unconfirmed)
+        self._store_calls = StoreCalls(
+            self, retry_unconfirmed, limits.checkpoints_per_record
+        )
         self._worker_calls = WorkerCalls(self)
         self.store = JobStore(on_append=self._store_calls.notify_readers)
         self.checker = JobChecker(lambda: self.now_ms, max_attempts)
@@ -147,6 +149,7 @@
             now_ms=lambda: self.now_ms,
             checker=self.checker,
             ends_per_report=self._limits.ends_per_report,
+            writes_checkpoints=self._limits.checkpoints_per_record >= 0,
         )
         self.workers_by_address[address] = worker
         self.call_later(
--- a/bench/storecalls.py
+++ b/bench/storecalls.py
@@ -15,6 +15,7 @@
 from sesamehall.core.managerevents import StoreOutcome
 from sesamehall.core.managerevents import StreamRead
 from sesamehall.core.managerevents import StreamUnread
+from sesamehall.core.work import Progress
 
 STORE_TIMEOUT_MS = 1_200
 RETRY_PAUSE_MS = 50
@@ -25,7 +26,9 @@
 class StoreCalls:
     """Executes the calls of all managers to the store."""
 
-    def __init__(self, simulation, retry_unconfirmed: bool):
+    def __init__(
+        self, simulation, retry_unconfirmed: bool, max_checkpoints: int
+    ):
         """Create the calls of a simulation.
 
         Args:
@@ -33,8 +36,11 @@
             delivers outcomes to managers.
           retry_unconfirmed: Whether an append of unknown outcome is retried
             before the next one uses its sequence number.
+          max_checkpoints: Maximum number of checkpoints in a stored progress,
+            -1 if there are none.
         """
         self._simulation = simulation
+        self._max_checkpoints = max_checkpoints
         self._retries_unconfirmed = retry_unconfirmed
         self._read_waiters: dict[Stream, list[Callable]] = {
             stream: [] for stream in Stream
@@ -293,7 +299,8 @@
             )
             writer.unconfirmed = ()
         is_claim = effect.expected_end_offset >= 0
-        records = effect.records
+        storable, unstorable_keys = self._split_storable(effect.records)
+        records = storable
         if self._retries_unconfirmed and not is_claim:
             records = writer.unconfirmed or records
         sequence = writer.sequence
@@ -310,7 +317,7 @@
             if outcome is StoreOutcome.STORED:
                 writer.sequence += 1
                 writer.unconfirmed = ()
-                if records is not effect.records:
+                if records != storable:
                     self._simulation.start_call(
                         process,
                         self.append_progress,
@@ -341,7 +348,7 @@
             self._simulation.deliver(
                 process,
                 lambda at_ms: ProgressStored(
-                    at_ms, sent_ms, effect.epoch, reported
+                    at_ms, sent_ms, effect.epoch, reported, unstorable_keys
                 ),
                 start_count,
             )
@@ -350,3 +357,24 @@
         if process.append_deliveries:
             delivery = process.append_deliveries.popleft()
         self._call(process, execute, on_outcome, delivery=delivery)
+
+    def _split_storable(self, records):
+        """Separate the records that can be stored from the others' keys."""
+        unstorable_keys = tuple(
+            record.key
+            for record in records
+            if isinstance(record.value, Progress)
+            and _count_checkpoints(record.value) > self._max_checkpoints >= 0
+        )
+        storable = tuple(
+            record for record in records if record.key not in unstorable_keys
+        )
+        return storable, unstorable_keys
+
+
+def _count_checkpoints(progress):
+    return sum(
+        len(step.checkpoints)
+        for _, steps in progress.occurrences
+        for step in steps
+    )
