Histories: a scenario of maintenance waves with a simulated cloud API

It lists the workers' machines and maintains them; calls are lost, late and repeated, and a worker with another identifier starts afterwards.

--- a/bench/job_histories.py
+++ b/bench/job_histories.py
@@ -135,7 +135,9 @@
     for index in range(simulation.random.randint(2, 4)):
         simulation.add_manager(f"edge-{index}")
     for index in range(simulation.random.randint(2, 4)):
-        simulation.add_worker(f"10.0.0.{index}:80", f"w{index}")
+        address = f"10.0.0.{index}:80"
+        simulation.add_worker(address, f"w{index}")
+        simulation.cloud_api.add_machine(f"m{index}", address)
     return simulation
 
 
--- a/bench/jobscenariofaults.py
+++ b/bench/jobscenariofaults.py
@@ -5,15 +5,20 @@
 from bench.jobfaults import disconnect_worker
 from bench.jobfaults import fail_store
 from bench.jobfaults import FAULT_PERIOD_MS
+from bench.jobprocesses import CallFaultRates
 from bench.jobprocesses import ManagerProcess
 from bench.jobprocesses import NO_FAULTS
 from bench.jobscenarios import Fault
 from bench.jobscenarios import LargeProgress
 from bench.jobscenarios import LostConfirmation
+from bench.jobscenarios import MaintenanceWave
 from bench.jobscenarios import ManyEnds
 from bench.jobscenarios import Scenario
 from bench.jobscenarios import ZonePartition
 from bench.jobworld import JobSimulation
+from sesamehall.core.fleet import StoredRecord
+from sesamehall.core.fleet import Stream
+from sesamehall.core.manifest import Wave
 
 ZONES = 3  # managers and workers are dealt to them in turn
 PARTITION_RANGE_MS = (5_000, 10_000)
@@ -26,6 +31,12 @@
 LOST_APPENDS = 3  # after the one whose retry is answered
 CUT_RANGE_MS = (2_000, 6_000)  # of the zone from the other managers
 WIDE_JOB_RUNS_RANGE_MS = (500, 4_000)  # before the leader changes
+WAVE_JOBS = 12
+WAVE_JOBS_RANGE_MS = (-500, 6_000)  # around the request of a wave
+WAVE_MS = 10_000  # so short that machines are maintained at once
+WAVE_CHANGE_RANGE_MS = (0, 5_000)  # from the wave until the leader changes
+LOST_RESPONSES_RATE = 0.15  # during a wave
+LOST_RESPONSES_MS = 6_000
 OUTAGE_RANGE_MS = (1_000, 6_000)
 OUTAGE_DELAY_RANGE_MS = (50, 1_000)  # after a wide job was submitted
 
@@ -79,6 +90,16 @@
                 change_leader,
                 simulation,
             )
+        case MaintenanceWave(number):
+            for _ in range(WAVE_JOBS):
+                offset_ms = simulation.random.randint(*WAVE_JOBS_RANGE_MS)
+                simulation.call_later(at_ms + offset_ms, caller.submit)
+            simulation.call_later(at_ms, _request_wave, simulation, number)
+            simulation.call_later(
+                at_ms + simulation.random.randint(*WAVE_CHANGE_RANGE_MS),
+                change_leader,
+                simulation,
+            )
 
 
 def _partition_leader_zone(simulation: JobSimulation) -> None:
@@ -113,6 +134,23 @@
     _cut_workers(simulation, process, simulation.random.randint(*CUT_RANGE_MS))
 
 
+def _request_wave(simulation: JobSimulation, number: int) -> None:
+    """Request maintenance of all machines, and lose more responses."""
+    count = len(simulation.workers_by_address)
+    names = tuple(f"m{index}" for index in range(count))
+    wave = Wave(number, names, WAVE_MS, simulation.random.randint(1, 2))
+    record = StoredRecord(f"wave/{number}", wave)
+    simulation.store.append(Stream.OPERATOR, (record,))
+    rates = simulation.fault_rates
+    if rates is NO_FAULTS:
+        return
+    usual_rate = CallFaultRates().response_lost
+    rates.response_lost = LOST_RESPONSES_RATE
+    simulation.call_later(
+        LOST_RESPONSES_MS, setattr, rates, "response_lost", usual_rate
+    )
+
+
 def _cut_workers(
     simulation: JobSimulation, process: ManagerProcess, duration_ms: int
 ) -> None:
--- a/bench/jobscenarios.py
+++ b/bench/jobscenarios.py
@@ -19,10 +19,12 @@
         ones wait until these are acknowledged.
       checkpoints_per_record: Maximum number of checkpoints in a stored
         progress; a larger one cannot be stored.  -1 if runs write none.
+      has_machines: Whether the cloud API lists the workers' machines.
     """
 
     ends_per_report: int = ENDS_PER_REPORT
     checkpoints_per_record: int = -1
+    has_machines: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -63,7 +65,26 @@
     """
 
 
-Fault = ZonePartition | ManyEnds | LostConfirmation | LargeProgress
+@dataclass(frozen=True, slots=True)
+class MaintenanceWave:
+    """All machines are due for maintenance, and calls are lost more often.
+
+    The leader changes meanwhile.
+
+    Attributes:
+      number: Number of the wave.
+    """
+
+    number: int
+
+
+Fault = (
+    ZonePartition
+    | ManyEnds
+    | LostConfirmation
+    | LargeProgress
+    | MaintenanceWave
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -115,4 +136,11 @@
         general_faults=1,
         recovery_ms=LONG_RECOVERY_MS,
     ),
+    "machines": Scenario(
+        limits=Limits(has_machines=True),
+        faults=(MaintenanceWave(1), MaintenanceWave(2)),
+        leader_changes=1,
+        general_faults=2,
+        recovery_ms=LONG_RECOVERY_MS,
+    ),
 }
--- a/bench/jobworld.py
+++ b/bench/jobworld.py
@@ -17,6 +17,7 @@
 
 from bench.event_scheduler import EventScheduler
 from bench.jobchecks import JobChecker
+from bench.jobmachines import CloudApi
 from bench.jobprocesses import CallFaultRates
 from bench.jobprocesses import ManagerProcess
 from bench.jobprocesses import ProgressWriter
@@ -40,6 +41,7 @@
 from sesamehall.core.fleet import WorkerEntry
 from sesamehall.core.managereffects import AnswerCall
 from sesamehall.core.managereffects import ListMachines
+from sesamehall.core.managereffects import MaintainMachine
 from sesamehall.core.managereffects import OfferToLead
 from sesamehall.core.managereffects import ReadStream
 from sesamehall.core.managereffects import StartRun
@@ -67,6 +69,8 @@
       random: The only source of random numbers.
       fault_rates: Fault rates in force.
       store: The store.
+      cloud_api: The cloud API, whose list of machines is empty unless the
+        limits say that it has machines.
       checker: Observes the workers and the callers' answers.
       processes_by_name: Process of each manager.
       workers_by_address: Latest incarnation of the worker at each address.
@@ -101,6 +105,7 @@
             self, retry_unconfirmed, limits.checkpoints_per_record
         )
         self._worker_calls = WorkerCalls(self)
+        self.cloud_api = CloudApi(self)
         self.store = JobStore(on_append=self._store_calls.notify_readers)
         self.checker = JobChecker(lambda: self.now_ms, max_attempts)
         self.processes_by_name: dict[str, ManagerProcess] = {}
@@ -373,6 +378,22 @@
                 self.on_answer_by_call_id.pop(call_id, lambda answer: None)(
                     answer
                 )
+            case ListMachines() if self._limits.has_machines:
+                self.schedule_call(
+                    process,
+                    self.cloud_api.list_machines,
+                    process,
+                    process.start_count,
+                    effect,
+                )
+            case MaintainMachine():
+                self.schedule_call(
+                    process,
+                    self.cloud_api.send_order,
+                    process,
+                    process.start_count,
+                    effect,
+                )
             case ListMachines():
                 self.call_later(
                     5,
