--- a/bench/jobscenariofaults.py
+++ b/bench/jobscenariofaults.py
@@ -9,6 +9,7 @@
 from bench.jobprocesses import ManagerProcess
 from bench.jobprocesses import NO_FAULTS
 from bench.jobscenarios import Fault
+from bench.jobscenarios import IsolationInWave
 from bench.jobscenarios import LargeProgress
 from bench.jobscenarios import LostConfirmation
 from bench.jobscenarios import MaintenanceWave
@@ -25,6 +26,7 @@
 PARTITION_JOBS = 8  # from shortly before a partition until shortly after it
 PARTITION_JOBS_RANGE_MS = (-1_500, 1_500)
 SUCCESSOR_CHANGE_RANGE_MS = (1_300, 3_500)  # after the partition
+ISOLATED_WAVE_RANGE_MS = (0, 2_000)  # after the partition
 QUICK_RESTART_RANGE_MS = (100, 800)
 CONFIRMATION_JOBS = 8
 CONFIRMATION_JOBS_RANGE_MS = (800, 2_800)  # after the append without answer
@@ -67,6 +69,17 @@
                     at_ms + offset_ms, caller.submit_long_job
                 )
             simulation.call_later(at_ms, _partition_leader_zone, simulation)
+        case IsolationInWave(number):
+            for _ in range(PARTITION_JOBS):
+                offset_ms = simulation.random.randint(*PARTITION_JOBS_RANGE_MS)
+                simulation.call_later(at_ms + offset_ms, caller.submit)
+            simulation.call_later(at_ms, _isolate_leader, simulation)
+            simulation.call_later(
+                at_ms + simulation.random.randint(*ISOLATED_WAVE_RANGE_MS),
+                _request_wave,
+                simulation,
+                number,
+            )
         case ManyEnds():
             duration_ms = simulation.random.randint(*OUTAGE_RANGE_MS)
             simulation.call_later(at_ms, caller.submit_wide_job)
@@ -103,17 +116,11 @@
 
 
 def _partition_leader_zone(simulation: JobSimulation) -> None:
-    """Cut the leader off with the workers of its zone."""
-    process = simulation.leader()
-    if process is None or simulation.fault_rates is NO_FAULTS:
+    """Cut the leader off with the workers of its zone; change the next one."""
+    process = _isolate_leader(simulation)
+    if process is None:
         return
     random = simulation.random
-    duration_ms = random.randint(*PARTITION_RANGE_MS)
-    process.store_unreachable = True
-    simulation.call_later(
-        duration_ms, setattr, process, "store_unreachable", False
-    )
-    _cut_workers(simulation, process, duration_ms)
     for _ in range(random.randint(1, 2)):
         simulation.call_later(
             random.randint(*SUCCESSOR_CHANGE_RANGE_MS),
@@ -123,6 +130,26 @@
         )
 
 
+def _isolate_leader(simulation: JobSimulation) -> ManagerProcess | None:
+    """Cut the leader off from the store and the workers of other zones.
+
+    Args:
+      simulation: Simulated managers and workers.
+    Returns:
+      The leader, None if no one leads.
+    """
+    process = simulation.leader()
+    if process is None or simulation.fault_rates is NO_FAULTS:
+        return None
+    duration_ms = simulation.random.randint(*PARTITION_RANGE_MS)
+    process.store_unreachable = True
+    simulation.call_later(
+        duration_ms, setattr, process, "store_unreachable", False
+    )
+    _cut_workers(simulation, process, duration_ms)
+    return process
+
+
 def _lose_confirmation(simulation: JobSimulation) -> None:
     """Lose a response to the leader's append, and the appends after it."""
     process = simulation.leader()
--- a/bench/jobscenarios.py
+++ b/bench/jobscenarios.py
@@ -78,12 +78,26 @@
     number: int
 
 
+@dataclass(frozen=True, slots=True)
+class IsolationInWave:
+    """The leader's zone is cut off, but the leader reaches the cloud API.
+
+    Its successor maintains the machines of a wave.
+
+    Attributes:
+      number: Number of the wave.
+    """
+
+    number: int
+
+
 Fault = (
     ZonePartition
     | ManyEnds
     | LostConfirmation
     | LargeProgress
     | MaintenanceWave
+    | IsolationInWave
 )
 
 
@@ -143,4 +157,11 @@
         general_faults=2,
         recovery_ms=LONG_RECOVERY_MS,
     ),
+    "isolation": Scenario(
+        limits=Limits(has_machines=True),
+        faults=(IsolationInWave(1), IsolationInWave(2)),
+        leader_changes=1,
+        general_faults=1,
+        recovery_ms=LONG_RECOVERY_MS,
+    ),
 }
