--- a/bench/jobhistories_test.py
+++ b/bench/jobhistories_test.py
@@ -64,6 +64,38 @@
     assert bool(result.violations) == violated
 
 
+@pytest.mark.parametrize(
+    ("scenario", "seed", "disabled_guard", "violated"),
+    [
+        ("zones", 0, "", False),
+        ("zones", 1, "", False),
+        ("zones", 4, "", False),
+        ("ends", 0, "", False),
+        ("ends", 1, "", False),
+        ("confirmations", 0, "", False),
+        ("confirmations", 1, "", False),
+        ("records", 0, "", False),
+        ("records", 1, "", False),
+        ("machines", 0, "", False),
+        ("machines", 1, "", False),
+        ("isolation", 0, "", False),
+        ("isolation", 1, "", False),
+        ("zones", 13, "unread", True),
+        ("zones", 0, "unresolved", True),
+        ("zones", 4, "stored", True),
+        ("zones", 4, "lease", True),
+        ("zones", 6, "confirmed", True),
+        ("confirmations", 8, "confirmed", True),
+    ],
+)
+def test_invariants_hold_in_each_scenario_unless_a_guard_is_disabled(
+    scenario, seed, disabled_guard, violated
+):
+    result = job_histories.run_history(seed, disabled_guard, scenario)
+    assert result.starts > 30 and result.terms > 1
+    assert bool(result.violations) == violated
+
+
 def test_every_guard_is_named():
     for guard in GUARDS:
         disable_guard(guard)
