--- a/bench/jobhistories_test.py
+++ b/bench/jobhistories_test.py
@@ -64,6 +64,45 @@
     assert bool(result.violations) == violated
 
 
+@pytest.mark.parametrize(
+    ("scenario", "seed", "disabled_guard", "violated"),
+    [
+        ("zones", 0, "", False),
+        ("zones", 1, "", False),
+        ("zones", 29, "", False),
+        ("zones", 1405, "", False),
+        ("zones", 4, "", False),
+        ("ends", 0, "", False),
+        ("ends", 1, "", False),
+        ("ends", 13, "", False),
+        ("confirmations", 0, "", False),
+        ("confirmations", 1, "", False),
+        ("confirmations", 18, "", False),
+        ("confirmations", 228, "", False),
+        ("records", 0, "", False),
+        ("records", 1, "", False),
+        ("machines", 0, "", False),
+        ("machines", 1, "", False),
+        ("machines", 421, "", False),
+        ("isolation", 0, "", False),
+        ("isolation", 1, "", False),
+        ("isolation", 38, "", False),
+        ("zones", 42, "unread", True),
+        ("zones", 0, "unresolved", True),
+        ("zones", 4, "stored", True),
+        ("zones", 4, "lease", True),
+        ("zones", 6, "confirmed", True),
+        ("confirmations", 8, "confirmed", True),
+    ],
+)
+def test_invariants_hold_in_each_scenario_unless_a_guard_is_disabled(
+    scenario, seed, disabled_guard, violated
+):
+    result = job_histories.run_history(seed, disabled_guard, scenario)
+    assert result.starts > 30 and result.terms > 1
+    assert bool(result.violations) == violated
+
+
 def test_every_guard_is_named():
     for guard in GUARDS:
         disable_guard(guard)
@@ -77,8 +116,8 @@
 from bench.jobfaults import schedule_faults
 simulation = job_histories.build_simulation(7)
 caller = Caller(simulation)
-job_histories.schedule_jobs(simulation, caller)
-schedule_faults(simulation, caller)
+job_histories.schedule_jobs(simulation, caller, 4)
+schedule_faults(simulation, caller, 6)
 simulation.run(6_000)
 lengths = [len(log) for log in simulation.store.records_by_stream.values()]
 print(lengths, simulation.checker.starts, simulation.checker.ends)
--- /dev/null
+++ b/bench/jobscenariofaults.py
@@ -0,0 +1,221 @@
+"""Faults of the scenarios of job histories."""
+
+from bench.jobcallers import Caller
+from bench.jobfaults import change_leader
+from bench.jobfaults import disconnect_worker
+from bench.jobfaults import fail_store
+from bench.jobfaults import FAULT_PERIOD_MS
+from bench.jobprocesses import CallFaultRates
+from bench.jobprocesses import ManagerProcess
+from bench.jobprocesses import NO_FAULTS
+from bench.jobscenarios import Fault
+from bench.jobscenarios import IsolationInWave
+from bench.jobscenarios import LargeProgress
+from bench.jobscenarios import LostConfirmation
+from bench.jobscenarios import MaintenanceWave
+from bench.jobscenarios import ManyEnds
+from bench.jobscenarios import Scenario
+from bench.jobscenarios import ZonePartition
+from bench.jobworld import JobSimulation
+from sesamehall.core.fleet import StoredRecord
+from sesamehall.core.fleet import Stream
+from sesamehall.core.manifest import Wave
+
+ZONES = 3  # managers and workers are dealt to them in turn
+PARTITION_RANGE_MS = (5_000, 10_000)
+PARTITION_JOBS = 8  # from shortly before a partition until shortly after it
+PARTITION_JOBS_RANGE_MS = (-1_500, 1_500)
+SUCCESSOR_CHANGE_RANGE_MS = (1_300, 3_500)  # after the partition
+ISOLATED_WAVE_RANGE_MS = (0, 2_000)  # after the partition
+QUICK_RESTART_RANGE_MS = (100, 800)
+CONFIRMATION_JOBS = 8
+CONFIRMATION_JOBS_RANGE_MS = (800, 2_800)  # after the append without answer
+LOST_APPENDS = 3  # after the one whose retry is answered
+CUT_RANGE_MS = (2_000, 6_000)  # of the zone from the other managers
+WIDE_JOB_RUNS_RANGE_MS = (500, 4_000)  # before the leader changes
+WAVE_JOBS = 12
+WAVE_JOBS_RANGE_MS = (-500, 6_000)  # around the request of a wave
+WAVE_MS = 10_000  # so short that machines are maintained at once
+WAVE_CHANGE_RANGE_MS = (0, 5_000)  # from the wave until the leader changes
+LOST_RESPONSES_RATE = 0.15  # during a wave
+LOST_RESPONSES_MS = 6_000
+OUTAGE_RANGE_MS = (1_000, 6_000)
+OUTAGE_DELAY_RANGE_MS = (50, 1_000)  # after a wide job was submitted
+
+
+def schedule_scenario(
+    simulation: JobSimulation, caller: Caller, scenario: Scenario
+) -> None:
+    """Schedule the faults of a scenario, and jobs around them.
+
+    Args:
+      simulation: Simulated managers and workers.
+      caller: Caller that submits the jobs.
+      scenario: The scenario.
+    """
+    for fault in scenario.faults:
+        _schedule_fault(simulation, caller, fault)
+
+
+def _schedule_fault(
+    simulation: JobSimulation, caller: Caller, fault: Fault
+) -> None:
+    at_ms = simulation.random.randrange(FAULT_PERIOD_MS)
+    match fault:
+        case ZonePartition():
+            for _ in range(PARTITION_JOBS):
+                offset_ms = simulation.random.randint(*PARTITION_JOBS_RANGE_MS)
+                simulation.call_later(
+                    at_ms + offset_ms, caller.submit_long_job
+                )
+            simulation.call_later(at_ms, _partition_leader_zone, simulation)
+        case IsolationInWave(number):
+            for _ in range(PARTITION_JOBS):
+                offset_ms = simulation.random.randint(*PARTITION_JOBS_RANGE_MS)
+                simulation.call_later(at_ms + offset_ms, caller.submit)
+            simulation.call_later(at_ms, _isolate_leader, simulation)
+            simulation.call_later(
+                at_ms + simulation.random.randint(*ISOLATED_WAVE_RANGE_MS),
+                _request_wave,
+                simulation,
+                number,
+            )
+        case ManyEnds():
+            duration_ms = simulation.random.randint(*OUTAGE_RANGE_MS)
+            simulation.call_later(at_ms, caller.submit_wide_job)
+            simulation.call_later(
+                at_ms + simulation.random.randint(*OUTAGE_DELAY_RANGE_MS),
+                fail_store,
+                simulation,
+                duration_ms,
+            )
+        case LostConfirmation():
+            for _ in range(CONFIRMATION_JOBS):
+                offset_ms = simulation.random.randint(
+                    *CONFIRMATION_JOBS_RANGE_MS
+                )
+                simulation.call_later(at_ms + offset_ms, caller.submit)
+            simulation.call_later(at_ms, _lose_confirmation, simulation)
+        case LargeProgress():
+            simulation.call_later(at_ms, caller.submit_wide_job)
+            simulation.call_later(
+                at_ms + simulation.random.randint(*WIDE_JOB_RUNS_RANGE_MS),
+                change_leader,
+                simulation,
+            )
+        case MaintenanceWave(number):
+            for _ in range(WAVE_JOBS):
+                offset_ms = simulation.random.randint(*WAVE_JOBS_RANGE_MS)
+                simulation.call_later(at_ms + offset_ms, caller.submit)
+            simulation.call_later(at_ms, _request_wave, simulation, number)
+            simulation.call_later(
+                at_ms + simulation.random.randint(*WAVE_CHANGE_RANGE_MS),
+                change_leader,
+                simulation,
+            )
+
+
+def _partition_leader_zone(simulation: JobSimulation) -> None:
+    """Cut the leader off with the workers of its zone; change the next one."""
+    process = _isolate_leader(simulation)
+    if process is None:
+        return
+    random = simulation.random
+    for _ in range(random.randint(1, 2)):
+        simulation.call_later(
+            random.randint(*SUCCESSOR_CHANGE_RANGE_MS),
+            _change_successor,
+            simulation,
+            process,
+        )
+
+
+def _isolate_leader(simulation: JobSimulation) -> ManagerProcess | None:
+    """Cut the leader off from the store and the workers of other zones.
+
+    Args:
+      simulation: Simulated managers and workers.
+    Returns:
+      The leader, None if no one leads.
+    """
+    process = simulation.leader()
+    if process is None or simulation.fault_rates is NO_FAULTS:
+        return None
+    duration_ms = simulation.random.randint(*PARTITION_RANGE_MS)
+    process.store_unreachable = True
+    simulation.call_later(
+        duration_ms, setattr, process, "store_unreachable", False
+    )
+    _cut_workers(simulation, process, duration_ms)
+    return process
+
+
+def _lose_confirmation(simulation: JobSimulation) -> None:
+    """Lose a response to the leader's append, and the appends after it."""
+    process = simulation.leader()
+    if process is None or simulation.fault_rates is NO_FAULTS:
+        return
+    process.append_deliveries.extend(
+        ("response_lost", "answered") + ("lost",) * LOST_APPENDS
+    )
+    _cut_workers(simulation, process, simulation.random.randint(*CUT_RANGE_MS))
+
+
+def _request_wave(simulation: JobSimulation, number: int) -> None:
+    """Request maintenance of all machines, and lose more responses."""
+    count = len(simulation.workers_by_address)
+    names = tuple(f"m{index}" for index in range(count))
+    wave = Wave(number, names, WAVE_MS, simulation.random.randint(1, 2))
+    record = StoredRecord(f"wave/{number}", wave)
+    simulation.store.append(Stream.OPERATOR, (record,))
+    rates = simulation.fault_rates
+    if rates is NO_FAULTS:
+        return
+    usual_rate = CallFaultRates().response_lost
+    rates.response_lost = LOST_RESPONSES_RATE
+    simulation.call_later(
+        LOST_RESPONSES_MS, setattr, rates, "response_lost", usual_rate
+    )
+
+
+def _cut_workers(
+    simulation: JobSimulation, process: ManagerProcess, duration_ms: int
+) -> None:
+    """Cut a manager and the workers of its zone off from the others.
+
+    Args:
+      simulation: Simulated managers and workers.
+      process: The manager.
+      duration_ms: Length of the disconnection.
+    """
+    names = list(simulation.processes_by_name)
+    others = [name for name in names if name != process.name]
+    zone = _zone(names, process.name)
+    addresses = list(simulation.workers_by_address)
+    for address in addresses:
+        same_zone = _zone(addresses, address) == zone
+        disconnected = others if same_zone else [process.name]
+        disconnect_worker(simulation, address, disconnected, duration_ms)
+
+
+def _zone(names: list[str], name: str) -> int:
+    return names.index(name) % ZONES
+
+
+def _change_successor(
+    simulation: JobSimulation, predecessor: ManagerProcess
+) -> None:
+    """Stop the leader, or kill it and restart it quickly.
+
+    Args:
+      simulation: Simulated managers and workers.
+      predecessor: The manager that was cut off, which is left alone.
+    """
+    process = simulation.leader()
+    if process in (None, predecessor) or simulation.fault_rates is NO_FAULTS:
+        return
+    restart_after_ms = simulation.random.randint(*QUICK_RESTART_RANGE_MS)
+    if simulation.random.random() < 0.5:
+        simulation.stop(process.name)
+    else:
+        simulation.kill(process.name, restart_after_ms)
--- /dev/null
+++ b/bench/jobscenarios.py
@@ -0,0 +1,167 @@
+"""Scenarios of job histories: limits and faults besides the general ones.
+
+Each scenario concentrates on one kind of fault, which random general faults
+hardly ever combine.  All its histories have the general faults too.
+"""
+
+from dataclasses import dataclass
+
+ENDS_PER_REPORT = 500  # at most, as the workers' protocol says
+LONG_RECOVERY_MS = 50_000  # for the additional jobs of some scenarios
+
+
+@dataclass(frozen=True, slots=True)
+class Limits:
+    """Limits of the simulated platform.
+
+    Attributes:
+      ends_per_report: Maximum number of ends in a worker's report; the later
+        ones wait until these are acknowledged.
+      checkpoints_per_record: Maximum number of checkpoints in a stored
+        progress; a larger one cannot be stored.  -1 if runs write none.
+      has_machines: Whether the cloud API lists the workers' machines.
+    """
+
+    ends_per_report: int = ENDS_PER_REPORT
+    checkpoints_per_record: int = -1
+    has_machines: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class ZonePartition:
+    """The leader's zone is cut off; then the leader changes again.
+
+    The leader reaches only the workers of its zone, which no other manager
+    reaches, and it does not reach the store.  Its successor is stopped, or
+    killed and restarted quickly, before the leader has to stop renewing
+    leases.
+    """
+
+
+@dataclass(frozen=True, slots=True)
+class ManyEnds:
+    """Many short tasks end on workers while the store is down.
+
+    The ends are not acknowledged meanwhile.  The store recovers before the
+    leader has to stop renewing leases, or after that.
+    """
+
+
+@dataclass(frozen=True, slots=True)
+class LostConfirmation:
+    """A leader's append is stored, but only a retry of it is answered.
+
+    The retry adds no record, so other managers count the leader's silence from
+    the first attempt.  The next appends are lost.  The leader reaches only the
+    workers of its zone, which no other manager reaches, and jobs arrive.
+    """
+
+
+@dataclass(frozen=True, slots=True)
+class LargeProgress:
+    """The progress of a job with many tasks becomes too large to be stored.
+
+    The leader changes while the job runs.
+    """
+
+
+@dataclass(frozen=True, slots=True)
+class MaintenanceWave:
+    """All machines are due for maintenance, and calls are lost more often.
+
+    The leader changes meanwhile.
+
+    Attributes:
+      number: Number of the wave.
+    """
+
+    number: int
+
+
+@dataclass(frozen=True, slots=True)
+class IsolationInWave:
+    """The leader's zone is cut off, but the leader reaches the cloud API.
+
+    Its successor maintains the machines of a wave.
+
+    Attributes:
+      number: Number of the wave.
+    """
+
+    number: int
+
+
+Fault = (
+    ZonePartition
+    | ManyEnds
+    | LostConfirmation
+    | LargeProgress
+    | MaintenanceWave
+    | IsolationInWave
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Scenario:
+    """Limits and faults of the histories of a scenario.
+
+    Attributes:
+      limits: Limits of the simulated platform.
+      faults: Faults, each of which occurs once at a random time.
+      leader_changes: Number of general changes of the leader; others follow
+        some of them, or an outage.
+      general_faults: Number of other general faults.
+      recovery_ms: Time after the last fault in which late orders are executed
+        and all jobs end.
+    """
+
+    limits: Limits = Limits()
+    faults: tuple[Fault, ...] = ()
+    leader_changes: int = 4
+    general_faults: int = 6
+    recovery_ms: int = 22_000
+
+
+SCENARIOS_BY_NAME = {
+    "general": Scenario(),
+    "zones": Scenario(
+        faults=(ZonePartition(), ZonePartition()),
+        leader_changes=1,
+        general_faults=1,
+        recovery_ms=LONG_RECOVERY_MS,
+    ),
+    "ends": Scenario(
+        limits=Limits(ends_per_report=5),
+        faults=(ManyEnds(), ManyEnds()),
+        leader_changes=1,
+        general_faults=1,
+        recovery_ms=LONG_RECOVERY_MS,
+    ),
+    "confirmations": Scenario(
+        faults=(LostConfirmation(), LostConfirmation(), LostConfirmation()),
+        leader_changes=1,
+        general_faults=1,
+        recovery_ms=LONG_RECOVERY_MS,
+    ),
+    "records": Scenario(
+        limits=Limits(checkpoints_per_record=3),
+        faults=(LargeProgress(), LargeProgress()),
+        leader_changes=1,
+        general_faults=1,
+        recovery_ms=LONG_RECOVERY_MS,
+    ),
+    "machines": Scenario(
+        limits=Limits(has_machines=True),
+        faults=(MaintenanceWave(1), MaintenanceWave(2)),
+        leader_changes=1,
+        general_faults=2,
+        recovery_ms=LONG_RECOVERY_MS,
+    ),
+    "isolation": Scenario(
+        limits=Limits(has_machines=True),
+        faults=(IsolationInWave(1), IsolationInWave(2)),
+        leader_changes=1,
+        general_faults=1,
+        recovery_ms=LONG_RECOVERY_MS,
+    ),
+}
--- a/bench/jobworkers.py
+++ b/bench/jobworkers.py
@@ -20,6 +20,7 @@
 LONG_RUN_RATE = 0.25  # long runs outlast most leases
 FAILED_RUN_MS = (2, 300)
 FAILING_COMMAND = "failing"  # command of a job whose first task always fails
+LONG_COMMAND = "long"  # command of a job whose tasks all take long
 SHORT_RUN_MS = (60, 900)
 LONG_RUN_MS = (1_000, 5_000)
 
@@ -61,13 +62,15 @@
       clock_ms: Clock of the worker.
       started_ms: Simulated time of the worker's start.
       active: Active runs.
-      ended: Ended runs that are not yet acknowledged.
+      ended: First ended runs that are not yet acknowledged.
+      is_whole: Whether these are certainly all of them.
     """
 
     clock_ms: int
     started_ms: int
     active: tuple[ActiveRun, ...]
     ended: tuple[EndedRun, ...]
+    is_whole: bool
 
 
 @dataclass(slots=True, eq=False)
@@ -82,6 +85,8 @@
       call_later: Schedules a function after a delay in milliseconds.
       now_ms: Returns the simulated time.
       checker: Checker that observes starts, ends and acknowledgements.
+      ends_per_report: Maximum number of ends in a report.
+      writes_checkpoints: Whether its runs write checkpoints.
       alive: Whether the process runs.
       highest_epoch: Highest epoch received; calls with a lower one are fenced.
       lease_end_ms: End of the lease on the worker's clock.
@@ -99,6 +104,8 @@
     call_later: Callable
     now_ms: Callable[[], int]
     checker: object
+    ends_per_report: int
+    writes_checkpoints: bool
     alive: bool = True
     highest_epoch: int = 0
     lease_end_ms: int = 0
@@ -145,19 +152,36 @@
         """Build the response to a watch call.
 
         Returns:
-          The active runs and the ends that are not yet acknowledged.
+          The active runs and the first ends that are not yet acknowledged.
         """
         active = tuple(
             ActiveRun(
-                run.task_id, run.number, percent=self._progress_percent(run)
+                run.task_id,
+                run.number,
+                self._checkpoint(run),
+                self._progress_percent(run),
             )
             for run in self.active_by_task.values()
         )
         ended = tuple(
-            EndedRun(run.end_sequence, run.task_id, run.number, run.outcome)
-            for run in self.ended
+            EndedRun(
+                run.end_sequence,
+                run.task_id,
+                run.number,
+                run.outcome,
+                self._checkpoint(run),
+            )
+            for run in self.ended[: self.ends_per_report]
+        )
+        is_whole = len(ended) < self.ends_per_report
+        return WorkerReport(
+            self.clock_ms(), self.started_ms, active, ended, is_whole
         )
-        return WorkerReport(self.clock_ms(), self.started_ms, active, ended)
+
+    def _checkpoint(self, run):
+        if not self.writes_checkpoints or run.outcome is RunEnd.DONE:
+            return ""
+        return f"{run.task_id}/{run.number}"
 
     def _progress_percent(self, run):
         return 100 * (self.now_ms() - run.started_ms) // run.run_time_ms
@@ -216,6 +240,8 @@
             if first:
                 return RunEnd.FAILED, self.random.randint(*FAILED_RUN_MS)
             return RunEnd.DONE, self.random.randint(*LONG_RUN_MS)
+        if effect.command == LONG_COMMAND:
+            return RunEnd.DONE, self.random.randint(*LONG_RUN_MS)
         chance = self.random.random()
         if chance < FAILURE_RATE:
             return RunEnd.FAILED, self.random.randint(*FAILED_RUN_MS)
--- a/bench/jobworld.py
+++ b/bench/jobworld.py
@@ -17,10 +17,12 @@
 
 from bench.event_scheduler import EventScheduler
 from bench.jobchecks import JobChecker
+from bench.jobmachines import CloudApi
 from bench.jobprocesses import CallFaultRates
 from bench.jobprocesses import ManagerProcess
 from bench.jobprocesses import ProgressWriter
 from bench.jobprocesses import WALL_CLOCK_START_MS
+from bench.jobscenarios import Limits
 from bench.jobstore import JobStore
 from bench.jobworkers import WorkerIncarnation
 from bench.storecalls import StoreCalls
@@ -39,6 +41,7 @@
 from sesamehall.core.fleet import WorkerEntry
 from sesamehall.core.managereffects import AnswerCall
 from sesamehall.core.managereffects import ListMachines
+from sesamehall.core.managereffects import MaintainMachine
 from sesamehall.core.managereffects import OfferToLead
 from sesamehall.core.managereffects import ReadStream
 from sesamehall.core.managereffects import StartRun
@@ -66,6 +69,8 @@
       random: The only source of random numbers.
       fault_rates: Fault rates in force.
       store: The store.
+      cloud_api: The cloud API, whose list of machines is empty unless the
+        limits say that it has machines.
       checker: Observes the workers and the callers' answers.
       processes_by_name: Process of each manager.
       workers_by_address: Latest incarnation of the worker at each address.
@@ -77,7 +82,11 @@
     """
 
     def __init__(
-        self, seed: int, max_attempts: int = 2, retry_unconfirmed: bool = True
+        self,
+        seed: int,
+        max_attempts: int = 2,
+        retry_unconfirmed: bool = True,
+        limits: Limits = Limits(),
     ):
         """Start without managers and workers.
 
@@ -86,12 +95,17 @@
           max_attempts: Number of failed runs after which a task has failed.
           retry_unconfirmed: Whether an append of unknown outcome is retried
             before the next one uses its sequence number.
+          limits: Limits of the simulated platform.
         """
         super().__init__()
+        self._limits = limits
         self.random = Random(seed)
         self.fault_rates = CallFaultRates()
-        self._store_calls = StoreCalls(self, retry_unconfirmed)
+        self._store_calls = StoreCalls(
+            self, retry_unconfirmed, limits.checkpoints_per_record
+        )
         self._worker_calls = WorkerCalls(self)
+        self.cloud_api = CloudApi(self)
         self.store = JobStore(on_append=self._store_calls.notify_readers)
         self.checker = JobChecker(lambda: self.now_ms, max_attempts)
         self.processes_by_name: dict[str, ManagerProcess] = {}
@@ -139,6 +153,8 @@
             call_later=self.call_later,
             now_ms=lambda: self.now_ms,
             checker=self.checker,
+            ends_per_report=self._limits.ends_per_report,
+            writes_checkpoints=self._limits.checkpoints_per_record >= 0,
         )
         self.workers_by_address[address] = worker
         self.call_later(
@@ -362,6 +378,22 @@
                 self.on_answer_by_call_id.pop(call_id, lambda answer: None)(
                     answer
                 )
+            case ListMachines() if self._limits.has_machines:
+                self.schedule_call(
+                    process,
+                    self.cloud_api.list_machines,
+                    process,
+                    process.start_count,
+                    effect,
+                )
+            case MaintainMachine():
+                self.schedule_call(
+                    process,
+                    self.cloud_api.send_order,
+                    process,
+                    process.start_count,
+                    effect,
+                )
             case ListMachines():
                 self.call_later(
                     5,
--- a/bench/storecalls.py
+++ b/bench/storecalls.py
@@ -5,6 +5,7 @@
 from bench.jobprocesses import ManagerProcess
 from bench.jobprocesses import WALL_CLOCK_START_MS
 from sesamehall.core.fleet import CancelAsked
+from sesamehall.core.fleet import LeasedWorker
 from sesamehall.core.fleet import StoredRecord
 from sesamehall.core.fleet import Stream
 from sesamehall.core.managereffects import OfferToLead
@@ -15,6 +16,7 @@
 from sesamehall.core.managerevents import StoreOutcome
 from sesamehall.core.managerevents import StreamRead
 from sesamehall.core.managerevents import StreamUnread
+from sesamehall.core.work import CompactProgress
 
 STORE_TIMEOUT_MS = 1_200
 RETRY_PAUSE_MS = 50
@@ -25,7 +27,9 @@
 class StoreCalls:
     """Executes the calls of all managers to the store."""
 
-    def __init__(self, simulation, retry_unconfirmed: bool):
+    def __init__(
+        self, simulation, retry_unconfirmed: bool, max_checkpoints: int
+    ):
         """Create the calls of a simulation.
 
         Args:
@@ -33,16 +37,29 @@
             delivers outcomes to managers.
           retry_unconfirmed: Whether an append of unknown outcome is retried
             before the next one uses its sequence number.
+          max_checkpoints: Maximum number of checkpoints in a stored progress,
+            -1 if there are none.
         """
         self._simulation = simulation
+        self._max_checkpoints = max_checkpoints
         self._retries_unconfirmed = retry_unconfirmed
         self._read_waiters: dict[Stream, list[Callable]] = {
             stream: [] for stream in Stream
         }
 
-    def _call(self, process, execute, on_outcome, timeout_ms=STORE_TIMEOUT_MS):
-        """Execute a call to the store; its outcome is None on a timeout."""
-        delivery = self._simulation.draw_delivery()
+    def _call(
+        self,
+        process,
+        execute,
+        on_outcome,
+        timeout_ms=STORE_TIMEOUT_MS,
+        delivery="",
+    ):
+        """Execute a call to the store; its outcome is None on a timeout.
+
+        The fault of the call is drawn unless a delivery is given.
+        """
+        delivery = delivery or self._simulation.draw_delivery()
         delay_ms = self._simulation.draw_delay_ms()
         if self._is_rejected():
             self._simulation.call_later(
@@ -284,7 +301,10 @@
             writer.unconfirmed = ()
             writer.unconfirmed_sent_ms = -1
         is_claim = effect.expected_end_offset >= 0
-        records = effect.records
+        storable, unstorable_keys, held_keys = self._split_storable(
+            effect.records
+        )
+        records = storable
         if self._retries_unconfirmed and not is_claim:
             records = writer.unconfirmed or records
         sequence = writer.sequence
@@ -304,7 +324,7 @@
                 writer.sequence += 1
                 writer.unconfirmed = ()
                 writer.unconfirmed_sent_ms = -1
-                if records is not effect.records:
+                if records != storable:
                     self._simulation.start_call(
                         process,
                         self.append_progress,
@@ -337,9 +357,47 @@
             self._simulation.deliver(
                 process,
                 lambda at_ms: ProgressStored(
-                    at_ms, sent_ms, effect.epoch, reported
+                    at_ms,
+                    sent_ms,
+                    effect.epoch,
+                    reported,
+                    unstorable_keys,
+                    held_keys=held_keys,
                 ),
                 start_count,
             )
 
-        self._call(process, execute, on_outcome)
+        delivery = ""
+        if process.append_deliveries:
+            delivery = process.append_deliveries.popleft()
+        self._call(process, execute, on_outcome, delivery=delivery)
+
+    def _split_storable(self, records):
+        """Separate the records that can be stored from the others' keys.
+
+        Records of workers are held back if some progress cannot be stored,
+        since they say which ends it contains.
+
+        Returns:
+          The records, the keys of those that cannot be stored, and the keys of
+          those that are held back.
+        """
+        unstorable_keys = tuple(
+            record.key
+            for record in records
+            if isinstance(record.value, CompactProgress)
+            and len(record.value.checkpoints) > self._max_checkpoints >= 0
+        )
+        held_keys = tuple(
+            record.key
+            for record in records
+            if unstorable_keys
+            and isinstance(record.value, CompactProgress | LeasedWorker)
+            and record.key not in unstorable_keys
+        )
+        storable = tuple(
+            record
+            for record in records
+            if record.key not in unstorable_keys + held_keys
+        )
+        return storable, unstorable_keys, held_keys
