Hold all progress back beside progress that cannot be stored

Cause: in a write without the records of workers, the progress of other jobs was stored, so a successor read ends again and counted their failures twice. And an ended job took checkpoints of late ends, whose record then did not fit and was not written any more, while the ends were.

Now all progress of such a write is held back with the workers' records and written again; an ended job takes no checkpoints, and one whose record has some loses them, whatever its phase.

--- a/sesamehall/core/managerevents.py
+++ b/sesamehall/core/managerevents.py
@@ -104,8 +104,8 @@
       outcome: Outcome of the write; FENCED if another leader took over.
       unstorable_keys: Keys of records that were left out, since they cannot
         be encoded or are too large.
-      held_keys: Keys of workers' records that were left out, since they say
-        that ends are contained in progress which was left out.
+      held_keys: Keys of records that were held back beside progress which
+        cannot be stored: those of workers and the progress of other jobs.
       attempts: Number of times that the write was sent.
     """
 
--- a/sesamehall/platform/storehandler.py
+++ b/sesamehall/platform/storehandler.py
@@ -261,7 +261,8 @@
     """Encode the records that can be stored.
 
     A worker's record says which ends are contained in the progress of jobs.
-    So these records are held back if some progress cannot be stored.
+    If some progress cannot be stored, the workers' records are held back, and
+    with them all other progress: a successor would count its failures again.
 
     Returns:
       The encoded records, the keys of those that cannot be stored, and the
@@ -279,7 +280,7 @@
     held_keys = tuple(
         record.key
         for record, _ in encoded
-        if holds and _is_worker_record(record)
+        if holds and (_is_progress(record) or _is_worker_record(record))
     )
     return (
         b"".join(
--- a/sesamehall/reducer/jobs/progress.py
+++ b/sesamehall/reducer/jobs/progress.py
@@ -340,15 +340,17 @@
 def with_checkpoint(
     job: ActiveJob, place: TaskPlace, checkpoint: str
 ) -> ActiveJob:
-    """Record the newest checkpoint of a task.
+    """Record the newest checkpoint of a task that runs again.
 
     Args:
       job: The job.
       place: The task.
       checkpoint: The checkpoint.
     Returns:
-      The job.
+      The job, unchanged if it has ended or the task has succeeded.
     """
+    if job.progress.phase in TERMINAL_PHASES or is_task_done(job, place):
+        return job
     progress_by_step = list(
         step_progress(job.progress, job.plan, place.occurrence)
     )
@@ -361,21 +363,6 @@
     return _with_step_progress(job, place.occurrence, tuple(progress_by_step))
 
 
-def has_checkpoints(job: ActiveJob) -> bool:
-    """Check whether a job has checkpoints of any task.
-
-    Args:
-      job: The job.
-    Returns:
-      True if it has.
-    """
-    return any(
-        step.checkpoints
-        for _, progress_by_step in job.progress.occurrences
-        for step in progress_by_step
-    )
-
-
 def without_checkpoints(job: ActiveJob) -> ActiveJob:
     """Drop the checkpoints of all tasks of a job.
 
--- a/sesamehall/reducer/jobs/runs.py
+++ b/sesamehall/reducer/jobs/runs.py
@@ -118,7 +118,7 @@
     job = step.state.active_jobs_by_id.get(job_id)
     if job is None or not plan_has_task(job.plan, place):
         return step
-    if ended.checkpoint and not is_task_done(job, place):
+    if ended.checkpoint:
         job = with_checkpoint(job, place, ended.checkpoint)
         step = Step(put_job(step.state, job), step.effects)
     match ended.end:
--- a/sesamehall/reducer/jobs/storing.py
+++ b/sesamehall/reducer/jobs/storing.py
@@ -28,7 +28,6 @@
 from sesamehall.reducer.jobs.leases import earlier_renewals_ms
 from sesamehall.reducer.jobs.leases import is_resigning
 from sesamehall.reducer.jobs.leases import is_stepping_down
-from sesamehall.reducer.jobs.progress import has_checkpoints
 from sesamehall.reducer.jobs.progress import without_checkpoints
 from sesamehall.reducer.jobs.queue_pools import build_record
 from sesamehall.reducer.jobs.queue_pools import drop_queue_pools
@@ -314,10 +313,8 @@
     step = Step(manager, _stored_line(term.epoch, batch, event) + lines)
     for progress in written.jobs:
         if progress.job_id in event.unstorable_keys:
-            step = then(
-                step, _shrink_unstorable_job, progress.job_id, event.at_ms
-            )
-    step = then(step, _mark_held_workers, event.held_keys)
+            step = then(step, _shrink_unstorable_job, progress, event.at_ms)
+    step = then(step, _mark_held_changed, event.held_keys)
     for leased in batch.workers:
         step = then(step, _confirm_worker, leased, event.at_ms)
     for queue_pools in batch.queues:
@@ -325,37 +322,51 @@
     return then(step, commit, event.at_ms)
 
 
-def _shrink_unstorable_job(manager, job_id, at_ms):
+def _shrink_unstorable_job(manager, progress, at_ms):
     """Drop the checkpoints of a job whose progress cannot be stored.
 
-    Without checkpoints, its unfinished tasks begin anew.  If it has none, it
-    ends as failed, since its tasks would run again under the next leader, and
-    no end of any worker could be acknowledged meanwhile.  The record of its
-    end is small.
+    Without checkpoints, its unfinished tasks begin anew.  If the progress has
+    none, the job ends as failed, since its tasks would run again under the
+    next leader, and no end of any worker could be acknowledged meanwhile.
+    The record of its end is small.
     """
+    job_id = progress.job_id
     job = manager.active_jobs_by_id.get(job_id)
-    if job is None or job.progress.phase in TERMINAL_PHASES:
+    if job is None:
         return Step(manager)
-    if has_checkpoints(job):
+    if progress.checkpoints:
         manager = put_job(manager, without_checkpoints(job))
         dirty = manager.dirty_jobs.set(job_id, True)
         return Step(replace(manager, dirty_jobs=dirty))
+    if job.progress.phase in TERMINAL_PHASES:
+        return Step(manager)
     reason = "its progress is too large to be stored"
     return end_job(manager, job_id, JobPhase.FAILED, reason, at_ms)
 
 
-def _mark_held_workers(manager, keys):
-    """Mark workers as changed whose records were held back."""
-    worker_ids = [key.removeprefix(WORKER_KEY_PREFIX) for key in keys]
-    dirty = _mark_dirty(manager.dirty_workers, worker_ids)
-    return Step(replace(manager, dirty_workers=dirty))
+def _mark_held_changed(manager, keys):
+    """Mark jobs and workers as changed whose records were held back."""
+    worker_ids = [
+        key.removeprefix(WORKER_KEY_PREFIX)
+        for key in keys
+        if key.startswith(WORKER_KEY_PREFIX)
+    ]
+    job_ids = [key for key in keys if not key.startswith(WORKER_KEY_PREFIX)]
+    return Step(
+        replace(
+            manager,
+            dirty_workers=_mark_dirty(manager.dirty_workers, worker_ids),
+            dirty_jobs=_mark_dirty(manager.dirty_jobs, job_ids),
+        )
+    )
 
 
 def _without_left_out(batch: Batch, keys: tuple[str, ...]) -> Batch:
     """Leave out what a write did not contain.
 
-    It does not count as stored.  A worker whose own record cannot be stored
-    gets no tasks; the record is written again with its next change.
+    That is what cannot be stored and what was held back beside it.  It does
+    not count as stored.  A worker whose own record cannot be stored gets no
+    tasks; the record is written again with its next change.
     """
     if not keys:
         return batch
--- a/sesamehall/reducer/jobs/storing_test.py
+++ b/sesamehall/reducer/jobs/storing_test.py
@@ -4,6 +4,7 @@
 import pytest
 
 from sesamehall.core.data import JobPhase
+from sesamehall.core.data import TERMINAL_PHASES
 from sesamehall.core.effects import Log
 from sesamehall.core.logevents import PROGRESS_NOT_STORED
 from sesamehall.core.logevents import RECORDS_LEFT_OUT
@@ -18,6 +19,7 @@
 from sesamehall.core.work import EndedRun
 from sesamehall.core.work import RunEnd
 from sesamehall.core.work import TaskPlace
+from sesamehall.reducer.jobs.compacting import compact_progress
 from sesamehall.reducer.jobs.leadership import handle_progress_stored
 from sesamehall.reducer.jobs.progress import with_checkpoint
 from sesamehall.reducer.jobs.progress import with_task_done
@@ -215,6 +217,55 @@
     assert (progress.checkpoints, progress.done) == ((), ((0, b"\x02"),))
 
 
+# Guards against a job that is shown as failed although it may be tried again:
+# its failure was stored, but not that the worker's end was applied, so the
+# next leader counted it again.
+def test_other_progress_is_written_again_with_the_held_workers():
+    manager = activate_jobs(
+        build_leader(build_worker("w1")),
+        build_plan(),
+        build_plan(job_id=OTHER_JOB_ID),
+    )
+    failed = EndedRun(1, task(job_id=OTHER_JOB_ID), 1, RunEnd.FAILED)
+    manager = apply_report(manager, build_report("w1", (), [failed])).state
+    dirty = manager.dirty_jobs.set(JOB_ID, True)
+    manager = replace(manager, dirty_jobs=dirty)
+    manager = write_changed_records(manager, NOW_MS).state
+    left_out = ProgressStored(
+        NOW_MS + 5,
+        NOW_MS,
+        1,
+        StoreOutcome.STORED,
+        unstorable_keys=(JOB_ID,),
+        held_keys=(OTHER_JOB_ID, "worker/w1"),
+    )
+    step = handle_progress_stored(manager, left_out)
+    assert OTHER_JOB_ID not in step.state.phase_by_job_id
+    (store,) = effects_of(step, StoreProgress)
+    keys = {record.key for record in store.records}
+    assert keys >= {JOB_ID, OTHER_JOB_ID, "worker/w1"}
+
+
+# Guards against tasks that run again after they were done: the record of an
+# ended job grew by checkpoints, did not fit, and was not written any more.
+@pytest.mark.parametrize(
+    ("phase", "kept"),
+    [
+        (JobPhase.RUNNING, True),
+        (JobPhase.FAILED, False),
+        (JobPhase.CANCELLED, False),
+    ],
+)
+def test_ended_job_takes_no_checkpoints(phase, kept):
+    manager = activate_jobs(build_leader(build_worker("w1")), build_plan())
+    if phase in TERMINAL_PHASES:
+        manager = end_job(manager, JOB_ID, phase, "test", NOW_MS).state
+    stopped = EndedRun(1, task(), 1, RunEnd.STOPPED, "saved")
+    manager = apply_report(manager, build_report("w1", (), [stopped])).state
+    job = manager.active_jobs_by_id[JOB_ID]
+    assert bool(compact_progress(job.progress, job.plan).checkpoints) is kept
+
+
 def test_job_that_ended_while_its_progress_was_refused_keeps_its_end():
     manager = build_leader_writing_an_end()
     done = EndedRun(2, task(1), 1, RunEnd.DONE)
