--- a/sesamehall/reducer/jobs/compacting.py
+++ b/sesamehall/reducer/jobs/compacting.py
@@ -78,11 +78,8 @@
     for occurrence, bits in stored.done:
         number = int.from_bytes(bits, "little") & all_done
         occurrences[occurrence] = _unflatten(number, offsets)
-    for field, rows in (
-        ("failures", stored.failures),
-        ("checkpoints", stored.checkpoints),
-    ):
-        _add_rows(occurrences, field, rows, offsets)
+    _add_rows(occurrences, stored.failures, _with_failures, offsets)
+    _add_rows(occurrences, stored.checkpoints, _with_checkpoint, offsets)
     return Progress(
         stored.job_id,
         stored.phase,
@@ -128,17 +125,24 @@
     ]
 
 
-def _add_rows(occurrences, field, rows, offsets):
-    """Add failures or checkpoints to the progress of occurrences."""
+def _add_rows(occurrences, rows, with_value, offsets):
+    """Add the rows of unfinished tasks to the progress of occurrences."""
     for occurrence, task, value in rows:
         number = _step_of(task, offsets)
         steps = list(occurrences.get(occurrence) or _unflatten(0, offsets))
-        values = getattr(steps[number], field)
-        added = (*values, (task - offsets[number], value))
-        steps[number] = replace(steps[number], **{field: added})
+        index = task - offsets[number]
+        steps[number] = with_value(steps[number], index, value)
         occurrences[occurrence] = tuple(steps)
 
 
+def _with_failures(step, index, count):
+    return replace(step, failures=(*step.failures, (index, count)))
+
+
+def _with_checkpoint(step, index, checkpoint):
+    return replace(step, checkpoints=(*step.checkpoints, (index, checkpoint)))
+
+
 def _step_of(task, offsets):
     """Find the number of the step that a task belongs to."""
     return sum(start <= task for start in offsets[1:-1])
