--- a/sesamehall/core/workstate.py
+++ b/sesamehall/core/workstate.py
@@ -245,6 +245,30 @@
     delay_ms: float = 0.0
 
 
+class ForecastBasis(Enum):
+    """What the forecast of a task's run time rests on."""
+
+    DECLARED = "declared"
+    QUEUE = "queue"
+    STEP = "step"
+    PROGRESS = "progress"
+
+
+@dataclass(frozen=True, slots=True)
+class RunForecast:
+    """Expected run time of a task, on its worker, from start to end.
+
+    Attributes:
+      median_ms: Half of such tasks take no longer.
+      high_ms: Nine tenths of such tasks take no longer.
+      basis: What the forecast rests on.
+    """
+
+    median_ms: float
+    high_ms: float
+    basis: ForecastBasis
+
+
 @dataclass(frozen=True, slots=True)
 class Arrivals:
     """Arrival rate of a queue's jobs.
