--- a/bench/job_histories.py
+++ b/bench/job_histories.py
@@ -30,17 +30,17 @@
 from bench.jobguards import disable_guard
 from bench.jobscenariofaults import schedule_scenario
 from bench.jobscenarios import Limits
+from bench.jobscenarios import MAX_ATTEMPTS
+from bench.jobscenarios import QUEUE
 from bench.jobscenarios import SCENARIOS_BY_NAME
 from bench.jobworld import JobSimulation
 from sesamehall.core.fleet import StoredRecord
 from sesamehall.core.fleet import Stream
 from sesamehall.core.manifest import Manifest
-from sesamehall.core.manifest import Queue
 from sesamehall.core.manifest import Quota
 from sesamehall.core.manifest import WorkerPool
 from sesamehall.core.work import CompactProgress
 
-MAX_ATTEMPTS = 2
 WARMUP_MS = 2_500  # until the first leader has connected to its workers
 JOBS_PER_LEADER_CHANGE = 6
 
@@ -121,11 +121,10 @@
       The simulation.
     """
     simulation = JobSimulation(seed, MAX_ATTEMPTS, retry_unconfirmed, limits)
-    queue = Queue("quotes", "q.example", "/q/", "a", max_attempts=MAX_ATTEMPTS)
     manifest = Manifest(
         version=1,
-        queues_by_name=Map(quotes=queue),
-        pools_by_name=Map(a=WorkerPool("a")),
+        queues_by_name=Map(quotes=QUEUE),
+        pools_by_name=Map((name, WorkerPool(name)) for name in limits.pools),
         quotas_by_team=Map(guild=Quota("guild")),
         team_by_key=Map(k="guild"),
     )
@@ -136,7 +135,8 @@
         simulation.add_manager(f"edge-{index}")
     for index in range(simulation.random.randint(2, 4)):
         address = f"10.0.0.{index}:80"
-        simulation.add_worker(address, f"w{index}")
+        pool = limits.pools[index % len(limits.pools)]
+        simulation.add_worker(address, f"w{index}", pool)
         simulation.cloud_api.add_machine(f"m{index}", address)
     return simulation
 
--- a/bench/jobfaults.py
+++ b/bench/jobfaults.py
@@ -198,7 +198,7 @@
     delay_ms = simulation.random.choice((30, 300, 1_500, 5_000))
     new_worker_id = worker_id or worker.worker_id
     simulation.call_later(
-        delay_ms, simulation.add_worker, address, new_worker_id
+        delay_ms, simulation.add_worker, address, new_worker_id, worker.pool
     )
 
 
--- a/bench/jobguards.py
+++ b/bench/jobguards.py
@@ -16,6 +16,9 @@
     "unread",
     # Wait with tasks of inherited jobs until workers have reported their runs.
     "unresolved",
+    # Ask the workers of every pool that a queue may have had for runs, not
+    # only those of the pool that the manifest names.
+    "pools",
     # Stop starting tasks and renewing leases once it has resigned.
     "resigning",
     # Store the end of a run before it is acknowledged to the worker.
@@ -50,6 +53,8 @@
             queue_pools.pool_may_have_untracked_runs = (
                 lambda manager, pool: False
             )
+        case "pools":
+            queue_pools._possible_pools = _current_pools
         case "resigning":
             leases.is_resigning = lambda manager: False
         case "stored":
@@ -65,6 +70,12 @@
             raise SystemExit(f"unknown guard {name}")
 
 
+def _current_pools(manager, queue_name):
+    """List only the pool to which the manifest sends a queue."""
+    queue = manager.manifest.queues_by_name.get(queue_name)
+    return () if queue is None else (queue.pool,)
+
+
 def _is_dirty(manager, job_id):
     """Check whether a job has changes that no write contains yet.
 
--- a/bench/jobhistories_test.py
+++ b/bench/jobhistories_test.py
@@ -29,6 +29,7 @@
         (reports, "_is_job_unread"),
         (reports, "_apply_ends"),
         (queue_pools, "pool_may_have_untracked_runs"),
+        (queue_pools, "_possible_pools"),
         (task_placement, "extend_lease"),
         (orders, "extend_lease"),
         (workers, "extend_lease"),
@@ -87,12 +88,15 @@
         ("isolation", 0, "", False),
         ("isolation", 1, "", False),
         ("isolation", 38, "", False),
+        ("routes", 0, "", False),
+        ("routes", 69, "", False),
         ("zones", 42, "unread", True),
         ("zones", 0, "unresolved", True),
         ("zones", 4, "stored", True),
         ("zones", 4, "lease", True),
         ("zones", 6, "confirmed", True),
         ("confirmations", 8, "confirmed", True),
+        ("routes", 69, "pools", True),
     ],
 )
 def test_invariants_hold_in_each_scenario_unless_a_guard_is_disabled(
--- a/bench/jobscenariofaults.py
+++ b/bench/jobscenariofaults.py
@@ -1,5 +1,7 @@
 """Faults of the scenarios of job histories."""
 
+from immutables import Map
+
 from bench.jobcallers import Caller
 from bench.jobfaults import change_leader
 from bench.jobfaults import disconnect_worker
@@ -14,12 +16,15 @@
 from bench.jobscenarios import LostConfirmation
 from bench.jobscenarios import MaintenanceWave
 from bench.jobscenarios import ManyEnds
+from bench.jobscenarios import QUEUE
+from bench.jobscenarios import QueueMoves
 from bench.jobscenarios import Scenario
 from bench.jobscenarios import ZonePartition
 from bench.jobworld import JobSimulation
 from sesamehall.core.fleet import StoredRecord
 from sesamehall.core.fleet import Stream
 from sesamehall.core.manifest import Wave
+from sesamehall.core.replacing import replace
 
 ZONES = 3  # managers and workers are dealt to them in turn
 PARTITION_RANGE_MS = (5_000, 10_000)
@@ -40,6 +45,11 @@
 LOST_RESPONSES_RATE = 0.15  # during a wave
 LOST_RESPONSES_MS = 6_000
 OUTAGE_RANGE_MS = (1_000, 6_000)
+MOVED_JOBS = 8  # from before the first change of the queue's pool
+MOVED_JOBS_RANGE_MS = (-6_000, 1_500)  # around the partition
+QUEUE_MOVES = 4  # the last one names the queue
+QUEUE_MOVES_RANGE_MS = (-4_500, 3_500)  # around the partition
+DROPPED = ""  # in place of a pool: the manifest does not name the queue
 OUTAGE_DELAY_RANGE_MS = (50, 1_000)  # after a wide job was submitted
 
 
@@ -69,6 +79,14 @@
                     at_ms + offset_ms, caller.submit_long_job
                 )
             simulation.call_later(at_ms, _partition_leader_zone, simulation)
+        case QueueMoves():
+            for _ in range(MOVED_JOBS):
+                offset_ms = simulation.random.randint(*MOVED_JOBS_RANGE_MS)
+                simulation.call_later(
+                    at_ms + offset_ms, caller.submit_long_job
+                )
+            _schedule_queue_moves(simulation, at_ms)
+            simulation.call_later(at_ms, _partition_leader_zone, simulation)
         case IsolationInWave(number):
             for _ in range(PARTITION_JOBS):
                 offset_ms = simulation.random.randint(*PARTITION_JOBS_RANGE_MS)
@@ -150,6 +168,46 @@
     return process
 
 
+def _schedule_queue_moves(simulation: JobSimulation, at_ms: int) -> None:
+    """Schedule manifests that move or drop the queue; the last one names it.
+
+    Args:
+      simulation: Simulated managers and workers.
+      at_ms: Time of the partition.
+    """
+    random = simulation.random
+    offsets_ms = sorted(
+        random.randint(*QUEUE_MOVES_RANGE_MS) for _ in range(QUEUE_MOVES)
+    )
+    pools = simulation.limits.pools
+    for offset_ms in offsets_ms[:-1]:
+        pool = random.choice(pools + (DROPPED,))
+        simulation.call_later(at_ms + offset_ms, move_queue, simulation, pool)
+    last_ms = max(at_ms + offsets_ms[-1], FAULT_PERIOD_MS)
+    simulation.call_later(
+        last_ms, move_queue, simulation, random.choice(pools)
+    )
+
+
+def move_queue(simulation: JobSimulation, pool: str) -> None:
+    """Publish a manifest that sends the queue to a pool.
+
+    Args:
+      simulation: Simulated managers and workers.
+      pool: The pool, or DROPPED.
+    """
+    manifest = simulation.store.newest_value(Stream.OPERATOR, "config")
+    queues = Map()
+    if pool != DROPPED:
+        queues = Map(quotes=replace(QUEUE, pool=pool))
+    manifest = replace(
+        manifest, version=manifest.version + 1, queues_by_name=queues
+    )
+    simulation.store.append(
+        Stream.OPERATOR, (StoredRecord("config", manifest),)
+    )
+
+
 def _lose_confirmation(simulation: JobSimulation) -> None:
     """Lose a response to the leader's append, and the appends after it."""
     process = simulation.leader()
--- a/bench/jobscenarios.py
+++ b/bench/jobscenarios.py
@@ -6,6 +6,10 @@
 
 from dataclasses import dataclass
 
+from sesamehall.core.manifest import Queue
+
+MAX_ATTEMPTS = 2
+QUEUE = Queue("quotes", "q.example", "/q/", "a", max_attempts=MAX_ATTEMPTS)
 ENDS_PER_REPORT = 500  # at most, as the workers' protocol says
 LONG_RECOVERY_MS = 50_000  # for the additional jobs of some scenarios
 
@@ -20,11 +24,13 @@
       checkpoints_per_record: Maximum number of checkpoints in a stored
         progress; a larger one cannot be stored.  -1 if runs write none.
       has_machines: Whether the cloud API lists the workers' machines.
+      pools: Pools that the workers are dealt to in turn.
     """
 
     ends_per_report: int = ENDS_PER_REPORT
     checkpoints_per_record: int = -1
     has_machines: bool = False
+    pools: tuple[str, ...] = ("a",)
 
 
 @dataclass(frozen=True, slots=True)
@@ -91,6 +97,15 @@
     number: int
 
 
+@dataclass(frozen=True, slots=True)
+class QueueMoves:
+    """The queue changes its pool or loses its route, several times.
+
+    The manifests come before and during a partition of the leader's zone,
+    whose successor changes too.  Jobs run meanwhile.
+    """
+
+
 Fault = (
     ZonePartition
     | ManyEnds
@@ -98,6 +113,7 @@
     | LargeProgress
     | MaintenanceWave
     | IsolationInWave
+    | QueueMoves
 )
 
 
@@ -164,4 +180,11 @@
         general_faults=1,
         recovery_ms=LONG_RECOVERY_MS,
     ),
+    "routes": Scenario(
+        limits=Limits(pools=("a", "b")),
+        faults=(QueueMoves(), QueueMoves()),
+        leader_changes=1,
+        general_faults=1,
+        recovery_ms=LONG_RECOVERY_MS,
+    ),
 }
--- a/bench/jobworkers.py
+++ b/bench/jobworkers.py
@@ -87,6 +87,7 @@
       checker: Checker that observes starts, ends and acknowledgements.
       ends_per_report: Maximum number of ends in a report.
       writes_checkpoints: Whether its runs write checkpoints.
+      pool: Pool that it belongs to.
       alive: Whether the process runs.
       highest_epoch: Highest epoch received; calls with a lower one are fenced.
       lease_end_ms: End of the lease on the worker's clock.
@@ -106,6 +107,7 @@
     checker: object
     ends_per_report: int
     writes_checkpoints: bool
+    pool: str = "a"
     alive: bool = True
     highest_epoch: int = 0
     lease_end_ms: int = 0
--- a/bench/jobworld.py
+++ b/bench/jobworld.py
@@ -66,6 +66,7 @@
     """Simulated managers, workers and store.
 
     Attributes:
+      limits: Limits of the simulated platform.
       random: The only source of random numbers.
       fault_rates: Fault rates in force.
       store: The store.
@@ -98,7 +99,7 @@
           limits: Limits of the simulated platform.
         """
         super().__init__()
-        self._limits = limits
+        self.limits = limits
         self.random = Random(seed)
         self.fault_rates = CallFaultRates()
         self._store_calls = StoreCalls(
@@ -153,8 +154,9 @@
             call_later=self.call_later,
             now_ms=lambda: self.now_ms,
             checker=self.checker,
-            ends_per_report=self._limits.ends_per_report,
-            writes_checkpoints=self._limits.checkpoints_per_record >= 0,
+            ends_per_report=self.limits.ends_per_report,
+            writes_checkpoints=self.limits.checkpoints_per_record >= 0,
+            pool=pool,
         )
         self.workers_by_address[address] = worker
         self.call_later(
@@ -378,7 +380,7 @@
                 self.on_answer_by_call_id.pop(call_id, lambda answer: None)(
                     answer
                 )
-            case ListMachines() if self._limits.has_machines:
+            case ListMachines() if self.limits.has_machines:
                 self.schedule_call(
                     process,
                     self.cloud_api.list_machines,
