Keep a machine that one list lacks, and do not complete its wave

What could be seen: a wave said to be completed before its last machine's upkeep (MIXED), or one machine more of it down at once (LIMIT). Cause: the platform's list comes in pages that are read one after the other, so one list may lack a machine; it was then taken for gone. A missing machine is kept as last listed, without orders, until all lists of 2 s lack it; a wave is not completed while one of its machines may be missing only for a moment, also after a new leader's first list.

--- a/sesamehall/core/fleetstate.py
+++ b/sesamehall/core/fleetstate.py
@@ -88,7 +88,10 @@
     """Machines and the orders for them.
 
     Attributes:
-      machines_by_name: Machines as last listed.
+      machines_by_name: Machines as last listed, also those that the newest
+        list lacks for a moment.
+      missing_since_ms_by_machine: Time at which a list first lacked a machine,
+        of those that no list has had since.
       listed_ms: Time at which that list arrived, or -1.
       list_in_flight: Whether a request for the list is in flight.
       orders_by_machine: Orders that are not known to be carried out yet, by
@@ -105,6 +108,7 @@
     """
 
     machines_by_name: Map[str, Machine] = EMPTY_MAP
+    missing_since_ms_by_machine: Map[str, int] = EMPTY_MAP
     listed_ms: int = -1
     list_in_flight: bool = False
     orders_by_machine: Map[str, PendingOrder] = EMPTY_MAP
--- a/sesamehall/core/fleettiming.py
+++ b/sesamehall/core/fleettiming.py
@@ -1,6 +1,7 @@
 """Periods, limits and weights of the decisions about machines."""
 
 MACHINES_PERIOD_MS = 500  # maximum delay until a machine is seen to be back
+MACHINE_GONE_MS = 2_000  # several lists in a row lack the machine
 MACHINE_ORDER_CONFIRMED_MS = 1_000  # after this, another node may lead
 MACHINE_ORDER_RETRY_MS = 1_500  # resend an order that has no answer
 MACHINE_ORDER_TIMEOUT_MS = 10_000  # reconsider a machine that is not back
--- a/sesamehall/reducer/machines/fleet.py
+++ b/sesamehall/reducer/machines/fleet.py
@@ -8,8 +8,6 @@
 leader's term.
 """
 
-from immutables import Map
-
 from sesamehall.core.effects import log
 from sesamehall.core.fleet import Machine
 from sesamehall.core.fleet import MachineState
@@ -42,6 +40,7 @@
 from sesamehall.reducer.jobs.workers import end_incarnation
 from sesamehall.reducer.machines.evacuation import evacuate_worker
 from sesamehall.reducer.machines.incarnations import ended_incarnations
+from sesamehall.reducer.machines.listing import apply_list
 from sesamehall.reducer.machines.moves import choose_moves
 from sesamehall.reducer.machines.pending_orders import put_order
 from sesamehall.reducer.machines.pending_orders import rebind_order
@@ -143,13 +142,7 @@
         if _is_resolved(machine, order, event):
             orders = orders.delete(name)
             manager = _cancel_evacuation(manager, order.worker_id)
-    fleet = replace(
-        manager.fleet,
-        machines_by_name=Map(machines),
-        listed_ms=event.at_ms,
-        list_in_flight=False,
-        orders_by_machine=orders,
-    )
+    fleet = replace(apply_list(manager.fleet, event), orders_by_machine=orders)
     ended = ended_incarnations(manager, event)
     step = Step(_mark_unstored_machines(replace(manager, fleet=fleet)))
     for worker_id in ended:
--- a/sesamehall/reducer/machines/fleet_test.py
+++ b/sesamehall/reducer/machines/fleet_test.py
@@ -12,6 +12,7 @@
 from sesamehall.core.fleetstate import MachineOrderKind
 from sesamehall.core.fleetstate import PendingOrder
 from sesamehall.core.fleetstate import WaveProgress
+from sesamehall.core.fleettiming import MACHINE_GONE_MS
 from sesamehall.core.fleettiming import MACHINE_ORDER_CONFIRMED_MS
 from sesamehall.core.fleettiming import MACHINE_ORDER_RETRY_MS
 from sesamehall.core.fleettiming import MACHINE_ORDER_TIMEOUT_MS
@@ -46,11 +47,11 @@
 from sesamehall.reducer.machines.fleet import advance_fleet
 from sesamehall.reducer.machines.fleet import apply_machine_list
 from sesamehall.reducer.machines.fleet import handle_machine_answer
+from sesamehall.reducer.machines.pending_orders import accepts_orders
 from sesamehall.reducer.machines.waves import advance_waves
 from sesamehall.reducer.machines.waves import handle_wave_not_reported
 from sesamehall.reducer.machines.waves import unavailable_machines
 
-KNOWN_RED = pytest.mark.xfail(strict=True, reason="KNOWN-RED.txt")
 UP = MachineState.UP
 POOL_MACHINES = tuple(Machine(f"m{n}", "a", UP, f"w{n}") for n in range(1, 5))
 STANDBY_MACHINES = tuple(Machine(f"p{n}", "spare", UP) for n in range(1, 4))
@@ -747,10 +748,8 @@
 @pytest.mark.parametrize(
     ("state", "accepted", "unavailable"),
     [
-        pytest.param(
-            MachineState.MAINTENANCE, ("m4",), ["m4"], marks=KNOWN_RED
-        ),
-        pytest.param(UP, (), [], marks=KNOWN_RED),
+        (MachineState.MAINTENANCE, ("m4",), ["m4"]),
+        (UP, (), []),
     ],
     ids=["in maintenance for an earlier leader", "not maintained yet"],
 )
@@ -772,3 +771,32 @@
     assert sorted(unavailable_machines(manager, progress)) == unavailable
     reports = effects_of(advance_waves(manager, at_ms), ReportWave)
     assert not any(report.status.completed for report in reports)
+
+
+# Guards against a wave that is never completed, since a machine of it has left,
+# and against one that a new leader completes by a first list without it.
+@pytest.mark.parametrize("listed_before", [True, False])
+@pytest.mark.parametrize(
+    ("missing_ms", "completed"),
+    [(0, False), (MACHINE_GONE_MS - 1, False), (MACHINE_GONE_MS, True)],
+)
+def test_wave_without_a_machine_that_has_left(
+    listed_before, missing_ms, completed
+):
+    count = 4 if listed_before else 3
+    manager = build_fleet(
+        POOL_MACHINES[:count], waves_by_number=build_waves(max_unavailable=1)
+    )
+    accepted = Map({1: ("m1", "m2", "m3")})
+    manager = replace(manager, maintenance_accepted_by_wave=accepted)
+    for at_ms in (NOW_MS, NOW_MS + missing_ms):
+        listed = MachinesListed(at_ms, at_ms, POOL_MACHINES[:3])
+        manager = apply_machine_list(manager, listed).state
+    assert "m4" not in {
+        machine.name
+        for machine in manager.fleet.machines_by_name.values()
+        if accepts_orders(manager, machine)
+    }
+    step = advance_waves(manager, NOW_MS + missing_ms)
+    reports = effects_of(step, ReportWave)
+    assert any(report.status.completed for report in reports) is completed
--- a/sesamehall/reducer/machines/pending_orders.py
+++ b/sesamehall/reducer/machines/pending_orders.py
@@ -7,6 +7,7 @@
 from sesamehall.core.managerstate import ManagerState
 from sesamehall.core.replacing import replace
 from sesamehall.reducer.jobs.state_updates import put_worker
+from sesamehall.reducer.machines.listing import is_missing
 
 
 def decide_order(
@@ -96,10 +97,12 @@
       manager: State of the leader.
       machine: The machine.
     Returns:
-      False if it is not up, has an order, or may have one of an earlier
-      leader.
+      False if it is not up, is missing from the newest list, has an order, or
+      may have one of an earlier leader.
     """
     fleet = manager.fleet
+    if is_missing(fleet, machine):
+        return False
     if machine.name in fleet.orders_by_machine:
         return False
     if machine.name in fleet.inherited:
--- a/sesamehall/reducer/machines/waves.py
+++ b/sesamehall/reducer/machines/waves.py
@@ -21,6 +21,7 @@
 from sesamehall.core.step import Step
 from sesamehall.core.step import then
 from sesamehall.reducer.jobs.leases import may_have_untracked_runs
+from sesamehall.reducer.machines.listing import lacks_wave_machine
 from sesamehall.reducer.machines.pending_orders import accepts_orders
 from sesamehall.reducer.machines.pending_orders import decide_order
 
@@ -51,7 +52,8 @@
         step = Step(_put_wave(manager, progress), (report,))
     remaining = remaining_machines(step.state, progress)
     unavailable = unavailable_machines(step.state, progress)
-    if not remaining and not unavailable:
+    lacks_machine = lacks_wave_machine(step.state.fleet, progress, at_ms)
+    if not remaining and not unavailable and not lacks_machine:
         return then(step, _complete_wave, progress, at_ms)
     max_orders = unavailable_limit(progress, len(remaining), at_ms) - len(
         unavailable
