Hold a worker back only for a task that it may run

Cause: a worker was kept free for any task that no worker can run now, by size alone, though waiting gives it no label, ticket or place under the limit per worker. Evidence: three of six new rows of placement_round_test were red before. Workers that are not eligible are not held back any more; those that are only too full are, as before.

--- a/sesamehall/reducer/jobs/placement_round.py
+++ b/sesamehall/reducer/jobs/placement_round.py
@@ -220,8 +220,13 @@
 
     def _may_run(self, candidates, worker_id):
         """Check whether a worker with enough free resources may run a task."""
-        if worker_id in self.held_back_worker_ids:
-            return False
+        return (
+            worker_id not in self.held_back_worker_ids
+            and self._is_eligible(candidates, worker_id)
+        )
+
+    def _is_eligible(self, candidates, worker_id):
+        """Check whether a worker may run a task once it has enough room."""
         step = candidates.step
         worker = self.workers_by_id[worker_id]
         if (
@@ -245,7 +250,7 @@
         if not self._is_within_ceiling(job.plan.team, step.size):
             return None
         if not candidates.ranked_workers:
-            self._hold_back_worker(step, job)
+            self._hold_back_worker(candidates)
             return None
         task = task_id(job.plan.job_id, place)
         best = self._pop_best(candidates, place)
@@ -308,13 +313,14 @@
         count = self.count_by_worker_step.get(key, 0)
         self.count_by_worker_step[key] = count + 1
 
-    def _hold_back_worker(self, step, job):
+    def _hold_back_worker(self, candidates):
         """Hold back the worker with the most free CPU for a waiting task.
 
         Otherwise small tasks would keep every worker too full for a large one.
-        A worker is held back whenever no worker can run the task now, also if
-        that is due to a label, a limit per worker or a missing ticket.
+        A worker that may not run the task whatever its room is not held back,
+        since waiting would be in vain.
         """
+        step = candidates.step
         if (
             len(self.held_back_worker_ids) >= MAX_HELD_BACK_WORKERS
             or step.best_effort
@@ -325,6 +331,7 @@
             for worker_id in self.free_by_id
             if worker_id not in self.held_back_worker_ids
             and fits(step.size, self.workers_by_id[worker_id].entry.capacity)
+            and self._is_eligible(candidates, worker_id)
         ]
         if len(worker_ids) > MAX_HELD_BACK_WORKERS:
             self.held_back_worker_ids.append(
--- a/sesamehall/reducer/jobs/placement_round_test.py
+++ b/sesamehall/reducer/jobs/placement_round_test.py
@@ -9,6 +9,7 @@
 from sesamehall.core.managereffects import StartRun
 from sesamehall.core.replacing import replace
 from sesamehall.core.work import fits
+from sesamehall.core.work import NO_SIZE
 from sesamehall.core.work import Size
 from sesamehall.reducer.jobs import placement_round
 from sesamehall.reducer.jobs.testing import activate_jobs
@@ -121,3 +122,41 @@
         leader = replace(leader, last_failed_worker_by_task=failed)
     step = place_all(activate_jobs(leader, build_plan(build_step(2))))
     assert [run.worker_id for run in effects_of(step, StartRun)] == expected
+
+
+# Guards against workers that are kept free in vain (review/5, LOST): a task
+# that may run on none of them, whatever its size, kept others waiting.
+@pytest.mark.parametrize(
+    ("step", "used", "started"),
+    [
+        (build_step(size=CAPACITY), NO_SIZE, 3),
+        (build_step(size=CAPACITY), LITTLE, 3),
+        (build_step(size=CAPACITY, required_label="fast"), NO_SIZE, 4),
+        (build_step(size=SMALL, required_label="fast"), LITTLE, 4),
+        (build_step(5, LITTLE, max_per_worker=1), NO_SIZE, 4),
+        (build_step(size=Size(5_000, 1_000)), NO_SIZE, 4),
+    ],
+    ids=[
+        "it fits now",
+        "it fits once a worker is free",
+        "no worker has its label",
+        "no worker has its label, small task",
+        "its limit per worker is reached",
+        "no worker is large enough",
+    ],
+)
+def test_worker_is_held_back_only_for_a_task_that_it_may_run(
+    step, used, started
+):
+    workers = [build_worker(f"w{n}", used=used) for n in range(4)]
+    large = build_plan(
+        build_step(4, Size(3_000, 1_000)), job_id="00000000000000bb"
+    )
+    plans = [build_plan(step, job_id="00000000000000aa"), large]
+    orders = effects_of(
+        place_all(activate_jobs(build_leader(*workers), *plans)), StartRun
+    )
+    large_orders = [
+        order for order in orders if order.task.startswith(large.job_id)
+    ]
+    assert len(large_orders) == started
--- a/sesamehall/reducer/machines/fleet_test.py
+++ b/sesamehall/reducer/machines/fleet_test.py
@@ -773,8 +773,8 @@
     assert not any(report.status.completed for report in reports)
 
 
-# Guards against a wave that is never completed, since a machine of it has left,
-# and against one that a new leader completes by a first list without it.
+# Guards against a wave that is never completed, since a machine of it has
+# left, and against one that a new leader completes by a first list without it.
 @pytest.mark.parametrize("listed_before", [True, False])
 @pytest.mark.parametrize(
     ("missing_ms", "completed"),
