Pass run numbers that a worker has seen after a few refusals

Cause: a task that fails often uses more numbers in a term than a term has, so the next leader's are lower than what workers have seen; each start was refused as old, and each refusal set the worker aside for 0.5 s. A refusal as old now skips twice as many numbers each time and sets no worker aside, so a task that ran 2^20 times starts after 18 refusals.

--- a/sesamehall/reducer/jobs/orders.py
+++ b/sesamehall/reducer/jobs/orders.py
@@ -31,6 +31,7 @@
 from sesamehall.reducer.jobs.order_window import record_start_answer
 from sesamehall.reducer.jobs.order_window import record_start_order
 from sesamehall.reducer.jobs.order_window import resume_blocked_pools
+from sesamehall.reducer.jobs.placement_round import skip_run_numbers
 from sesamehall.reducer.jobs.progress import checkpoint_of
 from sesamehall.reducer.jobs.runs import abandon_run
 from sesamehall.reducer.jobs.runs import stop_run
@@ -88,6 +89,9 @@
     match event.refusal:
         case OrderRefusal.NO_TICKET:
             step = then(step, _drop_ticket, run)
+        case OrderRefusal.OLD_RUN:
+            # The worker has seen a higher number; it is not at fault.
+            step = Step(skip_run_numbers(step.state, run), step.effects)
         case OrderRefusal.NOT_SENT:
             pass  # the worker is not at fault
         case _:
--- a/sesamehall/reducer/jobs/orders_test.py
+++ b/sesamehall/reducer/jobs/orders_test.py
@@ -16,6 +16,7 @@
 from sesamehall.core.managerevents import OrderRefusal
 from sesamehall.core.managerevents import RunAnswered
 from sesamehall.core.managerevents import StopAnswered
+from sesamehall.core.managerstate import Term
 from sesamehall.core.replacing import replace
 from sesamehall.core.timers import StartTimer
 from sesamehall.core.timers import StopTimer
@@ -227,3 +228,31 @@
     assert [(line["reason"], line["status"]) for line in lines] == refused
     lines = details_of(step, RUN_ABANDONED)
     assert [line["reason"] for line in lines] == given_up
+
+
+# Guards against tasks without a run for tens of seconds (LOST): a task failed
+# so often that a new leader's run numbers were below those of the workers,
+# which refused each start, and each refusal set a worker aside.
+@pytest.mark.parametrize(
+    ("epoch", "highest_seen", "max_refusals"),
+    [(2, 16, 0), (2, 161, 5), (5, 161, 4), (2, 5_000, 10), (3, 1 << 20, 18)],
+)
+def test_run_numbers_of_a_new_leader_pass_those_that_a_worker_has_seen(
+    epoch, highest_seen, max_refusals
+):
+    term = Term(epoch, began_ms=NOW_MS - 5_000, confirmed_ms=NOW_MS)
+    manager = build_leader(build_worker("w1"), term=term)
+    step = place_all(activate_jobs(manager, build_plan()))
+    (order,) = effects_of(step, StartRun)
+    refusals = 0
+    while order.number <= highest_seen:
+        refusals += 1
+        refusal = OrderRefusal.OLD_RUN
+        answer = RunAnswered(
+            NOW_MS, "w1", epoch, task(), order.number, refusal
+        )
+        manager = handle_start_answer(step.state, answer).state
+        assert not manager.workers_by_id["w1"].quarantined_until_ms
+        step = place_all(manager)
+        (order,) = effects_of(step, StartRun)
+    assert refusals <= max_refusals
--- a/sesamehall/reducer/jobs/placement_round.py
+++ b/sesamehall/reducer/jobs/placement_round.py
@@ -18,6 +18,7 @@
 from sesamehall.core.work import task_id
 from sesamehall.core.work import TaskPlace
 from sesamehall.core.workstate import ActiveJob
+from sesamehall.core.workstate import Run
 from sesamehall.core.workstate import Worker
 from sesamehall.reducer.jobs.advice import requires_advice
 from sesamehall.reducer.jobs.advice import step_name
@@ -455,7 +456,10 @@
 
 
 def next_run_number(manager: ManagerState, task: str) -> int:
-    """Choose a run number above all that any leader can have used.
+    """Choose a run number above all that this leader has used.
+
+    It is usually above those of earlier leaders too.  A task that failed very
+    often may have used more, which a worker then tells.
 
     Args:
       manager: State of the leader.
@@ -463,5 +467,27 @@
     Returns:
       The run number.
     """
-    floor = (manager.term.epoch - 1) * RUN_NUMBERS_PER_TERM
-    return max(manager.highest_run_number_by_task.get(task, 0), floor) + 1
+    highest = manager.highest_run_number_by_task.get(task, 0)
+    return max(highest, _run_number_floor(manager)) + 1
+
+
+def skip_run_numbers(manager: ManagerState, run: Run) -> ManagerState:
+    """Skip run numbers of a task, since a worker has seen a higher one.
+
+    How many are skipped doubles each time, so that a few refusals suffice
+    however often the task was run before.
+
+    Args:
+      manager: State of the leader.
+      run: The run that the worker refused as old.
+    Returns:
+      The state.
+    """
+    floor = _run_number_floor(manager)
+    skipped = max(2 * (run.number - floor), RUN_NUMBERS_PER_TERM)
+    highest = manager.highest_run_number_by_task.set(run.task, floor + skipped)
+    return replace(manager, highest_run_number_by_task=highest)
+
+
+def _run_number_floor(manager):
+    return (manager.term.epoch - 1) * RUN_NUMBERS_PER_TERM
