--- /dev/null
+++ b/sesamehall/reducer/manifests/__init__.py
@@ -0,0 +1,1 @@
+"""Checks of manifests, which operators run before they publish one."""
--- a/sesamehall/scripts/operator.py
+++ b/sesamehall/scripts/operator.py
@@ -9,12 +9,29 @@
 from sesamehall.scripts.common import load_or_exit
 
 
-def check(*, plans: str = "", limits: str = "") -> None:
-    """Check list files without publishing them.
+def check(
+    *,
+    plans: str = "",
+    limits: str = "",
+    manifest: str = "",
+    wave: list[str] = [],
+    in_force: str = "",
+    store: str = "",
+    format: str = "text",
+) -> None:
+    """Check files without publishing them.
+
+    The exit code is 1 if a manifest or a wave has entries that can never
+    match or limits that contradict each other, and 2 if a file is not valid.
 
     Args:
       plans: YAML file with the plans.
       limits: YAML file with the limits.
+      manifest: JSON file with a manifest for the platform's store.
+      wave: JSON files with a wave of maintenance each.
+      in_force: JSON file with the manifest in force; changes are shown.
+      store: "host:port" of the platform's store, to read that one from.
+      format: "text" or "json", for the manifest and the waves.
     """
     if plans:
         load_or_exit(plans, PlansList, PLANS_CHECKS)
@@ -22,6 +39,10 @@
     if limits:
         load_or_exit(limits, LimitsList, LIMITS_CHECKS)
         print(f"{limits}: no problems")
+    if manifest or wave:
+        from sesamehall.scripts.manifestcheck import check_files
+
+        check_files(manifest, wave, in_force, store, format)
 
 
 def publish(
--- a/sesamehall/scripts/scripts_test.py
+++ b/sesamehall/scripts/scripts_test.py
@@ -67,6 +67,91 @@
     assert all(line.startswith(f"{path}:") for line in lines)
 
 
+ROUTE = {"Name": "r", "Host": "h", "PathPrefix": "/r/", "Service": "a"}
+MANIFEST = {
+    "Version": 2,
+    "Routes": [ROUTE],
+    "Services": [{"Name": "a"}],
+    "Tenants": [{"Name": "t", "ApiKeys": ["secret"]}],
+}
+
+
+@pytest.mark.parametrize(
+    ("change", "code", "lines"),
+    [
+        ({}, 0, ["no problems"]),
+        (
+            {"Routes": [ROUTE | {"Service": "b"}]},
+            1,
+            [":8: Routes.0.Service: queue r", ":13: Services.0.Name: pool a"],
+        ),
+        (
+            {"Tenants": [{"Name": "t", "ApiKeys": ["k"], "Weight": 0}]},
+            1,
+            [":22: Tenants.0.Weight: the weight of team t"],
+        ),
+        (
+            {"Tenants": [{"Name": 5}, 7]},
+            2,
+            [":17: Tenants.0", ":20: Tenants.1"],
+        ),
+        ({"Routes": 5}, 2, [":1: "]),
+        ({"Version": "x"}, 2, [":1: "]),
+    ],
+    ids=[
+        "valid",
+        "pool that is not named",
+        "weight",
+        "two invalid entries",
+        "no list",
+        "version",
+    ],
+)
+def test_check_of_a_manifest(tmp_path, change, code, lines):
+    path = tmp_path / "manifest.json"
+    path.write_text(json.dumps(MANIFEST | change, indent=1))
+    result = run("operator", "check", "--manifest", str(path))
+    assert result.returncode == code
+    printed = (result.stdout + result.stderr).splitlines()
+    assert len(printed) == len(lines)
+    assert all(start in line for start, line in zip(lines, printed))
+    assert "secret" not in result.stdout
+
+
+@pytest.mark.parametrize(
+    ("data", "code"),
+    [(b"", 2), (b"\xff", 2), (b"[" * 5_000, 2), (b"{}", 2), (b"[1]", 2)],
+)
+def test_check_of_a_file_that_is_no_manifest(tmp_path, data, code):
+    path = tmp_path / "manifest.json"
+    path.write_bytes(data)
+    result = run("operator", "check", "--manifest", str(path))
+    assert result.returncode == code
+    assert result.stderr.startswith(f"{path}:1: ")
+    assert len(result.stderr.splitlines()) == 1
+
+
+def test_check_shows_changes_and_findings_as_json(tmp_path):
+    new = tmp_path / "new.json"
+    new.write_text(json.dumps(MANIFEST | {"Version": 1, "Tenants": []}))
+    old = tmp_path / "old.json"
+    old.write_text(json.dumps(MANIFEST))
+    files = ["--manifest", str(new), "--in-force", str(old)]
+    result = run("operator", "check", *files, "--format", "json")
+    assert result.returncode == 1
+    rows = json.loads(result.stdout)
+    assert [row["kind"] for row in rows] == ["finding"] * 2 + ["change"] * 2
+
+
+def test_check_without_the_store_exits_with_code_3(tmp_path):
+    path = tmp_path / "manifest.json"
+    path.write_text(json.dumps(MANIFEST))
+    arguments = ["--manifest", str(path), "--store", "127.0.0.1:1"]
+    result = run("operator", "check", *arguments)
+    assert result.returncode == 3
+    assert "cannot be read" in result.stdout
+
+
 def test_unreachable_log_exits_with_code_3(tmp_path):
     path = tmp_path / "operator.yaml"
     path.write_text("platform: 127.0.0.1:1\ntimeout_s: 1\n")
