Drain a data centre on an operator's request

Cause: the manager did not know the request to drain a data centre and logged it as an unreadable record, so it went on starting tasks there.

Change: the operators' stream holds drain requests. The leader starts nothing in a drained data centre, sizes pools without its machines, moves long-running tasks one after the other, and puts idle machines there on standby. Starts are limited by how long ago the operators' stream was known, where the settings name a limit.

--- a/sesamehall/core/fleet.py
+++ b/sesamehall/core/fleet.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
+from sesamehall.core.manifest import DrainRequest
 from sesamehall.core.manifest import Manifest
 from sesamehall.core.manifest import Wave
 from sesamehall.core.work import CompactProgress
@@ -58,12 +59,14 @@
       pool: Pool that it belongs to.
       state: Its state.
       worker_id: Its worker, or "".
+      data_centre: Its data centre, or "" if the list does not name it.
     """
 
     name: str
     pool: str
     state: MachineState
     worker_id: str = ""
+    data_centre: str = ""
 
 
 class Stream(Enum):
@@ -218,6 +221,7 @@
     | QueuePools
     | Manifest
     | Wave
+    | DrainRequest
     | WorkerEntry
 )
 
--- a/sesamehall/core/logevents.py
+++ b/sesamehall/core/logevents.py
@@ -177,6 +177,15 @@
     656, "wave not reported", "Look at the platform's store; it is repeated."
 )
 MACHINE_ANSWER_STALE = _info(657, "stale machine answer")
+DRAIN_REQUESTED = _info(660, "data centre drained")
+DRAIN_REVOKED = _info(661, "data centre in use again")
+DRAIN_DOUBTFUL = _warning(
+    662, "drain doubtful", "Look at the request; it holds until it is deleted."
+)
+DRAIN_PROGRESS = _info(
+    663, "drain in progress", "Wait; the runs left are moved or end."
+)
+DRAIN_COMPLETED = _info(664, "data centre empty", "It runs nothing now.")
 
 NODE_STARTED = _info(900, "node started")
 NODE_STOPPING = _info(901, "node stopping")
--- a/sesamehall/core/managerstate.py
+++ b/sesamehall/core/managerstate.py
@@ -11,6 +11,7 @@
 from sesamehall.core.calls import JobCall
 from sesamehall.core.data import EMPTY_MAP
 from sesamehall.core.data import JobPhase
+from sesamehall.core.draining import DrainingState
 from sesamehall.core.fleet import CancelAsked
 from sesamehall.core.fleet import Leader
 from sesamehall.core.fleet import LeasedWorker
@@ -48,6 +49,9 @@
       move_ms: Time that a machine takes to move to another pool.
       maintenance_ms: Time that a machine's maintenance takes.
       status_retention_ms: Time for which the status of an ended job is kept.
+      drain_within_ms: Time after the request to drain a data centre from which
+        nothing may start there, or 0 for no limit.
+      max_stretch_ms: Time that is added to this while the store is unstable.
     """
 
     max_lease_ms: int = 6_000
@@ -57,6 +61,8 @@
     move_ms: int = 1_500
     maintenance_ms: int = 2_000
     status_retention_ms: int = 120_000
+    drain_within_ms: int = 0
+    max_stretch_ms: int = 0
 
 
 @dataclass(frozen=True)
@@ -282,6 +288,7 @@
         flight for, or "".
       wall_offset_ms: Time of day minus the node's clock.
       fleet: Machines and the orders for them.
+      draining: Data centres in which nothing may be started.
     """
 
     name: str
@@ -343,3 +350,4 @@
     advice_in_flight_step: str = ""
     wall_offset_ms: int = 0
     fleet: FleetState = FleetState()
+    draining: DrainingState = DrainingState()
--- a/sesamehall/core/manifest.py
+++ b/sesamehall/core/manifest.py
@@ -1,4 +1,4 @@
-"""The operators' manifest: queues, worker pools and teams."""
+"""The operators' documents: the manifest, waves and drain requests."""
 
 from dataclasses import dataclass
 
@@ -108,3 +108,17 @@
     machines: tuple[str, ...]
     within_ms: int
     max_unavailable: int
+
+
+@dataclass(frozen=True, slots=True)
+class DrainRequest:
+    """A request to start nothing more in a data centre.
+
+    Attributes:
+      data_centre: Name of the data centre.
+      readable: Whether the content of the request could be read; the request
+        holds in any case.
+    """
+
+    data_centre: str
+    readable: bool = True
--- a/sesamehall/platform/operatordecoding.py
+++ b/sesamehall/platform/operatordecoding.py
@@ -1,17 +1,21 @@
-"""Decoding of the operators' documents: the manifest and waves."""
+"""Decoding of the operators' documents: manifest, waves and drain requests."""
 
 from immutables import Map
 
+from sesamehall.codecs.jsonfields import check_text
 from sesamehall.codecs.jsonfields import decode_boolean
 from sesamehall.codecs.jsonfields import decode_integer
 from sesamehall.codecs.jsonfields import decode_list
 from sesamehall.codecs.jsonfields import decode_nested
 from sesamehall.codecs.jsonfields import decode_number
+from sesamehall.codecs.jsonfields import decode_object
 from sesamehall.codecs.jsonfields import decode_rows
 from sesamehall.codecs.jsonfields import decode_text
 from sesamehall.codecs.jsonfields import decode_texts
 from sesamehall.codecs.jsonfields import MAX_TEXT_BYTES
 from sesamehall.core.codes import DecodeError
+from sesamehall.core.draining import DRAIN_KEY_PREFIX
+from sesamehall.core.manifest import DrainRequest
 from sesamehall.core.manifest import Manifest
 from sesamehall.core.manifest import Queue
 from sesamehall.core.manifest import Quota
@@ -21,6 +25,7 @@
 
 MANIFEST_KEY = "config"
 WAVE_KEY_PREFIX = "wave/"
+EVACUATION_KEY_PREFIX = "evacuate/"
 
 
 def decode_manifest(document: dict) -> Manifest:
@@ -107,3 +112,38 @@
         # Here "Cap" is a number of machines; in a quota it is resources.
         max_unavailable=max(decode_integer(document, "Cap", 1), 1),
     )
+
+
+def decode_drain_request(key: str, value: bytes) -> DrainRequest:
+    """Decode a request to drain a data centre, which the key names.
+
+    Args:
+      key: The key, with EVACUATION_KEY_PREFIX.
+      value: Any bytes.  The request holds even if they cannot be read, since
+        the operator knows that it is stored.
+    Returns:
+      The request.
+    Raises:
+      DecodeError: The key names no data centre.
+    """
+    data_centre = check_text("zone", key.removeprefix(EVACUATION_KEY_PREFIX))
+    if not data_centre:
+        raise DecodeError("the key names no zone")
+    try:
+        decode_object(value)
+    except DecodeError:
+        return DrainRequest(data_centre, readable=False)
+    return DrainRequest(data_centre)
+
+
+def internal_key(key: str) -> str:
+    """Translate a key of the operators' stream to the product's own words.
+
+    Args:
+      key: The key in the platform's store.
+    Returns:
+      The key that records of the manager's stream have.
+    """
+    if key.startswith(EVACUATION_KEY_PREFIX):
+        return DRAIN_KEY_PREFIX + key.removeprefix(EVACUATION_KEY_PREFIX)
+    return key
--- a/sesamehall/platform/records.py
+++ b/sesamehall/platform/records.py
@@ -21,8 +21,11 @@
 from sesamehall.core.fleet import StoredValue
 from sesamehall.core.fleet import Stream
 from sesamehall.core.logevents import RECORD_UNREADABLE
+from sesamehall.platform.operatordecoding import decode_drain_request
 from sesamehall.platform.operatordecoding import decode_manifest
 from sesamehall.platform.operatordecoding import decode_wave
+from sesamehall.platform.operatordecoding import EVACUATION_KEY_PREFIX
+from sesamehall.platform.operatordecoding import internal_key
 from sesamehall.platform.operatordecoding import MANIFEST_KEY
 from sesamehall.platform.operatordecoding import WAVE_KEY_PREFIX
 from sesamehall.platform.workerdecoding import decode_worker
@@ -96,10 +99,12 @@
           not valid.  An unreadable registration deregisters its worker.
         """
         stream_key = (stream, key)
-        record = StoredRecord(key, None)
+        own_key = internal_key(key) if stream is Stream.OPERATOR else key
+        record = StoredRecord(own_key, None)
         if value:
             try:
-                record = StoredRecord(key, _decode_value(stream, key, value))
+                decoded = _decode_value(stream, key, value)
+                record = StoredRecord(own_key, decoded)
             except DecodeError as error:
                 self._log_once(stream_key, value, str(error))
                 return StoredRecord(
@@ -134,6 +139,8 @@
             return decode_manifest(decode_object(value))
         case Stream.OPERATOR if key.startswith(WAVE_KEY_PREFIX):
             return decode_wave(decode_object(value))
+        case Stream.OPERATOR if key.startswith(EVACUATION_KEY_PREFIX):
+            return decode_drain_request(key, value)
         case Stream.OPERATOR:
             raise DecodeError("unknown key")
         case Stream.WORKERS:
--- a/sesamehall/platform/settings.py
+++ b/sesamehall/platform/settings.py
@@ -162,6 +162,8 @@
             status_retention_ms=read_ms(
                 "status_s", defaults.status_retention_ms, 1_000
             ),
+            drain_within_ms=read_ms("EvacuateMs", defaults.drain_within_ms),
+            max_stretch_ms=read_ms("MaxStretchMs", defaults.max_stretch_ms),
         ),
         cores=read_cores(),
     )
--- a/sesamehall/platform/workerdecoding.py
+++ b/sesamehall/platform/workerdecoding.py
@@ -187,4 +187,5 @@
         pool=decode_text(row, "Pool"),
         state=state,
         worker_id=decode_text(row, "Id", ""),
+        data_centre=decode_text(row, "Zone", ""),
     )
--- a/sesamehall/reducer/jobs/leases.py
+++ b/sesamehall/reducer/jobs/leases.py
@@ -10,6 +10,7 @@
 from sesamehall.core.replacing import replace
 from sesamehall.core.workstate import ActiveJob
 from sesamehall.core.workstate import Worker
+from sesamehall.reducer.machines.drained_data_centres import are_drains_known
 
 
 def has_recent_report(worker: Worker, at_ms: int) -> bool:
@@ -140,10 +141,13 @@
       job: The job.
       at_ms: Current time on the node's clock.
     Returns:
-      True if the start cannot make a task run twice at once.
+      True if the start cannot make a task run twice at once, and no request
+      to drain a data centre may be unread for too long.
     """
     if not manager.term.epoch or is_resigning(manager):
         return False
+    if not are_drains_known(manager, at_ms):
+        return False
     if is_term_confirmed(manager, at_ms):
         return True
     confirmed_ms = manager.term.confirmed_ms
--- a/sesamehall/reducer/jobs/orders.py
+++ b/sesamehall/reducer/jobs/orders.py
@@ -36,6 +36,8 @@
 from sesamehall.reducer.jobs.runs import stop_run
 from sesamehall.reducer.jobs.state_updates import put_run
 from sesamehall.reducer.jobs.state_updates import put_worker
+from sesamehall.reducer.machines.drained_data_centres import is_worker_drained
+from sesamehall.reducer.machines.drained_data_centres import limit_start_ms
 
 
 def handle_start_answer(manager: ManagerState, event: RunAnswered) -> Step:
@@ -203,6 +205,10 @@
     """
     worker = manager.workers_by_id[run.worker_id]
     job = manager.active_jobs_by_id[run.job_id]
+    not_after_ms = min(
+        at_ms + START_LEASE_MS,
+        manager.term.confirmed_ms + RENEWAL_CUTOFF_MS,
+    )
     return StartRun(
         worker_id=run.worker_id,
         address=worker.entry.address,
@@ -211,10 +217,7 @@
         number=run.number,
         command=command,
         lease_until_ms=start_lease_end_ms(worker, at_ms),
-        not_after_ms=min(
-            at_ms + START_LEASE_MS,
-            manager.term.confirmed_ms + RENEWAL_CUTOFF_MS,
-        ),
+        not_after_ms=limit_start_ms(manager, not_after_ms, at_ms),
         checkpoint=checkpoint_of(job, run.place),
         ticket=run.ticket,
     )
@@ -241,6 +244,8 @@
         return Step(manager)
     if not may_start(manager, job, at_ms):
         return Step(manager)
+    if is_worker_drained(manager, worker):
+        return Step(manager)
     worker = extend_lease(worker, start_lease_end_ms(worker, at_ms))
     manager = put_worker(manager, worker)
     run = replace(
--- a/sesamehall/reducer/jobs/placement_round.py
+++ b/sesamehall/reducer/jobs/placement_round.py
@@ -33,7 +33,8 @@
 class ExclusionReason(Enum):
     """Why a worker gets no new tasks.
 
-    EVACUATING also stands for a worker whose incarnation has ended. The values
+    EVACUATING also stands for a worker whose incarnation has ended, and DRAINED
+    is the reason of one that is in a drained data centre. The values
     are logged, so they keep words that the code no longer uses.
     """
 
@@ -45,6 +46,7 @@
     EVACUATING = "leaving"
     UNTRACKED_RUNS = "strangers"
     QUARANTINED = "aside"
+    DRAINED = "drained"
 
 
 @dataclass(frozen=True, slots=True)
@@ -155,6 +157,11 @@
                 assignments.append(assignment)
         return assignments
 
+    def can_place(self, job: ActiveJob, place: TaskPlace) -> bool:
+        """Check whether a worker has room for a task."""
+        step = job.plan.steps[place.step]
+        return bool(self._rank_workers(job, step, place).ranked_workers)
+
     def _place_gang(self, job, step, places):
         """Place all tasks of a gang, or none."""
         if len(places) < step.count:
--- a/sesamehall/reducer/jobs/queueing.py
+++ b/sesamehall/reducer/jobs/queueing.py
@@ -18,6 +18,7 @@
 from sesamehall.reducer.jobs.ranking import Ranking
 from sesamehall.reducer.jobs.ranking import WaitingJob
 from sesamehall.reducer.jobs.state_updates import pool_workers
+from sesamehall.reducer.machines.drained_data_centres import is_worker_drained
 
 
 def available_workers(
@@ -36,6 +37,7 @@
         worker
         for worker in pool_workers(manager, pool)
         if is_available(worker, at_ms)
+        and not is_worker_drained(manager, worker)
         and is_incarnation_confirmed(manager, worker, at_ms)
     ]
 
--- a/sesamehall/reducer/jobs/stream_reading.py
+++ b/sesamehall/reducer/jobs/stream_reading.py
@@ -7,6 +7,7 @@
 from immutables import Map
 
 from sesamehall.core.data import TERMINAL_PHASES
+from sesamehall.core.draining import DRAIN_KEY_PREFIX
 from sesamehall.core.effects import log
 from sesamehall.core.fleet import CancelAsked
 from sesamehall.core.fleet import Candidate
@@ -36,6 +37,7 @@
 from sesamehall.core.managerstate import CallStage
 from sesamehall.core.managerstate import ManagerState
 from sesamehall.core.managerstate import StreamCursor
+from sesamehall.core.manifest import DrainRequest
 from sesamehall.core.manifest import Manifest
 from sesamehall.core.manifest import Wave
 from sesamehall.core.replacing import replace
@@ -63,6 +65,9 @@
 from sesamehall.reducer.jobs.storing import WORKER_KEY_PREFIX
 from sesamehall.reducer.jobs.workers import deregister_worker
 from sesamehall.reducer.jobs.workers import register_worker
+from sesamehall.reducer.machines.drain_requests import apply_drain_request
+from sesamehall.reducer.machines.drain_requests import revoke_drain
+from sesamehall.reducer.machines.drain_requests import revoke_unlisted_drains
 
 
 def cursor_of(manager: ManagerState, stream: Stream) -> StreamCursor:
@@ -280,6 +285,13 @@
             return _apply_manifest(manager, manifest, at_ms)
         case (Stream.OPERATOR, Wave() as wave):
             return _apply_wave(manager, wave, at_ms)
+        case (Stream.OPERATOR, DrainRequest() as request):
+            return apply_drain_request(manager, request, at_ms)
+        case (Stream.OPERATOR, None) if record.key.startswith(
+            DRAIN_KEY_PREFIX
+        ):
+            data_centre = record.key.removeprefix(DRAIN_KEY_PREFIX)
+            return revoke_drain(manager, data_centre, at_ms)
         case (Stream.WORKERS, WorkerEntry() as entry):
             return _if_leading(manager, register_worker, entry, at_ms)
         case (Stream.WORKERS, None):
@@ -351,11 +363,13 @@
 def _drop_unlisted(manager, event):
     """Drop what a complete list does not contain.
 
-    These are the registered workers, or the leased workers and the pools of
-    queues of a follower.
+    These are the drains, the registered workers, or the leased workers and
+    the pools of queues of a follower.
     """
     listed_keys = {record.key for record in event.records}
     match event.stream:
+        case Stream.OPERATOR:
+            return revoke_unlisted_drains(manager, listed_keys, event.at_ms)
         case Stream.WORKERS:
             return _drop_unregistered(manager, listed_keys, event)
         case Stream.PROGRESS if not manager.term.epoch:
--- a/sesamehall/reducer/jobs/waiting_log.py
+++ b/sesamehall/reducer/jobs/waiting_log.py
@@ -11,6 +11,7 @@
 from sesamehall.core.workstate import ActiveJob
 from sesamehall.reducer.jobs.leases import may_start
 from sesamehall.reducer.jobs.placement_round import exclusion_reason
+from sesamehall.reducer.jobs.placement_round import ExclusionReason
 from sesamehall.reducer.jobs.placement_round import is_within_ceiling
 from sesamehall.reducer.jobs.queue_pools import is_pool_stored
 from sesamehall.reducer.jobs.queue_pools import queue_may_have_untracked_runs
@@ -18,6 +19,7 @@
 from sesamehall.reducer.jobs.queueing import rank_waiting_jobs
 from sesamehall.reducer.jobs.queueing import waiting_jobs
 from sesamehall.reducer.jobs.state_updates import pool_workers
+from sesamehall.reducer.machines.drained_data_centres import is_worker_drained
 
 
 def log_waiting_tasks(manager: ManagerState, pool: str, at_ms: int) -> Step:
@@ -86,6 +88,8 @@
     counts: dict[str, int] = {}
     for worker in pool_workers(manager, pool):
         reason = exclusion_reason(worker, at_ms)
+        if reason is None and is_worker_drained(manager, worker):
+            reason = ExclusionReason.DRAINED
         if reason is not None:
             counts[reason.value] = counts.get(reason.value, 0) + 1
     return ",".join(f"{name}:{counts[name]}" for name in sorted(counts))
--- a/sesamehall/reducer/machines/evacuation.py
+++ b/sesamehall/reducer/machines/evacuation.py
@@ -45,13 +45,16 @@
     return step
 
 
-def may_stop_run(manager: ManagerState, run: Run, at_ms: int) -> bool:
+def may_stop_run(
+    manager: ManagerState, run: Run, at_ms: int, default_limit: int = 0
+) -> bool:
     """Check whether a step can do without one of its long-running tasks.
 
     Args:
       manager: State of the leader.
       run: A run of the task.
       at_ms: Current time on the node's clock.
+      default_limit: Limit of a step without max_unavailable; 0 for none.
     Returns:
       False if max_unavailable other tasks of the step are or may be down.
     """
@@ -59,7 +62,8 @@
     if job is None:
         return True
     plan_step = job.plan.steps[run.place.step]
-    if not plan_step.max_unavailable:
+    max_unavailable = plan_step.max_unavailable or default_limit
+    if not max_unavailable:
         return True
     if at_ms - manager.term.began_ms < LATE_STOP_MS:
         return False  # stop orders of an earlier leader may still take effect
@@ -69,7 +73,7 @@
             place = TaskPlace(run.place.occurrence, run.place.step, index)
             other = manager.runs_by_task.get(task_id(run.job_id, place))
             down += not _is_at_full_speed(manager, other, at_ms)
-    return down < plan_step.max_unavailable
+    return down < max_unavailable
 
 
 def _is_at_full_speed(manager, run: Run | None, at_ms) -> bool:
--- a/sesamehall/reducer/machines/fleet.py
+++ b/sesamehall/reducer/machines/fleet.py
@@ -37,12 +37,13 @@
 from sesamehall.reducer.counts import drop_key
 from sesamehall.reducer.jobs.leases import is_stepping_down
 from sesamehall.reducer.jobs.leases import may_have_untracked_runs
-from sesamehall.reducer.jobs.state_updates import put_worker
 from sesamehall.reducer.jobs.worker_machines import machine_names
 from sesamehall.reducer.jobs.workers import end_incarnation
+from sesamehall.reducer.machines.draining import release_drained_machines
 from sesamehall.reducer.machines.evacuation import evacuate_worker
 from sesamehall.reducer.machines.incarnations import ended_incarnations
 from sesamehall.reducer.machines.moves import choose_moves
+from sesamehall.reducer.machines.pending_orders import cancel_evacuation
 from sesamehall.reducer.machines.pending_orders import put_order
 from sesamehall.reducer.machines.pending_orders import rebind_order
 from sesamehall.reducer.machines.waves import advance_waves
@@ -66,6 +67,7 @@
     step = Step(_expire_decisions(step.state, at_ms), step.effects)
     step = then(step, advance_waves, at_ms)
     step = then(step, choose_moves, at_ms)
+    step = then(step, release_drained_machines, at_ms)
     for machine_name in sorted(step.state.fleet.orders_by_machine):
         step = then(step, _advance_order, machine_name, at_ms)
     return step
@@ -141,7 +143,7 @@
         machine = machines.get(name)
         if _is_resolved(machine, order, event):
             orders = orders.delete(name)
-            manager = _cancel_evacuation(manager, order.worker_id)
+            manager = cancel_evacuation(manager, order.worker_id)
     fleet = replace(
         manager.fleet,
         machines_by_name=Map(machines),
@@ -249,7 +251,7 @@
     if not event.refused:
         unsent = replace(order, last_sent_ms=-1)
         return Step(put_order(manager, event.machine, unsent), (line,))
-    manager = _cancel_evacuation(manager, order.worker_id)
+    manager = cancel_evacuation(manager, order.worker_id)
     orders = drop_key(manager.fleet.orders_by_machine, event.machine)
     fleet = replace(manager.fleet, orders_by_machine=orders)
     return Step(replace(manager, fleet=fleet), (line,))
@@ -302,14 +304,6 @@
     return (line,)
 
 
-def _cancel_evacuation(manager, worker_id):
-    """Let a worker get new tasks again."""
-    worker = manager.workers_by_id.get(worker_id)
-    if worker is None:
-        return manager
-    return put_worker(manager, replace(worker, evacuating=False))
-
-
 def _advance_order(
     manager: ManagerState, machine_name: str, at_ms: int
 ) -> Step:
--- a/sesamehall/reducer/machines/moves.py
+++ b/sesamehall/reducer/machines/moves.py
@@ -16,6 +16,10 @@
 from sesamehall.core.replacing import replace
 from sesamehall.core.step import Step
 from sesamehall.reducer.jobs.leases import may_have_untracked_runs
+from sesamehall.reducer.machines.drained_data_centres import (
+    count_usable_machines,
+)
+from sesamehall.reducer.machines.drained_data_centres import is_machine_drained
 from sesamehall.reducer.machines.pending_orders import accepts_orders
 from sesamehall.reducer.machines.pending_orders import decide_order
 from sesamehall.reducer.machines.sizing import divide_workers
@@ -34,7 +38,7 @@
     Returns:
       A Step whose state holds the decided orders.
     """
-    standby = _standby_pool(manager)
+    standby = standby_pool(manager)
     if standby is None:
         return Step(manager)
     pools = [
@@ -45,9 +49,7 @@
     demand_by_pool = {
         pool: pool_demand(manager, pool, at_ms) for pool in pools
     }
-    targets = divide_workers(
-        demand_by_pool, len(manager.fleet.machines_by_name)
-    )
+    targets = divide_workers(demand_by_pool, count_usable_machines(manager))
     peaks = manager.fleet.peaks_by_pool
     for pool, target in targets.items():
         retained = (
@@ -92,8 +94,14 @@
     return Step(replace(manager, fleet=fleet), (line,))
 
 
-def _standby_pool(manager):
-    """Return the name of the standby pool, or None if there is none."""
+def standby_pool(manager: ManagerState) -> str | None:
+    """Return the name of the standby pool, or None if there is none.
+
+    Args:
+      manager: State of the leader.
+    Returns:
+      The name, or None.
+    """
     for name, pool in sorted(manager.manifest.pools_by_name.items()):
         if pool.standby:
             return name
@@ -118,7 +126,9 @@
     machines = [
         machine
         for _, machine in sorted(manager.fleet.machines_by_name.items())
-        if machine.pool == standby and accepts_orders(manager, machine)
+        if machine.pool == standby
+        and accepts_orders(manager, machine)
+        and not is_machine_drained(manager, machine)
     ]
     return sorted(
         machines, key=lambda machine: needs_maintenance(manager, machine)
@@ -142,13 +152,22 @@
         for _, machine in sorted(machines.items())
         if machine.pool == pool
         and accepts_orders(manager, machine)
-        and _is_idle(manager, machine.worker_id)
+        and is_idle(manager, machine.worker_id)
+        and not is_machine_drained(manager, machine)
     ]
     idle.sort(key=lambda machine: not needs_maintenance(manager, machine))
     return idle[:surplus]
 
 
-def _is_idle(manager, worker_id):
+def is_idle(manager: ManagerState, worker_id: str) -> bool:
+    """Check whether a worker certainly has no runs and is in normal use.
+
+    Args:
+      manager: State of the leader.
+      worker_id: Identifier of the worker.
+    Returns:
+      True if an order for its machine interrupts nothing.
+    """
     worker = manager.workers_by_id.get(worker_id)
     return (
         worker is not None
--- a/sesamehall/reducer/machines/pending_orders.py
+++ b/sesamehall/reducer/machines/pending_orders.py
@@ -72,6 +72,21 @@
     return put_worker(manager, replace(worker, evacuating=True))
 
 
+def cancel_evacuation(manager: ManagerState, worker_id: str) -> ManagerState:
+    """Let a worker get new tasks again.
+
+    Args:
+      manager: State of the leader.
+      worker_id: The worker, or "".
+    Returns:
+      The state.
+    """
+    worker = manager.workers_by_id.get(worker_id)
+    if worker is None:
+        return manager
+    return put_worker(manager, replace(worker, evacuating=False))
+
+
 def put_order(
     manager: ManagerState, name: str, order: PendingOrder
 ) -> ManagerState:
--- a/sesamehall/reducer/machines/sizing.py
+++ b/sesamehall/reducer/machines/sizing.py
@@ -24,6 +24,7 @@
 from sesamehall.reducer.jobs.progress import critical_path_ms
 from sesamehall.reducer.jobs.progress import plan_core_ms
 from sesamehall.reducer.jobs.state_updates import job_pool
+from sesamehall.reducer.machines.drained_data_centres import is_worker_drained
 
 
 @dataclass(frozen=True, slots=True)
@@ -139,11 +140,15 @@
       pool: Name of the pool.
     Returns:
       Workers that are registered, answer and are neither draining nor
-      evacuating nor terminated.
+      evacuating nor terminated nor in a drained data centre.
     """
     ids = manager.worker_ids_by_pool.get(pool, EMPTY_MAP)
     workers = (manager.workers_by_id[worker_id] for worker_id in sorted(ids))
-    return [worker for worker in workers if _is_staying(worker)]
+    return [
+        worker
+        for worker in workers
+        if _is_staying(worker) and not is_worker_drained(manager, worker)
+    ]
 
 
 def _is_staying(worker):
--- a/sesamehall/reducer/manager_reducer.py
+++ b/sesamehall/reducer/manager_reducer.py
@@ -70,6 +70,7 @@
 from sesamehall.reducer.jobs.workers import expire_silent_workers
 from sesamehall.reducer.jobs.workers import handle_missing_report
 from sesamehall.reducer.jobs.workers import watch_worker
+from sesamehall.reducer.machines.draining import advance_drains
 from sesamehall.reducer.machines.fleet import advance_fleet
 from sesamehall.reducer.machines.fleet import apply_machine_list
 from sesamehall.reducer.machines.fleet import handle_machine_answer
@@ -182,6 +183,7 @@
     step = then(step, expire_silent_workers, at_ms)
     step = then(step, expire_orders, at_ms)
     step = then(step, advance_fleet, at_ms)
+    step = then(step, advance_drains, at_ms)
     step = then(step, offer_to_lead, at_ms)
     step = then(step, continue_handover, at_ms)
     return then(step, _continue_stop, at_ms)
