--- a/sesamehall/platform/decoders_test.py
+++ b/sesamehall/platform/decoders_test.py
@@ -31,6 +31,7 @@
 from sesamehall.core.fleet import StoredRecord
 from sesamehall.core.fleet import Stream
 from sesamehall.core.fleet import WorkerEntry
+from sesamehall.core.manifest import DrainRequest
 from sesamehall.core.manifest import Manifest
 from sesamehall.core.manifest import Wave
 from sesamehall.core.work import ActiveRun
@@ -326,6 +327,38 @@
         decode_draft({"Steps": steps})
 
 
+# Guards against starts in a data centre that an operator wants empty: its key
+# alone decides, since the operator knows only that the request is stored.
+@pytest.mark.parametrize(
+    ("key", "value", "expected"),
+    [
+        ("evacuate/n-1", b'{"Zone":"n-1"}', DrainRequest("n-1")),
+        ("evacuate/n-1", b'{"Zone":7}', DrainRequest("n-1")),
+        ("evacuate/n-1", b"{}", DrainRequest("n-1")),
+        ("evacuate/n-1", b"true", DrainRequest("n-1", readable=False)),
+        ("evacuate/n-1", b"\xff\x00", DrainRequest("n-1", readable=False)),
+        ("evacuate/n-1", b"", None),
+        ("evacuate/n/1", b"{}", DrainRequest("n/1")),
+    ],
+    ids=ascii,
+)
+def test_key_of_a_drain_request_decides(key, value, expected):
+    record = RecordDecoder().decode(Stream.OPERATOR, key, value)
+    own_key = key.replace("evacuate", "drain", 1)
+    assert record == StoredRecord(own_key, expected)
+
+
+@pytest.mark.parametrize(
+    "key", ["evacuate/", "evacuate/" + "n" * 201, "evacuate/\ud800"], ids=ascii
+)
+def test_drain_request_without_a_usable_name_is_skipped(key, caplog):
+    decoder = RecordDecoder()
+    for _ in range(2):
+        record = decoder.decode(Stream.OPERATOR, key, b"{}")
+        assert record == StoredRecord("", None)
+    assert len(caplog.records) == 1
+
+
 def test_manifest_keeps_what_is_sound():
     value = decode_manifest(MANIFEST)
     assert value.team_by_key == Map({"k": "t"})
--- a/sesamehall/platform/settings_test.py
+++ b/sesamehall/platform/settings_test.py
@@ -37,6 +37,21 @@
         assert decode_settings(document, "node.json").cores == expected
 
 
+@pytest.mark.parametrize(
+    ("bounds", "expected"),
+    [
+        (None, (0, 0)),
+        ({"EvacuateMs": 5_000}, (5_000, 0)),
+        ({"EvacuateMs": 5_000, "MaxStretchMs": 6_000}, (5_000, 6_000)),
+    ],
+    ids=["no limit", "limit", "limit and stretch"],
+)
+def test_limit_of_starts_after_a_drain_request(bounds, expected):
+    document = {**DOCUMENT, "Bounds": bounds}
+    timing = decode_settings(document, "node.json").timing
+    assert (timing.drain_within_ms, timing.max_stretch_ms) == expected
+
+
 @pytest.mark.parametrize(
     ("change", "field"),
     [
--- a/sesamehall/reducer/jobs/placement_round.py
+++ b/sesamehall/reducer/jobs/placement_round.py
@@ -33,9 +33,9 @@
 class ExclusionReason(Enum):
     """Why a worker gets no new tasks.
 
-    EVACUATING also stands for a worker whose incarnation has ended, and DRAINED
-    is the reason of one that is in a drained data centre. The values
-    are logged, so they keep words that the code no longer uses.
+    EVACUATING also stands for a worker whose incarnation has ended. DRAINED is
+    for one in a drained data centre. The values are logged, so they keep words
+    that the code no longer uses.
     """
 
     UNREGISTERED = "unlisted"
--- a/sesamehall/reducer/machines/drained_data_centres.py
+++ b/sesamehall/reducer/machines/drained_data_centres.py
@@ -65,19 +65,20 @@
     return not machine.data_centre or machine.data_centre in drains
 
 
-def count_usable_machines(manager: ManagerState) -> int:
-    """Count the machines that may be in use.
+def usable_machines(manager: ManagerState) -> list[Machine]:
+    """List the machines that may be in use.
 
     Args:
       manager: State of the leader.
     Returns:
-      Number of all listed machines without those in drained data centres.
+      All listed machines without those in drained data centres.
     """
     machines = manager.fleet.machines_by_name
-    return sum(
-        not is_machine_drained(manager, machine)
+    return [
+        machine
         for machine in machines.values()
-    )
+        if not is_machine_drained(manager, machine)
+    ]
 
 
 def are_drains_known(manager: ManagerState, at_ms: int) -> bool:
--- a/sesamehall/reducer/machines/moves.py
+++ b/sesamehall/reducer/machines/moves.py
@@ -16,10 +16,8 @@
 from sesamehall.core.replacing import replace
 from sesamehall.core.step import Step
 from sesamehall.reducer.jobs.leases import may_have_untracked_runs
-from sesamehall.reducer.machines.drained_data_centres import (
-    count_usable_machines,
-)
 from sesamehall.reducer.machines.drained_data_centres import is_machine_drained
+from sesamehall.reducer.machines.drained_data_centres import usable_machines
 from sesamehall.reducer.machines.pending_orders import accepts_orders
 from sesamehall.reducer.machines.pending_orders import decide_order
 from sesamehall.reducer.machines.sizing import divide_workers
@@ -49,7 +47,7 @@
     demand_by_pool = {
         pool: pool_demand(manager, pool, at_ms) for pool in pools
     }
-    targets = divide_workers(demand_by_pool, count_usable_machines(manager))
+    targets = divide_workers(demand_by_pool, len(usable_machines(manager)))
     peaks = manager.fleet.peaks_by_pool
     for pool, target in targets.items():
         retained = (
