--- a/sesamehall/reducer/machines/draining.py
+++ b/sesamehall/reducer/machines/draining.py
@@ -94,13 +94,15 @@
 
 
 def _is_moving(manager, pool, at_ms):
-    """Check whether a long-running task of a pool is stopping or starting.
+    """Check whether a long-running task of a pool is about to move already.
 
     One that waits counts too if it can be placed: it needs the room that the
-    next one would move to.
+    next one would move to.  A worker that is evacuated for an order comes
+    first, since a maintenance wave has a deadline and a drain has none.
     """
     return any(
-        run.long_running and run.state is not RunState.RUNNING
+        run.long_running
+        and (worker.evacuating or run.state is not RunState.RUNNING)
         for worker in pool_workers(manager, pool)
         for run in _runs_on(manager, worker)
     ) or any(
--- a/sesamehall/reducer/machines/draining_test.py
+++ b/sesamehall/reducer/machines/draining_test.py
@@ -3,8 +3,11 @@
 from immutables import Map
 import pytest
 
+from sesamehall.core.data import Node
+from sesamehall.core.data import NodeKind
 from sesamehall.core.draining import Drain
 from sesamehall.core.draining import DrainingState
+from sesamehall.core.events import TimerFired
 from sesamehall.core.fleet import Machine
 from sesamehall.core.fleet import MachineState
 from sesamehall.core.fleet import StoredRecord
@@ -28,11 +31,17 @@
 from sesamehall.core.managerstate import Timing
 from sesamehall.core.manifest import DrainRequest
 from sesamehall.core.manifest import Wave
+from sesamehall.core.manifest import WorkerPool
 from sesamehall.core.replacing import replace
+from sesamehall.core.state import Identity
+from sesamehall.core.state import State
+from sesamehall.core.timers import ManagerTimer
 from sesamehall.core.workstate import Arrivals
 from sesamehall.core.workstate import RunState
 from sesamehall.reducer.jobs.leadership import end_term
 from sesamehall.reducer.jobs.orders import handle_start_answer
+from sesamehall.reducer.jobs.state_updates import drop_worker
+from sesamehall.reducer.jobs.state_updates import put_worker
 from sesamehall.reducer.jobs.stream_reading import apply_stream_read
 from sesamehall.reducer.jobs.testing import activate_jobs
 from sesamehall.reducer.jobs.testing import build_leader
@@ -46,6 +55,7 @@
 from sesamehall.reducer.jobs.testing import task
 from sesamehall.reducer.machines.draining import advance_drains
 from sesamehall.reducer.machines.fleet import advance_fleet
+from sesamehall.reducer.manager_reducer import reduce_manager
 
 UP = MachineState.UP
 REQUEST = StoredRecord("drain/north", DrainRequest("north"))
@@ -270,7 +280,9 @@
     assert starts(place_all(manager))
 
 
-def build_running(plan, drained=("north",), changes=None, free=True):
+def build_running(
+    plan, drained=("north",), changes=None, free=True, evacuating=False
+):
     """Build a leader with a task running in each of two data centres."""
     manager = build_two_centres(plan, drained=())
     manager = place_all(manager).state
@@ -281,6 +293,8 @@
             running = replace(running, **(changes or {}))
         runs = runs.set(name, running)
     manager = replace(manager, runs_by_task=runs, draining=drains(*drained))
+    other = replace(manager.workers_by_id["w2"], evacuating=evacuating)
+    manager = put_worker(manager, other)
     if not free:
         return manager
     spare = worker_in("w3", "south")
@@ -317,6 +331,7 @@
             {"changes": {"state": RunState.STARTING}},
             [],
         ),
+        (long_running_plan(max_unavailable=2), {"evacuating": True}, []),
         (long_running_plan(gang=True), {}, []),
         (ONE_ON_EACH, {}, []),
     ],
@@ -329,6 +344,7 @@
         "another one is unavailable already",
         "no limit: one at a time all the same",
         "another one of the pool is starting",
+        "another one of the pool makes way for an order",
         "gang",
         "finite tasks run to their end",
     ],
@@ -423,6 +439,51 @@
     assert {name: order.pool for name, order in orders.items()} == expected
 
 
+@pytest.mark.parametrize(
+    ("drained", "target"),
+    [((), 4), (("north",), 2)],
+    ids=["none drained", "one drained"],
+)
+def test_pools_share_the_usable_machines(drained, target):
+    machines = (machine_in("m1", "south"), *STANDBY)
+    manager = build_machines(*machines, drained=drained, plans=[WIDE_JOB])
+    manager = advance_fleet(manager, NOW_MS).state
+    assert manager.fleet.targets_by_pool["a"] == target
+
+
+def test_machine_there_is_not_given_to_another_pool():
+    """Pool "b" has more than it needs, and its first machine is drained."""
+    machines = (machine_in("n1", "south"),) + tuple(
+        machine_in(f"m{n}", data_centre)
+        for n, data_centre in enumerate(("north", "south", "south"), 1)
+    )
+    manager = build_machines(*machines, plans=[WIDE_JOB])
+    pools = manager.manifest.pools_by_name.set("b", WorkerPool("b"))
+    manifest = replace(manager.manifest, pools_by_name=pools)
+    listed = Map(
+        (machine.name, replace(machine, pool="b" if "m" in name else "a"))
+        for name, machine in manager.fleet.machines_by_name.items()
+    )
+    fleet = replace(manager.fleet, machines_by_name=listed)
+    manager = replace(manager, manifest=manifest, fleet=fleet)
+    for worker_id, worker in manager.workers_by_id.items():
+        if "m" in worker_id:
+            manager = drop_worker(manager, worker_id)
+            entry = replace(worker.entry, pool="b")
+            idle = replace(worker, entry=entry, tasks=Map())
+            manager = put_worker(manager, idle)
+    orders = advance_fleet(manager, NOW_MS).state.fleet.orders_by_machine
+    assert orders["m1"].pool == "spare"
+    assert orders["m2"].pool == "a"
+
+
+def test_leader_looks_after_drains_on_each_tick():
+    node = Node("edge-1", NodeKind.MANAGER, "dc", "10.0.0.9:80")
+    state = State(Identity(node, "edge-1/1"), manager=build_two_centres())
+    step = reduce_manager(state, TimerFired(NOW_MS, ManagerTimer()))
+    assert details_of(step, DRAIN_COMPLETED)
+
+
 @pytest.mark.parametrize(
     ("pool", "send_count", "kept"),
     [("a", 0, False), ("a", 1, True), ("spare", 0, True)],
