Soak: operators drain zones, and nothing may start there after the limit

Cause: drains were tested by tables only.

The stand-in's list of machines names their zones. Faults of a seed stay the same.

--- a/soak/cluster.py
+++ b/soak/cluster.py
@@ -48,6 +48,8 @@
       cores: Processor cores that the settings of each manager state, or empty
         to state none.
       page_items: Most records in a page of the store's lists.
+      drain_bounds: Limits of starts after a drain request in the managers'
+        settings, or empty for none.
       tree: Work tree from which the managers run.
     """
 
@@ -55,6 +57,7 @@
     zones: tuple[str, ...] = ("dc",)
     cores: tuple[float, ...] = ()
     page_items: int = 500
+    drain_bounds: tuple[tuple[str, int], ...] = ()
     tree: Path = Path(__file__).parent.parent
 
 
@@ -122,7 +125,12 @@
             )
             for number in range(MACHINES)
         }
-        self.cloud = CloudApi(pool_by_machine, self._move, self.stop_worker)
+        self.cloud = CloudApi(
+            pool_by_machine,
+            self._move,
+            self.stop_worker,
+            {name: self._zone_of_machine(name) for name in pool_by_machine},
+        )
         self._cloud_server = _start_server(self.cloud.handle)
         cloud_address = _address(self._cloud_server)
         self.cloud_proxies = [
@@ -277,6 +285,25 @@
         }
         self.store.put("keyed.op", f"wave/{number}", json.dumps(wave).encode())
 
+    def put_drain(self, zone: str, value: bytes) -> None:
+        """Write the request to drain a zone, as an operator does.
+
+        Args:
+          zone: Name of the zone.
+          value: Value of the record; an empty value takes the request back.
+        """
+        self.store.put("keyed.op", f"evacuate/{zone}", value)
+
+    def zone_of_worker(self, worker_id: str) -> str:
+        """Return the zone of a worker.
+
+        Args:
+          worker_id: Its identifier, which contains the name of its machine.
+        Returns:
+          Name of the zone.
+        """
+        return self._zone_of_machine(worker_id.split("-")[1])
+
     def close(self) -> None:
         """Kill all managers and stop the HTTP servers of the stand-ins.
 
@@ -448,7 +475,11 @@
             },
             "platform": {"Address": self.store_proxies[index].address},
             "CloudApi": {"Address": self.cloud_proxies[index].address},
-            "Bounds": {"MoveS": MOVE_S, "UpkeepS": MOVE_S},
+            "Bounds": {
+                "MoveS": MOVE_S,
+                "UpkeepS": MOVE_S,
+                **dict(self.layout.drain_bounds),
+            },
         }
 
 
--- a/soak/main.py
+++ b/soak/main.py
@@ -13,6 +13,8 @@
 
 from soak.callers import LoadGenerator
 from soak.cluster import Cluster
+from soak.drains import check_drains
+from soak.drains import ZoneDrainer
 from soak.faults import FaultInjector
 from soak.promises import check_invariants
 from soak.promises import Violation
@@ -62,13 +64,25 @@
                 target=injector.inject_for, args=(seconds,), daemon=True
             )
             injecting.start()
+            drainer = ZoneDrainer(cluster, seed, log_fault)
+            draining = threading.Thread(
+                target=drainer.drain_for, args=(seconds,), daemon=True
+            )
+            if scenario.drains:
+                draining.start()
             load.submit_for(seconds, scenario.jobs_per_s)
             injecting.join()
+            if scenario.drains:
+                draining.join()
         await_completion(load)
         starts = sum(len(worker.records) for worker in cluster.workers)
         epoch, _ = cluster.leader()
         print(f"jobs={len(load.jobs)} starts={starts} terms={epoch}")
-        return check_invariants(load.jobs, cluster.workers)
+        violations = check_invariants(load.jobs, cluster.workers)
+        violations += check_drains(
+            drainer.drains, cluster.workers, cluster.zone_of_worker
+        )
+        return violations
     finally:
         cluster.close()
 
--- a/soak/scenario.py
+++ b/soak/scenario.py
@@ -4,6 +4,8 @@
 import random
 
 from soak.cluster import Layout
+from soak.drains import DRAIN_WITHIN_S
+from soak.drains import MAX_STRETCH_S
 from soak.faults import Fault
 from soak.faults import FAULTS
 from soak.faults import MEAN_INTERVAL_S
@@ -17,6 +19,11 @@
 ZONED_JOBS_PER_S = 4.0
 ZONED_INTERVAL_S = 1.5
 VARIED_SHARE = 0.25
+DRAINS_SHARE = 0.3  # of the seeds
+DRAIN_BOUNDS = (
+    ("EvacuateMs", int(DRAIN_WITHIN_S * 1_000)),
+    ("MaxStretchMs", int(MAX_STRETCH_S * 1_000)),
+)
 KINDS_OF_FAULTS = (2, 6)  # few kinds at once meet more often
 
 
@@ -30,6 +37,7 @@
       mean_interval_s: Mean time between the starts of two faults.
       jobs_per_s: Mean number of jobs per second.
       varied_share: Share of jobs with many tasks, and of jobs with long ones.
+      drains: Whether operators drain zones meanwhile.
     """
 
     layout: Layout = Layout()
@@ -37,6 +45,7 @@
     mean_interval_s: float = MEAN_INTERVAL_S
     jobs_per_s: float = 4.0
     varied_share: float = 0.0
+    drains: bool = False
 
 
 def draw_scenario(seed: int) -> Scenario:
@@ -49,11 +58,14 @@
     """
     rng = random.Random(f"scenario {seed}")
     cores = tuple(rng.uniform(*CORES) for _ in range(ZONED_MANAGERS))
+    # Drawn apart, so that the faults of a seed stay the same.
+    drains = random.Random(f"drains {seed}").random() < DRAINS_SHARE
     layout = Layout(
         managers=ZONED_MANAGERS,
         zones=ZONES,
         cores=rng.choice(((), cores)),
         page_items=rng.choice(PAGE_ITEMS),
+        drain_bounds=DRAIN_BOUNDS if drains else (),
     )
     candidates = rng.choice(
         (FAULTS + ZONE_FAULTS, ZONE_FAULTS, SERIES_WITH_CUT)
@@ -63,5 +75,10 @@
         for _ in range(rng.randint(*KINDS_OF_FAULTS) - 1)
     )
     return Scenario(
-        layout, faults, ZONED_INTERVAL_S, ZONED_JOBS_PER_S, VARIED_SHARE
+        layout,
+        faults,
+        ZONED_INTERVAL_S,
+        ZONED_JOBS_PER_S,
+        VARIED_SHARE,
+        drains,
     )
--- a/standins/cloudapi.py
+++ b/standins/cloudapi.py
@@ -20,6 +20,7 @@
         pool_by_machine: dict[str, str],
         move: Callable,
         stop: Callable | None = None,
+        zone_by_machine: dict[str, str] | None = None,
     ):
         """Initialize the API with all machines up.
 
@@ -29,6 +30,7 @@
             worker of the machine and returns once a new one has started.
           stop: Stops the worker of a machine, given its name, before an order
             for the machine is answered; None leaves it to `move`.
+          zone_by_machine: Zone of each machine; None for one zone.
         """
         self._lock = threading.Lock()
         self._pool_by_machine = dict(pool_by_machine)
@@ -36,6 +38,7 @@
         self._state_by_machine: dict[str, str] = {}
         self._wave_by_machine: dict[str, int] = {}
         self._waves: dict[int, tuple[str, ...]] = {}
+        self._zone_by_machine = zone_by_machine or {}
         self._move = move
         self._stop = stop
         self.orders: list[tuple[str, str, int]] = []
@@ -84,7 +87,7 @@
                     "Machine": name,
                     "Pool": pool,
                     "State": self._state_by_machine.get(name, "up"),
-                    "Zone": "dc",
+                    "Zone": self._zone_by_machine.get(name, "dc"),
                     "Labels": [],
                     "Capacity": {},
                     "Id": self._worker_by_machine.get(name, ""),
