Histories of drains, and a guard for each half of the limit

Cause: tables test each rule of a drain alone; a start by a leader that cannot read a request needs a fault, a request and a job at the same time.

Change: the scenario 'drains' of the job histories, its check EVAC, and the guards 'drained' and 'requests'.

--- a/bench/jobchecks.py
+++ b/bench/jobchecks.py
@@ -12,6 +12,7 @@
   ORDER: a step starts before the steps that it depends on are done.
   REFUSED: a rejected job runs.
   UNASKED: a task of a cancelled or ended job runs.
+  EVAC: a task starts in a drained data centre after the limit.
   MIXED: a job is shown as done before all its tasks are.
   LOST: a job is lost, does not end, or is wrongly shown as failed.
   ERROR: the reducer raised an exception; recorded by the simulation.
@@ -20,8 +21,10 @@
 from collections import Counter
 from collections import defaultdict
 
+from bench.jobscenarios import Limits
 from bench.jobworkers import SimulatedRun
 from sesamehall.core.data import JobPhase
+from sesamehall.core.jobtiming import START_LEASE_MS
 from sesamehall.core.work import parse_task_id
 from sesamehall.core.work import RunEnd
 from sesamehall.core.work import StepPlan
@@ -30,6 +33,21 @@
 
 MAX_CANCEL_DELAY_MS = 3_000  # tasks may start this long after cancellation
 MAX_SHOWN_DELAY_MS = 1_000  # and this long after their job was shown as done
+# A start that arrives late is void this long after it was decided, by the
+# slowest clock that the protocol allows.
+MAX_LATE_START_MS = START_LEASE_MS * 103 // 100
+
+
+def max_drain_delay_ms(limits: Limits) -> int:
+    """Compute how long after a drain request a task may still start.
+
+    Args:
+      limits: Limits of the simulated platform.
+    Returns:
+      The limit, and the time for which a start that is delivered late remains
+      valid.
+    """
+    return limits.drain_within_ms + MAX_LATE_START_MS
 
 
 class JobChecker:
@@ -41,6 +59,10 @@
       faults_over: Whether the faults ended so long ago that delays are
         bounded; starts after a cancellation, or after a job was shown as
         done, are checked only then.
+      drained_ms_by_data_centre: Time of the drain requests in force.
+      data_centre_by_worker_id: Data centres of the workers.
+      max_drain_delay_ms: Time after a drain request from which no start in
+        its data centre is permitted.
       starts: Number of started runs.
       ends: Number of ended runs by outcome, without those that were lost with
         their worker.
@@ -61,6 +83,9 @@
         self._shown_done_ms_by_job: dict[str, int] = {}
         self.cancelled_ms_by_job: dict[str, int] = {}
         self.violations: list[str] = []
+        self.drained_ms_by_data_centre: dict[str, int] = {}
+        self.data_centre_by_worker_id: dict[str, str] = {}
+        self.max_drain_delay_ms = 0
         self.faults_over = False
         self.starts = 0
         self.ends: Counter[str] = Counter()
@@ -108,6 +133,12 @@
         self._record_violation_if(
             exhausted, "BUDGET", run.task_id, failed, run
         )
+        late = self._is_after(
+            self.drained_ms_by_data_centre,
+            self.data_centre_by_worker_id.get(run.worker_id),
+            self.max_drain_delay_ms,
+        )
+        self._record_violation_if(late, "EVAC", run.task_id, run)
         others.append(run)
         job_id, place = parse_task_id(run.task_id)
         rejected = self._rejected_by_job.get(job_id, False)
@@ -126,9 +157,9 @@
         )
         self._record_violation_if(late, "TWICE", run.task_id, run)
 
-    def _is_after(self, times_ms_by_job, job_id, delay_ms):
-        """Check whether a job's time, if any, is longer ago than a delay."""
-        at_ms = times_ms_by_job.get(job_id)
+    def _is_after(self, times_ms_by_name, name, delay_ms):
+        """Check whether a name's time, if any, is longer ago than a delay."""
+        at_ms = times_ms_by_name.get(name)
         return at_ms is not None and self._read_clock_ms() - at_ms > delay_ms
 
     def record_end(self, run: SimulatedRun) -> None:
--- a/bench/jobguards.py
+++ b/bench/jobguards.py
@@ -4,6 +4,7 @@
 from sesamehall.reducer.jobs import leases
 from sesamehall.reducer.jobs import orders
 from sesamehall.reducer.jobs import queue_pools
+from sesamehall.reducer.jobs import queueing
 from sesamehall.reducer.jobs import reports
 from sesamehall.reducer.jobs import runs
 from sesamehall.reducer.jobs import task_placement
@@ -31,6 +32,10 @@
     "sequence",
     # Keep an ended job until the write that contains the end is confirmed.
     "forgotten",
+    # Give no tasks to the workers of a drained data centre.
+    "drained",
+    # Limit starts by how long ago the operators' stream was known.
+    "requests",
 )
 
 
@@ -59,6 +64,12 @@
                 module.extend_lease = lambda worker, until_ms: worker
         case "confirmed":
             leases.TERM_CONFIRMED_MS = 1 << 40
+        case "drained":
+            for module in (queueing, orders):
+                module.is_worker_drained = lambda manager, worker: False
+        case "requests":
+            leases.are_drains_known = lambda manager, at_ms: True
+            orders.limit_start_ms = lambda manager, until_ms, at_ms: until_ms
         case "forgotten":
             runs._is_unstored = _is_dirty
         case _:
--- a/bench/jobhistories_test.py
+++ b/bench/jobhistories_test.py
@@ -16,6 +16,7 @@
 from sesamehall.reducer.jobs import leases
 from sesamehall.reducer.jobs import orders
 from sesamehall.reducer.jobs import queue_pools
+from sesamehall.reducer.jobs import queueing
 from sesamehall.reducer.jobs import reports
 from sesamehall.reducer.jobs import runs
 from sesamehall.reducer.jobs import task_placement
@@ -35,6 +36,10 @@
         (leases, "is_resigning"),
         (runs, "_is_unstored"),
         (leases, "TERM_CONFIRMED_MS"),
+        (queueing, "is_worker_drained"),
+        (orders, "is_worker_drained"),
+        (orders, "limit_start_ms"),
+        (leases, "are_drains_known"),
     ):
         monkeypatch.setattr(module, name, getattr(module, name))
 
@@ -87,6 +92,11 @@
         ("isolation", 0, "", False),
         ("isolation", 1, "", False),
         ("isolation", 38, "", False),
+        ("drains", 0, "", False),
+        ("drains", 2, "", False),
+        ("drains", 31, "", False),
+        ("drains", 0, "drained", True),
+        ("drains", 2, "requests", True),
         ("zones", 42, "unread", True),
         ("zones", 0, "unresolved", True),
         ("zones", 4, "stored", True),
--- a/bench/jobscenariofaults.py
+++ b/bench/jobscenariofaults.py
@@ -8,6 +8,7 @@
 from bench.jobprocesses import CallFaultRates
 from bench.jobprocesses import ManagerProcess
 from bench.jobprocesses import NO_FAULTS
+from bench.jobscenarios import DrainedDataCentre
 from bench.jobscenarios import Fault
 from bench.jobscenarios import IsolationInWave
 from bench.jobscenarios import LargeProgress
@@ -17,8 +18,10 @@
 from bench.jobscenarios import Scenario
 from bench.jobscenarios import ZonePartition
 from bench.jobworld import JobSimulation
+from sesamehall.core.draining import DRAIN_KEY_PREFIX
 from sesamehall.core.fleet import StoredRecord
 from sesamehall.core.fleet import Stream
+from sesamehall.core.manifest import DrainRequest
 from sesamehall.core.manifest import Wave
 
 ZONES = 3  # managers and workers are dealt to them in turn
@@ -39,6 +42,10 @@
 WAVE_CHANGE_RANGE_MS = (0, 5_000)  # from the wave until the leader changes
 LOST_RESPONSES_RATE = 0.15  # during a wave
 LOST_RESPONSES_MS = 6_000
+DRAIN_JOBS = 16
+DRAIN_JOBS_RANGE_MS = (-500, 9_000)  # around the request
+DRAIN_RANGE_MS = (4_000, 10_000)  # until the request is taken back
+DRAIN_CHANGE_RANGE_MS = (-1_500, 500)  # from it until the leader changes
 OUTAGE_RANGE_MS = (1_000, 6_000)
 OUTAGE_DELAY_RANGE_MS = (50, 1_000)  # after a wide job was submitted
 
@@ -103,6 +110,16 @@
                 change_leader,
                 simulation,
             )
+        case DrainedDataCentre():
+            for _ in range(DRAIN_JOBS):
+                offset_ms = simulation.random.randint(*DRAIN_JOBS_RANGE_MS)
+                simulation.call_later(at_ms + offset_ms, caller.submit)
+            simulation.call_later(at_ms, _drain_data_centre, simulation)
+            simulation.call_later(
+                at_ms + simulation.random.randint(*DRAIN_CHANGE_RANGE_MS),
+                change_leader,
+                simulation,
+            )
         case MaintenanceWave(number):
             for _ in range(WAVE_JOBS):
                 offset_ms = simulation.random.randint(*WAVE_JOBS_RANGE_MS)
@@ -115,6 +132,28 @@
             )
 
 
+def _drain_data_centre(simulation: JobSimulation) -> None:
+    """Request that nothing more is started in a data centre, for a while."""
+    random = simulation.random
+    name = random.choice(
+        sorted(set(simulation.data_centre_by_address.values()))
+    )
+    if name in simulation.checker.drained_ms_by_data_centre:
+        return
+    key = f"{DRAIN_KEY_PREFIX}{name}"
+    request = StoredRecord(key, DrainRequest(name))
+    simulation.store.append(Stream.OPERATOR, (request,))
+    simulation.checker.drained_ms_by_data_centre[name] = simulation.now_ms
+    duration_ms = random.randint(*DRAIN_RANGE_MS)
+    simulation.call_later(duration_ms, _revoke_drain, simulation, name)
+
+
+def _revoke_drain(simulation: JobSimulation, name: str) -> None:
+    deletion = StoredRecord(f"{DRAIN_KEY_PREFIX}{name}", None)
+    simulation.store.append(Stream.OPERATOR, (deletion,))
+    del simulation.checker.drained_ms_by_data_centre[name]
+
+
 def _partition_leader_zone(simulation: JobSimulation) -> None:
     """Cut the leader off with the workers of its zone; change the next one."""
     process = _isolate_leader(simulation)
--- a/bench/jobscenarios.py
+++ b/bench/jobscenarios.py
@@ -20,11 +20,16 @@
       checkpoints_per_record: Maximum number of checkpoints in a stored
         progress; a larger one cannot be stored.  -1 if runs write none.
       has_machines: Whether the cloud API lists the workers' machines.
+      data_centres: Number of data centres, to which workers are dealt in turn.
+      drain_within_ms: Time after a drain request from which nothing may start
+        in its data centre, or 0 for no limit.
     """
 
     ends_per_report: int = ENDS_PER_REPORT
     checkpoints_per_record: int = -1
     has_machines: bool = False
+    data_centres: int = 1
+    drain_within_ms: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -91,6 +96,14 @@
     number: int
 
 
+@dataclass(frozen=True, slots=True)
+class DrainedDataCentre:
+    """Operators drain a data centre and take the request back later.
+
+    The leader changes meanwhile, or is cut off from the store.
+    """
+
+
 Fault = (
     ZonePartition
     | ManyEnds
@@ -98,6 +111,7 @@
     | LargeProgress
     | MaintenanceWave
     | IsolationInWave
+    | DrainedDataCentre
 )
 
 
@@ -164,4 +178,11 @@
         general_faults=1,
         recovery_ms=LONG_RECOVERY_MS,
     ),
+    "drains": Scenario(
+        limits=Limits(data_centres=2, drain_within_ms=2_000),
+        faults=(DrainedDataCentre(), DrainedDataCentre()),
+        leader_changes=1,
+        general_faults=2,
+        recovery_ms=LONG_RECOVERY_MS,
+    ),
 }
--- a/bench/jobworld.py
+++ b/bench/jobworld.py
@@ -17,6 +17,7 @@
 
 from bench.event_scheduler import EventScheduler
 from bench.jobchecks import JobChecker
+from bench.jobchecks import max_drain_delay_ms
 from bench.jobmachines import CloudApi
 from bench.jobprocesses import CallFaultRates
 from bench.jobprocesses import ManagerProcess
@@ -108,8 +109,10 @@
         self.cloud_api = CloudApi(self)
         self.store = JobStore(on_append=self._store_calls.notify_readers)
         self.checker = JobChecker(lambda: self.now_ms, max_attempts)
+        self.checker.max_drain_delay_ms = max_drain_delay_ms(limits)
         self.processes_by_name: dict[str, ManagerProcess] = {}
         self.workers_by_address: dict[str, WorkerIncarnation] = {}
+        self.data_centre_by_address: dict[str, str] = {}
         self.on_answer_by_call_id: dict[int, Callable] = {}
         self.on_log: Callable[[ManagerProcess, Log], None] = (
             lambda process, line: None
@@ -157,6 +160,8 @@
             writes_checkpoints=self._limits.checkpoints_per_record >= 0,
         )
         self.workers_by_address[address] = worker
+        data_centre = self._data_centre(address)
+        self.checker.data_centre_by_worker_id[worker_id] = data_centre
         self.call_later(
             self.random.randint(0, 600),
             self._register_worker,
@@ -276,11 +281,18 @@
         """Return the time on a manager's clock in milliseconds."""
         return self.now_ms + process.clock_skew_ms
 
+    def _data_centre(self, address):
+        """Deal addresses to data centres in turn."""
+        names = self.data_centre_by_address
+        number = len(names) % self._limits.data_centres
+        return names.setdefault(address, f"dc-{number}")
+
     def _initial_state(self, name):
         jitter_seed = self.random.randrange(1 << 32)
         identity = Identity(Node(name, NodeKind.MANAGER, "dc", ""), name)
         cores = MANAGER_CORES[sum(name.encode()) % len(MANAGER_CORES)]
-        manager = ManagerState(name, jitter_seed, cores, timing=Timing())
+        timing = Timing(drain_within_ms=self._limits.drain_within_ms)
+        manager = ManagerState(name, jitter_seed, cores, timing=timing)
         return State(identity, manager=manager)
 
     def _restart(self, process):
@@ -302,7 +314,7 @@
             worker_id=worker.worker_id,
             address=address,
             pool=pool,
-            data_centre="dc",
+            data_centre=self._data_centre(address),
             capacity=capacity,
             started_wall_ms=WALL_CLOCK_START_MS + worker.started_ms,
         )
--- a/sesamehall/reducer/machines/draining.py
+++ b/sesamehall/reducer/machines/draining.py
@@ -113,12 +113,19 @@
 
 
 def _move_next_task(manager, pool, at_ms):
+    """Stop the first long-running task of a pool that can run elsewhere."""
+    unplaceable: set[tuple[str, int]] = set()
     for worker in pool_workers(manager, pool):
         if not is_worker_drained(manager, worker):
             continue
         for run in _runs_on(manager, worker):
-            if _may_move(manager, run, at_ms):
+            step_key = (run.job_id, run.place.step)
+            if step_key in unplaceable or not _may_move(manager, run, at_ms):
+                continue
+            job = manager.active_jobs_by_id[run.job_id]
+            if _can_place(manager, job, run.place, at_ms):
                 return stop_run(manager, run, "data centre drained")
+            unplaceable.add(step_key)
     return Step(manager)
 
 
@@ -132,9 +139,7 @@
         return False
     if job.plan.steps[run.place.step].gang:
         return False
-    return may_stop_run(manager, run, at_ms, default_limit=1) and _can_place(
-        manager, job, run.place, at_ms
-    )
+    return may_stop_run(manager, run, at_ms, default_limit=1)
 
 
 def _can_place(manager: ManagerState, job: ActiveJob, place, at_ms) -> bool:
