--- a/sesamehall/reducer/jobs/placement_round.py
+++ b/sesamehall/reducer/jobs/placement_round.py
@@ -34,8 +34,9 @@
 class ExclusionReason(Enum):
     """Why a worker gets no new tasks.
 
-    EVACUATING also stands for a worker whose incarnation has ended. The values
-    are logged, so they keep words that the code no longer uses.
+    EVACUATING also stands for a worker whose incarnation has ended. DRAINED is
+    for one in a drained data centre. The values are logged, so they keep words
+    that the code no longer uses.
     """
 
     UNREGISTERED = "unlisted"
@@ -46,6 +47,7 @@
     EVACUATING = "leaving"
     UNTRACKED_RUNS = "strangers"
     QUARANTINED = "aside"
+    DRAINED = "drained"
 
 
 @dataclass(frozen=True, slots=True)
@@ -156,6 +158,11 @@
                 assignments.append(assignment)
         return assignments
 
+    def can_place(self, job: ActiveJob, place: TaskPlace) -> bool:
+        """Check whether a worker has room for a task."""
+        step = job.plan.steps[place.step]
+        return bool(self._rank_workers(job, step, place).ranked_workers)
+
     def _place_gang(self, job, step, places):
         """Place all tasks of a gang, or none."""
         if len(places) < step.count:
