--- a/bench/jobscenarios.py
+++ b/bench/jobscenarios.py
@@ -20,11 +20,14 @@
       checkpoints_per_record: Maximum number of checkpoints in a stored
         progress; a larger one cannot be stored.  -1 if runs write none.
       has_machines: Whether the cloud API lists the workers' machines.
+      start_clocks: Whether the answers to start orders have the worker's
+        clock; run times are measured only then.
     """
 
     ends_per_report: int = ENDS_PER_REPORT
     checkpoints_per_record: int = -1
     has_machines: bool = False
+    start_clocks: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/bench/jobworkers.py
+++ b/bench/jobworkers.py
@@ -95,6 +95,8 @@
       highest_run_number_by_task: Highest run number started or stopped.
       ended: Ended runs that are not yet acknowledged.
       waiters: Functions to call at the next end.
+      draw_end: Draws the outcome and the run time of a start order, in place
+        of the usual ones, or None.
     """
 
     worker_id: str
@@ -114,6 +116,7 @@
     highest_run_number_by_task: dict[str, int] = field(default_factory=dict)
     ended: list[SimulatedRun] = field(default_factory=list)
     waiters: list[Callable[[], None]] = field(default_factory=list)
+    draw_end: Callable[[StartRun], tuple[RunEnd, int]] | None = None
 
     def clock_ms(self) -> int:
         """Return the milliseconds since the start on the worker's clock."""
@@ -235,6 +238,8 @@
 
     def _draw_end(self, effect):
         """Draw the outcome and the run time of a run."""
+        if self.draw_end is not None:
+            return self.draw_end(effect)
         if effect.command == FAILING_COMMAND:
             first = parse_task_id(effect.task)[1].index == 0
             if first:
--- a/bench/jobworld.py
+++ b/bench/jobworld.py
@@ -104,7 +104,7 @@
         self._store_calls = StoreCalls(
             self, retry_unconfirmed, limits.checkpoints_per_record
         )
-        self._worker_calls = WorkerCalls(self)
+        self._worker_calls = WorkerCalls(self, limits.start_clocks)
         self.cloud_api = CloudApi(self)
         self.store = JobStore(on_append=self._store_calls.notify_readers)
         self.checker = JobChecker(lambda: self.now_ms, max_attempts)
--- a/bench/workercalls.py
+++ b/bench/workercalls.py
@@ -1,5 +1,7 @@
 """Calls of simulated managers to simulated workers, with their faults."""
 
+from dataclasses import dataclass
+
 from bench.jobprocesses import ManagerProcess
 from bench.jobprocesses import WALL_CLOCK_START_MS
 from sesamehall.core.managereffects import StartRun
@@ -16,17 +18,31 @@
 ORDER_TIMEOUT_MS = 500
 
 
+@dataclass(frozen=True, slots=True)
+class StartAccepted:
+    """A worker has accepted a start order.
+
+    Attributes:
+      clock_ms: Its clock at that time.
+    """
+
+    clock_ms: int
+
+
 class WorkerCalls:
     """Executes the calls of all managers to workers."""
 
-    def __init__(self, simulation):
+    def __init__(self, simulation, shows_clock: bool):
         """Create the calls of a simulation.
 
         Args:
           simulation: The JobSimulation, which draws delays and faults, and
             delivers outcomes to managers.
+          shows_clock: Whether the answer to a start order has the worker's
+            clock.
         """
         self._simulation = simulation
+        self._shows_clock = shows_clock
 
     def call(
         self,
@@ -57,7 +73,9 @@
             answered.append(True)
             self._simulation.deliver(
                 process,
-                lambda at_ms: _worker_event(at_ms, sent_ms, effect, outcome),
+                lambda at_ms: _worker_event(
+                    at_ms, sent_ms, effect, outcome, self._shows_clock
+                ),
                 start_count,
             )
 
@@ -86,6 +104,9 @@
             if not worker.alive:
                 return
             refusal = worker.execute(effect)
+            if refusal is None and isinstance(effect, StartRun):
+                respond(worker, StartAccepted(worker.clock_ms()))
+                return
             if refusal is not None or not isinstance(effect, WatchWorker):
                 respond(worker, refusal)
                 return
@@ -119,10 +140,11 @@
             )
 
 
-def _worker_event(at_ms, sent_ms, effect, outcome):
+def _worker_event(at_ms, sent_ms, effect, outcome, shows_clock):
     """Build the event that reports the outcome of a call to a worker.
 
     `order_key` identifies the run and the order that the event refers to.
+    `shows_clock` tells whether the answer to a start order has the clock.
     """
     timing = OrderTiming(sent_ms, sent_ms)
     match effect:
@@ -142,6 +164,11 @@
             )
         case StartRun(worker_id, _, epoch, task, number):
             order_key = (worker_id, epoch, task, number)
+            if isinstance(outcome, StartAccepted):
+                clock_ms = outcome.clock_ms if shows_clock else -1
+                return RunAnswered(
+                    at_ms, *order_key, None, clock_ms, timing=timing
+                )
             return RunAnswered(at_ms, *order_key, outcome, timing=timing)
         case StopRun(worker_id, _, epoch, task, number):
             order_key = (worker_id, epoch, task, number)
--- a/sesamehall/core/logevents.py
+++ b/sesamehall/core/logevents.py
@@ -177,6 +177,7 @@
     656, "wave not reported", "Look at the platform's store; it is repeated."
 )
 MACHINE_ANSWER_STALE = _info(657, "stale machine answer")
+RUN_TIMES_LEARNT = _info(665, "run times learnt")
 
 NODE_STARTED = _info(900, "node started")
 NODE_STOPPING = _info(901, "node stopping")
--- a/sesamehall/core/managerstate.py
+++ b/sesamehall/core/managerstate.py
@@ -20,6 +20,7 @@
 from sesamehall.core.jobtiming import LEADER_CORES
 from sesamehall.core.jobtiming import ORDER_WINDOW_INITIAL
 from sesamehall.core.manifest import Manifest
+from sesamehall.core.runtimes import QueueRunTimes
 from sesamehall.core.work import CompactProgress
 from sesamehall.core.work import JobPlan
 from sesamehall.core.work import Progress
@@ -256,6 +257,7 @@
       used_by_team: Resources that a team's runs reserve.
       arrivals_by_queue: Arrival rate of jobs.
       durations_by_queue: Measured run times of tasks.
+      run_times_by_queue: Averages that run times are forecast from.
       mean_core_ms_by_queue: Mean processor time of a job, in
         core-milliseconds, of the queues that had any.
       dirty_jobs: Jobs whose progress is not stored yet.
@@ -326,6 +328,7 @@
     used_by_team: Map[str, Size] = EMPTY_MAP
     arrivals_by_queue: Map[str, Arrivals] = EMPTY_MAP
     durations_by_queue: Map[str, Durations] = EMPTY_MAP
+    run_times_by_queue: Map[str, QueueRunTimes] = EMPTY_MAP
     mean_core_ms_by_queue: Map[str, float] = EMPTY_MAP
     dirty_jobs: Map[str, bool] = EMPTY_MAP
     dirty_workers: Map[str, bool] = EMPTY_MAP
--- a/sesamehall/core/workstate.py
+++ b/sesamehall/core/workstate.py
@@ -13,6 +13,8 @@
 
 from sesamehall.core.data import EMPTY_MAP
 from sesamehall.core.fleet import WorkerEntry
+from sesamehall.core.runtimes import RunSample
+from sesamehall.core.runtimes import StepSamples
 from sesamehall.core.work import JobPlan
 from sesamehall.core.work import NO_SIZE
 from sesamehall.core.work import Progress
@@ -48,6 +50,11 @@
       remaining_core_ms: Declared processor time of the unfinished tasks, in
         core-milliseconds.
       critical_path: The longest chain of unfinished steps of occurrence 0.
+      unfinished_by_step: Number of unfinished tasks of each step, over all
+        occurrences.
+      path_steps: Numbers of the unfinished steps of occurrence 0.
+      samples_by_step: Run times of the tasks of unfinished steps, by number of
+        the step.
     """
 
     plan: JobPlan
@@ -59,6 +66,9 @@
     inherited: bool = False
     remaining_core_ms: float = 0.0
     critical_path: CriticalPath = CriticalPath()
+    unfinished_by_step: tuple[int, ...] = ()
+    path_steps: tuple[int, ...] = ()
+    samples_by_step: Map[int, StepSamples] = EMPTY_MAP
 
 
 class RunState(Enum):
@@ -113,6 +123,8 @@
       best_effort: Whether it uses only processor time that others leave idle.
       tail_latency_target_ms: Tail response time that it must keep, or 0.
       ticket: Ticket of the advice service, or "".
+      sample: Run time extrapolated from its progress, as contained in the
+        samples of its step, or None.
     """
 
     task: str
@@ -137,6 +149,7 @@
     best_effort: bool = False
     tail_latency_target_ms: int = 0
     ticket: str = ""
+    sample: RunSample | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/sesamehall/reducer/jobs/forecasts.py
+++ b/sesamehall/reducer/jobs/forecasts.py
@@ -1,10 +1,23 @@
-"""Forecasts of how long tasks run."""
+"""Forecasts of how long tasks run, learnt from finished and running ones.
+
+Until a queue's first step has finished, a forecast equals what is declared.
+"""
+
+from math import exp
+from math import sqrt
 
 from sesamehall.core.managerstate import ManagerState
+from sesamehall.core.runtimes import INITIAL_LINE
+from sesamehall.core.runtimes import NO_SAMPLES
+from sesamehall.core.runtimes import RunTimeLine
+from sesamehall.core.runtimes import StepSamples
 from sesamehall.core.workstate import ActiveJob
 from sesamehall.core.workstate import ForecastBasis
 from sesamehall.core.workstate import RunForecast
-from sesamehall.reducer.jobs.durations import duration_ratio
+from sesamehall.reducer.jobs.run_time_model import estimate
+from sesamehall.reducer.jobs.run_time_model import expected_ms
+
+HIGH_DEVIATIONS = 1.2816  # of a normal distribution, to the quantile of .9
 
 
 def forecast_task(
@@ -20,11 +33,33 @@
       The forecast; without finished runs it is the declared run time.
     """
     declared_ms = job.plan.steps[step_number].estimate_ms
-    ratio = duration_ratio(manager, job.plan.queue)
-    measured = job.plan.queue in manager.durations_by_queue
-    basis = ForecastBasis.QUEUE if measured else ForecastBasis.DECLARED
-    expected_ms = ratio * declared_ms
-    return RunForecast(expected_ms, expected_ms, basis)
+    samples = job.samples_by_step.get(step_number, NO_SAMPLES)
+    basis = _basis(manager, job, samples)
+    if basis is ForecastBasis.DECLARED or declared_ms <= 0:
+        return RunForecast(declared_ms, declared_ms, basis)
+    run_time = estimate(_line(manager, job), declared_ms, samples)
+    return RunForecast(
+        median_ms=exp(run_time.mean),
+        high_ms=exp(run_time.mean + HIGH_DEVIATIONS * sqrt(run_time.variance)),
+        basis=basis,
+    )
+
+
+def _basis(manager, job, samples: StepSamples):
+    """Find what the forecast of a step rests on for the most part."""
+    if samples.finished:
+        return ForecastBasis.STEP
+    if samples.running_weight:
+        return ForecastBasis.PROGRESS
+    if job.plan.queue in manager.run_times_by_queue:
+        return ForecastBasis.QUEUE
+    return ForecastBasis.DECLARED
+
+
+def _line(manager, job) -> RunTimeLine:
+    """Find the line of a job's queue."""
+    queue = manager.run_times_by_queue.get(job.plan.queue)
+    return INITIAL_LINE if queue is None else queue.line
 
 
 def forecast_remaining_core_ms(manager: ManagerState, job: ActiveJob) -> float:
@@ -36,7 +71,15 @@
     Returns:
       Core-milliseconds.
     """
-    return duration_ratio(manager, job.plan.queue) * job.remaining_core_ms
+    line = _line(manager, job)
+    core_ms = 0.0
+    for step_number, count in enumerate(job.unfinished_by_step):
+        if count:
+            step = job.plan.steps[step_number]
+            samples = job.samples_by_step.get(step_number, NO_SAMPLES)
+            task_ms = expected_ms(line, step.estimate_ms, samples)
+            core_ms += count * step.size.cpu_milli * task_ms / 1_000
+    return core_ms
 
 
 def forecast_critical_path_ms(manager: ManagerState, job: ActiveJob) -> float:
@@ -44,9 +87,35 @@
 
     Args:
       manager: State of the leader.
-      job: The job.
+      job: The job; of its occurrences, only occurrence 0 is considered.
     Returns:
       Milliseconds, without the delays of orders and reports.
     """
-    ratio = duration_ratio(manager, job.plan.queue)
-    return ratio * job.critical_path.declared_ms
+    line = _line(manager, job)
+    end_ms_by_step: dict[int, float] = {}
+    for step_number in job.path_steps:
+        step = job.plan.steps[step_number]
+        samples = job.samples_by_step.get(step_number, NO_SAMPLES)
+        # Steps that are done are not in the dictionary.
+        begin_ms = max(
+            (end_ms_by_step.get(earlier, 0.0) for earlier in step.depends_on),
+            default=0.0,
+        )
+        end_ms_by_step[step_number] = begin_ms + expected_ms(
+            line, step.estimate_ms, samples
+        )
+    return max(end_ms_by_step.values(), default=0.0)
+
+
+def forecast_ratio(manager: ManagerState, job: ActiveJob) -> float:
+    """Compute the ratio of forecast to declared processor time of a job.
+
+    Args:
+      manager: State of the leader.
+      job: The job.
+    Returns:
+      The ratio for its unfinished tasks; 1 if they declare none.
+    """
+    if job.remaining_core_ms <= 0:
+        return 1.0
+    return forecast_remaining_core_ms(manager, job) / job.remaining_core_ms
--- a/sesamehall/reducer/jobs/progress.py
+++ b/sesamehall/reducer/jobs/progress.py
@@ -51,6 +51,8 @@
         waiting=startable_tasks(job, wall_ms),
         remaining_core_ms=_remaining_core_ms(job),
         critical_path=_remaining_critical_path(job),
+        unfinished_by_step=_unfinished_by_step(job),
+        path_steps=_path_steps(job),
     )
 
 
@@ -87,6 +89,26 @@
     return core_ms
 
 
+def _unfinished_by_step(job):
+    """Count the unfinished tasks of each step, over all occurrences."""
+    occurrences = max(job.plan.occurrence_count, 1)
+    counts = [occurrences * step.count for step in job.plan.steps]
+    for _, progress_by_step in job.progress.occurrences:
+        for step_number, progress in enumerate(progress_by_step):
+            counts[step_number] -= count_bits(progress.done)
+    return tuple(counts)
+
+
+def _path_steps(job):
+    """List the unfinished steps of occurrence 0."""
+    progress_by_step = step_progress(job.progress, job.plan, 0)
+    return tuple(
+        step_number
+        for step_number in range(len(job.plan.steps))
+        if not is_step_done(job.plan, progress_by_step, step_number)
+    )
+
+
 def critical_path_ms(
     job: ActiveJob, ratio: float = 1.0, delay_ms: float = 0.0
 ) -> int:
@@ -303,13 +325,18 @@
         job, place.occurrence, tuple(progress_by_step)
     )
     done_core_ms = len(indexes) * task_core_ms(plan.steps[place.step])
+    unfinished = list(job.unfinished_by_step)
+    unfinished[place.step] -= len(indexes)
     changed = replace(
         changed,
         remaining_core_ms=max(job.remaining_core_ms - done_core_ms, 0.0),
+        unfinished_by_step=tuple(unfinished),
     )
     if is_step_done(plan, progress_by_step, place.step):
         changed = replace(
-            changed, critical_path=_remaining_critical_path(changed)
+            changed,
+            critical_path=_remaining_critical_path(changed),
+            path_steps=_path_steps(changed),
         )
     if not _all_done(changed):
         return changed
--- a/sesamehall/reducer/jobs/reports.py
+++ b/sesamehall/reducer/jobs/reports.py
@@ -24,6 +24,7 @@
 from sesamehall.reducer.jobs.progress import is_task_done
 from sesamehall.reducer.jobs.progress import plan_has_task
 from sesamehall.reducer.jobs.queue_pools import request_record_of_run
+from sesamehall.reducer.jobs.run_samples import sample_progress
 from sesamehall.reducer.jobs.runlines import runs_not_listed_line
 from sesamehall.reducer.jobs.runlines import unneeded_run_line
 from sesamehall.reducer.jobs.runlines import worker_resumed_line
@@ -258,7 +259,8 @@
     if not refreshed:
         return manager
     runs = manager.runs_by_task.update(refreshed)
-    return replace(manager, runs_by_task=runs)
+    manager = replace(manager, runs_by_task=runs)
+    return sample_progress(manager, refreshed.values())
 
 
 def _refresh_run(run, active, event):
--- a/sesamehall/reducer/jobs/runs.py
+++ b/sesamehall/reducer/jobs/runs.py
@@ -36,6 +36,8 @@
 from sesamehall.reducer.jobs.progress import with_checkpoint
 from sesamehall.reducer.jobs.progress import with_task_done
 from sesamehall.reducer.jobs.progress import with_task_failure
+from sesamehall.reducer.jobs.run_samples import learn_from_step
+from sesamehall.reducer.jobs.run_samples import record_finished_run
 from sesamehall.reducer.jobs.runlines import abandoned_run_line
 from sesamehall.reducer.jobs.runlines import late_end_line
 from sesamehall.reducer.jobs.state_updates import add_waiting_task
@@ -148,9 +150,12 @@
         return manager
     declared_ms = job.plan.steps[run.place.step].estimate_ms
     delay_ms = max(at_ms - run.first_sent_ms - run_time_ms, 0)
-    return record_duration(
+    manager = record_duration(
         manager, job.plan.queue, declared_ms, run_time_ms, delay_ms
     )
+    if is_task_done(job, run.place):
+        return manager
+    return record_finished_run(manager, run, run_time_ms, at_ms)
 
 
 def abandon_run(
@@ -316,8 +321,8 @@
     job = replace(job, waiting=waiting + startable)
     manager = put_job(manager, job)
     manager = replace(manager, dirty_jobs=manager.dirty_jobs.set(job_id, True))
-    step = Step(manager)
-    for run in _superseded_runs(manager, job, place):
+    step = learn_from_step(manager, job_id, place, at_ms)
+    for run in _superseded_runs(step.state, job, place):
         if run.state is not RunState.STOPPING:
             step = then(step, stop_run, run, "task done")
     if job.progress.phase is JobPhase.DONE:
--- a/sesamehall/reducer/jobs/state_updates.py
+++ b/sesamehall/reducer/jobs/state_updates.py
@@ -13,6 +13,7 @@
 from sesamehall.core.workstate import Run
 from sesamehall.core.workstate import Worker
 from sesamehall.reducer.counts import drop_key
+from sesamehall.reducer.jobs.step_samples import without_sample
 
 
 def job_pool(manager: ManagerState, job: ActiveJob) -> str:
@@ -227,7 +228,14 @@
     job = manager.active_jobs_by_id.get(run.job_id)
     if job is None:
         return manager
-    return put_job(manager, replace(job, running_count=job.running_count - 1))
+    return put_job(
+        manager,
+        replace(
+            job,
+            running_count=job.running_count - 1,
+            samples_by_step=without_sample(job, run),
+        ),
+    )
 
 
 def add_waiting_task(manager: ManagerState, job_id: str, place: TaskPlace):
