Forecast run times from a queue's steps and a step's own tasks

Ranking and sizing trusted each step's declared run time, corrected by one ratio a queue. Declared run times say little, the tasks of a step are alike.

The forecast starts from a line that is fitted to the queue's steps, and moves to what the step's own tasks show.

--- a/sesamehall/core/runtimes.py
+++ b/sesamehall/core/runtimes.py
@@ -50,7 +50,7 @@
 
 @dataclass(frozen=True, slots=True)
 class QueueRunTimes:
-    """Moving averages over the finished steps of a queue.
+    """Moving averages over the steps of a queue that were measured.
 
     Attributes:
       count: Number of steps.
@@ -130,6 +130,7 @@
       running_sum: Sum of their logarithms times their weights.
       first_wave: The runs that the first one to succeed was compared with, or
         None before.
+      learnt: Whether the averages of the queue contain the step.
     """
 
     finished: int = 0
@@ -139,6 +140,7 @@
     running_weight: float = 0.0
     running_sum: float = 0.0
     first_wave: FirstWave | None = None
+    learnt: bool = False
 
 
 NO_SAMPLES = StepSamples()
--- a/sesamehall/reducer/jobs/queueing.py
+++ b/sesamehall/reducer/jobs/queueing.py
@@ -8,10 +8,11 @@
 from sesamehall.reducer.jobs.durations import mean_delay_ms
 from sesamehall.reducer.jobs.durations import mean_occupancy_ms
 from sesamehall.reducer.jobs.durations import occupancy_ratio
+from sesamehall.reducer.jobs.forecasts import forecast_critical_path_ms
+from sesamehall.reducer.jobs.forecasts import forecast_remaining_core_ms
 from sesamehall.reducer.jobs.leases import is_incarnation_confirmed
 from sesamehall.reducer.jobs.leases import may_start
 from sesamehall.reducer.jobs.placement_round import is_available
-from sesamehall.reducer.jobs.progress import critical_path_ms
 from sesamehall.reducer.jobs.queue_pools import is_pool_stored
 from sesamehall.reducer.jobs.queue_pools import queue_may_have_untracked_runs
 from sesamehall.reducer.jobs.ranking import rank_jobs
@@ -121,17 +122,20 @@
 def _waiting_job(manager, job):
     """Collect the properties of a job that ranking uses."""
     queue = manager.manifest.queues_by_name[job.plan.queue]
-    ratio = duration_ratio(manager, queue.name)
     occupancy = occupancy_ratio(manager, queue.name)
+    overhead = occupancy - duration_ratio(manager, queue.name)
+    delay_ms = mean_delay_ms(manager, queue.name)
     mean_core_ms = manager.mean_core_ms_by_queue.get(queue.name, 0.0)
     return WaitingJob(
         job_id=job.plan.job_id,
         priority=queue.priority,
         goal_ms=job.goal_ms,
-        critical_path_ms=critical_path_ms(
-            job, ratio, mean_delay_ms(manager, queue.name)
+        critical_path_ms=round(
+            forecast_critical_path_ms(manager, job)
+            + delay_ms * job.critical_path.steps
         ),
-        core_ms=occupancy * job.remaining_core_ms,
+        core_ms=forecast_remaining_core_ms(manager, job)
+        + overhead * job.remaining_core_ms,
         mean_core_ms=occupancy * mean_core_ms,
         long_running=job.plan.steps[0].long_running,
     )
--- a/sesamehall/reducer/jobs/run_samples.py
+++ b/sesamehall/reducer/jobs/run_samples.py
@@ -13,7 +13,9 @@
 from sesamehall.core.replacing import replace
 from sesamehall.core.runtimes import NO_SAMPLES
 from sesamehall.core.runtimes import QueueRunTimes
+from sesamehall.core.runtimes import StepSamples
 from sesamehall.core.step import Step
+from sesamehall.core.work import StepPlan
 from sesamehall.core.work import task_id
 from sesamehall.core.work import TaskPlace
 from sesamehall.core.workstate import ActiveJob
@@ -22,6 +24,7 @@
 from sesamehall.reducer.counts import drop_key
 from sesamehall.reducer.jobs.progress import checkpoint_of
 from sesamehall.reducer.jobs.run_time_model import extrapolate
+from sesamehall.reducer.jobs.run_time_model import learn_deviations
 from sesamehall.reducer.jobs.run_time_model import learn_step
 from sesamehall.reducer.jobs.state_updates import put_job
 from sesamehall.reducer.jobs.state_updates import put_run
@@ -33,6 +36,8 @@
 # A run is sampled again once its progress has grown by this factor, so that
 # it is sampled a few times at most.
 SAMPLE_GROWTH = 2
+# A queue learns from a step once one in this many of its tasks has finished.
+LEARNT_PART = 4
 LOG_PERIOD_MS = 5_000  # minimum time between log lines of a queue
 
 
@@ -96,10 +101,32 @@
         wave = build_first_wave(run, siblings, at_ms)
         samples = replace(samples, first_wave=wave)
     samples = with_finished_task(samples, run, run_time_ms)
+    step = job.plan.steps[run.place.step]
+    if not samples.learnt and _is_representative(step, samples):
+        manager = _learn_step(manager, job.plan.queue, step, samples)
+        samples = replace(samples, learnt=True)
     by_step = job.samples_by_step.set(run.place.step, samples)
     return put_job(manager, replace(job, samples_by_step=by_step))
 
 
+def _is_representative(step: StepPlan, samples: StepSamples):
+    """Check whether enough tasks of a step have finished to learn from it.
+
+    One end of a gang stands for all of its tasks.
+    """
+    return step.gang or samples.finished * LEARNT_PART >= step.count
+
+
+def _learn_step(manager, queue_name, step, samples):
+    """Add a step to the averages of its queue."""
+    if step.estimate_ms <= 0:
+        return manager
+    queue = manager.run_times_by_queue.get(queue_name, QueueRunTimes())
+    queue = learn_step(queue, step.estimate_ms, samples)
+    by_queue = manager.run_times_by_queue.set(queue_name, queue)
+    return replace(manager, run_times_by_queue=by_queue)
+
+
 def _siblings(manager, job: ActiveJob, run: Run):
     """List the other runs of a run's step and occurrence.
 
@@ -117,10 +144,12 @@
     return [sibling for sibling in runs if sibling is not None]
 
 
-def learn_from_step(
+def complete_step(
     manager: ManagerState, job_id: str, place: TaskPlace, at_ms: int
 ) -> Step:
-    """Add the samples of a step to its queue once no task of it is left.
+    """Drop the samples of a step once no task of it is left.
+
+    How much its tasks deviated from each other is added to its queue.
 
     Args:
       manager: State of the leader.
@@ -136,12 +165,11 @@
         return Step(manager)
     by_step = drop_key(job.samples_by_step, place.step)
     manager = put_job(manager, replace(job, samples_by_step=by_step))
-    declared_ms = job.plan.steps[place.step].estimate_ms
-    if not samples.finished or declared_ms <= 0:
-        return Step(manager)
     name = job.plan.queue
-    queue = manager.run_times_by_queue.get(name, QueueRunTimes())
-    queue = learn_step(queue, declared_ms, samples)
+    queue = manager.run_times_by_queue.get(name)
+    if queue is None:
+        return Step(manager)
+    queue = learn_deviations(queue, samples)
     lines = ()
     if queue.logged_ms < 0 or at_ms - queue.logged_ms >= LOG_PERIOD_MS:
         queue = replace(queue, logged_ms=at_ms)
--- a/sesamehall/reducer/jobs/run_time_model.py
+++ b/sesamehall/reducer/jobs/run_time_model.py
@@ -20,7 +20,7 @@
 from sesamehall.core.runtimes import RunTimeLine
 from sesamehall.core.runtimes import StepSamples
 
-MEAN_STEPS = 20  # window of the means, short so that a release is learnt soon
+MEAN_STEPS = 8  # window of the means, short so that a release is learnt soon
 VARIANCE_STEPS = 60  # window of the variances and of the errors
 WITHIN_TASKS = 300  # window of the variance within steps
 # Number of measured steps that the initial values are worth.
@@ -35,7 +35,7 @@
 def learn_step(
     queue: QueueRunTimes, declared_ms: float, samples: StepSamples
 ) -> QueueRunTimes:
-    """Add a finished step to the averages of its queue.
+    """Add a step to the averages of its queue.
 
     Args:
       queue: The averages.
@@ -45,7 +45,7 @@
       The averages with the step.
     """
     declared = log(declared_ms)
-    actual = samples.log_sum / samples.finished
+    actual = _finished_log_sum(queue.line, samples) / samples.finished
     count = queue.count + 1
     mean_weight = 1 / min(count, MEAN_STEPS)
     weight = 1 / min(count, VARIANCE_STEPS)
@@ -80,7 +80,6 @@
             queue.declared_error, abs(actual - declared), weight
         ),
     )
-    changed = _with_variance_within(changed, samples)
     return replace(changed, line=fit_line(changed))
 
 
@@ -89,10 +88,24 @@
     return average + weight * (value - average)
 
 
-def _with_variance_within(queue, samples):
-    """Add the deviations of a step's tasks from their mean."""
+def _finished_log_sum(line, samples):
+    """Sum up the finished tasks, corrected for the order in which they end."""
+    return samples.log_sum - sqrt(line.within_variance) * samples.rank_sum
+
+
+def learn_deviations(
+    queue: QueueRunTimes, samples: StepSamples
+) -> QueueRunTimes:
+    """Add the deviations of a step's tasks from their mean.
+
+    Args:
+      queue: The averages of its queue.
+      samples: All tasks of the step, so that the long ones are among them.
+    Returns:
+      The averages.
+    """
     freedom = samples.finished - 1
-    if not freedom:
+    if freedom < 1:
         return queue
     squares = samples.log_square_sum - samples.log_sum**2 / samples.finished
     count = queue.within_count + freedom
@@ -101,11 +114,12 @@
         max(squares, 0.0) / freedom,
         freedom / (count + INITIAL_WITHIN_TASKS),
     )
-    return replace(
+    changed = replace(
         queue,
         within_variance=variance,
         within_count=min(count, WITHIN_TASKS),
     )
+    return replace(changed, line=fit_line(changed))
 
 
 def fit_line(queue: QueueRunTimes) -> RunTimeLine:
@@ -156,9 +170,8 @@
     variance = line.between_variance
     weight = samples.finished + samples.running_weight
     if weight > 0:
-        deviation = sqrt(line.within_variance)
-        total = samples.log_sum - deviation * samples.rank_sum
-        step_mean = (total + samples.running_sum) / weight
+        finished_sum = _finished_log_sum(line, samples)
+        step_mean = (finished_sum + samples.running_sum) / weight
         gain = variance / (variance + line.within_variance / weight)
         mean += gain * (step_mean - mean)
         variance *= 1 - gain
--- a/sesamehall/reducer/jobs/runs.py
+++ b/sesamehall/reducer/jobs/runs.py
@@ -36,7 +36,7 @@
 from sesamehall.reducer.jobs.progress import with_checkpoint
 from sesamehall.reducer.jobs.progress import with_task_done
 from sesamehall.reducer.jobs.progress import with_task_failure
-from sesamehall.reducer.jobs.run_samples import learn_from_step
+from sesamehall.reducer.jobs.run_samples import complete_step
 from sesamehall.reducer.jobs.run_samples import record_finished_run
 from sesamehall.reducer.jobs.runlines import abandoned_run_line
 from sesamehall.reducer.jobs.runlines import late_end_line
@@ -321,7 +321,7 @@
     job = replace(job, waiting=waiting + startable)
     manager = put_job(manager, job)
     manager = replace(manager, dirty_jobs=manager.dirty_jobs.set(job_id, True))
-    step = learn_from_step(manager, job_id, place, at_ms)
+    step = complete_step(manager, job_id, place, at_ms)
     for run in _superseded_runs(step.state, job, place):
         if run.state is not RunState.STOPPING:
             step = then(step, stop_run, run, "task done")
