--- a/sesamehall/core/fleet.py
+++ b/sesamehall/core/fleet.py
@@ -205,6 +205,27 @@
     pools: tuple[str, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class RunTimesRecord:
+    """What leaders have learnt about the run times of a queue.
+
+    The attributes other than `queue` are those of QueueRunTimes.
+
+    Attributes:
+      queue: Name of the queue.
+    """
+
+    queue: str
+    count: int
+    mean_declared: float
+    mean_actual: float
+    declared_variance: float
+    actual_variance: float
+    covariance: float
+    within_variance: float
+    within_count: int
+
+
 StoredValue = (
     JobPlan
     | CancelAsked
@@ -216,6 +237,7 @@
     | WaveRecord
     | OrderedMachines
     | QueuePools
+    | RunTimesRecord
     | Manifest
     | Wave
     | WorkerEntry
--- a/sesamehall/core/runtimes.py
+++ b/sesamehall/core/runtimes.py
@@ -67,6 +67,7 @@
       line: What forecasts of steps that have not run rest on; computed from
         the other attributes.
       logged_ms: Time at which the averages were last logged, or -1.
+      stored_count: Number of steps that the stored record contains.
     """
 
     count: int = 0
@@ -81,6 +82,7 @@
     declared_error: float = 0.0
     line: RunTimeLine = INITIAL_LINE
     logged_ms: int = -1
+    stored_count: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/sesamehall/platform/store_test.py
+++ b/sesamehall/platform/store_test.py
@@ -15,6 +15,7 @@
 from sesamehall.core.fleet import Leader
 from sesamehall.core.fleet import LeasedWorker
 from sesamehall.core.fleet import QueuePools
+from sesamehall.core.fleet import RunTimesRecord
 from sesamehall.core.fleet import StoredRecord
 from sesamehall.core.fleet import Stream
 from sesamehall.core.fleet import WaveRecord
@@ -81,6 +82,10 @@
         (Stream.PROGRESS, LeasedWorker("i-1", "10.0.0.1:1", "p", 5, 7)),
         (Stream.PROGRESS, QueuePools("quotes", ("a", "b"))),
         (Stream.PROGRESS, WaveRecord(1, ("m-1", "m-2"))),
+        (
+            Stream.PROGRESS,
+            RunTimesRecord("q", 9, 6.5, 7.0, 0.2, 0.25, 0.1, 0.04, 63),
+        ),
     ],
     ids=lambda value: type(value).__name__,
 )
--- a/sesamehall/reducer/jobs/storing.py
+++ b/sesamehall/reducer/jobs/storing.py
@@ -32,6 +32,9 @@
 from sesamehall.reducer.jobs.queue_pools import build_record
 from sesamehall.reducer.jobs.queue_pools import drop_queue_pools
 from sesamehall.reducer.jobs.queue_pools import record_queue_pools
+from sesamehall.reducer.jobs.run_time_records import mark_run_times_stored
+from sesamehall.reducer.jobs.run_time_records import RUN_TIMES_KEY_PREFIX
+from sesamehall.reducer.jobs.run_time_records import run_times_records
 from sesamehall.reducer.jobs.runs import drop_ended_job
 from sesamehall.reducer.jobs.runs import end_job
 from sesamehall.reducer.jobs.runs import schedule_placement
@@ -105,11 +108,11 @@
         term.call_times.behind,
         earlier_renewals_ms(manager, at_ms),
     )
-    records = _build_records(manager, batch)
+    records = _build_records(manager, batch) + run_times_records(manager)
     records += (StoredRecord(LEADER_KEY, leader),)
     lines = _unknown_jobs_line(manager, batch)
     manager = replace(
-        manager,
+        mark_run_times_stored(manager),
         term=term,
         dirty_jobs=EMPTY_MAP,
         dirty_workers=EMPTY_MAP,
@@ -213,6 +216,7 @@
         records.append(StoredRecord(key, queue_pools))
     for name in batch.dropped_queues:
         records.append(StoredRecord(QUEUE_KEY_PREFIX + name, None))
+        records.append(StoredRecord(RUN_TIMES_KEY_PREFIX + name, None))
     if batch.machines is not None:
         others = tuple(sorted(manager.fleet.inherited))
         ordered = OrderedMachines(manager.name, batch.machines, others)
--- a/sesamehall/reducer/jobs/stream_reading.py
+++ b/sesamehall/reducer/jobs/stream_reading.py
@@ -14,6 +14,7 @@
 from sesamehall.core.fleet import LeasedWorker
 from sesamehall.core.fleet import OrderedMachines
 from sesamehall.core.fleet import QueuePools
+from sesamehall.core.fleet import RunTimesRecord
 from sesamehall.core.fleet import Stream
 from sesamehall.core.fleet import WaveRecord
 from sesamehall.core.fleet import WorkerEntry
@@ -56,6 +57,9 @@
 from sesamehall.reducer.jobs.queue_pools import drop_queue_pools
 from sesamehall.reducer.jobs.queue_pools import record_queue_pools
 from sesamehall.reducer.jobs.queue_pools import request_record_deletions
+from sesamehall.reducer.jobs.run_time_records import apply_run_times_record
+from sesamehall.reducer.jobs.run_time_records import drop_run_times
+from sesamehall.reducer.jobs.run_time_records import RUN_TIMES_KEY_PREFIX
 from sesamehall.reducer.jobs.runs import schedule_placement
 from sesamehall.reducer.jobs.state_updates import rebuild_pool_index
 from sesamehall.reducer.jobs.storing import QUEUE_KEY_PREFIX
@@ -483,6 +487,11 @@
         case None if key.startswith(QUEUE_KEY_PREFIX):
             queue_name = key.removeprefix(QUEUE_KEY_PREFIX)
             return Step(drop_queue_pools(manager, queue_name))
+        case RunTimesRecord():
+            return Step(apply_run_times_record(manager, value))
+        case None if key.startswith(RUN_TIMES_KEY_PREFIX):
+            queue_name = key.removeprefix(RUN_TIMES_KEY_PREFIX)
+            return Step(drop_run_times(manager, queue_name))
         case LeasedWorker(worker_id):
             leased_by_id = leased_by_id.set(worker_id, value)
         case None if key.startswith(WORKER_KEY_PREFIX):
