--- a/sesamehall/core/workstate.py
+++ b/sesamehall/core/workstate.py
@@ -53,8 +53,8 @@
       unfinished_by_step: Number of unfinished tasks of each step, over all
         occurrences.
       path_steps: Numbers of the unfinished steps of occurrence 0.
-      samples_by_step: Run times of the tasks of unfinished steps, by number of
-        the step.
+      samples_by_step: Run times of the tasks of steps that have started, by
+        number of the step.
     """
 
     plan: JobPlan
@@ -282,6 +282,23 @@
     basis: ForecastBasis
 
 
+@dataclass(frozen=True, slots=True)
+class JobForecast:
+    """What a job will probably take, without delays of orders and reports.
+
+    Attributes:
+      core_ms: Processor time that its unfinished tasks need, in
+        core-milliseconds.
+      path_ms: Run time of its longest chain of unfinished steps, of
+        occurrence 0.
+      whole_path_ms: Run time of its longest chain of steps, finished or not.
+    """
+
+    core_ms: float
+    path_ms: float
+    whole_path_ms: float
+
+
 @dataclass(frozen=True, slots=True)
 class Arrivals:
     """Arrival rate of a queue's jobs.
--- a/sesamehall/reducer/jobs/forecasts.py
+++ b/sesamehall/reducer/jobs/forecasts.py
@@ -7,12 +7,14 @@
 from math import sqrt
 
 from sesamehall.core.managerstate import ManagerState
+from sesamehall.core.manifest import Queue
 from sesamehall.core.runtimes import INITIAL_LINE
 from sesamehall.core.runtimes import NO_SAMPLES
 from sesamehall.core.runtimes import RunTimeLine
 from sesamehall.core.runtimes import StepSamples
 from sesamehall.core.workstate import ActiveJob
 from sesamehall.core.workstate import ForecastBasis
+from sesamehall.core.workstate import JobForecast
 from sesamehall.core.workstate import RunForecast
 from sesamehall.reducer.jobs.run_time_model import estimate
 from sesamehall.reducer.jobs.run_time_model import expected_ms
@@ -62,60 +64,85 @@
     return INITIAL_LINE if queue is None else queue.line
 
 
-def forecast_remaining_core_ms(manager: ManagerState, job: ActiveJob) -> float:
-    """Forecast the processor time that a job's unfinished tasks need.
+def forecast_job(manager: ManagerState, job: ActiveJob) -> JobForecast:
+    """Forecast what a job takes.
 
     Args:
       manager: State of the leader.
       job: The job.
     Returns:
-      Core-milliseconds.
+      The forecast.
     """
     line = _line(manager, job)
     core_ms = 0.0
-    for step_number, count in enumerate(job.unfinished_by_step):
-        if count:
-            step = job.plan.steps[step_number]
-            samples = job.samples_by_step.get(step_number, NO_SAMPLES)
-            task_ms = expected_ms(line, step.estimate_ms, samples)
-            core_ms += count * step.size.cpu_milli * task_ms / 1_000
-    return core_ms
+    end_ms_by_step: list[float] = []
+    whole_end_ms_by_step: list[float] = []
+    for number, step in enumerate(job.plan.steps):
+        samples = job.samples_by_step.get(number, NO_SAMPLES)
+        task_ms = expected_ms(line, step.estimate_ms, samples)
+        count = job.unfinished_by_step[number]
+        core_ms += count * step.size.cpu_milli * task_ms / 1_000
+        end_ms = _latest_end_ms(end_ms_by_step, step)
+        if number in job.path_steps:
+            end_ms += task_ms
+        end_ms_by_step.append(end_ms)
+        whole_end_ms = _latest_end_ms(whole_end_ms_by_step, step) + task_ms
+        whole_end_ms_by_step.append(whole_end_ms)
+    return JobForecast(
+        core_ms,
+        max(end_ms_by_step, default=0.0),
+        max(whole_end_ms_by_step, default=0.0),
+    )
 
 
-def forecast_critical_path_ms(manager: ManagerState, job: ActiveJob) -> float:
-    """Forecast the run time of a job's longest chain of unfinished steps.
+def _latest_end_ms(end_ms_by_step, step):
+    """Compute when the last of the steps ends that a step depends on."""
+    if not step.depends_on:
+        return 0.0
+    return max(end_ms_by_step[earlier] for earlier in step.depends_on)
+
+
+def forecast_goal_ms(
+    job: ActiveJob, queue: Queue, forecast: JobForecast
+) -> int:
+    """Compute by when a job should be done, given what it will take.
+
+    A goal is a multiple of what the job really takes. When the job is taken
+    in, that is known from the declared run times only; a job that then proves
+    to be longer has a later goal as well.
 
     Args:
-      manager: State of the leader.
-      job: The job; of its occurrences, only occurrence 0 is considered.
+      job: The job.
+      queue: Its queue.
+      forecast: What it will take.
     Returns:
-      Milliseconds, without the delays of orders and reports.
+      The time; of a job with due occurrences, its goal.
     """
-    line = _line(manager, job)
-    end_ms_by_step: dict[int, float] = {}
-    for step_number in job.path_steps:
-        step = job.plan.steps[step_number]
-        samples = job.samples_by_step.get(step_number, NO_SAMPLES)
-        # Steps that are done are not in the dictionary.
-        begin_ms = max(
-            (end_ms_by_step.get(earlier, 0.0) for earlier in step.depends_on),
-            default=0.0,
-        )
-        end_ms_by_step[step_number] = begin_ms + expected_ms(
-            line, step.estimate_ms, samples
-        )
-    return max(end_ms_by_step.values(), default=0.0)
-
-
-def forecast_ratio(manager: ManagerState, job: ActiveJob) -> float:
-    """Compute the ratio of forecast to declared processor time of a job.
+    if job.plan.occurrence_count:
+        return job.goal_ms
+    path_ms = round(queue.stretch * forecast.whole_path_ms)
+    return job.first_seen_ms + path_ms + queue.slack_ms
+
+
+def forecast_remaining_core_ms(manager: ManagerState, job: ActiveJob) -> float:
+    """Forecast the processor time that a job's unfinished tasks need.
 
     Args:
       manager: State of the leader.
       job: The job.
     Returns:
-      The ratio for its unfinished tasks; 1 if they declare none.
+      Core-milliseconds.
+    """
+    return forecast_job(manager, job).core_ms
+
+
+def forecast_critical_path_ms(manager: ManagerState, job: ActiveJob) -> float:
+    """Forecast the run time of a job's longest chain of unfinished steps.
+
+    Args:
+      manager: State of the leader.
+      job: The job; of its occurrences, only occurrence 0 is considered.
+    Returns:
+      Milliseconds, without the delays of orders and reports.
     """
-    if job.remaining_core_ms <= 0:
-        return 1.0
-    return forecast_remaining_core_ms(manager, job) / job.remaining_core_ms
+    return forecast_job(manager, job).path_ms
--- a/sesamehall/reducer/jobs/queueing.py
+++ b/sesamehall/reducer/jobs/queueing.py
@@ -8,8 +8,8 @@
 from sesamehall.reducer.jobs.durations import mean_delay_ms
 from sesamehall.reducer.jobs.durations import mean_occupancy_ms
 from sesamehall.reducer.jobs.durations import occupancy_ratio
-from sesamehall.reducer.jobs.forecasts import forecast_critical_path_ms
-from sesamehall.reducer.jobs.forecasts import forecast_remaining_core_ms
+from sesamehall.reducer.jobs.forecasts import forecast_goal_ms
+from sesamehall.reducer.jobs.forecasts import forecast_job
 from sesamehall.reducer.jobs.leases import is_incarnation_confirmed
 from sesamehall.reducer.jobs.leases import may_start
 from sesamehall.reducer.jobs.placement_round import is_available
@@ -126,16 +126,15 @@
     overhead = occupancy - duration_ratio(manager, queue.name)
     delay_ms = mean_delay_ms(manager, queue.name)
     mean_core_ms = manager.mean_core_ms_by_queue.get(queue.name, 0.0)
+    forecast = forecast_job(manager, job)
     return WaitingJob(
         job_id=job.plan.job_id,
         priority=queue.priority,
-        goal_ms=job.goal_ms,
+        goal_ms=forecast_goal_ms(job, queue, forecast),
         critical_path_ms=round(
-            forecast_critical_path_ms(manager, job)
-            + delay_ms * job.critical_path.steps
+            forecast.path_ms + delay_ms * job.critical_path.steps
         ),
-        core_ms=forecast_remaining_core_ms(manager, job)
-        + overhead * job.remaining_core_ms,
+        core_ms=forecast.core_ms + overhead * job.remaining_core_ms,
         mean_core_ms=occupancy * mean_core_ms,
         long_running=job.plan.steps[0].long_running,
     )
--- a/sesamehall/reducer/jobs/run_samples.py
+++ b/sesamehall/reducer/jobs/run_samples.py
@@ -21,7 +21,6 @@
 from sesamehall.core.workstate import ActiveJob
 from sesamehall.core.workstate import Run
 from sesamehall.core.workstate import RunState
-from sesamehall.reducer.counts import drop_key
 from sesamehall.reducer.jobs.progress import checkpoint_of
 from sesamehall.reducer.jobs.run_time_model import extrapolate
 from sesamehall.reducer.jobs.run_time_model import learn_deviations
@@ -147,9 +146,7 @@
 def complete_step(
     manager: ManagerState, job_id: str, place: TaskPlace, at_ms: int
 ) -> Step:
-    """Drop the samples of a step once no task of it is left.
-
-    How much its tasks deviated from each other is added to its queue.
+    """Add the deviations of a step's tasks to its queue once all are done.
 
     Args:
       manager: State of the leader.
@@ -163,8 +160,6 @@
     samples = job.samples_by_step.get(place.step)
     if samples is None or job.unfinished_by_step[place.step]:
         return Step(manager)
-    by_step = drop_key(job.samples_by_step, place.step)
-    manager = put_job(manager, replace(job, samples_by_step=by_step))
     name = job.plan.queue
     queue = manager.run_times_by_queue.get(name)
     if queue is None:
--- a/sesamehall/reducer/jobs/run_samples_test.py
+++ b/sesamehall/reducer/jobs/run_samples_test.py
@@ -176,12 +176,12 @@
     assert history.job().samples_by_step.get(0, NO_SAMPLES) == NO_SAMPLES
 
 
-def test_step_counts_once_and_its_samples_are_dropped():
+def test_step_counts_once_and_is_logged():
     history = History()
     for index in range(4):
         history.report(1_000 + index, {}, [(index, DONE, "")])
     assert history.manager.run_times_by_queue["quotes"].count == 1
-    assert 0 not in history.job().samples_by_step
+    assert history.job().samples_by_step[0].finished == 4
     (line,) = history.lines
     assert (line["queue"], line["steps"]) == ("quotes", 1)
 
--- a/sesamehall/reducer/machines/sizing.py
+++ b/sesamehall/reducer/machines/sizing.py
@@ -21,7 +21,6 @@
 from sesamehall.core.workstate import Worker
 from sesamehall.reducer.jobs.arrivals import surge_jobs_per_s
 from sesamehall.reducer.jobs.durations import duration_ratio
-from sesamehall.reducer.jobs.forecasts import forecast_ratio
 from sesamehall.reducer.jobs.progress import critical_path_ms
 from sesamehall.reducer.jobs.progress import plan_core_ms
 from sesamehall.reducer.jobs.state_updates import job_pool
@@ -70,7 +69,7 @@
             long_running_load += _long_running_load(job, capacity)
             min_spread = max(min_spread, _min_spread(job))
         else:
-            ratio = forecast_ratio(manager, job)
+            ratio = duration_ratio(manager, job.plan.queue)
             goal_load += _goal_load(job, capacity, at_ms, ratio)
     goal_load = max(goal_load, _surge_load(manager, pool, capacity, at_ms))
     min_workers = max(ceil(long_running_load), min_spread)
