--- a/sesamehall/reducer/jobs/run_samples_test.py
+++ b/sesamehall/reducer/jobs/run_samples_test.py
@@ -6,6 +6,7 @@
 
 from sesamehall.core.logevents import RUN_TIMES_LEARNT
 from sesamehall.core.managerevents import RunAnswered
+from sesamehall.core.manifest import Queue
 from sesamehall.core.replacing import replace
 from sesamehall.core.runtimes import NO_SAMPLES
 from sesamehall.core.work import ActiveRun
@@ -13,6 +14,8 @@
 from sesamehall.core.work import RunEnd
 from sesamehall.core.workstate import ForecastBasis
 from sesamehall.reducer.jobs.forecasts import forecast_critical_path_ms
+from sesamehall.reducer.jobs.forecasts import forecast_goal_ms
+from sesamehall.reducer.jobs.forecasts import forecast_job
 from sesamehall.reducer.jobs.forecasts import forecast_remaining_core_ms
 from sesamehall.reducer.jobs.forecasts import forecast_task
 from sesamehall.reducer.jobs.orders import handle_start_answer
@@ -213,6 +216,31 @@
         assert after_ms > before_ms * (3 / 4 if done else 1)
 
 
+@pytest.mark.parametrize(
+    ("reports", "low_ms", "high_ms"),
+    [
+        ([], 2_100, 2_100),
+        ([(200, {0: 10}, [])], 3_000, 6_000),
+        ([(100, {0: 40}, [])], 1_000, 2_000),
+    ],
+    ids=["nothing known", "longer than declared", "shorter than declared"],
+)
+def test_goal_of_a_job_follows_what_it_takes(reports, low_ms, high_ms):
+    """Guards against jobs that are late because they declare too little.
+
+    With a goal from the declared run times and a path from the forecast, such
+    a job went behind all others at once.
+    """
+    history = History()
+    for report in reports:
+        history.report(*report)
+    queue = Queue("quotes", "q", "/", "a", stretch=2.0, slack_ms=100)
+    forecast = forecast_job(history.manager, history.job())
+    goal_ms = forecast_goal_ms(history.job(), queue, forecast)
+    assert low_ms <= goal_ms - NOW_MS <= high_ms
+    assert goal_ms - NOW_MS - 100 == pytest.approx(2 * forecast.path_ms, abs=1)
+
+
 def test_kept_counts_of_a_job_equal_those_computed_anew():
     history = History()
     for index in range(4):
--- a/sesamehall/reducer/jobs/run_time_records.py
+++ b/sesamehall/reducer/jobs/run_time_records.py
@@ -5,6 +5,7 @@
 written again.
 """
 
+from dataclasses import fields
 from math import isfinite
 
 from sesamehall.core.fleet import RunTimesRecord
@@ -18,7 +19,10 @@
 RUN_TIMES_KEY_PREFIX = "runtimes/"
 STEPS_PER_RECORD = 20  # of a queue
 MAX_LOG_MS = 30.0  # a logarithm above this is no run time
-AVERAGES = tuple(RunTimesRecord.__dataclass_fields__)[1:]
+# Attributes that a record has in common with QueueRunTimes.
+AVERAGES = tuple(
+    field.name for field in fields(RunTimesRecord) if field.name != "queue"
+)
 
 
 def run_times_records(manager: ManagerState) -> tuple[StoredRecord, ...]:
