--- a/bench/jobscenarios.py
+++ b/bench/jobscenarios.py
@@ -28,6 +28,8 @@
       data_centres: Number of data centres, to which workers are dealt in turn.
       drain_within_ms: Time after a drain request from which nothing may start
         in its data centre, or 0 for no limit.
+      start_clocks: Whether the answers to start orders have the worker's
+        clock; run times are measured only then.
     """
 
     ends_per_report: int = ENDS_PER_REPORT
@@ -36,6 +38,7 @@
     pools: tuple[str, ...] = ("a",)
     data_centres: int = 1
     drain_within_ms: int = 0
+    start_clocks: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/sesamehall/core/logevents.py
+++ b/sesamehall/core/logevents.py
@@ -186,6 +186,7 @@
     663, "drain in progress", "Wait; the runs left are moved or end."
 )
 DRAIN_COMPLETED = _info(664, "data centre empty", "It runs nothing now.")
+RUN_TIMES_LEARNT = _info(665, "run times learnt")
 
 NODE_STARTED = _info(900, "node started")
 NODE_STOPPING = _info(901, "node stopping")
