Shares: a pool that lacks room is divided by teams' weights

Cause: a team's weight decided nothing; with a pool full, ranking deferred jobs by value density only, whoever's they were. Change: accounts of what teams ask for, are entitled to and use (weighted dominant resource fairness), sampled while tasks wait; ranking defers the job of the team with the highest start tag; lines 670 to 672.

--- a/sesamehall/core/logevents.py
+++ b/sesamehall/core/logevents.py
@@ -177,6 +177,15 @@
     656, "wave not reported", "Look at the platform's store; it is repeated."
 )
 MACHINE_ANSWER_STALE = _info(657, "stale machine answer")
+TEAMS_SHARE_POOL = _info(670, "teams share a pool")
+WEIGHT_REPLACED = _warning(
+    671, "team weight replaced", "Correct the weight; the one named applies."
+)
+TEAM_GONE_WITH_JOBS = _warning(
+    672,
+    "team gone with jobs",
+    "Cancel its jobs or list it again; they go on with the mean weight.",
+)
 
 NODE_STARTED = _info(900, "node started")
 NODE_STOPPING = _info(901, "node stopping")
--- a/sesamehall/core/managerstate.py
+++ b/sesamehall/core/managerstate.py
@@ -20,6 +20,7 @@
 from sesamehall.core.jobtiming import LEADER_CORES
 from sesamehall.core.jobtiming import ORDER_WINDOW_INITIAL
 from sesamehall.core.manifest import Manifest
+from sesamehall.core.shares import PoolShares
 from sesamehall.core.work import CompactProgress
 from sesamehall.core.work import JobPlan
 from sesamehall.core.work import Progress
@@ -254,6 +255,7 @@
       worker_ids_by_pool: Their identifiers, mapped to True.
       job_ids_by_pool: Jobs with tasks that may start, mapped to True.
       used_by_team: Resources that a team's runs reserve.
+      shares_by_pool: Division of each pool among the teams.
       arrivals_by_queue: Arrival rate of jobs.
       durations_by_queue: Measured run times of tasks.
       mean_core_ms_by_queue: Mean processor time of a job, in
@@ -324,6 +326,7 @@
     worker_ids_by_pool: Map[str, Map[str, bool]] = EMPTY_MAP
     job_ids_by_pool: Map[str, Map[str, bool]] = EMPTY_MAP
     used_by_team: Map[str, Size] = EMPTY_MAP
+    shares_by_pool: Map[str, PoolShares] = EMPTY_MAP
     arrivals_by_queue: Map[str, Arrivals] = EMPTY_MAP
     durations_by_queue: Map[str, Durations] = EMPTY_MAP
     mean_core_ms_by_queue: Map[str, float] = EMPTY_MAP
--- a/sesamehall/core/manifest.py
+++ b/sesamehall/core/manifest.py
@@ -1,6 +1,7 @@
 """The operators' manifest: queues, worker pools and teams."""
 
 from dataclasses import dataclass
+from enum import Enum
 
 from immutables import Map
 
@@ -56,19 +57,30 @@
     standby: bool = False
 
 
+class WeightDefect(Enum):
+    """Why a team's weight in a manifest cannot be used."""
+
+    MISSING = "missing"
+    NO_NUMBER = "no number"
+    NOT_POSITIVE = "not above 0"
+    TOO_LARGE = "too large"
+
+
 @dataclass(frozen=True, slots=True)
 class Quota:
     """Share and limit of one team.
 
     Attributes:
       team: Name of the team.
-      weight: Relative share when the fleet is full.
+      weight: Relative share when a pool is full, above 0.
+      weight_defect: Why the manifest's weight was replaced, or None.
       ceiling: Maximum resources of its running tasks; 0 in a field means no
         limit.
     """
 
     team: str
-    weight: int = 1
+    weight: float = 1.0
+    weight_defect: WeightDefect | None = None
     ceiling: Size = NO_SIZE
 
 
--- a/sesamehall/platform/operatordecoding.py
+++ b/sesamehall/platform/operatordecoding.py
@@ -16,9 +16,13 @@
 from sesamehall.core.manifest import Queue
 from sesamehall.core.manifest import Quota
 from sesamehall.core.manifest import Wave
+from sesamehall.core.manifest import WeightDefect
 from sesamehall.core.manifest import WorkerPool
 from sesamehall.platform.sizes import decode_size
 
+DEFAULT_WEIGHT = 1.0  # of a team whose weight cannot be used
+MIN_WEIGHT = 0.001
+MAX_WEIGHT = 1_000_000.0  # weight of a team relative to other teams
 MANIFEST_KEY = "config"
 WAVE_KEY_PREFIX = "wave/"
 
@@ -79,14 +83,42 @@
 
 
 def _decode_quota(row):
+    weight = row.get("Weight")
+    defect = _weight_defect(weight)
     return Quota(
         team=decode_text(row, "Name"),
-        weight=max(int(decode_number(row, "Weight", 1.0)), 1),
+        weight=_usable_weight(weight, defect),
+        weight_defect=defect,
         # Here "Cap" is an amount of resources; in a wave it is a number.
         ceiling=decode_size(decode_nested(row, "Cap", {})),
     )
 
 
+def _weight_defect(weight):
+    """Find out why a weight cannot be used, or return None."""
+    if weight is None:
+        return WeightDefect.MISSING
+    # The JSON parser accepts NaN, which equals nothing.
+    if type(weight) not in (int, float) or weight != weight:
+        return WeightDefect.NO_NUMBER
+    if weight < MIN_WEIGHT:
+        return WeightDefect.NOT_POSITIVE
+    if weight > MAX_WEIGHT:
+        return WeightDefect.TOO_LARGE
+    return None
+
+
+def _usable_weight(weight, defect):
+    """Replace a weight that cannot be used; the manifest stays valid."""
+    match defect:
+        case None:
+            return float(weight)
+        case WeightDefect.TOO_LARGE:
+            return MAX_WEIGHT
+        case _:
+            return DEFAULT_WEIGHT
+
+
 def decode_wave(document: dict) -> Wave:
     """Decode a maintenance wave.
 
--- a/sesamehall/reducer/jobs/leadership.py
+++ b/sesamehall/reducer/jobs/leadership.py
@@ -417,6 +417,7 @@
         worker_ids_by_pool=EMPTY_MAP,
         job_ids_by_pool=EMPTY_MAP,
         used_by_team=EMPTY_MAP,
+        shares_by_pool=EMPTY_MAP,
         dirty_jobs=EMPTY_MAP,
         dirty_workers=EMPTY_MAP,
         dirty_waves=EMPTY_MAP,
--- a/sesamehall/reducer/jobs/queueing.py
+++ b/sesamehall/reducer/jobs/queueing.py
@@ -17,6 +17,7 @@
 from sesamehall.reducer.jobs.ranking import rank_jobs
 from sesamehall.reducer.jobs.ranking import Ranking
 from sesamehall.reducer.jobs.ranking import WaitingJob
+from sesamehall.reducer.jobs.share_accounts import team_loads
 from sesamehall.reducer.jobs.state_updates import pool_workers
 
 
@@ -75,7 +76,9 @@
     used_cores = sum(worker.used.cpu_milli for worker in workers) / 1_000
     running_core_ms = used_cores * mean_occupancy_ms(manager, pool) / 2
     waiting = [_waiting_job(manager, job) for job in jobs]
-    return rank_jobs(waiting, cores, at_ms, running_core_ms)
+    core_ms_by_job_id = {job.job_id: job.core_ms for job in waiting}
+    loads = team_loads(manager, pool, workers, core_ms_by_job_id)
+    return rank_jobs(waiting, cores, at_ms, running_core_ms, loads)
 
 
 def _startable_jobs(manager, pool, at_ms):
--- a/sesamehall/reducer/jobs/ranking.py
+++ b/sesamehall/reducer/jobs/ranking.py
@@ -4,7 +4,9 @@
 late. A variant of the Moore-Hodgson algorithm therefore selects jobs that can
 all meet their goals: it adds jobs in order of their goals, and whenever the
 total processor time exceeds what is available before a job's goal, it defers
-the selected job with the lowest value per processor time.
+a selected job: of the team that is furthest beyond its share the one with the
+lowest value per processor time (see fair_share). If shares decide nothing, all
+jobs count as those of one team.
 
 A job's value is an estimate of what completing it is worth, relative to an
 average job of its queue, whose value is 1. One part is the same for every job,
@@ -13,13 +15,19 @@
 
 from collections.abc import Iterable
 from dataclasses import dataclass
-from heapq import heappop
-from heapq import heappush
+
+from sesamehall.reducer.jobs.fair_share import FairSelection
+from sesamehall.reducer.jobs.fair_share import order_by_shares
+from sesamehall.reducer.jobs.fair_share import RankedJob
+from sesamehall.reducer.jobs.fair_share import TeamLoads
 
 FIXED_VALUE_SHARE = 0.3  # part of the value that is the same for every job
 PROPORTIONAL_VALUE_SHARE = 0.7  # part that grows with processor time
 
 
+ONE_TEAM = TeamLoads()
+
+
 @dataclass(frozen=True, slots=True)
 class WaitingJob:
     """A job with waiting tasks, and its properties that ranking uses.
@@ -55,27 +63,23 @@
       deferred: Jobs that could meet their goals, but only without some of the
         timely ones.
       late: Jobs that cannot meet their goals any more.
+      rest_job_ids: The deferred and the late jobs, in the order of their
+        teams' shares, and within a team by descending value density.
     """
 
     long_running: tuple[WaitingJob, ...] = ()
     timely: tuple[WaitingJob, ...] = ()
     deferred: tuple[WaitingJob, ...] = ()
     late: tuple[WaitingJob, ...] = ()
+    rest_job_ids: tuple[str, ...] = ()
 
     def job_ids(self) -> list[str]:
         """List the jobs in the order in which their tasks are placed.
 
-        Deferred and late jobs follow the others, by descending value density.
+        Deferred and late jobs follow the others.
         """
-        rest = sorted(
-            self.late + self.deferred,
-            key=lambda job: (
-                -value_density(job),
-                job.job_id,
-            ),
-        )
-        ordered = self.long_running + self.timely + tuple(rest)
-        return [job.job_id for job in ordered]
+        first = [job.job_id for job in self.long_running + self.timely]
+        return first + list(self.rest_job_ids)
 
 
 def rank_jobs(
@@ -83,6 +87,7 @@
     cores: float,
     at_ms: int,
     running_core_ms: float = 0.0,
+    loads: TeamLoads = ONE_TEAM,
 ) -> Ranking:
     """Rank the waiting jobs of a pool.
 
@@ -92,6 +97,7 @@
       at_ms: Current time on the node's clock.
       running_core_ms: Processor time that running tasks still need, in
         core-milliseconds.
+      loads: The teams of the jobs, and what they hold.
     Returns:
       The ranking.
     """
@@ -105,9 +111,17 @@
             late.append(job)
         else:
             feasible.append(job)
-    timely, deferred = _split(feasible, cores, at_ms, running_core_ms)
+    selection = FairSelection.begin(loads)
+    timely, deferred = _split(
+        selection, feasible, cores, at_ms, running_core_ms
+    )
+    rest = [_ranked(job) for job in late + deferred]
     return Ranking(
-        tuple(long_running), tuple(timely), tuple(deferred), tuple(late)
+        tuple(long_running),
+        tuple(timely),
+        tuple(deferred),
+        tuple(late),
+        tuple(order_by_shares(rest, loads, selection.held_ms_by_team)),
     )
 
 
@@ -132,17 +146,24 @@
     return (job.priority, job.goal_ms, job.job_id)
 
 
-def _split(feasible, cores, at_ms, running_core_ms):
+def _ranked(job):
+    return RankedJob(job.job_id, value_density(job))
+
+
+def _split(selection, feasible, cores, at_ms, running_core_ms):
     """Split jobs into those that meet their goals together and the others."""
     selected_by_id = {job.job_id: job for job in feasible}
-    heap: list[tuple[float, str]] = []
     total_core_ms = running_core_ms
+    # The minimum avoids a division by zero without available workers.
+    cores = max(cores, 0.001)
     for job in sorted(feasible, key=lambda item: item.goal_ms):
-        heappush(heap, (value_density(job), job.job_id))
+        selection.add(_ranked(job))
         total_core_ms += job.core_ms
-        # The minimum avoids a division by zero without available workers.
-        while heap and at_ms + total_core_ms / max(cores, 0.001) > job.goal_ms:
-            _, job_id = heappop(heap)
+        while (
+            at_ms + total_core_ms / cores > job.goal_ms
+            and selection.has_jobs()
+        ):
+            job_id = selection.remove_one()
             total_core_ms -= selected_by_id.pop(job_id).core_ms
     timely = [item for item in feasible if item.job_id in selected_by_id]
     deferred = [item for item in feasible if item.job_id not in selected_by_id]
--- /dev/null
+++ b/sesamehall/reducer/jobs/share_accounts.py
@@ -0,0 +1,260 @@
+"""Accounts of what teams ask for and get of each pool."""
+
+from collections.abc import Iterable
+from collections.abc import Mapping
+
+from immutables import Map
+
+from sesamehall.core.data import EMPTY_MAP
+from sesamehall.core.managerstate import ManagerState
+from sesamehall.core.manifest import Manifest
+from sesamehall.core.replacing import replace
+from sesamehall.core.shares import PoolShares
+from sesamehall.core.shares import ResourceShares
+from sesamehall.core.shares import TeamAccount
+from sesamehall.core.work import add_size
+from sesamehall.core.work import NO_SIZE
+from sesamehall.core.work import reserved_size
+from sesamehall.core.work import Size
+from sesamehall.core.workstate import ActiveJob
+from sesamehall.core.workstate import Worker
+from sesamehall.reducer.jobs.durations import mean_occupancy_ms
+from sesamehall.reducer.jobs.fair_share import TeamLoads
+from sesamehall.reducer.jobs.progressive_filling import divide_pool
+from sesamehall.reducer.jobs.progressive_filling import ROUNDING_ERROR
+
+SAMPLE_PERIOD_MS = 100  # minimum time between two samples of a pool
+SAMPLE_EXPIRY_MS = 1_000  # nothing waited meanwhile: debts are void
+DEBT_LIMIT_MS = 5_000  # largest debt, as time of the team's fair share
+
+
+def uses_shares(manager: ManagerState) -> bool:
+    """Check whether the manifest divides pools among several teams.
+
+    Args:
+      manager: State of a manager.
+    Returns:
+      False without a manifest, or if it lists fewer than two teams.
+    """
+    manifest = manager.manifest
+    return manifest is not None and len(manifest.quotas_by_team) > 1
+
+
+def team_weight(manifest: Manifest, team: str) -> float:
+    """Return the weight of a team.
+
+    Args:
+      manifest: The manifest; it lists at least one team.
+      team: Name of the team, or "" for callers without one.
+    Returns:
+      Its weight; for a team that is not listed the mean weight.
+    """
+    quotas = manifest.quotas_by_team
+    if team in quotas:
+        return quotas[team].weight
+    return sum(quota.weight for quota in quotas.values()) / len(quotas)
+
+
+def is_sample_due(manager: ManagerState, pool: str, at_ms: int) -> bool:
+    """Check whether the accounts of a pool are to be sampled.
+
+    Args:
+      manager: State of the leader.
+      pool: Name of the pool.
+      at_ms: Current time on the node's clock.
+    Returns:
+      True if the manifest divides pools and the latest sample is old enough.
+    """
+    if not uses_shares(manager):
+        return False
+    latest = manager.shares_by_pool.get(pool)
+    return latest is None or at_ms - latest.sampled_ms >= SAMPLE_PERIOD_MS
+
+
+def sample_shares(
+    manager: ManagerState,
+    pool: str,
+    workers: Iterable[Worker],
+    jobs: Iterable[ActiveJob],
+    at_ms: int,
+) -> ManagerState:
+    """Compute the accounts of the teams that ask for a pool.
+
+    Long-running tasks are served before all others, so the resources that
+    they reserve are not divided.
+
+    Args:
+      manager: State of the leader.
+      pool: Name of the pool.
+      workers: Its available workers.
+      jobs: Its jobs with waiting tasks.
+      at_ms: Current time on the node's clock.
+    Returns:
+      The state with the accounts.
+    """
+    capacity, used_by_team = _measure_use(manager, workers)
+    waiting_by_team = _sum_by_team(_waiting_sizes(jobs))
+    asked_by_team = {
+        team: _resource_shares(
+            add_size(
+                used_by_team.get(team, NO_SIZE),
+                waiting_by_team.get(team, NO_SIZE),
+            ),
+            capacity,
+        )
+        for team in sorted(used_by_team | waiting_by_team)
+    }
+    weight_by_team = {
+        team: team_weight(manager.manifest, team) for team in asked_by_team
+    }
+    fair_by_team = divide_pool(asked_by_team, weight_by_team)
+    contended = any(
+        fair_by_team[team] < asked.dominant - ROUNDING_ERROR
+        for team, asked in asked_by_team.items()
+    )
+    previous = manager.shares_by_pool.get(pool, PoolShares(at_ms))
+    accounts = {}
+    for team, asked in asked_by_team.items():
+        used = used_by_team.get(team, NO_SIZE)
+        account = TeamAccount(
+            asked=asked.dominant,
+            fair=fair_by_team[team],
+            used=_resource_shares(used, capacity).dominant,
+        )
+        if contended:
+            debt_ms = _debt_ms(previous, team, account, at_ms)
+            account = replace(account, debt_ms=debt_ms)
+        accounts[team] = account
+    sample = PoolShares(at_ms, contended, Map(accounts))
+    shares = manager.shares_by_pool.set(pool, sample)
+    return replace(manager, shares_by_pool=shares)
+
+
+def team_loads(
+    manager: ManagerState,
+    pool: str,
+    workers: Iterable[Worker],
+    core_ms_by_job_id: Mapping[str, float],
+) -> TeamLoads:
+    """Collect what ranking needs to know of the teams of waiting jobs.
+
+    Args:
+      manager: State of the leader.
+      pool: Name of the pool.
+      workers: Its available workers.
+      core_ms_by_job_id: Processor time that each waiting job still needs.
+    Returns:
+      The teams; if shares do not apply, all jobs belong to one.
+    """
+    if not uses_shares(manager):
+        return TeamLoads()
+    capacity = NO_SIZE
+    for worker in workers:
+        capacity = add_size(capacity, worker.entry.capacity)
+    jobs = [manager.active_jobs_by_id[job_id] for job_id in core_ms_by_job_id]
+    sample = manager.shares_by_pool.get(pool)
+    accounts = EMPTY_MAP if sample is None else sample.accounts_by_team
+    # A task that runs has half of its time left on average.
+    remaining_ms = mean_occupancy_ms(manager, pool) / 2
+    return TeamLoads(
+        team_by_job_id={job.plan.job_id: job.plan.team for job in jobs},
+        cost_ms_by_job_id={
+            job.plan.job_id: _cost_ms(
+                job, core_ms_by_job_id[job.plan.job_id], capacity
+            )
+            for job in jobs
+        },
+        weight_by_team={
+            team: team_weight(manager.manifest, team)
+            for team in {job.plan.team for job in jobs}
+        },
+        held_ms_by_team={
+            team: account.used * remaining_ms + account.debt_ms
+            for team, account in accounts.items()
+        },
+    )
+
+
+def _measure_use(manager, workers):
+    """Sum up what can be divided, and what each team uses of it."""
+    capacity = NO_SIZE
+    sizes = []
+    for worker in workers:
+        capacity = add_size(capacity, worker.entry.capacity)
+        for task in worker.tasks:
+            run = manager.runs_by_task[task]
+            size = reserved_size(run.size, run.best_effort)
+            if run.long_running:
+                capacity = add_size(capacity, size, -1)
+            else:
+                sizes.append((run.team, size))
+    return capacity, _sum_by_team(sizes)
+
+
+def _waiting_sizes(jobs):
+    """List team and size of the waiting tasks that are not long-running."""
+    for job in jobs:
+        sizes = [
+            reserved_size(step.size, step.best_effort)
+            for step in job.plan.steps
+        ]
+        if not job.plan.steps[0].long_running:
+            for place in job.waiting:
+                yield job.plan.team, sizes[place.step]
+
+
+def _sum_by_team(sizes):
+    """Sum up sizes of tasks by team."""
+    cpu_milli: dict[str, int] = {}
+    memory_mb: dict[str, int] = {}
+    accelerators: dict[str, int] = {}
+    for team, size in sizes:
+        cpu_milli[team] = cpu_milli.get(team, 0) + size.cpu_milli
+        memory_mb[team] = memory_mb.get(team, 0) + size.memory_mb
+        accelerators[team] = accelerators.get(team, 0) + size.accelerators
+    return {
+        team: Size(cpu_milli[team], memory_mb[team], accelerators[team])
+        for team in cpu_milli
+    }
+
+
+def _resource_shares(size, capacity):
+    """Compute the parts that a size takes of a pool's capacity."""
+    return ResourceShares(
+        _part(size.cpu_milli, capacity.cpu_milli),
+        _part(size.memory_mb, capacity.memory_mb),
+        _part(size.accelerators, capacity.accelerators),
+    )
+
+
+def _part(amount, total):
+    """Divide, and take all of something that a pool lacks for the whole."""
+    if total > 0:
+        return amount / total
+    return 1.0 if amount else 0.0
+
+
+def _debt_ms(previous, team, account, at_ms):
+    """Continue the time integral of what a team uses beyond its share."""
+    elapsed_ms = at_ms - previous.sampled_ms
+    earlier = previous.accounts_by_team.get(team, TeamAccount())
+    debt_ms = earlier.debt_ms
+    if elapsed_ms > SAMPLE_EXPIRY_MS:
+        debt_ms, elapsed_ms = 0.0, 0
+    debt_ms += (account.used - account.fair) * elapsed_ms
+    return min(max(debt_ms, 0.0), DEBT_LIMIT_MS * account.fair)
+
+
+def _cost_ms(job, core_ms, capacity):
+    """Compute the time for which a job would occupy the whole pool.
+
+    Its processor time is scaled to the resource of which its waiting tasks
+    take the largest part.
+    """
+    step = job.plan.steps[job.waiting[0].step]
+    size = reserved_size(step.size, step.best_effort)
+    task = _resource_shares(size, capacity)
+    if task.cpu <= 0 or capacity.cpu_milli <= 0:
+        return task.dominant * len(job.waiting) * step.estimate_ms
+    pool_ms = core_ms * 1_000 / capacity.cpu_milli
+    return pool_ms * task.dominant / task.cpu
--- a/sesamehall/reducer/jobs/stream_reading.py
+++ b/sesamehall/reducer/jobs/stream_reading.py
@@ -57,6 +57,7 @@
 from sesamehall.reducer.jobs.queue_pools import record_queue_pools
 from sesamehall.reducer.jobs.queue_pools import request_record_deletions
 from sesamehall.reducer.jobs.runs import schedule_placement
+from sesamehall.reducer.jobs.share_log import manifest_lines
 from sesamehall.reducer.jobs.state_updates import rebuild_pool_index
 from sesamehall.reducer.jobs.storing import QUEUE_KEY_PREFIX
 from sesamehall.reducer.jobs.storing import record_progress
@@ -314,10 +315,11 @@
         shares=_format_quotas(manifest),
     )
     manager = replace(manager, manifest=manifest)
+    lines = (line,) + manifest_lines(manager)
     if not manager.term.epoch:
-        return Step(manager, (line,))
+        return Step(manager, lines)
     manager = request_record_deletions(rebuild_pool_index(manager))
-    step = Step(manager, (line,))
+    step = Step(manager, lines)
     step = then(step, end_jobs_without_attempts, at_ms)
     for pool in sorted(manifest.pools_by_name):
         step = then(step, schedule_placement, pool, at_ms)
@@ -327,7 +329,7 @@
 def _format_quotas(manifest):
     """Format the teams' weights and processor ceilings for the log line."""
     return ",".join(
-        f"{team}:{quota.weight}:{quota.ceiling.cpu_milli}"
+        f"{team}:{quota.weight:g}:{quota.ceiling.cpu_milli}"
         for team, quota in sorted(manifest.quotas_by_team.items())
     )
 
--- a/sesamehall/reducer/jobs/task_placement.py
+++ b/sesamehall/reducer/jobs/task_placement.py
@@ -28,7 +28,10 @@
 from sesamehall.reducer.jobs.queue_pools import request_pool_records
 from sesamehall.reducer.jobs.queueing import available_workers
 from sesamehall.reducer.jobs.queueing import ranked_jobs
+from sesamehall.reducer.jobs.queueing import waiting_jobs
 from sesamehall.reducer.jobs.runs import schedule_placement
+from sesamehall.reducer.jobs.share_accounts import is_sample_due
+from sesamehall.reducer.jobs.share_accounts import sample_shares
 from sesamehall.reducer.jobs.state_updates import charge_run
 from sesamehall.reducer.jobs.state_updates import job_pool
 from sesamehall.reducer.jobs.state_updates import put_worker
@@ -54,6 +57,7 @@
     if not pool or not job_ids or not manager.term.epoch:
         return Step(manager)
     manager = request_pool_records(manager, pool)
+    manager = _sample_shares(manager, pool, at_ms)
     max_tasks = available_orders(manager, pool)
     step = Step(manager)
     assignments = (
@@ -73,6 +77,15 @@
     return Step(step.state, step.effects + (timer,))
 
 
+def _sample_shares(manager, pool, at_ms):
+    """Sample what teams ask for and get of a pool, if that is due."""
+    if not is_sample_due(manager, pool, at_ms):
+        return manager
+    workers = available_workers(manager, pool, at_ms)
+    jobs = waiting_jobs(manager, pool)
+    return sample_shares(manager, pool, workers, jobs, at_ms)
+
+
 def schedule_step_placement(
     manager: ManagerState, name: str, at_ms: int
 ) -> Step:
--- a/sesamehall/reducer/jobs/waiting_log.py
+++ b/sesamehall/reducer/jobs/waiting_log.py
@@ -17,6 +17,7 @@
 from sesamehall.reducer.jobs.queueing import available_workers
 from sesamehall.reducer.jobs.queueing import rank_waiting_jobs
 from sesamehall.reducer.jobs.queueing import waiting_jobs
+from sesamehall.reducer.jobs.share_log import share_lines
 from sesamehall.reducer.jobs.state_updates import pool_workers
 
 
@@ -28,7 +29,8 @@
       pool: Name of a pool with tasks that were not placed.
       at_ms: Current time on the node's clock.
     Returns:
-      A Step with one log line, or without effects.
+      A Step with one log line, and another one if teams share the pool, or
+      without effects.
     """
     logged_ms = manager.waiting_logged_ms_by_pool.get(pool)
     if logged_ms is not None and at_ms - logged_ms < WAITING_LOG_PERIOD_MS:
@@ -70,7 +72,8 @@
         most_free_cpu=max(free_cpu_milli, default=0),
         others=_count_excluded(manager, pool, at_ms),
     )
-    return Step(replace(manager, waiting_logged_ms_by_pool=logged), (line,))
+    lines = (line,) + share_lines(manager, pool, ranking)
+    return Step(replace(manager, waiting_logged_ms_by_pool=logged), lines)
 
 
 def _is_at_ceiling(manager: ManagerState, job: ActiveJob) -> bool:
