Shares: whole jobs by start tags once a pool lacks room

Cause: with deferral alone a share decided little, since ranking seldom defers; late jobs of a team starved behind others' timely ones. Change: each team's jobs are selected within its share, and the team that holds least per weight is next. Debts are signed.

--- a/sesamehall/core/shares.py
+++ b/sesamehall/core/shares.py
@@ -36,7 +36,7 @@
       fair: Part that it is entitled to, at most `asked`.
       used: Part that its running tasks reserve.
       debt_ms: Time integral of what it used beyond `fair`, in milliseconds
-        of the whole pool.
+        of the whole pool; negative if it used less while it waited.
     """
 
     asked: float = 0.0
--- a/sesamehall/reducer/jobs/ranking.py
+++ b/sesamehall/reducer/jobs/ranking.py
@@ -4,9 +4,10 @@
 late. A variant of the Moore-Hodgson algorithm therefore selects jobs that can
 all meet their goals: it adds jobs in order of their goals, and whenever the
 total processor time exceeds what is available before a job's goal, it defers
-a selected job: of the team that is furthest beyond its share the one with the
-lowest value per processor time (see fair_share). If shares decide nothing, all
-jobs count as those of one team.
+the selected job with the lowest value per processor time.
+
+Where several teams ask for more than a pool has, each team's jobs are selected
+within its share of the pool, and shares decide whose job is next.
 
 A job's value is an estimate of what completing it is worth, relative to an
 average job of its queue, whose value is 1. One part is the same for every job,
@@ -15,10 +16,11 @@
 
 from collections.abc import Iterable
 from dataclasses import dataclass
+from heapq import heappop
+from heapq import heappush
 
-from sesamehall.reducer.jobs.fair_share import FairSelection
+from sesamehall.reducer.jobs.fair_share import has_room_for_all
 from sesamehall.reducer.jobs.fair_share import order_by_shares
-from sesamehall.reducer.jobs.fair_share import RankedJob
 from sesamehall.reducer.jobs.fair_share import TeamLoads
 
 FIXED_VALUE_SHARE = 0.3  # part of the value that is the same for every job
@@ -63,23 +65,20 @@
       deferred: Jobs that could meet their goals, but only without some of the
         timely ones.
       late: Jobs that cannot meet their goals any more.
-      rest_job_ids: The deferred and the late jobs, in the order of their
-        teams' shares, and within a team by descending value density.
+      ordered_ids: The jobs that are not long-running, in the order in which
+        their tasks are placed.
     """
 
     long_running: tuple[WaitingJob, ...] = ()
     timely: tuple[WaitingJob, ...] = ()
     deferred: tuple[WaitingJob, ...] = ()
     late: tuple[WaitingJob, ...] = ()
-    rest_job_ids: tuple[str, ...] = ()
+    ordered_ids: tuple[str, ...] = ()
 
     def job_ids(self) -> list[str]:
-        """List the jobs in the order in which their tasks are placed.
-
-        Deferred and late jobs follow the others.
-        """
-        first = [job.job_id for job in self.long_running + self.timely]
-        return first + list(self.rest_job_ids)
+        """List the jobs in the order in which their tasks are placed."""
+        first = [job.job_id for job in self.long_running]
+        return first + list(self.ordered_ids)
 
 
 def rank_jobs(
@@ -111,17 +110,24 @@
             late.append(job)
         else:
             feasible.append(job)
-    selection = FairSelection.begin(loads)
-    timely, deferred = _split(
-        selection, feasible, cores, at_ms, running_core_ms
+    if _is_shared(feasible, loads, at_ms):
+        selected = _select_by_shares(feasible, loads, cores, at_ms)
+    else:
+        selected = _select(feasible, cores, at_ms, running_core_ms)
+    timely = [job for job in feasible if job.job_id in selected]
+    deferred = [job for job in feasible if job.job_id not in selected]
+    rest = sorted(
+        late + deferred, key=lambda job: (-value_density(job), job.job_id)
     )
-    rest = [_ranked(job) for job in late + deferred]
+    ordered_ids = [job.job_id for job in timely + rest]
+    if _is_shared(feasible, loads, at_ms):
+        ordered_ids = order_by_shares(ordered_ids, loads)
     return Ranking(
         tuple(long_running),
         tuple(timely),
         tuple(deferred),
         tuple(late),
-        tuple(order_by_shares(rest, loads, selection.held_ms_by_team)),
+        tuple(ordered_ids),
     )
 
 
@@ -146,25 +152,42 @@
     return (job.priority, job.goal_ms, job.job_id)
 
 
-def _ranked(job):
-    return RankedJob(job.job_id, value_density(job))
+def _is_shared(feasible, loads, at_ms):
+    """Check whether shares decide: teams compete, and some of them must wait.
+
+    That is, there is no room for all before the average job must start.
+    """
+    if len(loads.weight_by_team) < 2:
+        return False
+    slack_ms = sum(
+        job.goal_ms - job.critical_path_ms - at_ms for job in feasible
+    )
+    return not has_room_for_all(loads, slack_ms / max(len(feasible), 1))
+
+
+def _select_by_shares(feasible, loads, cores, at_ms):
+    """Select the jobs of each team that meet their goals within its share."""
+    jobs_by_team: dict[str, list[WaitingJob]] = {}
+    for job in feasible:
+        jobs_by_team.setdefault(loads.team_of(job.job_id), []).append(job)
+    selected: set[str] = set()
+    for team, jobs in jobs_by_team.items():
+        team_cores = cores * loads.fair_by_team.get(team, 1.0)
+        held_core_ms = cores * loads.held_ms_by_team.get(team, 0.0)
+        selected |= _select(jobs, team_cores, at_ms, held_core_ms)
+    return selected
 
 
-def _split(selection, feasible, cores, at_ms, running_core_ms):
-    """Split jobs into those that meet their goals together and the others."""
+def _select(feasible, cores, at_ms, held_core_ms):
+    """Select jobs that meet their goals together, and as many as possible."""
     selected_by_id = {job.job_id: job for job in feasible}
-    total_core_ms = running_core_ms
-    # The minimum avoids a division by zero without available workers.
-    cores = max(cores, 0.001)
+    heap: list[tuple[float, str]] = []
+    total_core_ms = held_core_ms
     for job in sorted(feasible, key=lambda item: item.goal_ms):
-        selection.add(_ranked(job))
+        heappush(heap, (value_density(job), job.job_id))
         total_core_ms += job.core_ms
-        while (
-            at_ms + total_core_ms / cores > job.goal_ms
-            and selection.has_jobs()
-        ):
-            job_id = selection.remove_one()
+        # The minimum avoids a division by zero without available workers.
+        while heap and at_ms + total_core_ms / max(cores, 0.001) > job.goal_ms:
+            _, job_id = heappop(heap)
             total_core_ms -= selected_by_id.pop(job_id).core_ms
-    timely = [item for item in feasible if item.job_id in selected_by_id]
-    deferred = [item for item in feasible if item.job_id not in selected_by_id]
-    return timely, deferred
+    return set(selected_by_id)
--- a/sesamehall/reducer/jobs/share_accounts.py
+++ b/sesamehall/reducer/jobs/share_accounts.py
@@ -112,19 +112,19 @@
         fair_by_team[team] < asked.dominant - ROUNDING_ERROR
         for team, asked in asked_by_team.items()
     )
-    previous = manager.shares_by_pool.get(pool, PoolShares(at_ms))
-    accounts = {}
-    for team, asked in asked_by_team.items():
-        used = used_by_team.get(team, NO_SIZE)
-        account = TeamAccount(
+    accounts = {
+        team: TeamAccount(
             asked=asked.dominant,
             fair=fair_by_team[team],
-            used=_resource_shares(used, capacity).dominant,
+            used=_resource_shares(
+                used_by_team.get(team, NO_SIZE), capacity
+            ).dominant,
         )
-        if contended:
-            debt_ms = _debt_ms(previous, team, account, at_ms)
-            account = replace(account, debt_ms=debt_ms)
-        accounts[team] = account
+        for team, asked in asked_by_team.items()
+    }
+    if contended:
+        previous = manager.shares_by_pool.get(pool, PoolShares(at_ms))
+        accounts = _continue_debts(previous, accounts, at_ms)
     sample = PoolShares(at_ms, contended, Map(accounts))
     shares = manager.shares_by_pool.set(pool, sample)
     return replace(manager, shares_by_pool=shares)
@@ -172,6 +172,11 @@
             team: account.used * remaining_ms + account.debt_ms
             for team, account in accounts.items()
         },
+        fair_by_team={
+            team: account.fair
+            for team, account in accounts.items()
+            if account.fair < account.asked - ROUNDING_ERROR
+        },
     )
 
 
@@ -234,15 +239,27 @@
     return 1.0 if amount else 0.0
 
 
-def _debt_ms(previous, team, account, at_ms):
-    """Continue the time integral of what a team uses beyond its share."""
+def _continue_debts(previous, accounts, at_ms):
+    """Continue the time integrals of what teams use beyond their shares.
+
+    Only what is in use is divided: resources that are just free belong to
+    nobody's debt.
+    """
     elapsed_ms = at_ms - previous.sampled_ms
-    earlier = previous.accounts_by_team.get(team, TeamAccount())
-    debt_ms = earlier.debt_ms
+    earlier_by_team = previous.accounts_by_team
     if elapsed_ms > SAMPLE_EXPIRY_MS:
-        debt_ms, elapsed_ms = 0.0, 0
-    debt_ms += (account.used - account.fair) * elapsed_ms
-    return min(max(debt_ms, 0.0), DEBT_LIMIT_MS * account.fair)
+        elapsed_ms, earlier_by_team = 0, EMPTY_MAP
+    total_used = sum(account.used for account in accounts.values())
+    total_fair = sum(account.fair for account in accounts.values())
+    in_use = total_used / total_fair
+    continued = {}
+    for team, account in accounts.items():
+        debt_ms = earlier_by_team.get(team, TeamAccount()).debt_ms
+        debt_ms += (account.used - in_use * account.fair) * elapsed_ms
+        limit_ms = DEBT_LIMIT_MS * account.fair
+        debt_ms = min(max(debt_ms, -limit_ms), limit_ms)
+        continued[team] = replace(account, debt_ms=debt_ms)
+    return continued
 
 
 def _cost_ms(job, core_ms, capacity):
--- a/sesamehall/reducer/jobs/share_log.py
+++ b/sesamehall/reducer/jobs/share_log.py
@@ -34,7 +34,9 @@
     accounts = sample.accounts_by_team
     teams = sorted(accounts, key=lambda team: (-accounts[team].asked, team))
     timely = _count_by_team(manager, (job.job_id for job in ranking.timely))
-    rest = _count_by_team(manager, ranking.rest_job_ids)
+    rest = _count_by_team(
+        manager, (job.job_id for job in ranking.deferred + ranking.late)
+    )
     shares = ",".join(
         f"{team}:{team_weight(manager.manifest, team):g}"
         f":{_percent(accounts[team].asked)}:{_percent(accounts[team].fair)}"
