--- a/sesamehall/platform/decoders_test.py
+++ b/sesamehall/platform/decoders_test.py
@@ -33,6 +33,7 @@
 from sesamehall.core.fleet import WorkerEntry
 from sesamehall.core.manifest import Manifest
 from sesamehall.core.manifest import Wave
+from sesamehall.core.manifest import WeightDefect
 from sesamehall.core.work import ActiveRun
 from sesamehall.core.work import EndedRun
 from sesamehall.core.work import parse_task_id
@@ -330,3 +331,26 @@
     value = decode_manifest(MANIFEST)
     assert value.team_by_key == Map({"k": "t"})
     assert value.queues_by_name["q"].requires_advice
+
+
+@pytest.mark.parametrize(
+    ("fields", "weight", "defect"),
+    [
+        ({"Weight": 2.5}, 2.5, None),
+        ({}, 1.0, WeightDefect.MISSING),
+        ({"Weight": None}, 1.0, WeightDefect.MISSING),
+        ({"Weight": "many"}, 1.0, WeightDefect.NO_NUMBER),
+        ({"Weight": True}, 1.0, WeightDefect.NO_NUMBER),
+        ({"Weight": float("nan")}, 1.0, WeightDefect.NO_NUMBER),
+        ({"Weight": 0}, 1.0, WeightDefect.NOT_POSITIVE),
+        ({"Weight": -3}, 1.0, WeightDefect.NOT_POSITIVE),
+        ({"Weight": 10**400}, 1_000_000.0, WeightDefect.TOO_LARGE),
+        ({"Weight": float("inf")}, 1_000_000.0, WeightDefect.TOO_LARGE),
+    ],
+    ids=str,
+)
+def test_unusable_weight_does_not_refuse_the_manifest(fields, weight, defect):
+    """One bad weight must not keep a whole manifest from applying."""
+    document = {**MANIFEST, "Tenants": [{"Name": "t", **fields}]}
+    quota = decode_manifest(document).quotas_by_team["t"]
+    assert (quota.weight, quota.weight_defect) == (weight, defect)
