--- a/sesamehall/core/shares.py
+++ b/sesamehall/core/shares.py
@@ -5,6 +5,8 @@
 from immutables import Map
 
 from sesamehall.core.data import EMPTY_MAP
+from sesamehall.core.work import NO_SIZE
+from sesamehall.core.work import Size
 
 
 @dataclass(frozen=True, slots=True)
@@ -51,10 +53,12 @@
 
     Attributes:
       sampled_ms: Time of the sample, on the node's clock.
-      contended: Whether teams ask for more than the pool has.
+      contended: Whether several teams ask for more than the pool has.
+      capacity: What is divided.
       accounts_by_team: Accounts of the teams with waiting or running tasks.
     """
 
     sampled_ms: int
     contended: bool = False
+    capacity: Size = NO_SIZE
     accounts_by_team: Map[str, TeamAccount] = EMPTY_MAP
--- a/sesamehall/reducer/jobs/queueing.py
+++ b/sesamehall/reducer/jobs/queueing.py
@@ -77,7 +77,7 @@
     running_core_ms = used_cores * mean_occupancy_ms(manager, pool) / 2
     waiting = [_waiting_job(manager, job) for job in jobs]
     core_ms_by_job_id = {job.job_id: job.core_ms for job in waiting}
-    loads = team_loads(manager, pool, workers, core_ms_by_job_id)
+    loads = team_loads(manager, pool, core_ms_by_job_id)
     return rank_jobs(waiting, cores, at_ms, running_core_ms, loads)
 
 
--- a/sesamehall/reducer/jobs/share_accounts.py
+++ b/sesamehall/reducer/jobs/share_accounts.py
@@ -108,7 +108,7 @@
         team: team_weight(manager.manifest, team) for team in asked_by_team
     }
     fair_by_team = divide_pool(asked_by_team, weight_by_team)
-    contended = any(
+    contended = len(asked_by_team) > 1 and any(
         fair_by_team[team] < asked.dominant - ROUNDING_ERROR
         for team, asked in asked_by_team.items()
     )
@@ -125,35 +125,29 @@
     if contended:
         previous = manager.shares_by_pool.get(pool, PoolShares(at_ms))
         accounts = _continue_debts(previous, accounts, at_ms)
-    sample = PoolShares(at_ms, contended, Map(accounts))
+    sample = PoolShares(at_ms, contended, capacity, Map(accounts))
     shares = manager.shares_by_pool.set(pool, sample)
     return replace(manager, shares_by_pool=shares)
 
 
 def team_loads(
-    manager: ManagerState,
-    pool: str,
-    workers: Iterable[Worker],
-    core_ms_by_job_id: Mapping[str, float],
+    manager: ManagerState, pool: str, core_ms_by_job_id: Mapping[str, float]
 ) -> TeamLoads:
     """Collect what ranking needs to know of the teams of waiting jobs.
 
     Args:
       manager: State of the leader.
       pool: Name of the pool.
-      workers: Its available workers.
       core_ms_by_job_id: Processor time that each waiting job still needs.
     Returns:
-      The teams; if shares do not apply, all jobs belong to one.
+      The teams; all jobs belong to one while the pool has room for all.
     """
-    if not uses_shares(manager):
+    sample = manager.shares_by_pool.get(pool)
+    if sample is None or not sample.contended or not uses_shares(manager):
         return TeamLoads()
-    capacity = NO_SIZE
-    for worker in workers:
-        capacity = add_size(capacity, worker.entry.capacity)
+    capacity = sample.capacity
+    accounts = sample.accounts_by_team
     jobs = [manager.active_jobs_by_id[job_id] for job_id in core_ms_by_job_id]
-    sample = manager.shares_by_pool.get(pool)
-    accounts = EMPTY_MAP if sample is None else sample.accounts_by_team
     # A task that runs has half of its time left on average.
     remaining_ms = mean_occupancy_ms(manager, pool) / 2
     return TeamLoads(
--- a/sesamehall/reducer/jobs/task_placement.py
+++ b/sesamehall/reducer/jobs/task_placement.py
@@ -82,6 +82,8 @@
     if not is_sample_due(manager, pool, at_ms):
         return manager
     workers = available_workers(manager, pool, at_ms)
+    if not workers:
+        return manager
     jobs = waiting_jobs(manager, pool)
     return sample_shares(manager, pool, workers, jobs, at_ms)
 
