Shares: priorities stand across teams; long-running and repeated jobs cost what waits

Cause: reading the code: start tags went before queues' priorities, and a long-running job's processor time counted as asked. Change: priority, then start tag; long-running jobs cost nothing, repeated ones what waits now. Result: unit tests, one case failing before.

--- a/sesamehall/reducer/jobs/fair_share.py
+++ b/sesamehall/reducer/jobs/fair_share.py
@@ -5,7 +5,6 @@
 is not always the last.
 """
 
-from collections.abc import Iterable
 from collections.abc import Mapping
 from dataclasses import dataclass
 from heapq import heapify
@@ -63,25 +62,29 @@
     return held_ms + sum(loads.cost_ms_by_job_id.values()) <= room_ms
 
 
-def order_by_shares(job_ids: Iterable[str], loads: TeamLoads) -> list[str]:
-    """Order jobs by start tags, and within a team as they are given.
+def order_by_shares(
+    priority_by_job_id: Mapping[str, int], loads: TeamLoads
+) -> list[str]:
+    """Order jobs by priority, by start tags, and within a team as given.
 
     Args:
-      job_ids: Jobs, the most important first.
+      priority_by_job_id: Priorities of the jobs, which are sorted by them; the
+        lowest number goes first.
       loads: Their teams.
     Returns:
-      Their identifiers. The next one is always of the team that holds least
-      per weight, with its jobs so far.
+      Their identifiers. Of the jobs of a priority, the next one is always of
+      the team that holds least per weight, with its jobs so far.
     """
     held_ms = dict(loads.held_ms_by_team)
     jobs_by_team: dict[str, list[tuple[int, str]]] = {}
-    for position, job_id in enumerate(job_ids):
+    for position, job_id in enumerate(priority_by_job_id):
         team = loads.team_of(job_id)
         jobs_by_team.setdefault(team, []).append((position, job_id))
 
     def next_entry(team):
+        position, job_id = jobs_by_team[team][-1]
         tag = held_ms.get(team, 0.0) / loads.weight(team)
-        return (tag, *jobs_by_team[team][-1], team)
+        return (priority_by_job_id[job_id], tag, position, job_id, team)
 
     for jobs in jobs_by_team.values():
         jobs.reverse()
--- a/sesamehall/reducer/jobs/ranking.py
+++ b/sesamehall/reducer/jobs/ranking.py
@@ -110,7 +110,8 @@
             late.append(job)
         else:
             feasible.append(job)
-    if _is_shared(feasible, loads, at_ms):
+    shared = _is_shared(feasible, loads, at_ms)
+    if shared:
         selected = _select_by_shares(feasible, loads, cores, at_ms)
     else:
         selected = _select(feasible, cores, at_ms, running_core_ms)
@@ -120,8 +121,12 @@
         late + deferred, key=lambda job: (-value_density(job), job.job_id)
     )
     ordered_ids = [job.job_id for job in timely + rest]
-    if _is_shared(feasible, loads, at_ms):
-        ordered_ids = order_by_shares(ordered_ids, loads)
+    if shared:
+        # Jobs that are not timely have no priority over any other.
+        last = max((job.priority for job in timely), default=0)
+        priorities = dict.fromkeys(ordered_ids, last)
+        priorities |= {job.job_id: job.priority for job in timely}
+        ordered_ids = order_by_shares(priorities, loads)
     return Ranking(
         tuple(long_running),
         tuple(timely),
--- a/sesamehall/reducer/jobs/share_accounts.py
+++ b/sesamehall/reducer/jobs/share_accounts.py
@@ -147,7 +147,8 @@
         return TeamLoads()
     capacity = sample.capacity
     accounts = sample.accounts_by_team
-    jobs = [manager.active_jobs_by_id[job_id] for job_id in core_ms_by_job_id]
+    waiting = map(manager.active_jobs_by_id.get, core_ms_by_job_id)
+    jobs = [job for job in waiting if not job.plan.steps[0].long_running]
     # A task that runs has half of its time left on average.
     remaining_ms = mean_occupancy_ms(manager, pool) / 2
     return TeamLoads(
@@ -245,7 +246,7 @@
         elapsed_ms, earlier_by_team = 0, EMPTY_MAP
     total_used = sum(account.used for account in accounts.values())
     total_fair = sum(account.fair for account in accounts.values())
-    in_use = total_used / total_fair
+    in_use = total_used / max(total_fair, ROUNDING_ERROR)
     continued = {}
     for team, account in accounts.items():
         debt_ms = earlier_by_team.get(team, TeamAccount()).debt_ms
@@ -265,7 +266,8 @@
     step = job.plan.steps[job.waiting[0].step]
     size = reserved_size(step.size, step.best_effort)
     task = _resource_shares(size, capacity)
-    if task.cpu <= 0 or capacity.cpu_milli <= 0:
+    # The processor time of a job with occurrences is that of all of them.
+    if task.cpu <= 0 or capacity.cpu_milli <= 0 or job.plan.occurrence_count:
         return task.dominant * len(job.waiting) * step.estimate_ms
     pool_ms = core_ms * 1_000 / capacity.cpu_milli
     return pool_ms * task.dominant / task.cpu
--- a/sesamehall/reducer/jobs/share_accounts_test.py
+++ b/sesamehall/reducer/jobs/share_accounts_test.py
@@ -163,20 +163,22 @@
 
 
 @pytest.mark.parametrize(
-    ("pattern", "held_ms", "expected"),
+    ("pattern", "held_ms", "urgent", "expected"),
     [
-        ("by weight", {}, ["a1", "b1", "b2", "b3", "a2"]),
-        ("a holds its share", {"a": 25.0}, ["b1", "b2", "b3", "a1", "a2"]),
-        ("b has a debt", {"b": 90.0}, ["a1", "a2", "b1", "b2", "b3"]),
+        ("by weight", {}, "", ["a1", "b1", "b2", "b3", "a2"]),
+        ("a holds its share", {"a": 25.0}, "", ["b1", "b2", "b3", "a1", "a2"]),
+        ("b has a debt", {"b": 90.0}, "", ["a1", "a2", "b1", "b2", "b3"]),
+        ("priority first", {"a": 25.0}, "a1", ["a1", "b1", "b2", "b3", "a2"]),
     ],
 )
-def test_order_by_start_tags(pattern, held_ms, expected):
+def test_order_by_start_tags(pattern, held_ms, urgent, expected):
     """The first job goes ahead even if it is larger than the share."""
     jobs = ["a1", "a2", "b1", "b2", "b3"]
+    priorities = {job: int(job != urgent) for job in jobs}
     loads = TeamLoads(
         team_by_job_id={job: job[0] for job in jobs},
         cost_ms_by_job_id=dict.fromkeys(jobs, 30.0),
         weight_by_team={"a": 1.0, "b": 3.0},
         held_ms_by_team=held_ms,
     )
-    assert order_by_shares(jobs, loads) == expected
+    assert order_by_shares(priorities, loads) == expected
