--- a/sesamehall/core/logevents.py
+++ b/sesamehall/core/logevents.py
@@ -187,6 +187,15 @@
 )
 DRAIN_COMPLETED = _info(664, "data centre empty", "It runs nothing now.")
 RUN_TIMES_LEARNT = _info(665, "run times learnt")
+TEAMS_SHARE_POOL = _info(670, "teams share a pool")
+WEIGHT_REPLACED = _warning(
+    671, "team weight replaced", "Correct the weight; the one named applies."
+)
+TEAM_GONE_WITH_JOBS = _warning(
+    672,
+    "team gone with jobs",
+    "Cancel its jobs or list it again; they go on with the mean weight.",
+)
 
 NODE_STARTED = _info(900, "node started")
 NODE_STOPPING = _info(901, "node stopping")
