Forward calls to a peer while the store turns this node away

A node that the store rejects (503, 429, reset, silence) refused its callers, although its neighbours reached the store. It now forwards their calls over a stream of its own to a peer that registered in the stream of jobs; the peer serves them as its callers' own. An answer lost halfway stays unclear, a refusal that says "not run" stays true, and no call is forwarded twice. The port is 7001 if the settings' internal ports contain it.

--- a/sesamehall/core/calls.py
+++ b/sesamehall/core/calls.py
@@ -56,6 +56,21 @@
 CallKind = SubmitJob | ShowJob | CancelJob | CountPending
 
 
+@dataclass(frozen=True, slots=True)
+class Forwarding:
+    """How a call came from a peer instead of a caller.
+
+    Attributes:
+      node: Name of the peer.
+      manifest_version: The call must not be judged by an older manifest.
+      deadline_ms: Time at which the peer stops waiting for the answer.
+    """
+
+    node: str
+    manifest_version: int
+    deadline_ms: int
+
+
 @dataclass(frozen=True, slots=True)
 class JobCall:
     """A caller's call.
@@ -67,6 +82,7 @@
       path: Path of the request.
       key: Presented key, or "".
       kind: Kind of the call, with its arguments.
+      forwarded: How it came from a peer, or None for a caller's own call.
     """
 
     call_id: int
@@ -75,6 +91,7 @@
     path: str
     key: str
     kind: CallKind
+    forwarded: Forwarding | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/sesamehall/core/fleet.py
+++ b/sesamehall/core/fleet.py
@@ -205,6 +205,23 @@
     pools: tuple[str, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class PeerNode:
+    """A node's registration for its peers, which may forward calls to it.
+
+    Attributes:
+      name: Name of the node.
+      data_centre: Its data centre.
+      address: "host:port" on which it accepts forwarded calls.
+      token: Secret of its process; it shows that peers can read the store.
+    """
+
+    name: str
+    data_centre: str
+    address: str
+    token: str
+
+
 StoredValue = (
     JobPlan
     | CancelAsked
@@ -216,6 +233,7 @@
     | WaveRecord
     | OrderedMachines
     | QueuePools
+    | PeerNode
     | Manifest
     | Wave
     | WorkerEntry
--- a/sesamehall/core/logevents.py
+++ b/sesamehall/core/logevents.py
@@ -177,6 +177,18 @@
     656, "wave not reported", "Look at the platform's store; it is repeated."
 )
 MACHINE_ANSWER_STALE = _info(657, "stale machine answer")
+CALL_FORWARDED = _info(680, "call forwarded")
+PEER_ANSWERED = _info(681, "peer answered")
+PEER_FAILED = _warning(
+    682, "peer failed", "If many name one peer, look at it and the way there."
+)
+PEER_FRAME_REJECTED = _warning(
+    683, "peer frame rejected", "Find the sender; it is none of the fleet."
+)
+NODE_REGISTERED = _info(684, "node registered for peers")
+PEER_PORT_UNUSABLE = _warning(
+    685, "peer port unusable", "Free the port; serving goes on without peers."
+)
 
 NODE_STARTED = _info(900, "node started")
 NODE_STOPPING = _info(901, "node stopping")
--- a/sesamehall/core/managereffects.py
+++ b/sesamehall/core/managereffects.py
@@ -8,6 +8,9 @@
 from sesamehall.core.fleet import StoredRecord
 from sesamehall.core.fleet import Stream
 from sesamehall.core.fleet import WaveStatus
+from sesamehall.core.peercalls import AnswerPeer
+from sesamehall.core.peercalls import ForwardCall
+from sesamehall.core.peercalls import RegisterNode
 from sesamehall.core.work import JobPlan
 
 
@@ -294,4 +297,7 @@
     | MaintainMachine
     | ReportWave
     | SetReady
+    | ForwardCall
+    | AnswerPeer
+    | RegisterNode
 )
--- a/sesamehall/core/managerevents.py
+++ b/sesamehall/core/managerevents.py
@@ -8,6 +8,8 @@
 from sesamehall.core.fleet import StoredRecord
 from sesamehall.core.fleet import Stream
 from sesamehall.core.fleet import WaveStatus
+from sesamehall.core.peercalls import PeerAnswered
+from sesamehall.core.peercalls import PeerCallReceived
 from sesamehall.core.work import ActiveRun
 from sesamehall.core.work import EndedRun
 
@@ -364,4 +366,6 @@
     | MachinesNotListed
     | MachineAnswered
     | WaveNotReported
+    | PeerCallReceived
+    | PeerAnswered
 )
--- a/sesamehall/core/managerstate.py
+++ b/sesamehall/core/managerstate.py
@@ -9,6 +9,7 @@
 from immutables import Map
 
 from sesamehall.core.calls import JobCall
+from sesamehall.core.codes import ResultCode
 from sesamehall.core.data import EMPTY_MAP
 from sesamehall.core.data import JobPhase
 from sesamehall.core.fleet import CancelAsked
@@ -20,6 +21,8 @@
 from sesamehall.core.jobtiming import LEADER_CORES
 from sesamehall.core.jobtiming import ORDER_WINDOW_INITIAL
 from sesamehall.core.manifest import Manifest
+from sesamehall.core.peercalls import PeerAttempts
+from sesamehall.core.peercalls import PeerState
 from sesamehall.core.work import CompactProgress
 from sesamehall.core.work import JobPlan
 from sesamehall.core.work import Progress
@@ -73,6 +76,8 @@
         one, or -1.
       last_growth_ms: Time at which new records were last read.
       recovered_ms: Time of the first successful read after failures, or -1.
+      sent_ms: Time at which the latest read was sent, or -1.
+      read_ms: Time of the latest successful read, or -1.
     """
 
     next_offset: int = -1
@@ -81,6 +86,8 @@
     failed_ms: int = -1
     last_growth_ms: int = 0
     recovered_ms: int = -1
+    sent_ms: int = -1
+    read_ms: int = -1
 
 
 @dataclass(frozen=True, slots=True)
@@ -173,6 +180,7 @@
     STORING = "storing"
     READING_JOBS = "reading jobs"
     READING_PROGRESS = "reading progress"
+    FORWARDED = "forwarded"
 
 
 @dataclass(frozen=True, slots=True)
@@ -186,6 +194,11 @@
       stage: What the call waits for.
       since_ms: Time at which this stage began.
       deadline_ms: Time at which the call times out.
+      peers: Peers that it was forwarded to; in the stage FORWARDED it waits
+        for them alone.
+      may_be_stored: Whether its record may be stored although neither this
+        node nor a peer has confirmed it.
+      own_failure: How this node failed to serve it, or None before it tried.
     """
 
     call: JobCall
@@ -194,6 +207,9 @@
     stage: CallStage
     since_ms: int
     deadline_ms: int
+    peers: PeerAttempts = PeerAttempts()
+    may_be_stored: bool = False
+    own_failure: ResultCode | None = None
 
 
 @dataclass(frozen=True)
@@ -282,6 +298,7 @@
         flight for, or "".
       wall_offset_ms: Time of day minus the node's clock.
       fleet: Machines and the orders for them.
+      peers: What this node knows of its peers.
     """
 
     name: str
@@ -343,3 +360,4 @@
     advice_in_flight_step: str = ""
     wall_offset_ms: int = 0
     fleet: FleetState = FleetState()
+    peers: PeerState = PeerState()
--- a/sesamehall/platform/application.py
+++ b/sesamehall/platform/application.py
@@ -30,6 +30,10 @@
 from sesamehall.core.managereffects import ThrottleRun
 from sesamehall.core.managereffects import WatchWorker
 from sesamehall.core.managerstate import ManagerState
+from sesamehall.core.peercalls import AnswerPeer
+from sesamehall.core.peercalls import ForwardCall
+from sesamehall.core.peercalls import PeerState
+from sesamehall.core.peercalls import RegisterNode
 from sesamehall.core.state import Identity
 from sesamehall.core.state import State
 from sesamehall.platform.advice import AdviceEffectHandler
@@ -41,6 +45,8 @@
 from sesamehall.platform.listening import Listeners
 from sesamehall.platform.machines import MachineEffectHandler
 from sesamehall.platform.machines import MAX_CONCURRENT_CALLS
+from sesamehall.platform.peers import open_peer_port
+from sesamehall.platform.peers import PeerEffectHandler
 from sesamehall.platform.settings import ProcessSettings
 from sesamehall.platform.storehandler import StoreEffectHandler
 from sesamehall.platform.workers import WorkerClients
@@ -72,6 +78,8 @@
           listeners: Listening sockets for callers and health checks.
         """
         jitter_seed = int.from_bytes(os.urandom(4), "big")
+        incarnation = new_incarnation(settings.name)
+        peer_port = open_peer_port(settings)
         node = Node(
             settings.name,
             NodeKind.MANAGER,
@@ -79,12 +87,13 @@
             settings.front_address,
         )
         state = State(
-            Identity(node, new_incarnation(settings.name)),
+            Identity(node, incarnation),
             manager=ManagerState(
                 settings.name,
                 jitter_seed=jitter_seed,
                 cores=settings.cores,
                 timing=settings.timing,
+                peers=PeerState(None if peer_port is None else peer_port.node),
             ),
         )
         self._event_logger = EventLogger(settings.name, "")
@@ -103,6 +112,11 @@
         self._advice_handler = AdviceEffectHandler(
             settings.advice_address, post_event
         )
+        self._peer_handler = None
+        if peer_port is not None:
+            self._peer_handler = PeerEffectHandler(
+                peer_port, incarnation, post_event
+            )
         cloud_client = HttpClient(
             settings.cloud_api_address, MAX_CONCURRENT_CALLS
         )
@@ -124,6 +138,8 @@
         for server in self._servers():
             server.prepare()
             start_daemon_thread(server.serve, "serve")
+        if self._peer_handler is not None:
+            self._peer_handler.start()
         self._interpreter.post_event(Started(now_ms()))
         self._interpreter.run()
         self._front_server.stop()
@@ -182,6 +198,12 @@
                 self._machine_handler.list_machines(effect)
             case MoveMachine() | MaintainMachine():
                 self._machine_handler.send_order(effect)
+            case ForwardCall():
+                self._peer_handler.forward(effect)
+            case AnswerPeer():
+                self._peer_handler.answer(effect)
+            case RegisterNode():
+                self._store_handler.register_node(effect)
             case SetReady(ready):
                 self._readiness.ready = ready
             case Exit():
--- a/sesamehall/platform/settings.py
+++ b/sesamehall/platform/settings.py
@@ -15,6 +15,7 @@
 from sesamehall.platform.listening import SETTINGS_PATH_VARIABLE
 
 METRICS_PORT = 7000  # must match deploy/system.toml
+PEER_PORT = METRICS_PORT + 1  # for the calls that other managers forward
 
 
 @dataclass(frozen=True, slots=True)
@@ -32,6 +33,8 @@
       advice_address: "host:port" of the advice service, or "".
       timing: Time limits that the platform sets.
       cores: Processor cores that the process may use.
+      peer_address: "host:port" for the calls that other managers forward, or
+        "" if the port is not among the internal ones.
     """
 
     name: str
@@ -44,6 +47,7 @@
     advice_address: str
     timing: Timing
     cores: float = LEADER_CORES
+    peer_address: str = ""
 
 
 def load_settings(environment: Mapping[str, str]) -> ProcessSettings:
@@ -142,6 +146,22 @@
             return LEADER_CORES
         return cpu_share * (core_count or 1)
 
+    def read_peer_address() -> str:
+        ports = _look_up(document, ("InternalPorts",))
+        if ports is None:
+            return ""
+        if not _is_port_range(ports):
+            problems.append(
+                Problem(
+                    Source(file, 1), "InternalPorts", "must be two numbers"
+                )
+            )
+            return ""
+        first, last = ports
+        if not first <= PEER_PORT <= last:
+            return ""
+        return f"{read_string('Ip')}:{PEER_PORT}"
+
     defaults = Timing()
     settings = ProcessSettings(
         name=read_string("Node"),
@@ -164,6 +184,7 @@
             ),
         ),
         cores=read_cores(),
+        peer_address=read_peer_address(),
     )
     if problems:
         raise SettingsError(problems)
@@ -177,6 +198,12 @@
     return 0 <= value <= MAX_INTEGER  # false for NaN
 
 
+def _is_port_range(value):
+    if not isinstance(value, list) or len(value) != 2:
+        return False
+    return all(_is_number(port) for port in value)
+
+
 def _look_up(document, keys):
     for key in keys:
         if not isinstance(document, dict):
--- a/sesamehall/platform/settings_test.py
+++ b/sesamehall/platform/settings_test.py
@@ -37,6 +37,21 @@
         assert decode_settings(document, "node.json").cores == expected
 
 
+@pytest.mark.parametrize(
+    ("ports", "address"),
+    [
+        (None, ""),
+        ([7000, 7015], "10.1.0.1:7001"),
+        ([7001, 7001], "10.1.0.1:7001"),
+        ([7000, 7000], ""),
+        ([8000, 8015], ""),
+    ],
+)
+def test_port_for_peers_is_one_of_the_internal_ones(ports, address):
+    document = {**DOCUMENT, "InternalPorts": ports}
+    assert decode_settings(document, "node.json").peer_address == address
+
+
 @pytest.mark.parametrize(
     ("change", "field"),
     [
@@ -49,6 +64,8 @@
         ({"Advice": "a..b:1"}, "Advice"),
         ({"Bounds": {"MoveS": float("inf")}}, "Bounds.MoveS"),
         ({"Bounds": {"StopMs": -1}}, "Bounds.StopMs"),
+        ({"InternalPorts": [7000]}, "InternalPorts"),
+        ({"InternalPorts": ["7000", 7015]}, "InternalPorts"),
         ({"Limits": {"CpuShare": 0}}, "Limits"),
         ({"Limits": {"CpuShare": float("nan")}}, "Limits"),
     ],
--- a/sesamehall/platform/storehandler.py
+++ b/sesamehall/platform/storehandler.py
@@ -6,7 +6,8 @@
 
 Each stream is read in a thread of its own.  One thread stores callers' jobs
 and cancel requests.  Another writes the leader's records and leadership
-offers.  A third one writes wave statuses, so that they cannot delay these.
+offers.  A third one writes wave statuses and this node's registration, so
+that they cannot delay these.
 """
 
 from collections.abc import Callable
@@ -31,6 +32,7 @@
 from sesamehall.core.managerevents import StreamRead
 from sesamehall.core.managerevents import StreamUnread
 from sesamehall.core.managerevents import WaveNotReported
+from sesamehall.core.peercalls import RegisterNode
 from sesamehall.core.work import CompactProgress
 from sesamehall.core.work import Progress
 from sesamehall.platform.records import encode_record
@@ -51,6 +53,7 @@
 LOGGER = logging.getLogger("sesamehall")
 CANCEL_KEY_SUFFIX = "/cancel"
 CANDIDATE_KEY = "candidate"  # cannot be the identifier of a job
+NODE_KEY_PREFIX = "node/"  # nor can keys that begin so
 RETRY_DELAY_S = 0.05  # between two attempts to write
 # After the last attempt, the leader decides whether to write its records
 # again.
@@ -111,6 +114,19 @@
             lambda: self._store.append(TOPIC_BY_STREAM[Stream.JOBS], record)
         )
 
+    def register_node(self, effect: RegisterNode) -> None:
+        """Write this node's registration to the stream of jobs.
+
+        Args:
+          effect: The registration; it is not retried here, as the node
+            repeats it until it reads it back.
+        """
+        key = NODE_KEY_PREFIX + effect.node.name
+        record = encode_record(StoredRecord(key, effect.node))
+        self._status_executor.submit(
+            lambda: self._store.append(TOPIC_BY_STREAM[Stream.JOBS], record)
+        )
+
     def store_progress(self, effect: StoreProgress) -> None:
         """Store a leader's records; the outcome is posted as an event.
 
--- a/sesamehall/reducer/jobs/stream_reading.py
+++ b/sesamehall/reducer/jobs/stream_reading.py
@@ -13,6 +13,7 @@
 from sesamehall.core.fleet import Leader
 from sesamehall.core.fleet import LeasedWorker
 from sesamehall.core.fleet import OrderedMachines
+from sesamehall.core.fleet import PeerNode
 from sesamehall.core.fleet import QueuePools
 from sesamehall.core.fleet import Stream
 from sesamehall.core.fleet import WaveRecord
@@ -53,6 +54,7 @@
 from sesamehall.reducer.jobs.leadership import claimable_from_ms
 from sesamehall.reducer.jobs.leadership import end_term
 from sesamehall.reducer.jobs.leadership import record_leader
+from sesamehall.reducer.jobs.peer_calls import record_peer
 from sesamehall.reducer.jobs.queue_pools import drop_queue_pools
 from sesamehall.reducer.jobs.queue_pools import record_queue_pools
 from sesamehall.reducer.jobs.queue_pools import request_record_deletions
@@ -123,7 +125,7 @@
         return Step(manager)
     wait_ms = _wait_ms(manager, stream)
     effect = ReadStream(stream, cursor.next_offset, wait_ms)
-    cursor = replace(cursor, read_in_flight=True)
+    cursor = replace(cursor, read_in_flight=True, sent_ms=at_ms)
     return Step(_put_cursor(manager, stream, cursor), (effect,))
 
 
@@ -198,6 +200,8 @@
         known_until_ms=event.known_until_ms,
         last_growth_ms=last_growth_ms,
         recovered_ms=recovered_ms,
+        sent_ms=cursor.sent_ms,
+        read_ms=event.at_ms,
     )
     manager = _put_cursor(manager, stream, cursor)
     manager = replace(manager, wall_offset_ms=event.wall_ms - event.at_ms)
@@ -290,6 +294,8 @@
             return _apply_cancellation(manager, request, at_ms)
         case (Stream.JOBS, Candidate() as candidate):
             return handle_candidate(manager, candidate, at_ms)
+        case (Stream.JOBS, PeerNode() as node):
+            return Step(record_peer(manager, node, at_ms))
         case (Stream.PROGRESS, value):
             return _apply_progress_record(manager, record.key, value, at_ms)
     return Step(manager)
--- a/sesamehall/reducer/manager_reducer.py
+++ b/sesamehall/reducer/manager_reducer.py
@@ -32,6 +32,8 @@
 from sesamehall.core.managerevents import WorkerNotReported
 from sesamehall.core.managerevents import WorkerReported
 from sesamehall.core.managerstate import ManagerState
+from sesamehall.core.peercalls import PeerAnswered
+from sesamehall.core.peercalls import PeerCallReceived
 from sesamehall.core.replacing import replace
 from sesamehall.core.state import State
 from sesamehall.core.step import Step
@@ -49,6 +51,7 @@
 from sesamehall.reducer.jobs.calls import handle_job_stored
 from sesamehall.reducer.jobs.calls import is_manifest_current
 from sesamehall.reducer.jobs.calls import receive_call
+from sesamehall.reducer.jobs.forwarded_calls import handle_peer_answer
 from sesamehall.reducer.jobs.handover import continue_handover
 from sesamehall.reducer.jobs.handover import offer_to_lead
 from sesamehall.reducer.jobs.handover import resign
@@ -60,6 +63,7 @@
 from sesamehall.reducer.jobs.orders import handle_stop_answer
 from sesamehall.reducer.jobs.orders import resend_start
 from sesamehall.reducer.jobs.orders import resend_stop
+from sesamehall.reducer.jobs.peer_calls import register_node
 from sesamehall.reducer.jobs.reports import apply_report
 from sesamehall.reducer.jobs.storing import commit
 from sesamehall.reducer.jobs.stream_reading import apply_stream_read
@@ -113,7 +117,7 @@
             return handle_missing_report(manager, event)
         case TimerFired():
             return _dispatch_timer(manager, event)
-        case JobCalled():
+        case JobCalled() | PeerCallReceived():
             return then(
                 receive_call(manager, event), read_due_streams, event.at_ms
             )
@@ -124,7 +128,11 @@
             step = then(step, claim_if_vacant, event.at_ms)
             return then(step, read_due_streams, event.at_ms)
         case StreamUnread():
-            return handle_stream_read_failure(manager, event)
+            step = handle_stream_read_failure(manager, event)
+            return then(step, advance_calls, event.at_ms)
+        case PeerAnswered():
+            step = handle_peer_answer(manager, event)
+            return then(step, read_due_streams, event.at_ms)
         case JobStored():
             step = handle_job_stored(manager, event)
             return then(step, read_due_streams, event.at_ms)
@@ -183,6 +191,7 @@
     step = then(step, expire_orders, at_ms)
     step = then(step, advance_fleet, at_ms)
     step = then(step, offer_to_lead, at_ms)
+    step = then(step, register_node, at_ms)
     step = then(step, continue_handover, at_ms)
     return then(step, _continue_stop, at_ms)
 
--- a/sesamehall/runtime/effectfailures.py
+++ b/sesamehall/runtime/effectfailures.py
@@ -42,6 +42,9 @@
 from sesamehall.core.managerevents import StreamUnread
 from sesamehall.core.managerevents import WaveNotReported
 from sesamehall.core.managerevents import WorkerNotReported
+from sesamehall.core.peercalls import ForwardCall
+from sesamehall.core.peercalls import PeerAnswered
+from sesamehall.core.peercalls import PeerOutcome
 
 MAX_REASON_CHARS = 200  # errors may quote a document of any length
 
@@ -114,4 +117,9 @@
             )
         case ReportWave(status):
             return WaveNotReported(at_ms, status, reason)
+        case ForwardCall(call, peer):
+            lost = PeerOutcome.LOST
+            return PeerAnswered(
+                at_ms, call.call_id, peer.name, lost, reason=reason
+            )
     return None
