--- a/bench/jobfaults.py
+++ b/bench/jobfaults.py
@@ -240,6 +240,7 @@
     simulation.store.unavailable = False
     for process in simulation.processes_by_name.values():
         process.store_unreachable = False
+        process.store_refuses = False
         process.append_responses_lost = False
         process.append_deliveries.clear()
         process.response_lag_ms = 0
--- a/bench/jobhistories_test.py
+++ b/bench/jobhistories_test.py
@@ -84,6 +84,8 @@
         ("machines", 0, "", False),
         ("machines", 1, "", False),
         ("machines", 421, "", False),
+        ("peers", 5, "", False),
+        ("peers", 1, "", False),
         ("isolation", 0, "", False),
         ("isolation", 1, "", False),
         ("isolation", 38, "", False),
--- a/bench/jobprocesses.py
+++ b/bench/jobprocesses.py
@@ -71,6 +71,7 @@
       timers: Due time of each timer on the manager's clock.
       writer: Its appends as leader.
       store_unreachable: Whether its calls to the store are lost.
+      store_refuses: Whether the store rejects its calls.
       append_responses_lost: Whether its appends take effect but their
         responses are lost.
       append_deliveries: Faults of its next appends, in order, "answered" for
@@ -88,6 +89,7 @@
     timers: dict = field(default_factory=dict)
     writer: ProgressWriter = field(default_factory=ProgressWriter)
     store_unreachable: bool = False
+    store_refuses: bool = False
     append_responses_lost: bool = False
     append_deliveries: deque[str] = field(default_factory=deque)
     unreachable_workers: set[str] = field(default_factory=set)
--- a/bench/jobscenariofaults.py
+++ b/bench/jobscenariofaults.py
@@ -14,6 +14,7 @@
 from bench.jobscenarios import LostConfirmation
 from bench.jobscenarios import MaintenanceWave
 from bench.jobscenarios import ManyEnds
+from bench.jobscenarios import NodesTurnedAway
 from bench.jobscenarios import Scenario
 from bench.jobscenarios import ZonePartition
 from bench.jobworld import JobSimulation
@@ -39,6 +40,8 @@
 WAVE_CHANGE_RANGE_MS = (0, 5_000)  # from the wave until the leader changes
 LOST_RESPONSES_RATE = 0.15  # during a wave
 LOST_RESPONSES_MS = 6_000
+TURNED_AWAY_JOBS = 20
+TURNED_AWAY_RANGE_MS = (2_000, 10_000)
 OUTAGE_RANGE_MS = (1_000, 6_000)
 OUTAGE_DELAY_RANGE_MS = (50, 1_000)  # after a wide job was submitted
 
@@ -96,6 +99,14 @@
                 )
                 simulation.call_later(at_ms + offset_ms, caller.submit)
             simulation.call_later(at_ms, _lose_confirmation, simulation)
+        case NodesTurnedAway():
+            duration_ms = simulation.random.randint(*TURNED_AWAY_RANGE_MS)
+            for _ in range(TURNED_AWAY_JOBS):
+                offset_ms = simulation.random.randrange(duration_ms)
+                simulation.call_later(at_ms + offset_ms, caller.submit)
+            simulation.call_later(
+                at_ms, _turn_nodes_away, simulation, duration_ms
+            )
         case LargeProgress():
             simulation.call_later(at_ms, caller.submit_wide_job)
             simulation.call_later(
@@ -161,6 +172,32 @@
     _cut_workers(simulation, process, simulation.random.randint(*CUT_RANGE_MS))
 
 
+def _turn_nodes_away(simulation: JobSimulation, duration_ms: int) -> None:
+    """Let the store reject some managers, or not answer them.
+
+    In half of the cases one of the others is killed meanwhile.
+    """
+    random = simulation.random
+    processes = list(simulation.processes_by_name.values())
+    random.shuffle(processes)
+    leader = simulation.leader()
+    if leader is not None and random.random() < 0.5:
+        processes.remove(leader)
+        processes.insert(0, leader)
+    affected = max(len(processes) // 3, 1)
+    fault = random.choice(("store_refuses", "store_unreachable"))
+    for process in processes[:affected]:
+        setattr(process, fault, True)
+        simulation.call_later(duration_ms, setattr, process, fault, False)
+    if random.random() < 0.5:
+        simulation.call_later(
+            random.randrange(duration_ms),
+            simulation.kill,
+            processes[-1].name,
+            random.randint(*QUICK_RESTART_RANGE_MS),
+        )
+
+
 def _request_wave(simulation: JobSimulation, number: int) -> None:
     """Request maintenance of all machines, and lose more responses."""
     count = len(simulation.workers_by_address)
--- a/bench/jobscenarios.py
+++ b/bench/jobscenarios.py
@@ -20,11 +20,13 @@
       checkpoints_per_record: Maximum number of checkpoints in a stored
         progress; a larger one cannot be stored.  -1 if runs write none.
       has_machines: Whether the cloud API lists the workers' machines.
+      has_peers: Whether managers forward calls to each other.
     """
 
     ends_per_report: int = ENDS_PER_REPORT
     checkpoints_per_record: int = -1
     has_machines: bool = False
+    has_peers: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -91,6 +93,16 @@
     number: int
 
 
+@dataclass(frozen=True, slots=True)
+class NodesTurnedAway:
+    """The store turns a third of the managers away.
+
+    The leader is one of them in half of the cases.  The store rejects their
+    calls, or does not answer them.  Jobs are submitted meanwhile, and another
+    manager may be killed.
+    """
+
+
 Fault = (
     ZonePartition
     | ManyEnds
@@ -98,6 +110,7 @@
     | LargeProgress
     | MaintenanceWave
     | IsolationInWave
+    | NodesTurnedAway
 )
 
 
@@ -164,4 +177,11 @@
         general_faults=1,
         recovery_ms=LONG_RECOVERY_MS,
     ),
+    "peers": Scenario(
+        limits=Limits(has_peers=True),
+        faults=(NodesTurnedAway(), NodesTurnedAway()),
+        leader_changes=1,
+        general_faults=2,
+        recovery_ms=LONG_RECOVERY_MS,
+    ),
 }
--- a/bench/jobworld.py
+++ b/bench/jobworld.py
@@ -25,6 +25,7 @@
 from bench.jobscenarios import Limits
 from bench.jobstore import JobStore
 from bench.jobworkers import WorkerIncarnation
+from bench.peerlinks import PeerLinks
 from bench.storecalls import StoreCalls
 from bench.workercalls import WorkerCalls
 from sesamehall.core.data import Node
@@ -36,14 +37,18 @@
 from sesamehall.core.events import Started
 from sesamehall.core.events import StopRequested
 from sesamehall.core.events import TimerFired
+from sesamehall.core.fleet import PeerNode
 from sesamehall.core.fleet import StoredRecord
 from sesamehall.core.fleet import Stream
 from sesamehall.core.fleet import WorkerEntry
 from sesamehall.core.managereffects import AnswerCall
+from sesamehall.core.managereffects import AnswerPeer
+from sesamehall.core.managereffects import ForwardCall
 from sesamehall.core.managereffects import ListMachines
 from sesamehall.core.managereffects import MaintainMachine
 from sesamehall.core.managereffects import OfferToLead
 from sesamehall.core.managereffects import ReadStream
+from sesamehall.core.managereffects import RegisterNode
 from sesamehall.core.managereffects import StartRun
 from sesamehall.core.managereffects import StopRun
 from sesamehall.core.managereffects import StoreJob
@@ -52,6 +57,7 @@
 from sesamehall.core.managerevents import MachinesListed
 from sesamehall.core.managerstate import ManagerState
 from sesamehall.core.managerstate import Timing
+from sesamehall.core.peercalls import PeerState
 from sesamehall.core.state import Identity
 from sesamehall.core.state import State
 from sesamehall.core.work import Size
@@ -71,6 +77,7 @@
       store: The store.
       cloud_api: The cloud API, whose list of machines is empty unless the
         limits say that it has machines.
+      peer_links: Carries the calls that managers forward to each other.
       checker: Observes the workers and the callers' answers.
       processes_by_name: Process of each manager.
       workers_by_address: Latest incarnation of the worker at each address.
@@ -106,6 +113,7 @@
         )
         self._worker_calls = WorkerCalls(self)
         self.cloud_api = CloudApi(self)
+        self.peer_links = PeerLinks(self)
         self.store = JobStore(on_append=self._store_calls.notify_readers)
         self.checker = JobChecker(lambda: self.now_ms, max_attempts)
         self.processes_by_name: dict[str, ManagerProcess] = {}
@@ -280,7 +288,13 @@
         jitter_seed = self.random.randrange(1 << 32)
         identity = Identity(Node(name, NodeKind.MANAGER, "dc", ""), name)
         cores = MANAGER_CORES[sum(name.encode()) % len(MANAGER_CORES)]
-        manager = ManagerState(name, jitter_seed, cores, timing=Timing())
+        peers = PeerState()
+        if self._limits.has_peers:
+            token = str(self.random.randrange(1 << 32))
+            peers = PeerState(PeerNode(name, "dc", name, token))
+        manager = ManagerState(
+            name, jitter_seed, cores, timing=Timing(), peers=peers
+        )
         return State(identity, manager=manager)
 
     def _restart(self, process):
@@ -357,6 +371,24 @@
                     process.start_count,
                     effect,
                 )
+            case RegisterNode():
+                self.schedule_call(
+                    process,
+                    self.peer_links.register,
+                    process,
+                    process.start_count,
+                    effect,
+                )
+            case ForwardCall():
+                self.schedule_call(
+                    process,
+                    self.peer_links.forward,
+                    process,
+                    process.start_count,
+                    effect,
+                )
+            case AnswerPeer():
+                self.peer_links.answer(effect)
             case StoreJob():
                 start_count = process.start_count
                 self.schedule_call(
--- a/bench/storecalls.py
+++ b/bench/storecalls.py
@@ -61,7 +61,7 @@
         """
         delivery = delivery or self._simulation.draw_delivery()
         delay_ms = self._simulation.draw_delay_ms()
-        if self._is_rejected():
+        if self._is_rejected(process):
             self._simulation.call_later(
                 delay_ms, on_outcome, StoreOutcome.REFUSED
             )
@@ -165,7 +165,7 @@
                     wait_end_ms - self._simulation.now_ms, try_respond
                 )
 
-        if self._is_rejected():
+        if self._is_rejected(process):
             self._simulation.call_later(
                 self._simulation.draw_delay_ms(), on_outcome, None
             )
@@ -188,10 +188,10 @@
             or self._simulation.store.responses_lost
         )
 
-    def _is_rejected(self):
-        return (
-            self._simulation.store.unavailable
-            and self._simulation.store.rejects_calls
+    def _is_rejected(self, process):
+        store = self._simulation.store
+        return process.store_refuses or (
+            store.unavailable and store.rejects_calls
         )
 
     def notify_readers(self, stream: Stream) -> None:
--- a/sesamehall/platform/settings.py
+++ b/sesamehall/platform/settings.py
@@ -6,6 +6,7 @@
 import os
 
 from sesamehall.codecs.addresses import is_address
+from sesamehall.codecs.addresses import MAX_PORT
 from sesamehall.codecs.jsonfields import MAX_INTEGER
 from sesamehall.core.codes import SettingsError
 from sesamehall.core.data import Problem
@@ -15,7 +16,6 @@
 from sesamehall.platform.listening import SETTINGS_PATH_VARIABLE
 
 METRICS_PORT = 7000  # must match deploy/system.toml
-PEER_PORT = METRICS_PORT + 1  # for the calls that other managers forward
 
 
 @dataclass(frozen=True, slots=True)
@@ -33,8 +33,8 @@
       advice_address: "host:port" of the advice service, or "".
       timing: Time limits that the platform sets.
       cores: Processor cores that the process may use.
-      peer_address: "host:port" for the calls that other managers forward, or
-        "" if the port is not among the internal ones.
+      peer_address: "host:port" for the calls that other managers forward, on
+        the first internal port that metrics do not use, or "" without one.
     """
 
     name: str
@@ -152,15 +152,12 @@
             return ""
         if not _is_port_range(ports):
             problems.append(
-                Problem(
-                    Source(file, 1), "InternalPorts", "must be two numbers"
-                )
+                Problem(Source(file, 1), "InternalPorts", "must be two ports")
             )
             return ""
         first, last = ports
-        if not first <= PEER_PORT <= last:
-            return ""
-        return f"{read_string('Ip')}:{PEER_PORT}"
+        port = first + 1 if first == METRICS_PORT else first
+        return f"{read_string('Ip')}:{port}" if port <= last else ""
 
     defaults = Timing()
     settings = ProcessSettings(
@@ -201,7 +198,7 @@
 def _is_port_range(value):
     if not isinstance(value, list) or len(value) != 2:
         return False
-    return all(_is_number(port) for port in value)
+    return all(type(port) is int and 1 <= port <= MAX_PORT for port in value)
 
 
 def _look_up(document, keys):
