Peers: the third attempt leaves the data centre; failures pause forwarding

Now the third attempt goes to another data centre, and three failures of any kind in a row pause forwarding for 0.5 s. A failed read forwards calls and answers none, so that histories without peers stay as they were.

--- a/sesamehall/core/peercalls.py
+++ b/sesamehall/core/peercalls.py
@@ -205,8 +205,8 @@
       by_name: Registered nodes, including this one.
       avoided_until_ms_by_name: Peers that failed or refused, and the time
         until which no call is forwarded to them.
-      consecutive_refusals: Number of calls in a row that peers refused since
-        they could not serve them.
+      consecutive_failures: Number of calls in a row that peers did not answer
+        or could not serve.
       paused_until_ms: Time until which no call is forwarded at all.
       min_manifest_version: Newest version of the manifest that a peer judged
         a call of this node by.
@@ -216,6 +216,6 @@
     registration_due_ms: int = 0
     by_name: Map[str, KnownPeer] = EMPTY_MAP
     avoided_until_ms_by_name: Map[str, int] = EMPTY_MAP
-    consecutive_refusals: int = 0
+    consecutive_failures: int = 0
     paused_until_ms: int = 0
     min_manifest_version: int = 0
--- a/sesamehall/reducer/jobs/calls.py
+++ b/sesamehall/reducer/jobs/calls.py
@@ -338,11 +338,6 @@
 
 def _advance_call(manager, waiting, at_ms):
     call = waiting.call
-    if not waiting.peers.current and is_turned_away(manager, at_ms):
-        # The record or the read that the call waits for may come too late.
-        step = forward_call(manager, waiting, at_ms)
-        if step is not None:
-            return step
     job_id = waiting.job_id
     known = job_id in manager.team_by_job_id
     match waiting.stage:
--- a/sesamehall/reducer/jobs/forwarded_calls.py
+++ b/sesamehall/reducer/jobs/forwarded_calls.py
@@ -19,10 +19,33 @@
 from sesamehall.reducer.jobs.peer_calls import forward_call
 from sesamehall.reducer.jobs.peer_calls import is_conclusive
 from sesamehall.reducer.jobs.peer_calls import is_inability
+from sesamehall.reducer.jobs.peer_calls import is_turned_away
 from sesamehall.reducer.jobs.peer_calls import is_write
 from sesamehall.reducer.jobs.peer_calls import record_peer_outcome
 
 
+def forward_late_calls(manager: ManagerState, at_ms: int) -> Step:
+    """Forward the calls whose write or read the store seems not to answer.
+
+    Args:
+      manager: State of a manager.
+      at_ms: Current time on the node's clock.
+    Returns:
+      A Step, without effects unless the store turns this node away.
+    """
+    step = Step(manager)
+    if not is_turned_away(manager, at_ms):
+        return step
+    for _, waiting in sorted(manager.calls_by_id.items()):
+        if not waiting.peers.current:
+            step = then(step, _forward_if_possible, waiting, at_ms)
+    return step
+
+
+def _forward_if_possible(manager, waiting, at_ms):
+    return forward_call(manager, waiting, at_ms) or Step(manager)
+
+
 def handle_peer_answer(manager: ManagerState, event: PeerAnswered) -> Step:
     """Pass a peer's answer on, or try another peer.
 
--- a/sesamehall/reducer/jobs/peer_calls.py
+++ b/sesamehall/reducer/jobs/peer_calls.py
@@ -30,7 +30,7 @@
 from sesamehall.core.peercalls import RegisterNode
 from sesamehall.core.peertiming import FORWARDING_PAUSE_MS
 from sesamehall.core.peertiming import MAX_CALLS_PER_PEER
-from sesamehall.core.peertiming import MAX_CONSECUTIVE_REFUSALS
+from sesamehall.core.peertiming import MAX_CONSECUTIVE_FAILURES
 from sesamehall.core.peertiming import MAX_PEERS
 from sesamehall.core.peertiming import MAX_PEERS_PER_CALL
 from sesamehall.core.peertiming import MIN_FORWARD_MS
@@ -167,9 +167,10 @@
 ) -> PeerNode | None:
     """Choose the peer to forward a call to.
 
-    A peer of the same data centre comes first, since traffic between them is
-    expensive, and the leader last, since it has the most work.  Nodes begin
-    at different peers.
+    A peer of the same data centre comes first, since traffic between data
+    centres is expensive, but the last attempt goes to another one, since the
+    store may turn the whole data centre away.  The leader comes last, since it
+    has the most work.  Nodes begin at different peers.
 
     Args:
       manager: State of a manager.
@@ -184,6 +185,7 @@
     if len(attempts.tried) >= MAX_PEERS_PER_CALL:
         return None
     leader_name = "" if manager.leader is None else manager.leader.node
+    prefers_remote = len(attempts.tried) == MAX_PEERS_PER_CALL - 1
     usable = _usable_peers(manager, attempts, at_ms)
     names = sorted(manager.peers.by_name)
     first_index = manager.jitter_seed % max(len(names), 1)
@@ -194,7 +196,7 @@
     return min(
         usable,
         key=lambda peer: (
-            peer.data_centre != own.data_centre,
+            (peer.data_centre != own.data_centre) != prefers_remote,
             peer.name == leader_name,
             distance_by_name[peer.name],
         ),
@@ -229,33 +231,37 @@
       event: The outcome.
     Returns:
       The state.  Peers that failed or refused are avoided for some time.  If
-      several in a row cannot serve, the store seems to be down for all nodes.
+      several do so in a row, the store seems to be down for all nodes, or this
+      node is cut off from its peers as well.
     """
     peers = manager.peers
-    at_ms = event.at_ms
-    if event.outcome is not PeerOutcome.ANSWERED:
-        peers = _avoid(peers, event.peer, at_ms + PEER_FAILED_PAUSE_MS)
-    elif is_inability(event.answer):
-        peers = _avoid(peers, event.peer, at_ms + PEER_REFUSED_PAUSE_MS)
-        refusals = peers.consecutive_refusals + 1
-        peers = replace(peers, consecutive_refusals=refusals)
-        if refusals >= MAX_CONSECUTIVE_REFUSALS:
-            peers = replace(
-                peers,
-                consecutive_refusals=0,
-                paused_until_ms=at_ms + FORWARDING_PAUSE_MS,
-            )
-    elif is_conclusive(event.answer):
+    if is_conclusive(event.answer):
         version = max(peers.min_manifest_version, event.manifest_version)
         peers = replace(
-            peers, consecutive_refusals=0, min_manifest_version=version
+            peers, consecutive_failures=0, min_manifest_version=version
         )
+    else:
+        pause_ms = PEER_FAILED_PAUSE_MS
+        if event.outcome is PeerOutcome.ANSWERED:
+            pause_ms = PEER_REFUSED_PAUSE_MS
+        peers = _avoid(peers, event.peer, pause_ms, event.at_ms)
     return replace(manager, peers=peers)
 
 
-def _avoid(peers, name, until_ms):
-    avoided = peers.avoided_until_ms_by_name.set(name, until_ms)
-    return replace(peers, avoided_until_ms_by_name=avoided)
+def _avoid(peers, name, pause_ms, at_ms):
+    """Avoid a peer, and all of them after several failures in a row."""
+    avoided = peers.avoided_until_ms_by_name.set(name, at_ms + pause_ms)
+    failures = peers.consecutive_failures + 1
+    paused_until_ms = peers.paused_until_ms
+    if failures >= MAX_CONSECUTIVE_FAILURES:
+        failures = 0
+        paused_until_ms = at_ms + FORWARDING_PAUSE_MS
+    return replace(
+        peers,
+        avoided_until_ms_by_name=avoided,
+        consecutive_failures=failures,
+        paused_until_ms=paused_until_ms,
+    )
 
 
 def record_peer(
--- a/sesamehall/reducer/manager_reducer.py
+++ b/sesamehall/reducer/manager_reducer.py
@@ -51,6 +51,7 @@
 from sesamehall.reducer.jobs.calls import handle_job_stored
 from sesamehall.reducer.jobs.calls import is_manifest_current
 from sesamehall.reducer.jobs.calls import receive_call
+from sesamehall.reducer.jobs.forwarded_calls import forward_late_calls
 from sesamehall.reducer.jobs.forwarded_calls import handle_peer_answer
 from sesamehall.reducer.jobs.handover import continue_handover
 from sesamehall.reducer.jobs.handover import offer_to_lead
@@ -129,7 +130,7 @@
             return then(step, read_due_streams, event.at_ms)
         case StreamUnread():
             step = handle_stream_read_failure(manager, event)
-            return then(step, advance_calls, event.at_ms)
+            return then(step, forward_late_calls, event.at_ms)
         case PeerAnswered():
             step = handle_peer_answer(manager, event)
             return then(step, read_due_streams, event.at_ms)
@@ -185,6 +186,7 @@
     timer = SetTimer(ManagerTimer(), at_ms + MANAGER_TICK_MS)
     step = Step(manager, (timer,))
     step = then(step, advance_calls, at_ms)
+    step = then(step, forward_late_calls, at_ms)
     step = then(step, read_due_streams, at_ms)
     step = then(step, _update_readiness, at_ms)
     step = then(step, expire_silent_workers, at_ms)
--- a/soak/cluster.py
+++ b/soak/cluster.py
@@ -448,6 +448,7 @@
             },
             "platform": {"Address": self.store_proxies[index].address},
             "CloudApi": {"Address": self.cloud_proxies[index].address},
+            "InternalPorts": [7000, 7015],
             "Bounds": {"MoveS": MOVE_S, "UpkeepS": MOVE_S},
         }
 
