A peer that cannot serve leaves this node's own refused write certain

While a job's write was in flight, any answer of a peer made the job count as one that may be stored, so that the store's later refusal was told as unclear (3003). Only a lost answer, or a rejection beside the write, does so now.

--- a/sesamehall/reducer/jobs/forwarded_calls.py
+++ b/sesamehall/reducer/jobs/forwarded_calls.py
@@ -61,8 +61,9 @@
     if waiting is None or waiting.peers.current != event.peer:
         return step
     peers = replace(waiting.peers, current="")
-    may_be_stored = waiting.may_be_stored or _may_have_stored(waiting, event)
-    waiting = replace(waiting, peers=peers, may_be_stored=may_be_stored)
+    waiting = replace(
+        waiting, peers=peers, may_be_stored=_may_be_stored(waiting, event)
+    )
     calls = manager.calls_by_id.set(event.call_id, waiting)
     step = Step(replace(manager, calls_by_id=calls), step.effects)
     if is_conclusive(event.answer):
@@ -90,19 +91,21 @@
     return log(PEER_ANSWERED, answer=answer, **details)
 
 
-def _may_have_stored(waiting: WaitingCall, event: PeerAnswered) -> bool:
+def _may_be_stored(waiting: WaitingCall, event: PeerAnswered) -> bool:
     """Check whether a record may be stored that nobody has confirmed.
 
-    The peer may have stored it without its answer, or this node's own write
-    is still on its way beside a rejection by the peer.
+    The peer may have stored it although its answer was lost.  If the peer
+    rejects the call, this node's own write may still be in flight.
     """
-    if not is_write(waiting.call):
-        return False
-    if waiting.stage is CallStage.STORING:
+    if waiting.may_be_stored:
         return True
-    if event.outcome is PeerOutcome.NOT_SENT or is_inability(event.answer):
+    if waiting.stage not in (CallStage.STORING, CallStage.FORWARDED):
+        return False  # the call stores nothing, or its record is stored
+    if not is_write(waiting.call) or is_inability(event.answer):
         return False
-    return not is_conclusive(event.answer)
+    if is_conclusive(event.answer):
+        return waiting.stage is CallStage.STORING
+    return event.outcome is not PeerOutcome.NOT_SENT
 
 
 def _pass_on(manager, waiting, event):
--- a/sesamehall/reducer/jobs/peer_calls_test.py
+++ b/sesamehall/reducer/jobs/peer_calls_test.py
@@ -33,6 +33,7 @@
 from sesamehall.core.managerevents import JobCalled
 from sesamehall.core.managerevents import JobStored
 from sesamehall.core.managerevents import StoreOutcome
+from sesamehall.core.managerevents import StreamRead
 from sesamehall.core.managerevents import StreamUnread
 from sesamehall.core.managerstate import CallStage
 from sesamehall.core.managerstate import ManagerState
@@ -59,6 +60,7 @@
 from sesamehall.reducer.jobs.peer_calls import is_turned_away
 from sesamehall.reducer.jobs.peer_calls import record_peer
 from sesamehall.reducer.jobs.peer_calls import register_node
+from sesamehall.reducer.jobs.stream_reading import apply_stream_read
 from sesamehall.reducer.jobs.stream_reading import handle_stream_read_failure
 from sesamehall.reducer.jobs.stream_reading import read_due_streams
 from sesamehall.reducer.jobs.testing import build_manifest
@@ -432,6 +434,21 @@
             ],
             UNCLEAR,
         ),
+        (
+            [
+                *[answered(peer, INABLE) for peer in SENT_TO],
+                JobStored(NOW_MS, 1, StoreOutcome.REFUSED),
+            ],
+            UNSTORED,
+        ),
+        (
+            [
+                failed(LOCAL[0], PeerOutcome.LOST),
+                *[answered(peer, INABLE) for peer in SENT_TO[1:]],
+                JobStored(NOW_MS, 1, StoreOutcome.REFUSED),
+            ],
+            UNCLEAR,
+        ),
     ],
     ids=[
         "peer accepts",
@@ -439,6 +456,8 @@
         "own write succeeds first",
         "own write refused, peer refuses",
         "own write unclear, peer refuses",
+        "peers cannot serve, own write refused",
+        "answer of a peer lost, own write refused",
     ],
 )
 def test_peer_is_asked_while_the_own_write_is_late(events, answer):
@@ -458,6 +477,22 @@
     assert answer_of(step) == answer
 
 
+# The request is stored already, so a lost answer leaves nothing open.
+def test_peer_is_asked_whose_job_a_stored_cancel_request_is_about():
+    step = receive(build_manager(failed_ago_ms=None), CancelJob())
+    manager = step.state
+    cursor = replace(manager.progress_cursor, failed_ms=NOW_MS)
+    stored = JobStored(NOW_MS, 1, StoreOutcome.STORED)
+    step = handle_job_stored(replace(manager, progress_cursor=cursor), stored)
+    assert forwarded_to(step) == LOCAL[0]
+    lost = failed(LOCAL[0], PeerOutcome.LOST)
+    manager = handle_peer_answer(step.state, lost).state
+    read = StreamRead(NOW_MS + 5, NOW_MS + 5, 0, Stream.JOBS, (), 1, False)
+    manager = apply_stream_read(manager, read).state
+    step = advance_calls(manager, NOW_MS + 5)
+    assert answer_of(step) == Rejected(NO_SUCH_JOB)
+
+
 @pytest.mark.parametrize(
     ("kind", "answer"),
     [(SUBMIT, UNCLEAR), (CancelJob(), UNCLEAR), (ShowJob(), INABLE)],
