Confirm the manifest before it is too old to judge calls by

A read that waited and returned records shows that nothing newer was stored when it was sent; the next one waited for 1 s whatever the age was. Now it waits until 0.4 s before the bound, and not at all if that is over.

--- a/sesamehall/core/jobtiming.py
+++ b/sesamehall/core/jobtiming.py
@@ -13,6 +13,7 @@
 WORKERS_PERIOD_MS = 150  # the leader reads registrations: 2 ticks
 # A manifest read longer ago authorizes no calls: its keys may be withdrawn.
 MANIFEST_MAX_AGE_MS = 1_800
+MANIFEST_AGE_MARGIN_MS = 400  # for the answer to a read that confirms it
 
 LEADER_TIMEOUT_MS = 1_200  # a leader that writes no records is replaced
 # Delay of a claim by a node without cores, in proportion for one with fewer
--- a/sesamehall/reducer/jobs/stream_reading.py
+++ b/sesamehall/reducer/jobs/stream_reading.py
@@ -21,6 +21,8 @@
 from sesamehall.core.fleetstate import WaveProgress
 from sesamehall.core.jobtiming import JOBS_PERIOD_MS
 from sesamehall.core.jobtiming import JOBS_WAIT_MS
+from sesamehall.core.jobtiming import MANIFEST_AGE_MARGIN_MS
+from sesamehall.core.jobtiming import MANIFEST_MAX_AGE_MS
 from sesamehall.core.jobtiming import OPERATOR_WAIT_MS
 from sesamehall.core.jobtiming import PROGRESS_PERIOD_MS
 from sesamehall.core.jobtiming import STREAM_READ_RETRY_MS
@@ -123,7 +125,7 @@
             return Step(manager)
     elif not _is_due(manager, stream, cursor, at_ms):
         return Step(manager)
-    wait_ms = _wait_ms(manager, stream)
+    wait_ms = _wait_ms(manager, stream, at_ms)
     effect = ReadStream(stream, cursor.next_offset, wait_ms)
     cursor = replace(cursor, read_in_flight=True, sent_ms=at_ms)
     return Step(_put_cursor(manager, stream, cursor), (effect,))
@@ -167,15 +169,28 @@
     return any(call.stage is stage for call in manager.calls_by_id.values())
 
 
-def _wait_ms(manager, stream):
+def _wait_ms(manager, stream, at_ms):
     match stream:
         case Stream.OPERATOR:
-            return OPERATOR_WAIT_MS
+            return _operator_wait_ms(manager, at_ms)
         case Stream.JOBS if manager.term.epoch:
             return JOBS_WAIT_MS
     return 0
 
 
+def _operator_wait_ms(manager, at_ms):
+    """Compute how long to wait for a new manifest.
+
+    A read that returns records shows only that nothing newer was stored when
+    it was sent, and a read without records that nothing was stored until its
+    wait ended.  So the wait ends before the manifest is too old; if it is
+    already, as after an outage of the store, the read does not wait.
+    """
+    age_ms = at_ms - manager.operator_cursor.known_until_ms
+    left_ms = MANIFEST_MAX_AGE_MS - MANIFEST_AGE_MARGIN_MS - age_ms
+    return max(min(left_ms, OPERATOR_WAIT_MS), 0)
+
+
 def apply_stream_read(manager: ManagerState, event: StreamRead) -> Step:
     """Apply the records that were read from a stream.
 
--- a/sesamehall/reducer/jobs/stream_reading_test.py
+++ b/sesamehall/reducer/jobs/stream_reading_test.py
@@ -10,11 +10,15 @@
 from sesamehall.core.fleet import StoredRecord
 from sesamehall.core.fleet import Stream
 from sesamehall.core.logevents import RECORD_NOT_APPLIED
+from sesamehall.core.managereffects import ReadStream
 from sesamehall.core.managerevents import StreamRead
 from sesamehall.core.managerstate import ManagerState
+from sesamehall.core.managerstate import StreamCursor
+from sesamehall.core.replacing import replace
 from sesamehall.core.work import JobPlan
 from sesamehall.reducer.jobs.leases import is_resigning
 from sesamehall.reducer.jobs.stream_reading import apply_stream_read
+from sesamehall.reducer.jobs.stream_reading import read_due_streams
 from sesamehall.reducer.jobs.testing import build_leader
 from sesamehall.reducer.jobs.testing import build_plan
 from sesamehall.reducer.jobs.testing import effects_of
@@ -122,3 +126,33 @@
     manager = read_jobs(manager, *records).state
     assert (JOB_ID in manager.cancelled_by_job_id) is cancelled
     assert not manager.early_cancels_by_job_id
+
+
+# Guards against refusals by all nodes after a change of the manifest: a read
+# that waited for 0.9 s returned it, which made it known until the read was
+# sent, and the next read would wait beyond the age at which it is too old.
+# After an outage of the store, the first read would wait for 1 s as well.
+@pytest.mark.parametrize(
+    ("known_ago_ms", "wait_ms"),
+    [
+        (0, 1_000),
+        (400, 1_000),
+        (900, 500),
+        (1_399, 1),
+        (1_400, 0),
+        (5_000, 0),
+    ],
+)
+@pytest.mark.parametrize("failed_ms", [-1, NOW_MS - 250])
+def test_manifest_is_confirmed_before_it_is_too_old(
+    known_ago_ms, wait_ms, failed_ms
+):
+    cursor = StreamCursor(5, known_until_ms=NOW_MS - known_ago_ms)
+    cursor = replace(cursor, failed_ms=failed_ms)
+    manager = ManagerState("edge-1", operator_cursor=cursor)
+    step = read_due_streams(manager, NOW_MS)
+    assert [
+        effect.wait_ms
+        for effect in effects_of(step, ReadStream)
+        if effect.stream is Stream.OPERATOR
+    ] == [wait_ms]
