Peers: those that failed when last tried come last

A third of the peers are turned away as well, each is tried again after 1 s, and three failures in a row paused forwarding for 0.5 s. Now a peer that served comes before one that failed, and six failures in a row pause it.

--- a/sesamehall/core/peercalls.py
+++ b/sesamehall/core/peercalls.py
@@ -203,8 +203,8 @@
       registration_due_ms: Time of the next attempt to register, or 0 before
         the first is scheduled.
       by_name: Registered nodes, including this one.
-      avoided_until_ms_by_name: Peers that failed or refused, and the time
-        until which no call is forwarded to them.
+      avoided_until_ms_by_name: Peers that failed or refused when they were
+        last tried, and the time until which no call is forwarded to them.
       consecutive_failures: Number of calls in a row that peers did not answer
         or could not serve.
       paused_until_ms: Time until which no call is forwarded at all.
--- a/sesamehall/core/peertiming.py
+++ b/sesamehall/core/peertiming.py
@@ -10,7 +10,7 @@
 PEER_REPLY_MARGIN_MS = 50  # of that, for the way there and back
 PEER_REFUSED_PAUSE_MS = 1_000  # until a peer that could not serve is retried
 PEER_FAILED_PAUSE_MS = 3_000  # until a peer that did not reply is retried
-MAX_CONSECUTIVE_FAILURES = 3  # then the store seems to be down for all nodes
+MAX_CONSECUTIVE_FAILURES = 6  # then the store seems to be down for all nodes
 FORWARDING_PAUSE_MS = 500  # and no call is forwarded for this long
 
 REGISTRATION_JITTER_MS = 2_000  # spreads the first registrations
--- a/sesamehall/reducer/jobs/peer_calls.py
+++ b/sesamehall/reducer/jobs/peer_calls.py
@@ -43,6 +43,7 @@
 from sesamehall.core.peertiming import REGISTRATION_RETRY_MS
 from sesamehall.core.replacing import replace
 from sesamehall.core.step import Step
+from sesamehall.reducer.counts import drop_key
 
 # Answers by which a peer says that it has done nothing and cannot serve.
 INABILITY_CODES = (NOT_READY, LOG_UNREACHABLE)
@@ -169,7 +170,8 @@
 
     A peer of the same data centre comes first, since traffic between data
     centres is expensive, but the last attempt goes to another one, since the
-    store may turn the whole data centre away.  The leader comes last, since it
+    store may turn the whole data centre away.  Of these, peers that failed
+    when they were last tried come last, and before them the leader, since it
     has the most work.  Nodes begin at different peers.
 
     Args:
@@ -197,6 +199,7 @@
         usable,
         key=lambda peer: (
             (peer.data_centre != own.data_centre) != prefers_remote,
+            peer.name in manager.peers.avoided_until_ms_by_name,
             peer.name == leader_name,
             distance_by_name[peer.name],
         ),
@@ -238,7 +241,12 @@
     if is_conclusive(event.answer):
         version = max(peers.min_manifest_version, event.manifest_version)
         peers = replace(
-            peers, consecutive_failures=0, min_manifest_version=version
+            peers,
+            avoided_until_ms_by_name=drop_key(
+                peers.avoided_until_ms_by_name, event.peer
+            ),
+            consecutive_failures=0,
+            min_manifest_version=version,
         )
     else:
         pause_ms = PEER_FAILED_PAUSE_MS
@@ -284,8 +292,8 @@
     by_name = by_name.set(node.name, KnownPeer(node, at_ms))
     known = peers.by_name.get(node.name)
     avoided = peers.avoided_until_ms_by_name
-    if known is not None and known.node != node and node.name in avoided:
-        avoided = avoided.delete(node.name)  # its process has restarted
+    if known is not None and known.node != node:  # its process has restarted
+        avoided = drop_key(avoided, node.name)
     peers = replace(peers, by_name=by_name, avoided_until_ms_by_name=avoided)
     return replace(manager, peers=peers)
 
