--- a/bench/jobscenarios.py
+++ b/bench/jobscenarios.py
@@ -30,6 +30,7 @@
         in its data centre, or 0 for no limit.
       start_clocks: Whether the answers to start orders have the worker's
         clock; run times are measured only then.
+      has_peers: Whether managers forward calls to each other.
     """
 
     ends_per_report: int = ENDS_PER_REPORT
@@ -39,6 +40,7 @@
     data_centres: int = 1
     drain_within_ms: int = 0
     start_clocks: bool = False
+    has_peers: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -122,6 +124,16 @@
     """
 
 
+@dataclass(frozen=True, slots=True)
+class NodesTurnedAway:
+    """The store turns a third of the managers away.
+
+    The leader is one of them in half of the cases.  The store rejects their
+    calls, or does not answer them.  Jobs are submitted meanwhile, and another
+    manager may be killed.
+    """
+
+
 Fault = (
     ZonePartition
     | ManyEnds
@@ -131,6 +143,7 @@
     | IsolationInWave
     | QueueMoves
     | DrainedDataCentre
+    | NodesTurnedAway
 )
 
 
@@ -211,4 +224,11 @@
         general_faults=2,
         recovery_ms=LONG_RECOVERY_MS,
     ),
+    "peers": Scenario(
+        limits=Limits(has_peers=True),
+        faults=(NodesTurnedAway(), NodesTurnedAway()),
+        leader_changes=1,
+        general_faults=2,
+        recovery_ms=LONG_RECOVERY_MS,
+    ),
 }
--- a/bench/jobworld.py
+++ b/bench/jobworld.py
@@ -26,6 +26,7 @@
 from bench.jobscenarios import Limits
 from bench.jobstore import JobStore
 from bench.jobworkers import WorkerIncarnation
+from bench.peerlinks import PeerLinks
 from bench.storecalls import StoreCalls
 from bench.workercalls import WorkerCalls
 from sesamehall.core.data import Node
@@ -37,14 +38,18 @@
 from sesamehall.core.events import Started
 from sesamehall.core.events import StopRequested
 from sesamehall.core.events import TimerFired
+from sesamehall.core.fleet import PeerNode
 from sesamehall.core.fleet import StoredRecord
 from sesamehall.core.fleet import Stream
 from sesamehall.core.fleet import WorkerEntry
 from sesamehall.core.managereffects import AnswerCall
+from sesamehall.core.managereffects import AnswerPeer
+from sesamehall.core.managereffects import ForwardCall
 from sesamehall.core.managereffects import ListMachines
 from sesamehall.core.managereffects import MaintainMachine
 from sesamehall.core.managereffects import OfferToLead
 from sesamehall.core.managereffects import ReadStream
+from sesamehall.core.managereffects import RegisterNode
 from sesamehall.core.managereffects import StartRun
 from sesamehall.core.managereffects import StopRun
 from sesamehall.core.managereffects import StoreJob
@@ -53,6 +58,7 @@
 from sesamehall.core.managerevents import MachinesListed
 from sesamehall.core.managerstate import ManagerState
 from sesamehall.core.managerstate import Timing
+from sesamehall.core.peercalls import PeerState
 from sesamehall.core.state import Identity
 from sesamehall.core.state import State
 from sesamehall.core.work import Size
@@ -73,6 +79,7 @@
       store: The store.
       cloud_api: The cloud API, whose list of machines is empty unless the
         limits say that it has machines.
+      peer_links: Carries the calls that managers forward to each other.
       checker: Observes the workers and the callers' answers.
       processes_by_name: Process of each manager.
       workers_by_address: Latest incarnation of the worker at each address.
@@ -108,6 +115,7 @@
         )
         self._worker_calls = WorkerCalls(self, limits.start_clocks)
         self.cloud_api = CloudApi(self)
+        self.peer_links = PeerLinks(self)
         self.store = JobStore(on_append=self._store_calls.notify_readers)
         self.checker = JobChecker(lambda: self.now_ms, max_attempts)
         self.checker.max_drain_delay_ms = max_drain_delay_ms(limits)
@@ -294,7 +302,13 @@
         identity = Identity(Node(name, NodeKind.MANAGER, "dc", ""), name)
         cores = MANAGER_CORES[sum(name.encode()) % len(MANAGER_CORES)]
         timing = Timing(drain_within_ms=self.limits.drain_within_ms)
-        manager = ManagerState(name, jitter_seed, cores, timing=timing)
+        peers = PeerState()
+        if self.limits.has_peers:
+            token = str(self.random.randrange(1 << 32))
+            peers = PeerState(PeerNode(name, "dc", name, token))
+        manager = ManagerState(
+            name, jitter_seed, cores, timing=timing, peers=peers
+        )
         return State(identity, manager=manager)
 
     def _restart(self, process):
@@ -371,6 +385,24 @@
                     process.start_count,
                     effect,
                 )
+            case RegisterNode():
+                self.schedule_call(
+                    process,
+                    self.peer_links.register,
+                    process,
+                    process.start_count,
+                    effect,
+                )
+            case ForwardCall():
+                self.schedule_call(
+                    process,
+                    self.peer_links.forward,
+                    process,
+                    process.start_count,
+                    effect,
+                )
+            case AnswerPeer():
+                self.peer_links.answer(effect)
             case StoreJob():
                 start_count = process.start_count
                 self.schedule_call(
--- a/sesamehall/core/fleet.py
+++ b/sesamehall/core/fleet.py
@@ -229,6 +229,23 @@
     within_count: int
 
 
+@dataclass(frozen=True, slots=True)
+class PeerNode:
+    """A node's registration for its peers, which may forward calls to it.
+
+    Attributes:
+      name: Name of the node.
+      data_centre: Its data centre.
+      address: "host:port" on which it accepts forwarded calls.
+      token: Secret of its process; it shows that peers can read the store.
+    """
+
+    name: str
+    data_centre: str
+    address: str
+    token: str
+
+
 StoredValue = (
     JobPlan
     | CancelAsked
@@ -241,6 +258,7 @@
     | OrderedMachines
     | QueuePools
     | RunTimesRecord
+    | PeerNode
     | Manifest
     | Wave
     | DrainRequest
--- a/sesamehall/core/logevents.py
+++ b/sesamehall/core/logevents.py
@@ -196,6 +196,18 @@
     "team gone with jobs",
     "Cancel its jobs or list it again; they go on with the mean weight.",
 )
+CALL_FORWARDED = _info(680, "call forwarded")
+PEER_ANSWERED = _info(681, "peer answered")
+PEER_FAILED = _warning(
+    682, "peer failed", "If many name one peer, look at it and the way there."
+)
+PEER_FRAME_REJECTED = _warning(
+    683, "peer frame rejected", "Find the sender; it is none of the fleet."
+)
+NODE_REGISTERED = _info(684, "node registered for peers")
+PEER_PORT_UNUSABLE = _warning(
+    685, "peer port unusable", "Free the port; serving goes on without peers."
+)
 
 NODE_STARTED = _info(900, "node started")
 NODE_STOPPING = _info(901, "node stopping")
--- a/sesamehall/core/managerstate.py
+++ b/sesamehall/core/managerstate.py
@@ -9,6 +9,7 @@
 from immutables import Map
 
 from sesamehall.core.calls import JobCall
+from sesamehall.core.codes import ResultCode
 from sesamehall.core.data import EMPTY_MAP
 from sesamehall.core.data import JobPhase
 from sesamehall.core.draining import DrainingState
@@ -21,6 +22,8 @@
 from sesamehall.core.jobtiming import LEADER_CORES
 from sesamehall.core.jobtiming import ORDER_WINDOW_INITIAL
 from sesamehall.core.manifest import Manifest
+from sesamehall.core.peercalls import PeerAttempts
+from sesamehall.core.peercalls import PeerState
 from sesamehall.core.runtimes import QueueRunTimes
 from sesamehall.core.shares import PoolShares
 from sesamehall.core.work import CompactProgress
@@ -81,6 +84,8 @@
         one, or -1.
       last_growth_ms: Time at which new records were last read.
       recovered_ms: Time of the first successful read after failures, or -1.
+      sent_ms: Time at which the latest read was sent, or -1.
+      read_ms: Time of the latest successful read, or -1.
     """
 
     next_offset: int = -1
@@ -89,6 +94,8 @@
     failed_ms: int = -1
     last_growth_ms: int = 0
     recovered_ms: int = -1
+    sent_ms: int = -1
+    read_ms: int = -1
 
 
 @dataclass(frozen=True, slots=True)
@@ -181,6 +188,7 @@
     STORING = "storing"
     READING_JOBS = "reading jobs"
     READING_PROGRESS = "reading progress"
+    FORWARDED = "forwarded"
 
 
 @dataclass(frozen=True, slots=True)
@@ -194,6 +202,11 @@
       stage: What the call waits for.
       since_ms: Time at which this stage began.
       deadline_ms: Time at which the call times out.
+      peers: Peers that it was forwarded to; in the stage FORWARDED it waits
+        for them alone.
+      may_be_stored: Whether its record may be stored although neither this
+        node nor a peer has confirmed it.
+      own_failure: How this node failed to serve it, or None before it tried.
     """
 
     call: JobCall
@@ -202,6 +215,9 @@
     stage: CallStage
     since_ms: int
     deadline_ms: int
+    peers: PeerAttempts = PeerAttempts()
+    may_be_stored: bool = False
+    own_failure: ResultCode | None = None
 
 
 @dataclass(frozen=True)
@@ -294,6 +310,7 @@
       wall_offset_ms: Time of day minus the node's clock.
       fleet: Machines and the orders for them.
       draining: Data centres in which nothing may be started.
+      peers: What this node knows of its peers.
     """
 
     name: str
@@ -358,3 +375,4 @@
     wall_offset_ms: int = 0
     fleet: FleetState = FleetState()
     draining: DrainingState = DrainingState()
+    peers: PeerState = PeerState()
--- a/sesamehall/core/manifest.py
+++ b/sesamehall/core/manifest.py
@@ -73,15 +73,15 @@
     Attributes:
       team: Name of the team.
       weight: Relative share when a pool is full, above 0.
-      weight_defect: Why the manifest's weight was replaced, or None.
       ceiling: Maximum resources of its running tasks; 0 in a field means no
         limit.
+      weight_defect: Why the manifest's weight was replaced, or None.
     """
 
     team: str
     weight: float = 1.0
-    weight_defect: WeightDefect | None = None
     ceiling: Size = NO_SIZE
+    weight_defect: WeightDefect | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/sesamehall/core/manifestfindings.py
+++ b/sesamehall/core/manifestfindings.py
@@ -83,10 +83,11 @@
 
 
 @dataclass(frozen=True, slots=True)
-class WeightIgnored:
-    """A team whose weight is not a positive number and so counts as 1."""
+class WeightReplaced:
+    """A team whose weight cannot be used, and what is used instead."""
 
     team: str
+    used: float
 
 
 @dataclass(frozen=True, slots=True)
@@ -227,7 +228,7 @@
     | StandbyIgnored
     | TeamWithoutKeys
     | KeyShared
-    | WeightIgnored
+    | WeightReplaced
     | WaveTooShort
     | WaveUnlimited
     | MachineRepeated
--- a/sesamehall/platform/manifestfile.py
+++ b/sesamehall/platform/manifestfile.py
@@ -36,7 +36,7 @@
 from sesamehall.core.manifestfindings import VersionNotNewer
 from sesamehall.core.manifestfindings import WaveTooShort
 from sesamehall.core.manifestfindings import WaveUnlimited
-from sesamehall.core.manifestfindings import WeightIgnored
+from sesamehall.core.manifestfindings import WeightReplaced
 from sesamehall.platform.operatordecoding import decode_manifest
 from sesamehall.platform.operatordecoding import decode_wave
 
@@ -92,7 +92,7 @@
 
 
 def ignored_values(file: OperatorFile) -> list[ManifestFinding]:
-    """Find values of a manifest's file that its decoding replaces or drops.
+    """Find values of a manifest's file that its decoding drops.
 
     Args:
       file: A file with a manifest.
@@ -154,9 +154,6 @@
     team_by_key: dict[str, str] = {}
     for tenant in document.get("Tenants") or ():
         team = tenant["Name"]
-        weight = tenant.get("Weight")
-        if weight is not None and int(weight) < 1:
-            yield WeightIgnored(team)
         for key in tenant.get("ApiKeys") or ():
             if not isinstance(key, str):
                 continue  # authorizes nobody
@@ -182,7 +179,7 @@
             return _entry_field(document, "Services", pool, "Standby")
         case TeamWithoutKeys(team) | KeyShared(team):
             return _entry_field(document, "Tenants", team, "ApiKeys")
-        case WeightIgnored(team):
+        case WeightReplaced(team):
             return _entry_field(document, "Tenants", team, "Weight")
         case WaveTooShort():
             return "CompleteByS"
--- a/sesamehall/platform/settings.py
+++ b/sesamehall/platform/settings.py
@@ -6,6 +6,7 @@
 import os
 
 from sesamehall.codecs.addresses import is_address
+from sesamehall.codecs.addresses import MAX_PORT
 from sesamehall.codecs.jsonfields import MAX_INTEGER
 from sesamehall.core.codes import SettingsError
 from sesamehall.core.data import Problem
@@ -32,6 +33,8 @@
       advice_address: "host:port" of the advice service, or "".
       timing: Time limits that the platform sets.
       cores: Processor cores that the process may use.
+      peer_address: "host:port" for the calls that other managers forward, on
+        the first internal port that metrics do not use, or "" without one.
     """
 
     name: str
@@ -44,6 +47,7 @@
     advice_address: str
     timing: Timing
     cores: float = LEADER_CORES
+    peer_address: str = ""
 
 
 def load_settings(environment: Mapping[str, str]) -> ProcessSettings:
@@ -142,6 +146,19 @@
             return LEADER_CORES
         return cpu_share * (core_count or 1)
 
+    def read_peer_address() -> str:
+        ports = _look_up(document, ("InternalPorts",))
+        if ports is None:
+            return ""
+        if not _is_port_range(ports):
+            problems.append(
+                Problem(Source(file, 1), "InternalPorts", "must be two ports")
+            )
+            return ""
+        first, last = ports
+        port = first + 1 if first == METRICS_PORT else first
+        return f"{read_string('Ip')}:{port}" if port <= last else ""
+
     defaults = Timing()
     settings = ProcessSettings(
         name=read_string("Node"),
@@ -166,6 +183,7 @@
             max_stretch_ms=read_ms("MaxStretchMs", defaults.max_stretch_ms),
         ),
         cores=read_cores(),
+        peer_address=read_peer_address(),
     )
     if problems:
         raise SettingsError(problems)
@@ -179,6 +197,12 @@
     return 0 <= value <= MAX_INTEGER  # false for NaN
 
 
+def _is_port_range(value):
+    if not isinstance(value, list) or len(value) != 2:
+        return False
+    return all(type(port) is int and 1 <= port <= MAX_PORT for port in value)
+
+
 def _look_up(document, keys):
     for key in keys:
         if not isinstance(document, dict):
--- a/sesamehall/platform/settings_test.py
+++ b/sesamehall/platform/settings_test.py
@@ -52,6 +52,22 @@
     assert (timing.drain_within_ms, timing.max_stretch_ms) == expected
 
 
+@pytest.mark.parametrize(
+    ("ports", "address"),
+    [
+        (None, ""),
+        ([7000, 7015], "10.1.0.1:7001"),
+        ([7720, 7735], "10.1.0.1:7720"),
+        ([6999, 7001], "10.1.0.1:6999"),
+        ([7720, 7720], "10.1.0.1:7720"),
+        ([7000, 7000], ""),
+    ],
+)
+def test_port_for_peers_is_one_of_the_internal_ones(ports, address):
+    document = {**DOCUMENT, "InternalPorts": ports}
+    assert decode_settings(document, "node.json").peer_address == address
+
+
 @pytest.mark.parametrize(
     ("change", "field"),
     [
@@ -64,6 +80,9 @@
         ({"Advice": "a..b:1"}, "Advice"),
         ({"Bounds": {"MoveS": float("inf")}}, "Bounds.MoveS"),
         ({"Bounds": {"StopMs": -1}}, "Bounds.StopMs"),
+        ({"InternalPorts": [7000]}, "InternalPorts"),
+        ({"InternalPorts": ["7000", 7015]}, "InternalPorts"),
+        ({"InternalPorts": [7000, 70_000]}, "InternalPorts"),
         ({"Limits": {"CpuShare": 0}}, "Limits"),
         ({"Limits": {"CpuShare": float("nan")}}, "Limits"),
     ],
--- a/sesamehall/reducer/jobs/share_accounts_test.py
+++ b/sesamehall/reducer/jobs/share_accounts_test.py
@@ -138,7 +138,7 @@
     [
         (
             WEIGHT_REPLACED,
-            (Quota("guild", 1.0, WeightDefect.MISSING), Quota("b")),
+            (Quota("guild", weight_defect=WeightDefect.MISSING), Quota("b")),
             ["guild:missing:1"],
         ),
         (WEIGHT_REPLACED, (Quota("guild"),), []),
--- a/sesamehall/reducer/manifests/findings.py
+++ b/sesamehall/reducer/manifests/findings.py
@@ -19,6 +19,7 @@
 from sesamehall.core.manifestfindings import TeamWithoutKeys
 from sesamehall.core.manifestfindings import WaveTooShort
 from sesamehall.core.manifestfindings import WaveUnlimited
+from sesamehall.core.manifestfindings import WeightReplaced
 from sesamehall.reducer.jobs.calls import JOB_ID_DIGITS
 from sesamehall.reducer.jobs.calls import JOB_ID_LENGTH
 
@@ -100,9 +101,11 @@
 
 def _check_teams(manifest) -> Iterator[ManifestFinding]:
     with_keys = set(manifest.team_by_key.values())
-    for team in sorted(manifest.quotas_by_team):
+    for team, quota in sorted(manifest.quotas_by_team.items()):
         if team not in with_keys:
             yield TeamWithoutKeys(team)
+        if quota.weight_defect is not None:
+            yield WeightReplaced(team, quota.weight)
 
 
 def _check_wave(wave) -> Iterator[ManifestFinding]:
--- a/sesamehall/reducer/manifests/findings_test.py
+++ b/sesamehall/reducer/manifests/findings_test.py
@@ -9,6 +9,7 @@
 from sesamehall.core.manifest import Queue
 from sesamehall.core.manifest import Quota
 from sesamehall.core.manifest import Wave
+from sesamehall.core.manifest import WeightDefect
 from sesamehall.core.manifest import WorkerPool
 from sesamehall.core.manifestfindings import CeilingChanged
 from sesamehall.core.manifestfindings import GoalUnreachable
@@ -37,6 +38,7 @@
 from sesamehall.core.manifestfindings import WaveTooShort
 from sesamehall.core.manifestfindings import WaveUnlimited
 from sesamehall.core.manifestfindings import WeightChanged
+from sesamehall.core.manifestfindings import WeightReplaced
 from sesamehall.core.replacing import replace
 from sesamehall.core.work import NO_SIZE
 from sesamehall.core.work import Size
@@ -108,6 +110,15 @@
             [StandbyIgnored("s2", "s1")],
         ),
         (build(QUOTES, guild=1, hall=3), [TeamWithoutKeys("hall")]),
+        (
+            replace(
+                build(QUOTES),
+                quotas_by_team=Map(
+                    guild=Quota("guild", weight_defect=WeightDefect.TOO_LARGE)
+                ),
+            ),
+            [WeightReplaced("guild", 1.0)],
+        ),
     ],
 )
 def test_findings_of_a_manifest(manifest, expected):
--- a/sesamehall/reducer/manifests/wording.py
+++ b/sesamehall/reducer/manifests/wording.py
@@ -28,7 +28,7 @@
 from sesamehall.core.manifestfindings import WaveTooShort
 from sesamehall.core.manifestfindings import WaveUnlimited
 from sesamehall.core.manifestfindings import WeightChanged
-from sesamehall.core.manifestfindings import WeightIgnored
+from sesamehall.core.manifestfindings import WeightReplaced
 from sesamehall.core.work import Size
 
 
@@ -75,8 +75,8 @@
             return f"team {team} has no key"
         case KeyShared(team, other):
             return f"a key of team {team} counts for team {other}"
-        case WeightIgnored(team):
-            return f"the weight of team {team} is not positive: 1 is used"
+        case WeightReplaced(team, used):
+            return f"the weight of team {team} cannot be used: {used:g} is"
         case WaveTooShort(wave, needed_ms, within_ms):
             return (
                 f"wave {wave} will be late: it takes {needed_ms} ms with so"
--- a/sesamehall/scripts/scripts_test.py
+++ b/sesamehall/scripts/scripts_test.py
@@ -72,7 +72,7 @@
     "Version": 2,
     "Routes": [ROUTE],
     "Services": [{"Name": "a"}],
-    "Tenants": [{"Name": "t", "ApiKeys": ["secret"]}],
+    "Tenants": [{"Name": "t", "Weight": 2, "ApiKeys": ["secret"]}],
 }
 
 
