Size pools ahead of turns that are learnt from arrivals

Cause: demand comes by turns, one queue after the other without a pause, and pools were sized by the jobs that had arrived, so the first seconds of a turn waited for machines that join about two seconds after they are ordered; the wanted size swung by half of a pool within a second.

Change: every node learns the turns from the jobs that it reads: which queue followed which, the time between beginnings, the highest load, and how far expectations came true. Until a turn that counts has ended nothing changes, but for one hold of the first pool. Then the leader prepares the pool of the next turn for what machines ordered at its beginning would miss, sizes it for the rise, limits the demand to what tasks can occupy and averages it, and moves idle machines of an ended turn before those on standby. Forecasts get only machines that no demand requires. Lines 690 to 693 say what the leader believes.

--- a/sesamehall/core/fleetstate.py
+++ b/sesamehall/core/fleetstate.py
@@ -11,6 +11,8 @@
 from sesamehall.core.data import EMPTY_MAP
 from sesamehall.core.fleet import Machine
 from sesamehall.core.manifest import Wave
+from sesamehall.core.turnstate import ExpectedTurn
+from sesamehall.core.turnstate import Turn
 
 
 class MachineOrderKind(Enum):
@@ -79,6 +81,19 @@
     at_ms: int
 
 
+@dataclass(frozen=True, slots=True)
+class SmoothedDemand:
+    """Demand of a pool, as an exponentially decaying average.
+
+    Attributes:
+      workers: Number of workers.
+      at_ms: Time for which the average was computed.
+    """
+
+    workers: float
+    at_ms: int
+
+
 @dataclass(frozen=True)
 class FleetState:
     """Machines and the orders for them.
@@ -98,6 +113,10 @@
       targets_by_pool: Number of workers that each pool is to have.
       orders_unstored: Whether there are orders whose machines are not stored
         yet.
+      smoothed_demand_by_pool: Demand of each pool, in a deployment with turns.
+      smoothed_demand_by_pool: Map[str, SmoothedDemand] = EMPTY_MAP
+    logged_turn: Turn whose beginning was last logged, or None.
+      logged_expectation: Expected turn that was last logged, or None.
     """
 
     machines_by_name: Map[str, Machine] = EMPTY_MAP
@@ -110,3 +129,6 @@
     inherited: tuple[str, ...] = ()
     targets_by_pool: Map[str, int] = EMPTY_MAP
     orders_unstored: bool = False
+    smoothed_demand_by_pool: Map[str, SmoothedDemand] = EMPTY_MAP
+    logged_turn: Turn | None = None
+    logged_expectation: ExpectedTurn | None = None
--- a/sesamehall/core/logevents.py
+++ b/sesamehall/core/logevents.py
@@ -177,6 +177,10 @@
     656, "wave not reported", "Look at the platform's store; it is repeated."
 )
 MACHINE_ANSWER_STALE = _info(657, "stale machine answer")
+TURN_BEGAN = _info(690, "turn began")
+TURN_ENDED = _info(691, "turn ended")
+TURN_EXPECTED = _info(692, "turn expected")
+TURN_MISSED = _info(693, "expected turn missed")
 
 NODE_STARTED = _info(900, "node started")
 NODE_STOPPING = _info(901, "node stopping")
--- a/sesamehall/core/managerstate.py
+++ b/sesamehall/core/managerstate.py
@@ -20,6 +20,7 @@
 from sesamehall.core.jobtiming import LEADER_CORES
 from sesamehall.core.jobtiming import ORDER_WINDOW_INITIAL
 from sesamehall.core.manifest import Manifest
+from sesamehall.core.turnstate import TurnHistory
 from sesamehall.core.work import CompactProgress
 from sesamehall.core.work import JobPlan
 from sesamehall.core.work import Progress
@@ -282,6 +283,7 @@
         flight for, or "".
       wall_offset_ms: Time of day minus the node's clock.
       fleet: Machines and the orders for them.
+      turns: What the node has learnt about the turns of the queues.
     """
 
     name: str
@@ -343,3 +345,4 @@
     advice_in_flight_step: str = ""
     wall_offset_ms: int = 0
     fleet: FleetState = FleetState()
+    turns: TurnHistory = TurnHistory()
--- a/sesamehall/reducer/jobs/stream_reading.py
+++ b/sesamehall/reducer/jobs/stream_reading.py
@@ -63,6 +63,8 @@
 from sesamehall.reducer.jobs.storing import WORKER_KEY_PREFIX
 from sesamehall.reducer.jobs.workers import deregister_worker
 from sesamehall.reducer.jobs.workers import register_worker
+from sesamehall.reducer.machines.turn_reading import record_turn_load
+from sesamehall.reducer.machines.turn_reading import update_turns
 
 
 def cursor_of(manager: ManagerState, stream: Stream) -> StreamCursor:
@@ -206,6 +208,8 @@
         step = then(step, _apply_or_skip, stream, record, event.at_ms)
     if stream is Stream.JOBS:
         step = then(step, _record_jobs_caught_up, event)
+        turns = update_turns(manager.turns, step.state.turns, event)
+        step = Step(replace(step.state, turns=turns), step.effects)
     if event.covers_all_keys:
         step = then(step, _drop_unlisted, event)
     return step
@@ -409,6 +413,7 @@
             job_id, at_ms
         ),
     )
+    manager = record_turn_load(manager, plan, at_ms)
     inherited = not manager.jobs_caught_up
     return _if_leading(manager, activate_job, job_id, inherited, at_ms)
 
--- a/sesamehall/reducer/machines/moves.py
+++ b/sesamehall/reducer/machines/moves.py
@@ -11,10 +11,12 @@
 from sesamehall.core.effects import log
 from sesamehall.core.fleet import Machine
 from sesamehall.core.fleetstate import MachineOrderKind
+from sesamehall.core.fleettiming import PEAK_HOLD_MS
 from sesamehall.core.logevents import POOLS_SIZED
 from sesamehall.core.managerstate import ManagerState
 from sesamehall.core.replacing import replace
 from sesamehall.core.step import Step
+from sesamehall.core.turntiming import ENDED_HOLD_MS
 from sesamehall.reducer.jobs.leases import may_have_untracked_runs
 from sesamehall.reducer.machines.pending_orders import accepts_orders
 from sesamehall.reducer.machines.pending_orders import decide_order
@@ -22,6 +24,11 @@
 from sesamehall.reducer.machines.sizing import pool_demand
 from sesamehall.reducer.machines.sizing import staying_workers
 from sesamehall.reducer.machines.sizing import update_peak
+from sesamehall.reducer.machines.turn_forecasts import ended_turn_pool
+from sesamehall.reducer.machines.turn_forecasts import is_first_turn
+from sesamehall.reducer.machines.turn_logging import log_turns
+from sesamehall.reducer.machines.turn_sizing import apply_turns
+from sesamehall.reducer.machines.turn_tracking import advance_turns
 from sesamehall.reducer.machines.waves import needs_maintenance
 
 
@@ -37,6 +44,10 @@
     standby = _standby_pool(manager)
     if standby is None:
         return Step(manager)
+    turns = advance_turns(manager.turns, at_ms)
+    step = log_turns(replace(manager, turns=turns), at_ms)
+    manager = step.state
+    turn_lines = step.effects
     pools = [
         name
         for name in sorted(manager.manifest.pools_by_name)
@@ -45,24 +56,26 @@
     demand_by_pool = {
         pool: pool_demand(manager, pool, at_ms) for pool in pools
     }
+    manager, demand_by_pool = apply_turns(manager, demand_by_pool, at_ms)
     targets = divide_workers(
         demand_by_pool, len(manager.fleet.machines_by_name)
     )
+    ended = ended_turn_pool(manager, at_ms)
     peaks = manager.fleet.peaks_by_pool
     for pool, target in targets.items():
-        retained = (
-            target
-            if manager.arrivals_by_queue
-            else _count_workers(manager, pool)
-        )
-        peaks = peaks.set(pool, update_peak(peaks.get(pool), retained, at_ms))
+        retained = target
+        if not manager.arrivals_by_queue or is_first_turn(
+            manager, pool, at_ms
+        ):
+            retained = max(target, _count_workers(manager, pool))
+        hold_ms = ENDED_HOLD_MS if pool == ended else PEAK_HOLD_MS
+        peak = update_peak(peaks.get(pool), retained, at_ms, hold_ms)
+        peaks = peaks.set(pool, peak)
     step = _record_targets(manager, demand_by_pool, targets)
     manager = replace(
         step.state, fleet=replace(step.state.fleet, peaks_by_pool=peaks)
     )
-    available = _standby_machines(manager, standby)
-    for pool in pools:
-        available += _surplus_machines(manager, pool, targets[pool])
+    available = _available_machines(manager, standby, targets, ended)
     for pool in pools:
         missing = max(targets[pool] - _count_workers(manager, pool), 0)
         for machine in available[:missing]:
@@ -75,7 +88,22 @@
             manager = decide_order(
                 manager, machine, MachineOrderKind.MOVE, standby, 0, at_ms
             )
-    return Step(manager, step.effects)
+    return Step(manager, turn_lines + step.effects)
+
+
+def _available_machines(manager, standby, targets, ended):
+    """Return the machines that may be moved, in the order of their use.
+
+    Those of a turn that has ended come before those on standby, which spares
+    their move there.
+    """
+    available = _standby_machines(manager, standby)
+    for pool, target in targets.items():
+        surplus = _surplus_machines(manager, pool, target)
+        available = (
+            surplus + available if pool == ended else available + surplus
+        )
+    return available
 
 
 def _record_targets(manager, demand_by_pool, targets):
--- a/sesamehall/reducer/machines/sizing.py
+++ b/sesamehall/reducer/machines/sizing.py
@@ -54,13 +54,9 @@
     Returns:
       The demand; only `wanted_workers` includes headroom and a spare worker.
     """
-    # Without workers of its own, the pool is sized by those of all pools.
-    workers = staying_workers(manager, pool) or list(
-        manager.workers_by_id.values()
-    )
-    if not workers:
+    capacity = worker_capacity(manager, pool)
+    if capacity is None:
         return PoolDemand(0, 0)
-    capacity = _mean_capacity(workers)
     long_running_load = 0.0
     goal_load = 0.0
     min_spread = 0
@@ -71,7 +67,7 @@
         else:
             ratio = duration_ratio(manager, job.plan.queue)
             goal_load += _goal_load(job, capacity, at_ms, ratio)
-    goal_load = max(goal_load, _surge_load(manager, pool, capacity, at_ms))
+    goal_load = max(goal_load, surge_load(manager, pool, capacity, at_ms))
     min_workers = max(ceil(long_running_load), min_spread)
     wanted_workers = (
         max(ceil((long_running_load + goal_load) * HEADROOM), min_spread)
@@ -80,6 +76,22 @@
     return PoolDemand(min_workers, wanted_workers)
 
 
+def worker_capacity(manager: ManagerState, pool: str) -> Size | None:
+    """Compute the mean capacity of a pool's workers.
+
+    Args:
+      manager: State of the leader.
+      pool: Name of the pool.
+    Returns:
+      The capacity, that of all pools' workers if the pool has none of its
+      own, or None if there are no workers.
+    """
+    workers = staying_workers(manager, pool) or list(
+        manager.workers_by_id.values()
+    )
+    return _mean_capacity(workers) if workers else None
+
+
 def divide_workers(
     demand_by_pool: dict[str, PoolDemand], workers: int
 ) -> dict[str, int]:
@@ -113,20 +125,26 @@
     }
 
 
-def update_peak(previous: Peak | None, workers: int, at_ms: int) -> Peak:
+def update_peak(
+    previous: Peak | None,
+    workers: int,
+    at_ms: int,
+    hold_ms: int = PEAK_HOLD_MS,
+) -> Peak:
     """Update the highest recent demand of a pool.
 
     Args:
       previous: The peak so far, or None.
       workers: Number of workers that are needed now.
       at_ms: Current time on the node's clock.
+      hold_ms: Time for which a peak is kept.
     Returns:
       The new peak; the previous one is kept while it is higher and younger
-      than PEAK_HOLD_MS.
+      than `hold_ms`.
     """
     if previous is None or workers >= previous.workers:
         return Peak(workers, at_ms)
-    if at_ms - previous.at_ms >= PEAK_HOLD_MS:
+    if at_ms - previous.at_ms >= hold_ms:
         return Peak(workers, at_ms)
     return previous
 
@@ -202,8 +220,19 @@
     return max(end_ms - at_ms, path_ms, MIN_TIME_LEFT_MS)
 
 
-def _surge_load(manager, pool, capacity: Size, at_ms: int) -> float:
-    """Compute how many workers process a surge faster than jobs arrive."""
+def surge_load(
+    manager: ManagerState, pool: str, capacity: Size, at_ms: int
+) -> float:
+    """Compute how many workers process a surge faster than jobs arrive.
+
+    Args:
+      manager: State of the leader.
+      pool: Name of the pool.
+      capacity: Mean capacity of its workers.
+      at_ms: Current time on the node's clock.
+    Returns:
+      Number of workers.
+    """
     if not capacity.cpu_milli:
         return 0.0
     core_ms_per_s = sum(
@@ -217,13 +246,49 @@
     return core_ms_per_s * SURGE_HEADROOM / capacity.cpu_milli
 
 
+def occupied_load(manager: ManagerState, pool: str, capacity: Size) -> float:
+    """Compute how many workers the tasks that run or may start occupy.
+
+    Args:
+      manager: State of the leader.
+      pool: Name of the pool.
+      capacity: Mean capacity of its workers.
+    Returns:
+      Number of workers.
+    """
+    ids = manager.worker_ids_by_pool.get(pool, EMPTY_MAP)
+    load = sum(
+        _size_share(manager.workers_by_id[worker_id].used, capacity)
+        for worker_id in ids
+    )
+    for job_id in manager.job_ids_by_pool.get(pool, EMPTY_MAP):
+        job = manager.active_jobs_by_id[job_id]
+        counts = _count_by_step(job)
+        for step_number, count in counts.items():
+            step = job.plan.steps[step_number]
+            load += count * _worker_share(step, capacity)
+    return load
+
+
+def _count_by_step(job: ActiveJob) -> dict[int, int]:
+    """Count the tasks of each step that may start."""
+    counts: dict[int, int] = {}
+    for place in job.waiting:
+        counts[place.step] = counts.get(place.step, 0) + 1
+    return counts
+
+
 def _worker_share(step: StepPlan, capacity: Size) -> float:
     """Compute the share of a worker that a task occupies."""
-    reserved = reserved_size(step.size, step.best_effort)
+    return _size_share(reserved_size(step.size, step.best_effort), capacity)
+
+
+def _size_share(size: Size, capacity: Size) -> float:
+    """Compute the share of a worker that some resources are."""
     return max(
-        _ratio(reserved.cpu_milli, capacity.cpu_milli),
-        _ratio(reserved.memory_mb, capacity.memory_mb),
-        _ratio(reserved.accelerators, capacity.accelerators),
+        _ratio(size.cpu_milli, capacity.cpu_milli),
+        _ratio(size.memory_mb, capacity.memory_mb),
+        _ratio(size.accelerators, capacity.accelerators),
     )
 
 
