--- a/sesamehall/core/logevents.py
+++ b/sesamehall/core/logevents.py
@@ -208,6 +208,10 @@
 PEER_PORT_UNUSABLE = _warning(
     685, "peer port unusable", "Free the port; serving goes on without peers."
 )
+TURN_BEGAN = _info(690, "turn began")
+TURN_ENDED = _info(691, "turn ended")
+TURN_EXPECTED = _info(692, "turn expected")
+TURN_MISSED = _info(693, "expected turn missed")
 
 NODE_STARTED = _info(900, "node started")
 NODE_STOPPING = _info(901, "node stopping")
--- a/sesamehall/core/managerstate.py
+++ b/sesamehall/core/managerstate.py
@@ -26,6 +26,7 @@
 from sesamehall.core.peercalls import PeerState
 from sesamehall.core.runtimes import QueueRunTimes
 from sesamehall.core.shares import PoolShares
+from sesamehall.core.turnstate import TurnHistory
 from sesamehall.core.work import CompactProgress
 from sesamehall.core.work import JobPlan
 from sesamehall.core.work import Progress
@@ -311,6 +312,7 @@
       fleet: Machines and the orders for them.
       draining: Data centres in which nothing may be started.
       peers: What this node knows of its peers.
+      turns: What the node has learnt about the turns of the queues.
     """
 
     name: str
@@ -376,3 +378,4 @@
     fleet: FleetState = FleetState()
     draining: DrainingState = DrainingState()
     peers: PeerState = PeerState()
+    turns: TurnHistory = TurnHistory()
