Peers: go on accepting after a thread could not start

Cause: an error on starting a connection's thread ended the accepting thread and kept the connection's slot; the node stayed registered, and each of its peers' calls waited for a reply in vain. Change: the connection is closed, its slot freed, and accepting goes on. Result: the new test failed before with the accepting thread ended; it passes.

--- a/sesamehall/runtime/peerserver.py
+++ b/sesamehall/runtime/peerserver.py
@@ -29,7 +29,7 @@
 IDLE_TIMEOUT_S = 10.0
 FRAME_TIMEOUT_S = 1.0  # for a frame that has begun
 DECISION_SLACK_S = 0.2  # the reducer answers by the call's deadline
-ACCEPT_RETRY_S = 0.2  # after an error, for example without descriptors
+ACCEPT_RETRY_S = 0.2  # after an error, without descriptors or threads
 
 
 class PeerServer:
@@ -67,9 +67,16 @@
             if not self._slots.acquire(blocking=False):
                 sock.close()
                 continue
-            start_daemon_thread(
-                lambda sock=sock: self._serve_connection(sock), "peer"
-            )
+            self._start_connection(sock)
+
+    def _start_connection(self, sock: socket.socket) -> None:
+        """Serve a connection by a thread; close it if none can start."""
+        try:
+            start_daemon_thread(lambda: self._serve_connection(sock), "peer")
+        except RuntimeError:  # the process has reached its thread limit
+            sock.close()
+            self._slots.release()
+            time.sleep(ACCEPT_RETRY_S)
 
     def deliver(self, effect: AnswerPeer) -> None:
         """Deliver an answer to the thread that serves the call.
--- a/sesamehall/runtime/peertransport_test.py
+++ b/sesamehall/runtime/peertransport_test.py
@@ -22,6 +22,7 @@
 from sesamehall.core.work import Size
 from sesamehall.core.work import StepPlan
 from sesamehall.runtime import peerclient
+from sesamehall.runtime import peerserver
 from sesamehall.runtime.interpreter import now_ms
 from sesamehall.runtime.peerclient import PeerClient
 from sesamehall.runtime.peerconnection import PeerConnection
@@ -126,6 +127,31 @@
     assert event.outcome is PeerOutcome.ANSWERED
 
 
+# Guards against a node whose memory or thread limit is reached for a moment:
+# it stayed registered, and its peers' calls were never read again.
+def test_server_goes_on_after_threads_could_not_start(
+    client, events, server, monkeypatch
+):
+    peer, _ = server
+    failed_count = peerserver.MAX_CONNECTIONS
+    failures = [RuntimeError("can't start new thread")] * failed_count
+    start = peerserver.start_daemon_thread
+
+    def fail_at_first(target, name):
+        if failures:
+            raise failures.pop()
+        return start(target, name)
+
+    monkeypatch.setattr(peerserver, "start_daemon_thread", fail_at_first)
+    monkeypatch.setattr(peerserver, "ACCEPT_RETRY_S", 0.01)
+    outcomes = []
+    for _ in range(failed_count + 1):
+        forward(client, peer)
+        outcomes.append(events.get(timeout=WAIT_S).outcome)
+    assert set(outcomes[:-1]) == {PeerOutcome.LOST}
+    assert outcomes[-1] is PeerOutcome.ANSWERED
+
+
 def reply_with(build_reply):
     """Answer the first call with the bytes that a function returns.
 
