Peers: forget the failure of a node whose registration is dropped

Cause: the time until which a failed peer is avoided stayed when the peer's registration made room for a newer one, so it stayed for good. Change: it is dropped with the registration. Result: the new test failed before with 1,050 remembered failures instead of 1,000; it passes.

--- a/sesamehall/reducer/jobs/peer_calls.py
+++ b/sesamehall/reducer/jobs/peer_calls.py
@@ -286,12 +286,13 @@
     """
     peers = manager.peers
     by_name = peers.by_name
+    avoided = peers.avoided_until_ms_by_name
     if len(by_name) >= MAX_PEERS and node.name not in by_name:
         oldest = min(by_name, key=lambda name: by_name[name].read_ms)
         by_name = by_name.delete(oldest)
+        avoided = drop_key(avoided, oldest)
     by_name = by_name.set(node.name, KnownPeer(node, at_ms))
     known = peers.by_name.get(node.name)
-    avoided = peers.avoided_until_ms_by_name
     if known is not None and known.node != node:  # its process has restarted
         avoided = drop_key(avoided, node.name)
     peers = replace(peers, by_name=by_name, avoided_until_ms_by_name=avoided)
--- a/sesamehall/reducer/jobs/peer_calls_test.py
+++ b/sesamehall/reducer/jobs/peer_calls_test.py
@@ -48,6 +48,7 @@
 from sesamehall.core.peercalls import PeerOutcome
 from sesamehall.core.peercalls import PeerState
 from sesamehall.core.peercalls import RegisterNode
+from sesamehall.core.peertiming import MAX_PEERS
 from sesamehall.core.replacing import replace
 from sesamehall.core.work import JobPlan
 from sesamehall.reducer.jobs.calls import advance_calls
@@ -59,6 +60,7 @@
 from sesamehall.reducer.jobs.peer_calls import choose_peer
 from sesamehall.reducer.jobs.peer_calls import is_turned_away
 from sesamehall.reducer.jobs.peer_calls import record_peer
+from sesamehall.reducer.jobs.peer_calls import record_peer_outcome
 from sesamehall.reducer.jobs.peer_calls import register_node
 from sesamehall.reducer.jobs.stream_reading import apply_stream_read
 from sesamehall.reducer.jobs.stream_reading import handle_stream_read_failure
@@ -637,6 +639,19 @@
     assert LOCAL[0] not in manager.peers.avoided_until_ms_by_name
 
 
+# Guards against state that grows with every node that ever failed.
+def test_no_more_is_remembered_than_the_latest_nodes():
+    manager = build_manager(peers=build_peers())
+    for number in range(MAX_PEERS + 50):
+        node = build_node(f"edge-a-{number}")
+        manager = record_peer(manager, node, NOW_MS + number)
+        lost = failed(node.name, PeerOutcome.LOST, NOW_MS + number)
+        manager = record_peer_outcome(manager, lost)
+    assert len(manager.peers.by_name) == MAX_PEERS
+    assert "edge-a-49" not in manager.peers.by_name
+    assert len(manager.peers.avoided_until_ms_by_name) == MAX_PEERS
+
+
 def test_registration_is_read_from_the_stream_of_jobs():
     node = build_node("edge-b-7")
     record = StoredRecord("node/edge-b-7", node)
