Shares: a pool that can still grow is not divided

Cause: at the beginning of a surge a pool lacks room for two seconds, while machines are on their way; dividing what is there by weights makes jobs late that their goals would have served. A team's weight is its share when all is full, so shares decide now only while no machine is left for the pool.

--- a/sesamehall/core/fleetstate.py
+++ b/sesamehall/core/fleetstate.py
@@ -118,6 +118,8 @@
       inherited: Machines for which an earlier leader may have sent orders
         that can still be carried out.
       targets_by_pool: Number of workers that each pool is to have.
+      short_pools: Pools that cannot have as many workers as they want, since
+        there are not enough machines, mapped to True.
       orders_unstored: Whether there are orders whose machines are not stored
         yet.
       smoothed_demand_by_pool: Demand of each pool, in a deployment with turns.
@@ -136,6 +138,7 @@
     last_decision_ms_by_machine: Map[str, int] = EMPTY_MAP
     inherited: tuple[str, ...] = ()
     targets_by_pool: Map[str, int] = EMPTY_MAP
+    short_pools: Map[str, bool] = EMPTY_MAP
     orders_unstored: bool = False
     smoothed_demand_by_pool: Map[str, SmoothedDemand] = EMPTY_MAP
     logged_turn: Turn | None = None
--- a/sesamehall/reducer/jobs/share_accounts.py
+++ b/sesamehall/reducer/jobs/share_accounts.py
@@ -108,9 +108,13 @@
         team: team_weight(manager.manifest, team) for team in asked_by_team
     }
     fair_by_team = divide_pool(asked_by_team, weight_by_team)
-    contended = len(asked_by_team) > 1 and any(
-        fair_by_team[team] < asked.dominant - ROUNDING_ERROR
-        for team, asked in asked_by_team.items()
+    contended = (
+        len(asked_by_team) > 1
+        and not _may_grow(manager, pool)
+        and any(
+            fair_by_team[team] < asked.dominant - ROUNDING_ERROR
+            for team, asked in asked_by_team.items()
+        )
     )
     accounts = {
         team: TeamAccount(
@@ -130,6 +134,16 @@
     return replace(manager, shares_by_pool=shares)
 
 
+def _may_grow(manager: ManagerState, pool: str) -> bool:
+    """Check whether a pool gets the workers that it lacks.
+
+    Its jobs then wait for machines that join, so shares would only make some
+    of them late that need not be.
+    """
+    fleet = manager.fleet
+    return pool in fleet.targets_by_pool and pool not in fleet.short_pools
+
+
 def team_loads(
     manager: ManagerState, pool: str, core_ms_by_job_id: Mapping[str, float]
 ) -> TeamLoads:
--- a/sesamehall/reducer/jobs/share_accounts_test.py
+++ b/sesamehall/reducer/jobs/share_accounts_test.py
@@ -5,6 +5,7 @@
 
 from sesamehall.core.fleet import StoredRecord
 from sesamehall.core.fleet import Stream
+from sesamehall.core.fleetstate import FleetState
 from sesamehall.core.logevents import TEAM_GONE_WITH_JOBS
 from sesamehall.core.logevents import TEAMS_SHARE_POOL
 from sesamehall.core.logevents import WEIGHT_REPLACED
@@ -182,3 +183,29 @@
         held_ms_by_team=held_ms,
     )
     assert order_by_shares(priorities, loads) == expected
+
+
+# Guards against jobs that are late for the sake of shares at the beginning of a
+# surge, though machines are on their way to the pool.
+@pytest.mark.parametrize(
+    ("targets", "short", "contended"),
+    [
+        ({}, {}, True),
+        ({"a": 4}, {}, False),
+        ({"a": 4}, {"a": True}, True),
+        ({"a": 4, "b": 2}, {"b": True}, False),
+    ],
+    ids=["not sized", "machines to come", "none left", "another is short"],
+)
+def test_shares_decide_only_while_the_pool_cannot_grow(
+    targets, short, contended
+):
+    fleet = FleetState(targets_by_pool=Map(targets), short_pools=Map(short))
+    manager = load_leader(
+        manifest_with(guild=3, other=1),
+        build_step(8, size=HALF),
+        build_step(4, size=HALF),
+        fleet=fleet,
+    )
+    manager = place_all(manager).state
+    assert manager.shares_by_pool["a"].contended is contended
--- a/sesamehall/reducer/machines/fleet_test.py
+++ b/sesamehall/reducer/machines/fleet_test.py
@@ -38,6 +38,7 @@
 from sesamehall.reducer.jobs.testing import build_plan
 from sesamehall.reducer.jobs.testing import build_step
 from sesamehall.reducer.jobs.testing import build_worker
+from sesamehall.reducer.jobs.testing import CAPACITY
 from sesamehall.reducer.jobs.testing import details_of
 from sesamehall.reducer.jobs.testing import effects_of
 from sesamehall.reducer.jobs.testing import NOW_MS
@@ -800,3 +801,13 @@
     step = advance_waves(manager, NOW_MS + missing_ms)
     reports = effects_of(step, ReportWave)
     assert any(report.status.completed for report in reports) is completed
+
+
+@pytest.mark.parametrize(
+    ("tasks", "short"), [(1, {}), (40, {"a": True})], ids=["enough", "too few"]
+)
+def test_pool_that_machines_do_not_suffice_for(tasks, short):
+    plan = build_plan(build_step(tasks, size=CAPACITY))
+    manager = build_fleet(POOL_MACHINES + STANDBY_MACHINES, [plan])
+    manager = advance_fleet(manager, NOW_MS).state
+    assert dict(manager.fleet.short_pools) == short
--- a/sesamehall/reducer/machines/moves.py
+++ b/sesamehall/reducer/machines/moves.py
@@ -108,6 +108,14 @@
 
 def _record_targets(manager, demand_by_pool, targets):
     """Record the target sizes and log them if one has changed."""
+    short = {
+        pool: True
+        for pool, target in targets.items()
+        if target < demand_by_pool[pool].wanted_workers
+    }
+    if dict(manager.fleet.short_pools) != short:
+        fleet = replace(manager.fleet, short_pools=Map(short))
+        manager = replace(manager, fleet=fleet)
     if dict(manager.fleet.targets_by_pool) == targets:
         return Step(manager)
     sizes = ",".join(
