Shares: dividing a pool ends with large weights too

A resource that no rising team asks for any more kept a rounding error as its slope, which counts as use where weights sum up to some millions. It was then found exhausted with nobody to stop, and the division never ended: the leader hung. Now a resource without users is never exhausted.

--- a/sesamehall/reducer/jobs/progressive_filling.py
+++ b/sesamehall/reducer/jobs/progressive_filling.py
@@ -27,6 +27,7 @@
       free_by_resource: Part of each resource that is left.
       slope_by_resource: Part of each resource that the teams take while the
         level rises by 1.
+      user_count_by_resource: Number of these teams that ask for each resource.
     """
 
     asked_by_team: Mapping[str, ResourceShares]
@@ -34,6 +35,7 @@
     rising: dict[str, bool]
     free_by_resource: dict[str, float]
     slope_by_resource: dict[str, float]
+    user_count_by_resource: dict[str, int]
 
     @classmethod
     def begin(cls, asked_by_team, weight_by_team):
@@ -44,6 +46,7 @@
             {},
             dict.fromkeys(RESOURCES, 1.0),
             dict.fromkeys(RESOURCES, 0.0),
+            dict.fromkeys(RESOURCES, 0),
         )
         for team, asked in asked_by_team.items():
             if asked.dominant > ROUNDING_ERROR:
@@ -60,7 +63,7 @@
         rises = {
             resource: max(self.free_by_resource[resource], 0.0) / slope
             for resource, slope in self.slope_by_resource.items()
-            if slope > ROUNDING_ERROR
+            if slope > ROUNDING_ERROR and self.user_count_by_resource[resource]
         }
         resource = min(rises, key=rises.get, default=RESOURCES[0])
         return resource, rises.get(resource, float("inf"))
@@ -87,8 +90,10 @@
         asked = self.asked_by_team[team]
         factor = sign * self.weight_by_team[team] / asked.dominant
         for resource in RESOURCES:
-            change = factor * getattr(asked, resource)
-            self.slope_by_resource[resource] += change
+            part = getattr(asked, resource)
+            self.slope_by_resource[resource] += factor * part
+            if part > 0:
+                self.user_count_by_resource[resource] += sign
 
 
 def divide_pool(
--- a/sesamehall/reducer/jobs/progressive_filling_test.py
+++ b/sesamehall/reducer/jobs/progressive_filling_test.py
@@ -83,3 +83,31 @@
     shares = {str(i): ResourceShares(part) for i, part in enumerate(asked)}
     divided = divide_pool(shares, dict(zip("0123", weights, strict=False)))
     assert list(divided.values()) == pytest.approx(expected, abs=1e-6)
+
+
+@pytest.mark.parametrize("seed", [42, 128, 144, 145])
+def test_division_ends_with_large_weights(seed):
+    """Rounding errors of large weights do not count as use of a resource."""
+    random = Random(seed)
+    asked = {}
+    weights = {}
+    for number in range(random.randint(2, 30)):
+        parts = [
+            random.choice(
+                (0.0, random.uniform(0, 2), random.uniform(0, 0.001))
+            )
+            for _ in RESOURCES
+        ]
+        asked[f"t{number}"] = ResourceShares(*parts)
+        weights[f"t{number}"] = random.choice(
+            (0.001, 1.0, 1e6, random.uniform(0.001, 1e6))
+        )
+    divided = divide_pool(asked, weights)
+    for resource in RESOURCES:
+        used = sum(
+            divided[team] * getattr(parts, resource) / parts.dominant
+            for team, parts in asked.items()
+            if parts.dominant
+        )
+        assert used <= 1 + 1e-6
+    assert all(divided[team] <= asked[team].dominant + 1e-9 for team in asked)
