Shares: no line about a pool that a manifest no longer divides

The latest accounts of a pool stay when a manifest leaves fewer than two teams, but the line about them still read the weights: without any team that is a division by zero in each placement round whose log line is due; with one team the line told of a division that isn't made. The line now needs a manifest that divides pools.

--- a/sesamehall/reducer/jobs/share_accounts_test.py
+++ b/sesamehall/reducer/jobs/share_accounts_test.py
@@ -5,6 +5,8 @@
 
 from sesamehall.core.fleet import StoredRecord
 from sesamehall.core.fleet import Stream
+from sesamehall.core.jobtiming import WAITING_LOG_PERIOD_MS
+from sesamehall.core.logevents import TASKS_WAITING
 from sesamehall.core.logevents import TEAM_GONE_WITH_JOBS
 from sesamehall.core.logevents import TEAMS_SHARE_POOL
 from sesamehall.core.logevents import WEIGHT_REPLACED
@@ -28,6 +30,7 @@
 from sesamehall.reducer.jobs.testing import NOW_MS
 from sesamehall.reducer.jobs.testing import OTHER_JOB_ID
 from sesamehall.reducer.jobs.testing import place_all
+from sesamehall.reducer.jobs.waiting_log import log_waiting_tasks
 
 HALF = Size(2_000, 1_000)  # half of the processor time of a worker
 
@@ -182,3 +185,19 @@
         held_ms_by_team=held_ms,
     )
     assert order_by_shares(priorities, loads) == expected
+
+
+@pytest.mark.parametrize(
+    ("pattern", "weights"),
+    [("no team is left", {}), ("one team is left", {"guild": 1})],
+)
+def test_pool_is_no_longer_shared_after_a_manifest(pattern, weights):
+    manifest = manifest_with(guild=3, other=1)
+    step = build_step(8, size=HALF)
+    manager = place_all(load_leader(manifest, step, step)).state
+    assert manager.shares_by_pool["a"].contended
+    manager = replace(manager, manifest=manifest_with(**weights))
+    later_ms = NOW_MS + WAITING_LOG_PERIOD_MS
+    step = log_waiting_tasks(manager, "a", later_ms)
+    assert details_of(step, TASKS_WAITING)
+    assert not details_of(step, TEAMS_SHARE_POOL)
--- a/sesamehall/reducer/jobs/share_log.py
+++ b/sesamehall/reducer/jobs/share_log.py
@@ -9,6 +9,7 @@
 from sesamehall.core.shares import PoolShares
 from sesamehall.reducer.jobs.ranking import Ranking
 from sesamehall.reducer.jobs.share_accounts import team_weight
+from sesamehall.reducer.jobs.share_accounts import uses_shares
 
 MAX_TEAMS_LOGGED = 20  # those that ask for most
 
@@ -23,13 +24,13 @@
       pool: Name of the pool.
       ranking: Ranking of its waiting jobs.
     Returns:
-      One line, or none if the pool has room for all. `shares` has for each
+      One line, or none if the pool is not divided. `shares` has for each
       team its name, its weight, what it asks for, is entitled to and uses in
       percent of the pool, its debt in milliseconds of the pool, its timely
       jobs, and the jobs that wait behind them.
     """
     sample = manager.shares_by_pool.get(pool, PoolShares(0))
-    if not sample.contended:
+    if not sample.contended or not uses_shares(manager):
         return ()
     accounts = sample.accounts_by_team
     teams = sorted(accounts, key=lambda team: (-accounts[team].asked, team))
