Drains: a job that can't start doesn't hold up the moves of a pool

Before the next long-running task moves out of a drained data centre, those that wait come first. Only the room for one task was checked: a job whose team is at its ceiling, or a gang larger than the room, kept all long-running tasks of the pool where they were for as long as it waited. Now a placement round must be able to start it.

Both cases of the new test failed before: no task moved.

--- a/sesamehall/reducer/machines/draining.py
+++ b/sesamehall/reducer/machines/draining.py
@@ -96,8 +96,8 @@
 def _is_moving(manager, pool, at_ms):
     """Check whether a long-running task of a pool is about to move already.
 
-    One that waits counts too if it can be placed: it needs the room that the
-    next one would move to.  A worker that is evacuated for an order comes
+    A job that waits counts too if it can start: it needs the room that the
+    next task would move to.  A worker that is evacuated for an order comes
     first, since a maintenance wave has a deadline and a drain has none.
     """
     return any(
@@ -106,7 +106,7 @@
         for worker in pool_workers(manager, pool)
         for run in _runs_on(manager, worker)
     ) or any(
-        _can_place(manager, job, job.waiting[0], at_ms)
+        _can_start(manager, job, at_ms)
         for job in waiting_jobs(manager, pool)
         if job.plan.steps[0].long_running
     )
@@ -142,11 +142,20 @@
     return may_stop_run(manager, run, at_ms, default_limit=1)
 
 
+def _can_start(manager: ManagerState, job: ActiveJob, at_ms) -> bool:
+    """Check whether a waiting task of a job can be placed, or its gang."""
+    return bool(_begin_round(manager, job, at_ms).place_job(job, 1))
+
+
 def _can_place(manager: ManagerState, job: ActiveJob, place, at_ms) -> bool:
     """Check whether an available worker has room for a task."""
+    return _begin_round(manager, job, at_ms).can_place(job, place)
+
+
+def _begin_round(manager, job, at_ms) -> PlacementRound:
+    """Begin a placement round, of which nothing is ordered."""
     workers = available_workers(manager, job_pool(manager, job), at_ms)
-    round_ = PlacementRound.begin(manager, workers, at_ms)
-    return round_.can_place(job, place)
+    return PlacementRound.begin(manager, workers, at_ms)
 
 
 def _runs_on(manager, worker) -> list[Run]:
--- a/sesamehall/reducer/machines/draining_test.py
+++ b/sesamehall/reducer/machines/draining_test.py
@@ -30,12 +30,14 @@
 from sesamehall.core.managerstate import StreamCursor
 from sesamehall.core.managerstate import Timing
 from sesamehall.core.manifest import DrainRequest
+from sesamehall.core.manifest import Quota
 from sesamehall.core.manifest import Wave
 from sesamehall.core.manifest import WorkerPool
 from sesamehall.core.replacing import replace
 from sesamehall.core.state import Identity
 from sesamehall.core.state import State
 from sesamehall.core.timers import ManagerTimer
+from sesamehall.core.work import NO_SIZE
 from sesamehall.core.workstate import Arrivals
 from sesamehall.core.workstate import RunState
 from sesamehall.reducer.jobs.leadership import end_term
@@ -51,7 +53,9 @@
 from sesamehall.reducer.jobs.testing import details_of
 from sesamehall.reducer.jobs.testing import effects_of
 from sesamehall.reducer.jobs.testing import NOW_MS
+from sesamehall.reducer.jobs.testing import OTHER_JOB_ID
 from sesamehall.reducer.jobs.testing import place_all
+from sesamehall.reducer.jobs.testing import SMALL
 from sesamehall.reducer.jobs.testing import task
 from sesamehall.reducer.machines.draining import advance_drains
 from sesamehall.reducer.machines.fleet import advance_fleet
@@ -357,6 +361,34 @@
     assert not effects_of(again, StopRun)
 
 
+# Guards against a drain that never ends: a job that can't start, whatever room
+# there is, does not need the room that the next task moves to.
+@pytest.mark.parametrize(
+    ("step", "ceiling", "stopped"),
+    [
+        (build_step(1, long_running=True), NO_SIZE, []),
+        (build_step(1, long_running=True), SMALL, ["w1"]),
+        (build_step(9, long_running=True, gang=True), NO_SIZE, ["w1"]),
+    ],
+    ids=["can start", "at its team's ceiling", "gang larger than the room"],
+)
+def test_move_waits_only_for_a_job_that_can_start(step, ceiling, stopped):
+    manager = build_running(long_running_plan(max_unavailable=1))
+    waiting = build_plan(step, job_id=OTHER_JOB_ID, team="other")
+    manager = activate_jobs(manager, waiting)
+    quotas = manager.manifest.quotas_by_team.set(
+        "other", Quota("other", ceiling=ceiling)
+    )
+    manager = replace(
+        manager,
+        manifest=replace(manager.manifest, quotas_by_team=quotas),
+        used_by_team=manager.used_by_team.set("other", ceiling),
+    )
+    step = advance_drains(manager, NOW_MS)
+    stops = effects_of(step, StopRun)
+    assert [order.worker_id for order in stops] == stopped
+
+
 def build_machines(*machines, drained=("north",), plans=(), **fleet):
     """Build a leader with machines, of which some have a worker."""
     workers = [
