Waves: a machine that the last list lacked doesn't complete a new wave

A list may lack a machine for a moment. If a new leader's first list did and a wave with that machine was read before the next one, nothing marked it as missing, and a wave of only such machines was reported as completed at once. Reading a wave now marks its machines that the last list lacks, so they are taken for gone after MACHINE_GONE_MS as before.

The first case of the new test failed before.

--- a/sesamehall/reducer/jobs/stream_reading.py
+++ b/sesamehall/reducer/jobs/stream_reading.py
@@ -77,6 +77,7 @@
 from sesamehall.reducer.machines.drain_requests import apply_drain_request
 from sesamehall.reducer.machines.drain_requests import revoke_drain
 from sesamehall.reducer.machines.drain_requests import revoke_unlisted_drains
+from sesamehall.reducer.machines.listing import mark_unlisted_machines
 
 
 def cursor_of(manager: ManagerState, stream: Stream) -> StreamCursor:
@@ -384,6 +385,7 @@
     )
     waves = waves.set(wave.number, WaveProgress(wave, at_ms))
     fleet = replace(manager.fleet, waves_by_number=waves)
+    fleet = mark_unlisted_machines(fleet, wave, at_ms)
     return Step(replace(manager, fleet=fleet), (line,))
 
 
--- a/sesamehall/reducer/machines/fleet_test.py
+++ b/sesamehall/reducer/machines/fleet_test.py
@@ -7,6 +7,8 @@
 from sesamehall.core.fleet import Machine
 from sesamehall.core.fleet import MachineState
 from sesamehall.core.fleet import OrderedMachines
+from sesamehall.core.fleet import StoredRecord
+from sesamehall.core.fleet import Stream
 from sesamehall.core.fleet import WaveStatus
 from sesamehall.core.fleetstate import FleetState
 from sesamehall.core.fleetstate import MachineOrderKind
@@ -43,6 +45,7 @@
 from sesamehall.reducer.jobs.testing import NOW_MS
 from sesamehall.reducer.jobs.testing import OTHER_JOB_ID
 from sesamehall.reducer.jobs.testing import place_all
+from sesamehall.reducer.jobs.testing import read_records
 from sesamehall.reducer.jobs.testing import SMALL
 from sesamehall.reducer.machines.fleet import advance_fleet
 from sesamehall.reducer.machines.fleet import apply_machine_list
@@ -800,3 +803,25 @@
     step = advance_waves(manager, NOW_MS + missing_ms)
     reports = effects_of(step, ReportWave)
     assert any(report.status.completed for report in reports) is completed
+
+
+# Guards against a wave that is completed before its upkeep (MIXED): it is read
+# after the first list of a new leader, which lacks its machine.
+@pytest.mark.parametrize(
+    ("after_ms", "completed"), [(0, False), (MACHINE_GONE_MS, True)]
+)
+def test_wave_that_is_read_after_a_list_without_its_machine(
+    after_ms, completed
+):
+    wave = Wave(1, ("m4",), 20_000, 1)
+    manager = read_records(
+        build_fleet(POOL_MACHINES[:3]),
+        Stream.OPERATOR,
+        StoredRecord("wave/1", wave),
+    )
+    at_ms = NOW_MS + after_ms
+    if after_ms:
+        listed = MachinesListed(at_ms, at_ms, POOL_MACHINES[:3])
+        manager = apply_machine_list(manager, listed).state
+    reports = effects_of(advance_waves(manager, at_ms), ReportWave)
+    assert any(report.status.completed for report in reports) is completed
--- a/sesamehall/reducer/machines/listing.py
+++ b/sesamehall/reducer/machines/listing.py
@@ -12,6 +12,7 @@
 from sesamehall.core.fleetstate import WaveProgress
 from sesamehall.core.fleettiming import MACHINE_GONE_MS
 from sesamehall.core.managerevents import MachinesListed
+from sesamehall.core.manifest import Wave
 from sesamehall.core.replacing import replace
 
 
@@ -46,6 +47,27 @@
     )
 
 
+def mark_unlisted_machines(
+    fleet: FleetState, wave: Wave, at_ms: int
+) -> FleetState:
+    """Mark the machines of a new wave as missing that the last list lacks.
+
+    Args:
+      fleet: State of the fleet.
+      wave: The wave, which is read now.
+      at_ms: Current time on the node's clock.
+    Returns:
+      The state; unchanged before the first list, which then marks them.
+    """
+    if fleet.listed_ms < 0:
+        return fleet
+    missing_since = fleet.missing_since_ms_by_machine
+    for name in wave.machines:
+        if name not in fleet.machines_by_name and name not in missing_since:
+            missing_since = missing_since.set(name, at_ms)
+    return replace(fleet, missing_since_ms_by_machine=missing_since)
+
+
 def is_missing(fleet: FleetState, machine: Machine) -> bool:
     """Check whether the newest list lacks a machine.
 
