Forecasts: a test that absurd declared sizes and clocks drop no report

Declared run times of 0, 1 and 2**53 - 1 ms, clocks that go back or jump, and progress of any size are applied and give finite forecasts. It passed at once: no fault was found here.

--- a/sesamehall/reducer/jobs/run_samples_test.py
+++ b/sesamehall/reducer/jobs/run_samples_test.py
@@ -1,5 +1,6 @@
 """Tests of what is learnt from runs, and of what must not be."""
 
+from math import inf
 from math import log
 
 import pytest
@@ -251,3 +252,34 @@
         )
         assert job.unfinished_by_step == again.unfinished_by_step
         assert job.path_steps == again.path_steps
+
+
+# Guards against a report that is dropped as a whole, since a logarithm or an
+# exponential of what it tells is out of range.
+@pytest.mark.parametrize("declared_ms", [0, 1, 2**53 - 1])
+@pytest.mark.parametrize("elapsed_ms", [-1, 0, 1, 2**52])
+@pytest.mark.parametrize("percent", [0, 5, 100, 2**53 - 1])
+def test_absurd_times_are_applied_and_forecast(
+    declared_ms, elapsed_ms, percent
+):
+    declared = replace(build_step(4), estimate_ms=declared_ms)
+    history = History((declared, replace(declared, depends_on=(0,))))
+    history.report(elapsed_ms, {index: percent for index in range(4)})
+    ends = [(0, DONE, ""), (1, DONE, "")]
+    history.report(elapsed_ms, {2: percent, 3: percent}, ends)
+    assert len(history.manager.runs_by_task) == 2
+    history.report(elapsed_ms, {}, [(2, DONE, ""), (3, DONE, "")])
+    job = history.manager.active_jobs_by_id[JOB_ID]
+    assert job.unfinished_by_step == (0, 4)
+    forecast = forecast_job(history.manager, job)
+    task_forecast = forecast_task(history.manager, job, 1)
+    for value in (
+        forecast.core_ms,
+        forecast.whole_path_ms,
+        task_forecast.high_ms,
+    ):
+        assert 0 <= value < inf
+    goal_ms = forecast_goal_ms(
+        job, Queue("quotes", "h", "/", "a", stretch=4.0), forecast
+    )
+    assert goal_ms >= job.first_seen_ms
