Shares: a sample counts waiting tasks per step

A sample of a pool added up each waiting task by itself, ten times a second. It now counts the tasks of each step of a job and adds up the steps.

--- a/sesamehall/reducer/jobs/share_accounts.py
+++ b/sesamehall/reducer/jobs/share_accounts.py
@@ -187,31 +187,39 @@
             if run.long_running:
                 capacity = add_size(capacity, size, -1)
             else:
-                sizes.append((run.team, size))
+                sizes.append((run.team, size, 1))
     return capacity, _sum_by_team(sizes)
 
 
 def _waiting_sizes(jobs):
-    """List team and size of the waiting tasks that are not long-running."""
+    """List team, size and number of the waiting tasks of each step.
+
+    Long-running tasks are left out.
+    """
     for job in jobs:
-        sizes = [
-            reserved_size(step.size, step.best_effort)
-            for step in job.plan.steps
-        ]
-        if not job.plan.steps[0].long_running:
-            for place in job.waiting:
-                yield job.plan.team, sizes[place.step]
+        if job.plan.steps[0].long_running:
+            continue
+        # A job may have thousands of waiting tasks, but few steps.
+        counts: dict[int, int] = {}
+        for place in job.waiting:
+            counts[place.step] = counts.get(place.step, 0) + 1
+        for step_number, count in counts.items():
+            step = job.plan.steps[step_number]
+            size = reserved_size(step.size, step.best_effort)
+            yield job.plan.team, size, count
 
 
 def _sum_by_team(sizes):
-    """Sum up sizes of tasks by team."""
+    """Sum up sizes by team; each comes with a number of tasks."""
     cpu_milli: dict[str, int] = {}
     memory_mb: dict[str, int] = {}
     accelerators: dict[str, int] = {}
-    for team, size in sizes:
-        cpu_milli[team] = cpu_milli.get(team, 0) + size.cpu_milli
-        memory_mb[team] = memory_mb.get(team, 0) + size.memory_mb
-        accelerators[team] = accelerators.get(team, 0) + size.accelerators
+    for team, size, count in sizes:
+        cpu_milli[team] = cpu_milli.get(team, 0) + count * size.cpu_milli
+        memory_mb[team] = memory_mb.get(team, 0) + count * size.memory_mb
+        accelerators[team] = (
+            accelerators.get(team, 0) + count * size.accelerators
+        )
     return {
         team: Size(cpu_milli[team], memory_mb[team], accelerators[team])
         for team in cpu_milli
