--- a/sesamehall/reducer/jobs/share_accounts_test.py
+++ b/sesamehall/reducer/jobs/share_accounts_test.py
@@ -188,8 +188,8 @@
     assert order_by_shares(priorities, loads) == expected
 
 
-# Guards against jobs that are late for the sake of shares at the beginning of a
-# surge, though machines are on their way to the pool.
+# Guards against jobs that are late for the sake of shares at the beginning of
+# a surge, though machines are on their way to the pool.
 @pytest.mark.parametrize(
     ("targets", "short", "contended"),
     [
