--- a/review/harness2/deployment.py
+++ b/review/harness2/deployment.py
@@ -41,6 +41,7 @@
 HEARTBEAT_S = 1.5
 CALL_TIMEOUT_S = 3.0  # time limit of the sheets' requests
 SERVER_THREADS = 64
+MAX_CHANNELS = 64  # of an executor on the sheets
 WORKER_CPU_MILLI = 16_000
 BOUNDS = {
     "ContactMs": 3000,
@@ -99,6 +100,8 @@
         cores: tuple[float, ...] = (),
         machines: dict[str, str] | None = None,
         store: MetadataStore | None = None,
+        proxy_class: type = Proxy,
+        worker_labels: dict[int, list[str]] | None = None,
     ):
         self.record = record
         self.folder = Path(tempfile.mkdtemp(prefix="review-"))
@@ -112,6 +115,7 @@
         self._cores = cores
         self._processes: dict[int, subprocess.Popen] = {}
         self._closed = False
+        self._proxy_class = proxy_class
         self.workers: dict[str, JobWorker] = {}
         self.worker_proxies: dict[str, Proxy] = {}
         self._entries: dict[str, dict] = {}
@@ -120,7 +124,8 @@
         for number in range(workers):
             # In the order of the machines.
             worker = worker_class(f"i-{number}{random.getrandbits(28):07x}")
-            self.add_worker(worker, number, wrap_worker)
+            labels = (worker_labels or {}).get(number)
+            self.add_worker(worker, number, wrap_worker, labels)
         pool_by_machine = machines or {
             f"m{number}": POOL for number in range(workers)
         }
@@ -153,7 +158,7 @@
         handle = worker.handle if wrap_worker is None else wrap_worker(worker)
         server = start_server(handle)
         self._worker_servers.append(server)
-        proxy = Proxy(address_of(server))
+        proxy = self._proxy_class(address_of(server))
         self.workers[worker.worker_id] = worker
         self.worker_proxies[worker.worker_id] = proxy
         self._entries[worker.worker_id] = {
@@ -467,6 +472,7 @@
         ("127.0.0.1", 0), wsgi_application(handle), numthreads=SERVER_THREADS
     )
     server.shutdown_timeout = 0
+    server.keep_alive_conn_limit = MAX_CHANNELS
     server.prepare()
     threading.Thread(target=server.serve, daemon=True).start()
     return server
