--- /dev/null
+++ b/review/harness3/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins and clients of the third review's scripts."""
