review: case 13, a work item that lasts is not restarted after done (LOST)

Cause: an end done finishes a task for good, also one that runs until its job is cancelled. Done: a script with two managers and four executors; three items of a lasting job end failed, stopped and done.

--- a/review/harness3/executor.py
+++ b/review/harness3/executor.py
@@ -69,6 +69,11 @@
             if self.alive:
                 self._settle()
 
+    def end_run(self, task: str, how: str) -> None:
+        """End an active run, as its program does by itself."""
+        with self._changed:
+            self._end(self._active[task], how)
+
     def active(self) -> list[Run]:
         """List the active runs."""
         with self._changed:
@@ -146,7 +151,7 @@
             return self._refuse("old")
         self._highest[task] = number
         words = order["Spec"].split()
-        work_s = float(words[1]) if words[0] == "work" else float("inf")
+        work_s = float("inf") if words[0] == "last" else float(words[1])
         run = Run(
             task,
             number,
