--- a/review/harness3/executor.py
+++ b/review/harness3/executor.py
@@ -149,6 +149,9 @@
             return self._answer({})
         if number <= self._highest.get(task, 0):
             return self._refuse("old")
+        advice = self._lab.advice
+        if advice is not None and not advice.allows(self.executor_id, order):
+            return self._refuse("ticket")
         self._highest[task] = number
         words = order["Spec"].split()
         work_s = float("inf") if words[0] == "last" else float(words[1])
--- a/review/harness3/lab.py
+++ b/review/harness3/lab.py
@@ -65,6 +65,43 @@
         self.registers = True
 
 
+class Advice:
+    """The advice service: every executor may run every step.
+
+    It answers one call after the other, since only the leader calls it.
+    """
+
+    def __init__(self, lab, decide_ms: int, interval_ms: int, valid_ms: int):
+        """Start the service."""
+        self._lab = lab
+        self._decide_s = decide_ms / 1_000
+        self._interval_s = interval_ms / 1_000
+        self._valid_ms = valid_ms
+        self._lock = threading.Lock()
+        self._valid_until_s: dict[tuple[str, str, str], float] = {}
+        self.address = StandInServer(self._advise).address
+
+    def _advise(self, request: Request) -> Reply:
+        call = json.loads(request.body)
+        step, workers = call["Step"], call["Workers"]
+        with self._lock:
+            time.sleep(self._decide_s + self._interval_s * len(workers))
+            until_s = time.monotonic() + self._valid_ms / 1_000
+            good = []
+            for executor_id in workers:
+                ticket = f"{random.getrandbits(32):08x}"
+                self._valid_until_s[step, executor_id, ticket] = until_s
+                good.append([executor_id, ticket])
+        self._lab.note(f"advice for {step} on {len(workers)} executors")
+        return json_reply({"Good": good, "ValidMs": self._valid_ms})
+
+    def allows(self, executor_id: str, order: dict) -> bool:
+        """Check the ticket of a start."""
+        step = order["Task"].rpartition(".")[0]
+        key = (step, executor_id, order.get("Ticket", ""))
+        return time.monotonic() < self._valid_until_s.get(key, 0.0)
+
+
 class Lab:
     """The deployment of one script."""
 
@@ -88,6 +125,7 @@
             for index in range(len(zones))
         ]
         self._cloud = StandInServer(self._list_machines)
+        self.advice: Advice | None = None
         threading.Thread(target=self._beat, daemon=True).start()
 
     # What is recorded.
@@ -285,6 +323,8 @@
             },
             "CloudApi": {"Address": self._cloud.address},
         }
+        if self.advice is not None:
+            settings["Advice"] = self.advice.address
         path = self._folder / f"node-{index}.json"
         path.write_text(json.dumps(settings))
         paths = [str(ROOT / "target" / "deps"), str(ROOT)]
@@ -349,11 +389,16 @@
     # Clients.
 
     def call(
-        self, index: int, method: str, path: str, body: dict | None = None
+        self,
+        index: int,
+        method: str,
+        path: str,
+        body: dict | None = None,
+        key: str = KEY,
     ) -> tuple[int, dict]:
         """Send a client's call; status 0 means that there is no answer."""
         data = None if body is None else json.dumps(body).encode()
-        headers = {"Host": HOST, "Authorization": f"Token {KEY}"}
+        headers = {"Host": HOST, "Authorization": f"Token {key}"}
         try:
             connection = http.client.HTTPConnection(
                 self._ips[index], 8340, timeout=3
@@ -370,11 +415,13 @@
         except ValueError:
             return status, {}
 
-    def submit(self, index: int, prefix: str, job_id: str, job: dict) -> bool:
+    def submit(
+        self, index: int, prefix: str, job_id: str, job: dict, key: str = KEY
+    ) -> bool:
         """Submit a job until a manager accepts it."""
         for attempt in range(5):
             at = (index + attempt) % len(self.zones)
-            status, _ = self.call(at, "POST", f"{prefix}{job_id}", job)
+            status, _ = self.call(at, "POST", f"{prefix}{job_id}", job, key)
             if status == 200:
                 return True
             time.sleep(0.2)
