--- a/review/12/case.py
+++ b/review/12/case.py
@@ -1,13 +1,11 @@
-"""LIMIT: an executor crashes and starts again, smaller, under its Id."""
+"""LOST: occurrences that are due at the same time never start."""
 
 import os
 from pathlib import Path
-import random
 import sys
 import time
 
 from review.harness3.lab import CouldNotRun
-from review.harness3.lab import HEARTBEAT_S
 from review.harness3.lab import HOST
 from review.harness3.lab import KEY
 from review.harness3.lab import Lab
@@ -17,12 +15,12 @@
 FOLDER = Path(__file__).parent
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 ZONES = ("zone-a", "zone-b")
-EXECUTORS = 8  # one of them is 0.125 of the service
-ITEM_CPU = 2_000
-BIG = {"Cpu": 16_000, "MemMb": 32_000, "Gpu": 0}
-SMALL = {"Cpu": 4_000, "MemMb": 8_000, "Gpu": 0}
-DOWN_S = 1.0
-CRASHES = 4
+EXECUTORS = 4
+TIMES = 8
+FIRST_IN_MS = 2_000
+PERIOD_MS = 0 if TROUBLE else 500
+FINISH_S = 14.0  # finish_s
+NOTHING_S = 3.0  # "for 3 s, a job has nothing running"
 
 
 def manifest() -> dict:
@@ -46,56 +44,54 @@
 
 
 def job() -> dict:
-    """Build a job of 20 work items of 0.6 s."""
-    return {
-        "Spec": "work 0.6",
+    """Build a job that runs eight times; a field of value 0 is omitted."""
+    document = {
+        "Spec": "work 0.5",
         "Steps": [
-            {
-                "TaskCount": 20,
-                "Cpu": ITEM_CPU,
-                "MemMb": 64,
-                "EstimateMs": 600,
-            }
+            {"TaskCount": 2, "Cpu": 1_000, "MemMb": 64, "EstimateMs": 500}
         ],
+        "Times": TIMES,
+        "FirstMs": time.time_ns() // 1_000_000 + FIRST_IN_MS,
     }
+    if PERIOD_MS:
+        document["PeriodMs"] = PERIOD_MS
+    return document
 
 
 def run(lab: Lab) -> int:
     """Play the case; return 1 if the rule was broken, else 0."""
-    broken = []
-
-    def check(life, started):
-        cpu = ITEM_CPU * sum(other is life for other, _ in lab.running())
-        if cpu > life.capacity["Cpu"]:
-            broken.append(cpu)
-            lab.note(
-                f"LIMIT broken: {life.executor_id} (born {life.born_ms}) has"
-                f" {cpu} running after the start of {started.task}, Capacity"
-                f" {life.capacity['Cpu']}"
-            )
-
-    lab.on_start = check
     lab.put_manifest(manifest())
     for index in range(EXECUTORS):
         zone = ZONES[index % len(ZONES)]
-        place = Place(f"ex-{index}", "svc-bookings", zone, f"r1-{index // 4}")
-        lab.add_executor(place, BIG)
+        place = Place(f"ex-{index}", "svc-bookings", zone, f"r1-{index}")
+        lab.add_executor(place, {"Cpu": 16_000, "MemMb": 32_000, "Gpu": 0})
     lab.start_managers()
     time.sleep(2)
-    place = lab.places["ex-0"]
-    for number in range(CRASHES):
-        for _ in range(20):
-            lab.submit(0, "/bookings/", new_job_id(), job())
-        if TROUBLE:
-            lab.crash_executor(place)
-            time.sleep(DOWN_S)
-            lab.start_executor(
-                place,
-                BIG if number % 2 else SMALL,
-                registers_after_s=random.uniform(0.0, HEARTBEAT_S),
-            )
-        time.sleep(5)
-    return 1 if broken else 0
+    job_id = new_job_id()
+    if not lab.submit(0, "/bookings/", job_id, job()):
+        raise CouldNotRun("the job is not accepted")
+    lab.note(
+        f"{job_id}: {TIMES} times, the first {FIRST_IN_MS} ms from now,"
+        f" {PERIOD_MS} ms apart"
+    )
+    time.sleep(FIRST_IN_MS / 1_000 + (TIMES - 1) * PERIOD_MS / 1_000)
+    lab.note("the last occurrence is due, and the traffic has ended")
+    time.sleep(FINISH_S + NOTHING_S)
+    _, answer = lab.call(1, "GET", f"/bookings/{job_id}")
+    started = {
+        run.task.split(".")[1]
+        for place in lab.places.values()
+        for run in place.life.runs
+    }
+    missing = [str(k) for k in range(TIMES) if str(k) not in started]
+    if not missing:
+        return 0
+    lab.note(
+        f"LOST broken: occurrences {', '.join(missing)} of {job_id} have never"
+        f" run, {FINISH_S + NOTHING_S:.0f} s after they were due; it is"
+        f" {answer.get('State')}, and the executors are idle"
+    )
+    return 1
 
 
 def main() -> int:
