review: a script that is ended early ends its managers

Cause: timeout sends SIGTERM, on which the clean-up was skipped; a case that reached its limit left its managers running. Result: a script ended after 4 s left one manager or more before, none now.

--- a/review/harness3/lab.py
+++ b/review/harness3/lab.py
@@ -7,6 +7,7 @@
 from pathlib import Path
 import random
 import shutil
+import signal
 import socket
 import subprocess
 import sys
@@ -107,6 +108,8 @@
 
     def __init__(self, record: Path, zones: tuple[str, ...]):
         """Start the store and the cloud API; a manager for each zone."""
+        # A script that is ended early ends its processes too.
+        signal.signal(signal.SIGTERM, _exit_early)
         self.zones = zones
         self.store = MetadataStore()
         self.places: dict[str, Place] = {}
@@ -443,6 +446,10 @@
         shutil.rmtree(self._folder, ignore_errors=True)
 
 
+def _exit_early(number, frame):
+    raise SystemExit(2)
+
+
 def new_job_id() -> str:
     """Choose the identifier of a job."""
     return f"{random.getrandbits(64):016x}"
