--- a/review/12/case.py
+++ b/review/12/case.py
@@ -1,10 +1,11 @@
-"""LOST: occurrences that are due at the same time never start."""
+"""LOST: a tenant at its Cap keeps the advice service from all others."""
 
 import os
 from pathlib import Path
 import sys
 import time
 
+from review.harness3.lab import Advice
 from review.harness3.lab import CouldNotRun
 from review.harness3.lab import HOST
 from review.harness3.lab import KEY
@@ -15,83 +16,121 @@
 FOLDER = Path(__file__).parent
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 ZONES = ("zone-a", "zone-b")
-EXECUTORS = 4
-TIMES = 8
-FIRST_IN_MS = 2_000
-PERIOD_MS = 0 if TROUBLE else 500
+EXECUTORS = 8
+OTHER_KEY = "key-of-the-other-tenant"
+CAP_CPU = 4_000  # of the tenant that sends more than it may run
+OTHER_CAP_CPU = 40_000
+EXCESS_JOBS = 12
+DECIDE_MS = 200
+INTERVAL_MS = 20
+VALID_MS = 3_000  # as in the example of `fleetbench wire`
 FINISH_S = 14.0  # finish_s
 NOTHING_S = 3.0  # "for 3 s, a job has nothing running"
 
 
 def manifest() -> dict:
-    """Build the manifest: one queue, one tenant without a Cap."""
+    """Build the manifest: one queue with Advice, two tenants."""
     return {
         "Version": 3,
         "Routes": [
             {
-                "Name": "bookings",
+                "Name": "roster",
                 "Host": HOST,
-                "PathPrefix": "/bookings/",
+                "PathPrefix": "/roster/",
                 "Service": "svc-bookings",
                 "Attempts": 4,
                 "Stretch": 1.6,
                 "TargetLatencyMs": 600,
+                "Advice": {
+                    "DecideMs": DECIDE_MS,
+                    "IntervalMs": INTERVAL_MS,
+                    "ValidMs": VALID_MS,
+                },
             }
         ],
         "Services": [{"Name": "svc-bookings"}],
-        "Tenants": [{"Name": "tenant-1", "ApiKeys": [KEY], "Weight": 10}],
+        "Tenants": [
+            {
+                "Name": "tenant-1",
+                "ApiKeys": [KEY],
+                "Weight": 10,
+                "Cap": {"Cpu": CAP_CPU},
+            },
+            {
+                "Name": "tenant-2",
+                "ApiKeys": [OTHER_KEY],
+                "Weight": 10,
+                "Cap": {"Cpu": OTHER_CAP_CPU},
+            },
+        ],
     }
 
 
-def job() -> dict:
-    """Build a job that runs eight times; a field of value 0 is omitted."""
-    document = {
-        "Spec": "work 0.5",
-        "Steps": [
-            {"TaskCount": 2, "Cpu": 1_000, "MemMb": 64, "EstimateMs": 500}
-        ],
-        "Times": TIMES,
-        "FirstMs": time.time_ns() // 1_000_000 + FIRST_IN_MS,
-    }
-    if PERIOD_MS:
-        document["PeriodMs"] = PERIOD_MS
-    return document
+def job(spec: str, lasts: bool) -> dict:
+    """Build a job of two work items of 1 core."""
+    step = {"TaskCount": 2, "Cpu": 1_000, "MemMb": 64, "EstimateMs": 1_000}
+    if lasts:
+        step["LongRunning"] = True
+    return {"Spec": spec, "Steps": [step]}
+
+
+def submit(lab: Lab, key: str, body: dict) -> str:
+    """Submit a job, which has to be accepted."""
+    job_id = new_job_id()
+    if not lab.submit(0, "/roster/", job_id, body, key):
+        raise CouldNotRun("a job is not accepted")
+    return job_id
+
+
+def has_run(lab: Lab, job_id: str) -> bool:
+    """Check whether a work item of a job has ever started."""
+    return any(
+        run.task.startswith(job_id)
+        for place in lab.places.values()
+        for run in place.life.runs
+    )
 
 
 def run(lab: Lab) -> int:
     """Play the case; return 1 if the rule was broken, else 0."""
+    lab.advice = Advice(lab, DECIDE_MS, INTERVAL_MS, VALID_MS)
     lab.put_manifest(manifest())
     for index in range(EXECUTORS):
         zone = ZONES[index % len(ZONES)]
-        place = Place(f"ex-{index}", "svc-bookings", zone, f"r1-{index}")
+        place = Place(f"ex-{index}", "svc-bookings", zone, f"r1-{index // 4}")
         lab.add_executor(place, {"Cpu": 16_000, "MemMb": 32_000, "Gpu": 0})
     lab.start_managers()
     time.sleep(2)
-    job_id = new_job_id()
-    if not lab.submit(0, "/bookings/", job_id, job()):
-        raise CouldNotRun("the job is not accepted")
-    lab.note(
-        f"{job_id}: {TIMES} times, the first {FIRST_IN_MS} ms from now,"
-        f" {PERIOD_MS} ms apart"
-    )
-    time.sleep(FIRST_IN_MS / 1_000 + (TIMES - 1) * PERIOD_MS / 1_000)
-    lab.note("the last occurrence is due, and the traffic has ended")
+    # The first tenant uses all of its Cap, and sends more.
+    for _ in range(CAP_CPU // 2_000):
+        submit(lab, KEY, job("last", True))
+    time.sleep(4)
+    if len(lab.running()) != CAP_CPU // 1_000:
+        raise CouldNotRun("the first jobs do not start")
+    if TROUBLE:
+        for _ in range(EXCESS_JOBS):
+            submit(lab, KEY, job("last", True))
+    time.sleep(2)
+    # The other tenant hands in a short job and one that lasts.
+    others = [
+        submit(lab, OTHER_KEY, job("work 1.0", False)),
+        submit(lab, OTHER_KEY, job("last", True)),
+    ]
+    lab.note("end of the traffic")
     time.sleep(FINISH_S + NOTHING_S)
-    _, answer = lab.call(1, "GET", f"/bookings/{job_id}")
-    started = {
-        run.task.split(".")[1]
-        for place in lab.places.values()
-        for run in place.life.runs
-    }
-    missing = [str(k) for k in range(TIMES) if str(k) not in started]
-    if not missing:
-        return 0
-    lab.note(
-        f"LOST broken: occurrences {', '.join(missing)} of {job_id} have never"
-        f" run, {FINISH_S + NOTHING_S:.0f} s after they were due; it is"
-        f" {answer.get('State')}, and the executors are idle"
-    )
-    return 1
+    broken = False
+    used = 1_000 * len(lab.running())
+    for job_id in others:
+        _, answer = lab.call(1, "GET", f"/roster/{job_id}", None, OTHER_KEY)
+        if not has_run(lab, job_id):
+            broken = True
+            lab.note(
+                f"LOST broken: nothing of {job_id} has run"
+                f" {FINISH_S + NOTHING_S:.0f} s after the traffic; it is"
+                f" {answer.get('State')}; its tenant has nothing running,"
+                f" {used} of {16_000 * EXECUTORS} of the service are in use"
+            )
+    return 1 if broken else 0
 
 
 def main() -> int:
--- a/review/14/case.py
+++ b/review/14/case.py
@@ -1,13 +1,11 @@
-"""LIMIT: an executor crashes and starts again, smaller, under its Id."""
+"""QUOTA: a zone is cut off; the next leader exceeds a tenant's Cap."""
 
 import os
 from pathlib import Path
-import random
 import sys
 import time
 
 from review.harness3.lab import CouldNotRun
-from review.harness3.lab import HEARTBEAT_S
 from review.harness3.lab import HOST
 from review.harness3.lab import KEY
 from review.harness3.lab import Lab
@@ -16,17 +14,16 @@
 
 FOLDER = Path(__file__).parent
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-ZONES = ("zone-a", "zone-b")
-EXECUTORS = 8  # one of them is 0.125 of the service
-ITEM_CPU = 2_000
-BIG = {"Cpu": 16_000, "MemMb": 32_000, "Gpu": 0}
-SMALL = {"Cpu": 4_000, "MemMb": 8_000, "Gpu": 0}
-DOWN_S = 1.0
-CRASHES = 4
+ZONES = ("zone-a", "zone-b", "zone-c")
+TENANT = "tenant-1"
+CAP_CPU = 12_000
+ITEM_CPU = 1_000
+OVERRUN = 0.1  # QuotaOverrun
+CUT_S = 6.0  # the site's zone cuts last 5.1 to 6.4 s
 
 
 def manifest() -> dict:
-    """Build the manifest: one queue, one tenant without a Cap."""
+    """Build the manifest: one queue, one tenant with a Cap."""
     return {
         "Version": 3,
         "Routes": [
@@ -41,20 +38,44 @@
             }
         ],
         "Services": [{"Name": "svc-bookings"}],
-        "Tenants": [{"Name": "tenant-1", "ApiKeys": [KEY], "Weight": 10}],
+        "Tenants": [
+            {
+                "Name": TENANT,
+                "ApiKeys": [KEY],
+                "Weight": 10,
+                "Cap": {"Cpu": CAP_CPU},
+            }
+        ],
     }
 
 
-def job() -> dict:
-    """Build a job of 20 work items of 0.6 s."""
+def lasting_job() -> dict:
+    """Build a job whose work items last, spread over three executors."""
     return {
-        "Spec": "work 0.6",
+        "Spec": "last",
         "Steps": [
             {
-                "TaskCount": 20,
+                "TaskCount": 12,
                 "Cpu": ITEM_CPU,
                 "MemMb": 64,
-                "EstimateMs": 600,
+                "EstimateMs": 1_000,
+                "LongRunning": True,
+                "MaxPerServer": 4,
+            }
+        ],
+    }
+
+
+def short_job() -> dict:
+    """Build a job of four work items of 3 s."""
+    return {
+        "Spec": "work 3.0",
+        "Steps": [
+            {
+                "TaskCount": 4,
+                "Cpu": ITEM_CPU,
+                "MemMb": 64,
+                "EstimateMs": 3_000,
             }
         ],
     }
@@ -65,36 +86,50 @@
     broken = []
 
     def check(life, started):
-        cpu = ITEM_CPU * sum(other is life for other, _ in lab.running())
-        if cpu > life.capacity["Cpu"]:
+        cpu = ITEM_CPU * len(lab.running())
+        if cpu > CAP_CPU * (1 + OVERRUN) + ITEM_CPU:
             broken.append(cpu)
             lab.note(
-                f"LIMIT broken: {life.executor_id} (born {life.born_ms}) has"
-                f" {cpu} running after the start of {started.task}, Capacity"
-                f" {life.capacity['Cpu']}"
+                f"QUOTA broken: {TENANT} has {cpu} running after the start of"
+                f" {started.task}, Cap {CAP_CPU}"
             )
 
     lab.on_start = check
     lab.put_manifest(manifest())
-    for index in range(EXECUTORS):
-        zone = ZONES[index % len(ZONES)]
-        place = Place(f"ex-{index}", "svc-bookings", zone, f"r1-{index // 4}")
-        lab.add_executor(place, BIG)
+    for index, zone in enumerate(ZONES):
+        place = Place(f"ex-{index}", "svc-bookings", zone, f"r1-{index}")
+        lab.add_executor(place, {"Cpu": 16_000, "MemMb": 32_000, "Gpu": 0})
     lab.start_managers()
     time.sleep(2)
-    place = lab.places["ex-0"]
-    for number in range(CRASHES):
-        for _ in range(20):
-            lab.submit(0, "/bookings/", new_job_id(), job())
-        if TROUBLE:
-            lab.crash_executor(place)
-            time.sleep(DOWN_S)
-            lab.start_executor(
-                place,
-                BIG if number % 2 else SMALL,
-                registers_after_s=random.uniform(0.0, HEARTBEAT_S),
-            )
-        time.sleep(5)
+    if not lab.submit(0, "/bookings/", new_job_id(), lasting_job()):
+        raise CouldNotRun("the first job is not accepted")
+    until_s = time.monotonic() + 10
+    while len(lab.running()) < 12:
+        if time.monotonic() > until_s:
+            raise CouldNotRun("the first job does not start")
+        time.sleep(0.1)
+    time.sleep(2)
+    leader, epoch = lab.leader()
+    others = [index for index in range(len(ZONES)) if index != leader]
+    lab.note(f"leader: manager {leader}, fence {epoch}")
+    if TROUBLE:
+        # The link of the leader's zone: its manager loses the store, and the
+        # other managers, which have later fences, lose its executor.
+        lab.note(f"{ZONES[leader]} is cut off")
+        lab.store_open[leader] = False
+        place = lab.places[f"ex-{leader}"]
+        place.life.reaches = lambda token: token <= epoch
+        place.registers = False
+    cut_s = time.monotonic()
+    while time.monotonic() - cut_s < CUT_S:
+        lab.submit(others[0], "/bookings/", new_job_id(), short_job())
+        time.sleep(0.5)
+    if TROUBLE:
+        lab.note("the cut ends")
+        place.life.reaches = lambda token: True
+        place.registers = True
+        lab.store_open[leader] = True
+    time.sleep(6)
     return 1 if broken else 0
 
 
