--- a/sesamehall/core/jobtiming.py
+++ b/sesamehall/core/jobtiming.py
@@ -75,6 +75,8 @@
 # 100 ms: an earlier report still contains latencies of the old speed.
 THROTTLE_SETTLE_MS = 700
 TICKET_MARGIN_MS = 500  # an order may take this long to reach its worker
+ADVICE_RETRY_MS = 500  # pause after a failed request; doubles each time
+ADVICE_RETRY_MAX_MS = 2_000  # a job with room for it starts within 3 s
 
 STOP_MIN_MS = 700  # time in which the balancer and callers notice the stop
 STOP_MAX_MS = 3_500  # the platform kills the process some time after this
--- a/sesamehall/core/logevents.py
+++ b/sesamehall/core/logevents.py
@@ -147,6 +147,7 @@
 )
 RENEWALS_AWAITED = _info(637, "earlier leaders' renewals")
 TERM_CONFIRMED_BY_RETRY = _info(638, "leadership confirmed by a retry")
+ADVICE_REQUESTED = _info(639, "advice requested")
 STREAM_UNREADABLE = _warning(
     640, "stream unread", "Look at the platform's store and the way to it."
 )
--- a/sesamehall/core/managerstate.py
+++ b/sesamehall/core/managerstate.py
@@ -8,6 +8,7 @@
 
 from immutables import Map
 
+from sesamehall.core.advicestate import AdviceState
 from sesamehall.core.calls import JobCall
 from sesamehall.core.codes import ResultCode
 from sesamehall.core.data import EMPTY_MAP
@@ -36,7 +37,6 @@
 from sesamehall.core.workstate import Durations
 from sesamehall.core.workstate import Run
 from sesamehall.core.workstate import Worker
-from sesamehall.core.workstate import WorkerAdvice
 
 
 @dataclass(frozen=True, slots=True)
@@ -306,10 +306,7 @@
         orders are in flight, mapped to True.
       waiting_logged_ms_by_pool: Time at which a pool's waiting tasks were
         last logged.
-      advice_by_step: Answers of the advice service, by name of the step and
-        identifier of the worker.
-      advice_in_flight_step: Step that a request to the advice service is in
-        flight for, or "".
+      advice: Requests to the advice service and its answers.
       wall_offset_ms: Time of day minus the node's clock.
       fleet: Machines and the orders for them.
       draining: Data centres in which nothing may be started.
@@ -375,8 +372,7 @@
     order_window: int = ORDER_WINDOW_INITIAL
     window_blocked_pools: Map[str, bool] = EMPTY_MAP
     waiting_logged_ms_by_pool: Map[str, int] = EMPTY_MAP
-    advice_by_step: Map[str, Map[str, WorkerAdvice]] = EMPTY_MAP
-    advice_in_flight_step: str = ""
+    advice: AdviceState = AdviceState()
     wall_offset_ms: int = 0
     fleet: FleetState = FleetState()
     draining: DrainingState = DrainingState()
--- a/sesamehall/core/work.py
+++ b/sesamehall/core/work.py
@@ -322,6 +322,41 @@
     )
 
 
+def multiply_size(size: Size, count: int) -> Size:
+    """Multiply resources by a number of tasks.
+
+    Args:
+      size: Resources of one task.
+      count: Number of tasks.
+    Returns:
+      Their resources together.
+    """
+    return Size(
+        size.cpu_milli * count,
+        size.memory_mb * count,
+        size.accelerators * count,
+    )
+
+
+def count_fitting(size: Size, available: Size, limit: int) -> int:
+    """Count the tasks that fit into the available resources.
+
+    Args:
+      size: Resources of one task.
+      available: Resources that are not in use.
+      limit: The highest number that is of interest.
+    Returns:
+      The number of tasks, at most the limit.
+    """
+    pairs = (
+        (size.cpu_milli, available.cpu_milli),
+        (size.memory_mb, available.memory_mb),
+        (size.accelerators, available.accelerators),
+    )
+    counts = [free // needed for needed, free in pairs if needed]
+    return max(min([limit, *counts]), 0)
+
+
 def reserved_size(size: Size, best_effort: bool) -> Size:
     """Compute the resources that a task reserves on its worker.
 
--- a/sesamehall/core/workstate.py
+++ b/sesamehall/core/workstate.py
@@ -152,23 +152,6 @@
     sample: RunSample | None = None
 
 
-@dataclass(frozen=True, slots=True)
-class WorkerAdvice:
-    """The advice service's answer for a step and a worker.
-
-    Attributes:
-      ticket: Ticket that a start order must carry, or "" if the step must not
-        run on the worker.
-      started_wall_ms: Start time of the worker incarnation that it applies
-        to.
-      expires_ms: Time until which the ticket is valid.
-    """
-
-    ticket: str
-    started_wall_ms: int
-    expires_ms: int
-
-
 @dataclass(frozen=True)
 class Worker:
     """A worker as the leader tracks it.
--- a/sesamehall/reducer/jobs/leadership.py
+++ b/sesamehall/reducer/jobs/leadership.py
@@ -4,6 +4,7 @@
 resigns, and then lets other nodes claim the role first for some time.
 """
 
+from sesamehall.core.advicestate import AdviceState
 from sesamehall.core.data import EMPTY_MAP
 from sesamehall.core.effects import log
 from sesamehall.core.fleet import Leader
@@ -427,8 +428,7 @@
         dirty_waves=EMPTY_MAP,
         dirty_queues=EMPTY_MAP,
         job_end_unstored=False,
-        advice_by_step=EMPTY_MAP,
-        advice_in_flight_step="",
+        advice=AdviceState(),
         placement_scheduled_pools=EMPTY_MAP,
         start_ordered_ms_by_run=EMPTY_MAP,
         window_blocked_pools=EMPTY_MAP,
--- a/sesamehall/reducer/jobs/placement_round.py
+++ b/sesamehall/reducer/jobs/placement_round.py
@@ -8,7 +8,9 @@
 from sesamehall.core.managerstate import ManagerState
 from sesamehall.core.replacing import replace
 from sesamehall.core.work import add_size
+from sesamehall.core.work import count_fitting
 from sesamehall.core.work import fits
+from sesamehall.core.work import multiply_size
 from sesamehall.core.work import NO_SIZE
 from sesamehall.core.work import reserved_size
 from sesamehall.core.work import Size
@@ -88,6 +90,7 @@
       count_by_worker_step: Number of tasks of a step that were placed on a
         worker in this round; for a step with a limit per worker, the tasks
         that ran there before are counted too.
+      counted_steps: Jobs and steps whose running tasks are in these counts.
       held_back_worker_ids: Workers that get no more tasks in this round, so
         that they become free for a task that no worker can run now.
       exhausted_sizes: Demands that no worker can satisfy any more, except
@@ -102,6 +105,7 @@
     free_by_id: dict[str, Size]
     used_by_team: dict[str, Size]
     count_by_worker_step: dict[tuple[str, str], int]
+    counted_steps: set[tuple[str, int]]
     held_back_worker_ids: list[str]
     exhausted_sizes: list[Size]
     lasting_room_by_id: dict[str, Size]
@@ -115,7 +119,7 @@
             for worker_id, worker in workers.items()
         }
         used = dict(manager.used_by_team)
-        return cls(manager, at_ms, workers, free, used, {}, [], [], {})
+        return cls(manager, at_ms, workers, free, used, {}, set(), [], [], {})
 
     def place_job(self, job: ActiveJob, max_tasks: int) -> list[Assignment]:
         """Place up to `max_tasks` waiting tasks of a job.
@@ -125,7 +129,7 @@
         assignments: list[Assignment] = []
         if self._is_unplaceable(job):
             return assignments
-        for step, places in _waiting_by_step(job):
+        for step, places in waiting_by_step(job):
             if step.gang:
                 assignments += self._place_gang(job, step, places)
                 continue
@@ -146,6 +150,39 @@
         step = job.plan.steps[place.step]
         return bool(self._rank_workers(job, step, place).ranked_workers)
 
+    def is_below_ceiling(self, job: ActiveJob, place: TaskPlace) -> bool:
+        """Check whether the ceiling of a job's team allows a task.
+
+        Of a gang all tasks are checked together.
+        """
+        step = job.plan.steps[place.step]
+        count = step.count if step.gang else 1
+        return self._is_within_ceiling(
+            job.plan.team, multiply_size(step.size, count)
+        )
+
+    def room_by_worker_id(
+        self, job: ActiveJob, place: TaskPlace
+    ) -> dict[str, int]:
+        """Count the tasks of a step that fit on each worker now.
+
+        Tickets are not considered, and workers without room are left out.
+        """
+        step = job.plan.steps[place.step]
+        demand = reserved_size(step.size, step.best_effort)
+        name = step_name(job, place)
+        candidates = StepCandidates(job, step, name, demand, False, [])
+        if step.max_per_worker:
+            self._count_running_tasks(job, place.step)
+        room = {}
+        for worker_id, free in self.free_by_id.items():
+            if fits(demand, free) and self._may_run(candidates, worker_id):
+                room[worker_id] = min(
+                    count_fitting(demand, free, step.count),
+                    self._tasks_below_limit(candidates, worker_id),
+                )
+        return room
+
     def _place_gang(self, job, step, places):
         """Place all tasks of a gang, or none."""
         if len(places) < step.count:
@@ -218,22 +255,23 @@
 
     def _is_eligible(self, candidates, worker_id):
         """Check whether a worker may run a task once it has enough room."""
-        step = candidates.step
         worker = self.workers_by_id[worker_id]
-        if (
-            step.required_label
-            and step.required_label not in worker.entry.labels
-        ):
+        if not has_required_label(candidates.step, worker):
+            return False
+        if not self._tasks_below_limit(candidates, worker_id):
             return False
-        if step.max_per_worker:
-            key = (worker_id, candidates.name)
-            count = self.count_by_worker_step.get(key, 0)
-            if count >= step.max_per_worker:
-                return False
         return not candidates.requires_advice or bool(
             self._ticket(candidates.name, worker)
         )
 
+    def _tasks_below_limit(self, candidates, worker_id):
+        """Count the tasks that a step's limit per worker still allows."""
+        limit = candidates.step.max_per_worker
+        if not limit:
+            return candidates.step.count
+        key = (worker_id, candidates.name)
+        return max(limit - self.count_by_worker_step.get(key, 0), 0)
+
     def _place_task(self, candidates, place):
         """Place one task on the best worker, or return None."""
         job = candidates.job
@@ -350,9 +388,14 @@
         return is_within_ceiling(self.manager, team, add_size(used, size))
 
     def _count_running_tasks(self, job, step_number):
-        """Count a step's running tasks on each worker, for all occurrences."""
-        if not job.running_count:
+        """Count a step's running tasks on each worker, for all occurrences.
+
+        They are counted once in a round.
+        """
+        key = (job.plan.job_id, step_number)
+        if not job.running_count or key in self.counted_steps:
             return
+        self.counted_steps.add(key)
         prefix = f"{job.plan.job_id}."
         runs = self.manager.runs_by_task
         for worker_id, worker in self.workers_by_id.items():
@@ -366,6 +409,19 @@
                     self.count_by_worker_step[key] = count + 1
 
 
+def has_required_label(step: StepPlan, worker: Worker) -> bool:
+    """Check whether a worker has the label that a step requires.
+
+    Args:
+      step: The step.
+      worker: The worker.
+    Returns:
+      True also if the step requires none.
+    """
+    label = step.required_label
+    return not label or label in worker.entry.labels
+
+
 def _needs_only_size(candidates):
     """Check whether a step's tasks can run on every worker large enough.
 
@@ -379,8 +435,14 @@
     )
 
 
-def _waiting_by_step(job) -> list[tuple[StepPlan, list[TaskPlace]]]:
-    """Group the waiting tasks of a job by occurrence and step, in order."""
+def waiting_by_step(job: ActiveJob) -> list[tuple[StepPlan, list[TaskPlace]]]:
+    """Group the waiting tasks of a job by occurrence and step.
+
+    Args:
+      job: The job.
+    Returns:
+      Each step and its waiting tasks, in the order of their numbers.
+    """
     groups: dict[tuple[int, int], list[TaskPlace]] = {}
     for place in job.waiting:
         groups.setdefault((place.occurrence, place.step), []).append(place)
--- a/sesamehall/reducer/jobs/task_placement.py
+++ b/sesamehall/reducer/jobs/task_placement.py
@@ -14,8 +14,7 @@
 from sesamehall.core.workstate import Run
 from sesamehall.core.workstate import RunState
 from sesamehall.reducer.counts import drop_key
-from sesamehall.reducer.jobs.advice import request_advice
-from sesamehall.reducer.jobs.advice import requires_advice
+from sesamehall.reducer.jobs.advice_requests import request_advice
 from sesamehall.reducer.jobs.leases import extend_lease
 from sesamehall.reducer.jobs.leases import start_lease_end_ms
 from sesamehall.reducer.jobs.order_window import available_orders
@@ -29,11 +28,9 @@
 from sesamehall.reducer.jobs.queueing import available_workers
 from sesamehall.reducer.jobs.queueing import ranked_jobs
 from sesamehall.reducer.jobs.queueing import waiting_jobs
-from sesamehall.reducer.jobs.runs import schedule_placement
 from sesamehall.reducer.jobs.share_accounts import is_sample_due
 from sesamehall.reducer.jobs.share_accounts import sample_shares
 from sesamehall.reducer.jobs.state_updates import charge_run
-from sesamehall.reducer.jobs.state_updates import job_pool
 from sesamehall.reducer.jobs.state_updates import put_worker
 from sesamehall.reducer.jobs.waiting_log import log_waiting_tasks
 
@@ -71,7 +68,7 @@
         return step
     if len(assignments) >= max_tasks:
         step = Step(block_pool(step.state, pool), step.effects)
-    step = then(step, _request_advice, pool, at_ms)
+    step = then(step, request_advice, at_ms)
     step = then(step, log_waiting_tasks, pool, at_ms)
     timer = SetTimer(PlaceTimer(pool), at_ms + PLACE_RETRY_MS)
     return Step(step.state, step.effects + (timer,))
@@ -88,39 +85,6 @@
     return sample_shares(manager, pool, workers, jobs, at_ms)
 
 
-def schedule_step_placement(
-    manager: ManagerState, name: str, at_ms: int
-) -> Step:
-    """Schedule the placement of a step's tasks after it got advice.
-
-    Args:
-      manager: State of a manager.
-      name: Name of the step.
-      at_ms: Current time on the node's clock.
-    Returns:
-      A Step with the timer, or without effects if the job has ended.
-    """
-    job = manager.active_jobs_by_id.get(name.partition(".")[0])
-    if job is None:
-        return Step(manager)
-    return schedule_placement(manager, job_pool(manager, job), at_ms)
-
-
-def _request_advice(manager, pool, at_ms):
-    """Request advice for the highest-ranked waiting step that needs it."""
-    job_ids = manager.job_ids_by_pool.get(pool, EMPTY_MAP)
-    waiting = (manager.active_jobs_by_id[job_id] for job_id in job_ids)
-    if not any(requires_advice(manager, job) for job in waiting):
-        return Step(manager)
-    workers = available_workers(manager, pool, at_ms)
-    jobs = [
-        job
-        for job in ranked_jobs(manager, pool, workers, at_ms)
-        if requires_advice(manager, job)
-    ]
-    return request_advice(manager, jobs, workers, at_ms)
-
-
 def choose_assignments(
     manager: ManagerState, pool: str, at_ms: int, max_tasks: int
 ) -> list[Assignment]:
--- a/sesamehall/reducer/manager_reducer.py
+++ b/sesamehall/reducer/manager_reducer.py
@@ -47,6 +47,7 @@
 from sesamehall.reducer.jobs.active_jobs import start_due_occurrences
 from sesamehall.reducer.jobs.advice import apply_advice
 from sesamehall.reducer.jobs.advice import handle_missing_advice
+from sesamehall.reducer.jobs.advice_requests import schedule_advised_placement
 from sesamehall.reducer.jobs.calls import advance_calls
 from sesamehall.reducer.jobs.calls import handle_job_stored
 from sesamehall.reducer.jobs.calls import is_manifest_current
@@ -71,7 +72,6 @@
 from sesamehall.reducer.jobs.stream_reading import handle_stream_read_failure
 from sesamehall.reducer.jobs.stream_reading import read_due_streams
 from sesamehall.reducer.jobs.task_placement import place_tasks
-from sesamehall.reducer.jobs.task_placement import schedule_step_placement
 from sesamehall.reducer.jobs.workers import expire_silent_workers
 from sesamehall.reducer.jobs.workers import handle_missing_report
 from sesamehall.reducer.jobs.workers import watch_worker
@@ -112,9 +112,10 @@
             return handle_stop_answer(manager, event)
         case AdviceGiven():
             step = apply_advice(manager, event)
-            return then(step, schedule_step_placement, event.step, event.at_ms)
+            return then(step, schedule_advised_placement, event.at_ms)
         case AdviceNotGiven():
-            return handle_missing_advice(manager, event)
+            step = handle_missing_advice(manager, event)
+            return then(step, schedule_advised_placement, event.at_ms)
         case WorkerNotReported():
             return handle_missing_report(manager, event)
         case TimerFired():
