--- a/bench/jobguards.py
+++ b/bench/jobguards.py
@@ -63,7 +63,7 @@
                 lambda manager, pool: False
             )
         case "pools":
-            queue_pools._possible_pools = _current_pools
+            queue_pools.possible_pools = _current_pools
         case "resigning":
             leases.is_resigning = lambda manager: False
         case "stored":
--- a/bench/jobhistories_test.py
+++ b/bench/jobhistories_test.py
@@ -32,7 +32,7 @@
         (adoption, "is_job_unread"),
         (reports, "_apply_ends"),
         (queue_pools, "pool_may_have_untracked_runs"),
-        (queue_pools, "_possible_pools"),
+        (queue_pools, "possible_pools"),
         (task_placement, "extend_lease"),
         (orders, "extend_lease"),
         (workers, "extend_lease"),
--- a/sesamehall/core/jobtiming.py
+++ b/sesamehall/core/jobtiming.py
@@ -51,6 +51,9 @@
 ORDER_WINDOW_MAX = 256  # orders
 ORDER_WINDOW_CUT_DIVISOR = 16  # a slow answer cuts the window by 1/16
 ORDER_EXPIRY_MS = 5_000  # longer than any order takes to be answered or fail
+# Runs of an ended job that a worker goes on with, cut off from the leader: a
+# leader's renewals, the longest lease after them, and time to read of the end.
+ENDED_JOB_RUNS_MAX_MS = 15_000
 CLOCK_SLACK_PERCENT = 3  # a clock 2 % slow makes a lease 2.04 % longer
 WATCH_WAIT_MS = 1_000  # long poll; a silent worker is noticed soon after this
 REPORT_OVERDUE_MS = 1_400  # WATCH_WAIT_MS and ample time for the answer
--- a/sesamehall/core/managerstate.py
+++ b/sesamehall/core/managerstate.py
@@ -28,6 +28,7 @@
 from sesamehall.core.runtimes import QueueRunTimes
 from sesamehall.core.shares import PoolShares
 from sesamehall.core.turnstate import TurnHistory
+from sesamehall.core.unreportedstate import EndedJob
 from sesamehall.core.work import CompactProgress
 from sesamehall.core.work import JobPlan
 from sesamehall.core.work import Progress
@@ -246,6 +247,8 @@
       team_by_job_id: Team of every known job.
       phase_by_job_id: Stored phase of the jobs that have progress.
       ended_ms_by_job_id: Time at which a job was first known to have ended.
+      ended_jobs_by_id: Jobs that have ended recently while runs of them may go
+        on.
       cancelled_by_job_id: Jobs with a cancel request of their team.
       early_cancels_by_job_id: Cancel requests that were read before their job.
       progress_by_id: Stored progress of the jobs that have not ended.
@@ -331,6 +334,7 @@
     team_by_job_id: Map[str, str] = EMPTY_MAP
     phase_by_job_id: Map[str, JobPhase] = EMPTY_MAP
     ended_ms_by_job_id: Map[str, int] = EMPTY_MAP
+    ended_jobs_by_id: Map[str, EndedJob] = EMPTY_MAP
     cancelled_by_job_id: Map[str, bool] = EMPTY_MAP
     early_cancels_by_job_id: Map[str, tuple[CancelAsked, ...]] = EMPTY_MAP
     progress_by_id: Map[str, Progress | CompactProgress] = EMPTY_MAP
--- a/sesamehall/core/work.py
+++ b/sesamehall/core/work.py
@@ -322,6 +322,38 @@
     )
 
 
+def max_size(left: Size, right: Size) -> Size:
+    """Take the larger amount of each resource.
+
+    Args:
+      left: The first operand.
+      right: The second operand.
+    Returns:
+      The resources that cover both.
+    """
+    return Size(
+        max(left.cpu_milli, right.cpu_milli),
+        max(left.memory_mb, right.memory_mb),
+        max(left.accelerators, right.accelerators),
+    )
+
+
+def min_size(left: Size, right: Size) -> Size:
+    """Take the smaller amount of each resource.
+
+    Args:
+      left: The first operand.
+      right: The second operand.
+    Returns:
+      The resources that both have.
+    """
+    return Size(
+        min(left.cpu_milli, right.cpu_milli),
+        min(left.memory_mb, right.memory_mb),
+        min(left.accelerators, right.accelerators),
+    )
+
+
 def multiply_size(size: Size, count: int) -> Size:
     """Multiply resources by a number of tasks.
 
--- a/sesamehall/reducer/jobs/placement_round.py
+++ b/sesamehall/reducer/jobs/placement_round.py
@@ -22,9 +22,11 @@
 from sesamehall.reducer.jobs.advice import requires_advice
 from sesamehall.reducer.jobs.advice import step_name
 from sesamehall.reducer.jobs.advice import ticket_for
+from sesamehall.reducer.jobs.ceilings import has_ceiling
 from sesamehall.reducer.jobs.ceilings import is_within_ceiling
 from sesamehall.reducer.jobs.lasting_room import lasting_room
 from sesamehall.reducer.jobs.run_numbers import next_run_number
+from sesamehall.reducer.jobs.unreported_runs import unreported_by_team
 
 # At most this many workers are held back for tasks that no worker can run now.
 # As many others that are large enough for such a task must remain in use, so
@@ -87,6 +89,8 @@
       workers_by_id: Workers that are available for new tasks.
       free_by_id: Free resources of each.
       used_by_team: Resources that each team uses.
+      unreported_by_team: What runs that no report has told of may use, of all
+        teams with ceilings; computed when the first ceiling is checked.
       count_by_worker_step: Number of tasks of a step that were placed on a
         worker in this round; for a step with a limit per worker, the tasks
         that ran there before are counted too.
@@ -104,6 +108,7 @@
     workers_by_id: dict[str, Worker]
     free_by_id: dict[str, Size]
     used_by_team: dict[str, Size]
+    unreported_by_team: dict[str, Size]
     count_by_worker_step: dict[tuple[str, str], int]
     counted_steps: set[tuple[str, int]]
     held_back_worker_ids: list[str]
@@ -119,7 +124,9 @@
             for worker_id, worker in workers.items()
         }
         used = dict(manager.used_by_team)
-        return cls(manager, at_ms, workers, free, used, {}, set(), [], [], {})
+        return cls(
+            manager, at_ms, workers, free, used, {}, {}, set(), [], [], {}
+        )
 
     def place_job(self, job: ActiveJob, max_tasks: int) -> list[Assignment]:
         """Place up to `max_tasks` waiting tasks of a job.
@@ -384,7 +391,14 @@
         return room
 
     def _is_within_ceiling(self, team, size):
-        used = self.used_by_team.get(team, NO_SIZE)
+        if not has_ceiling(self.manager, team):
+            return True
+        if not self.unreported_by_team:
+            self.unreported_by_team.update(unreported_by_team(self.manager))
+        used = add_size(
+            self.used_by_team.get(team, NO_SIZE),
+            self.unreported_by_team[team],
+        )
         return is_within_ceiling(self.manager, team, add_size(used, size))
 
     def _count_running_tasks(self, job, step_number):
--- a/sesamehall/reducer/jobs/queue_pools.py
+++ b/sesamehall/reducer/jobs/queue_pools.py
@@ -43,7 +43,7 @@
     """
     return any(
         pool_may_have_untracked_runs(manager, pool)
-        for pool in _possible_pools(manager, queue_name)
+        for pool in possible_pools(manager, queue_name)
     )
 
 
@@ -167,7 +167,7 @@
     pools = _pools_with_runs(manager, queue_name)
     pools |= {
         pool
-        for pool in _possible_pools(manager, queue_name)
+        for pool in possible_pools(manager, queue_name)
         if pool_may_have_untracked_runs(manager, pool)
     }
     if queue is not None:
@@ -203,11 +203,15 @@
     return replace(manager, dirty_queues=dirty) if queue_names else manager
 
 
-def _possible_pools(manager, queue_name):
+def possible_pools(manager: ManagerState, queue_name: str) -> tuple[str, ...]:
     """List the pools in which an earlier leader may have started tasks.
 
-    Without a record these are all, since leaders of an earlier version stored
-    none.
+    Args:
+      manager: State of the leader.
+      queue_name: Name of the queue.
+    Returns:
+      The stored pools.  Without a record these are all, since leaders of an
+      earlier version stored none.
     """
     pools = manager.pools_by_queue.get(queue_name)
     return tuple(manager.worker_ids_by_pool) if pools is None else pools
--- a/sesamehall/reducer/jobs/runs.py
+++ b/sesamehall/reducer/jobs/runs.py
@@ -29,6 +29,8 @@
 from sesamehall.reducer.jobs.advice import drop_job_tickets
 from sesamehall.reducer.jobs.attempts import failure_reason
 from sesamehall.reducer.jobs.durations import record_duration
+from sesamehall.reducer.jobs.ended_jobs import PHASES_WITH_RUNS
+from sesamehall.reducer.jobs.ended_jobs import record_own_end
 from sesamehall.reducer.jobs.progress import checkpoint_of
 from sesamehall.reducer.jobs.progress import is_task_done
 from sesamehall.reducer.jobs.progress import newly_startable_tasks
@@ -241,6 +243,9 @@
         took_ms=at_ms - job.first_seen_ms,
         goal_ms=job.goal_ms - job.first_seen_ms,
     )
+    runs = _runs_of(manager, job)
+    if phase in PHASES_WITH_RUNS:
+        manager = record_own_end(manager, job, runs, at_ms)
     progress = replace(
         job.progress, phase=phase, detail=reason, occurrences=()
     )
@@ -251,7 +256,7 @@
         job_end_unstored=True,
     )
     step = Step(manager, (line,))
-    for run in _runs_of(manager, job):
+    for run in runs:
         if run.state is not RunState.STOPPING:
             step = then(step, stop_run, run, reason)
     return step
--- a/sesamehall/reducer/jobs/storing.py
+++ b/sesamehall/reducer/jobs/storing.py
@@ -25,6 +25,7 @@
 from sesamehall.core.work import Progress
 from sesamehall.reducer.counts import drop_key
 from sesamehall.reducer.jobs.compacting import compact_progress
+from sesamehall.reducer.jobs.ended_jobs import record_read_end
 from sesamehall.reducer.jobs.leases import earlier_renewals_ms
 from sesamehall.reducer.jobs.leases import is_resigning
 from sesamehall.reducer.jobs.leases import is_stepping_down
@@ -485,9 +486,13 @@
     ended = manager.ended_ms_by_job_id
     if job_id not in ended:
         ended = ended.set(job_id, at_ms)
+    manager = replace(manager, ended_ms_by_job_id=ended)
+    plan = manager.plans_by_id.get(job_id)
+    if plan is not None:
+        before = manager.progress_by_id.get(job_id, Progress(job_id))
+        manager = record_read_end(manager, plan, before, progress.phase, at_ms)
     return replace(
         manager,
-        ended_ms_by_job_id=ended,
         progress_by_id=drop_key(manager.progress_by_id, job_id),
         plans_by_id=drop_key(manager.plans_by_id, job_id),
         first_seen_ms_by_job_id=drop_key(
--- a/sesamehall/reducer/jobs/stream_reading.py
+++ b/sesamehall/reducer/jobs/stream_reading.py
@@ -42,11 +42,13 @@
 from sesamehall.core.step import Step
 from sesamehall.core.step import then
 from sesamehall.core.work import JobPlan
+from sesamehall.core.work import Progress
 from sesamehall.reducer.counts import drop_key
 from sesamehall.reducer.jobs.active_jobs import activate_job
 from sesamehall.reducer.jobs.active_jobs import cancel_job
 from sesamehall.reducer.jobs.active_jobs import end_jobs_without_attempts
 from sesamehall.reducer.jobs.active_jobs import may_access
+from sesamehall.reducer.jobs.ended_jobs import record_read_end
 from sesamehall.reducer.jobs.handover import handle_candidate
 from sesamehall.reducer.jobs.leader_records import apply_progress_record
 from sesamehall.reducer.jobs.leadership import claimable_from_ms
@@ -437,8 +439,10 @@
         return Step(manager)
     teams = manager.team_by_job_id.set(job_id, plan.team)
     manager = replace(manager, team_by_job_id=teams)
-    if manager.phase_by_job_id.get(job_id) in TERMINAL_PHASES:
-        return Step(manager)
+    phase = manager.phase_by_job_id.get(job_id)
+    if phase in TERMINAL_PHASES:
+        no_progress = Progress(job_id)
+        return Step(record_read_end(manager, plan, no_progress, phase, at_ms))
     manager = _apply_early_cancels(manager, job_id)
     manager = replace(
         manager,
--- a/sesamehall/reducer/jobs/waiting_log.py
+++ b/sesamehall/reducer/jobs/waiting_log.py
@@ -1,5 +1,7 @@
 """Log lines about what the waiting tasks of a pool wait for."""
 
+from collections.abc import Mapping
+
 from sesamehall.core.effects import log
 from sesamehall.core.jobtiming import WAITING_LOG_PERIOD_MS
 from sesamehall.core.logevents import TASKS_WAITING
@@ -8,9 +10,11 @@
 from sesamehall.core.step import Step
 from sesamehall.core.work import add_size
 from sesamehall.core.work import NO_SIZE
+from sesamehall.core.work import Size
 from sesamehall.core.workstate import ActiveJob
 from sesamehall.reducer.jobs.availability import exclusion_reason
 from sesamehall.reducer.jobs.availability import ExclusionReason
+from sesamehall.reducer.jobs.ceilings import has_ceiling
 from sesamehall.reducer.jobs.ceilings import is_within_ceiling
 from sesamehall.reducer.jobs.leases import may_start
 from sesamehall.reducer.jobs.queue_pools import is_pool_stored
@@ -20,8 +24,11 @@
 from sesamehall.reducer.jobs.queueing import waiting_jobs
 from sesamehall.reducer.jobs.share_log import share_lines
 from sesamehall.reducer.jobs.state_updates import pool_workers
+from sesamehall.reducer.jobs.unreported_runs import unreported_by_team
 from sesamehall.reducer.machines.drained_data_centres import is_worker_drained
 
+NO_USE_BY_TEAM: Mapping[str, Size] = {}
+
 
 def log_waiting_tasks(manager: ManagerState, pool: str, at_ms: int) -> Step:
     """Log why tasks of a pool wait, at most once per WAITING_LOG_PERIOD_MS.
@@ -59,7 +66,10 @@
         late=len(ranking.late),
         inherited=sum(job.inherited for job in jobs),
         unconfirmed=sum(not may_start(manager, job, at_ms) for job in jobs),
-        at_ceiling=sum(_is_at_ceiling(manager, job) for job in jobs),
+        at_ceiling=_count_at_ceiling(manager, jobs, NO_USE_BY_TEAM),
+        unreported_at_ceiling=_count_at_ceiling(
+            manager, jobs, _unreported(manager, jobs)
+        ),
         orders=len(manager.start_ordered_ms_by_run),
         unresolved=sum(
             queue_may_have_untracked_runs(manager, name)
@@ -78,11 +88,29 @@
     return Step(replace(manager, waiting_logged_ms_by_pool=logged), lines)
 
 
-def _is_at_ceiling(manager: ManagerState, job: ActiveJob) -> bool:
-    """Check whether its team's ceiling blocks a job's next task."""
+def _unreported(manager, jobs) -> Mapping[str, Size]:
+    """Compute what unreported runs may use, if a team has a ceiling."""
+    if any(has_ceiling(manager, job.plan.team) for job in jobs):
+        return unreported_by_team(manager)
+    return NO_USE_BY_TEAM
+
+
+def _count_at_ceiling(
+    manager: ManagerState,
+    jobs: list[ActiveJob],
+    unreported: Mapping[str, Size],
+) -> int:
+    """Count the jobs whose next task their team's ceiling blocks."""
+    return sum(_is_at_ceiling(manager, job, unreported) for job in jobs)
+
+
+def _is_at_ceiling(manager, job, unreported):
     team = job.plan.team
     size = job.plan.steps[job.waiting[0].step].size
-    used = manager.used_by_team.get(team, NO_SIZE)
+    used = add_size(
+        manager.used_by_team.get(team, NO_SIZE),
+        unreported.get(team, NO_SIZE),
+    )
     return not is_within_ceiling(manager, team, add_size(used, size))
 
 
--- a/sesamehall/reducer/manager_reducer.py
+++ b/sesamehall/reducer/manager_reducer.py
@@ -52,6 +52,7 @@
 from sesamehall.reducer.jobs.calls import handle_job_stored
 from sesamehall.reducer.jobs.calls import is_manifest_current
 from sesamehall.reducer.jobs.calls import receive_call
+from sesamehall.reducer.jobs.ended_jobs import forget_ended_jobs
 from sesamehall.reducer.jobs.forwarded_calls import forward_late_calls
 from sesamehall.reducer.jobs.forwarded_calls import handle_peer_answer
 from sesamehall.reducer.jobs.handover import continue_handover
@@ -186,7 +187,7 @@
 def _tick(manager: ManagerState, at_ms: int) -> Step:
     """Run the periodic checks and schedule the next tick."""
     timer = SetTimer(ManagerTimer(), at_ms + MANAGER_TICK_MS)
-    step = Step(manager, (timer,))
+    step = Step(forget_ended_jobs(manager, at_ms), (timer,))
     step = then(step, advance_calls, at_ms)
     step = then(step, forward_late_calls, at_ms)
     step = then(step, read_due_streams, at_ms)
