Let seeded histories meet ceilings and an advice service with too much to do

Change: scenario ceilings cuts the leader's zone off while a team's jobs wait for its ceiling, and checks QUOTA; scenario advice has more steps than the service can answer, and checks that another team's jobs begin 17 s after the faults. Guards unreported and turns disable the two fixes.

--- a/bench/job_histories.py
+++ b/bench/job_histories.py
@@ -23,6 +23,7 @@
 from immutables import Map
 
 from bench.jobcallers import Caller
+from bench.jobcallers import TEAM_BY_KEY
 from bench.jobfaults import change_leader
 from bench.jobfaults import end_faults
 from bench.jobfaults import FAULT_PERIOD_MS
@@ -39,7 +40,9 @@
 from sesamehall.core.manifest import Manifest
 from sesamehall.core.manifest import Quota
 from sesamehall.core.manifest import WorkerPool
+from sesamehall.core.replacing import replace
 from sesamehall.core.work import CompactProgress
+from sesamehall.core.work import NO_SIZE
 
 WARMUP_MS = 2_500  # until the first leader has connected to its workers
 JOBS_PER_LEADER_CHANGE = 6
@@ -122,13 +125,10 @@
       The simulation.
     """
     simulation = JobSimulation(seed, MAX_ATTEMPTS, retry_unconfirmed, limits)
-    manifest = Manifest(
-        version=1,
-        queues_by_name=Map(quotes=QUEUE),
-        pools_by_name=Map((name, WorkerPool(name)) for name in limits.pools),
-        quotas_by_team=Map(guild=Quota("guild")),
-        team_by_key=Map(k="guild"),
-    )
+    manifest = build_manifest(limits)
+    for team, quota in manifest.quotas_by_team.items():
+        if quota.ceiling != NO_SIZE:
+            simulation.checker.ceiling_by_team[team] = quota.ceiling
     simulation.store.append(
         Stream.OPERATOR, (StoredRecord("config", manifest),)
     )
@@ -142,6 +142,29 @@
     return simulation
 
 
+def build_manifest(limits: Limits) -> Manifest:
+    """Build the first manifest of a history.
+
+    Args:
+      limits: Limits of the simulated platform.
+    Returns:
+      A manifest with one queue, and with a second team if it needs advice.
+    """
+    teams = ["guild"] if limits.advice is None else ["guild", "office"]
+    quotas = {team: Quota(team) for team in teams}
+    quotas["guild"] = replace(quotas["guild"], ceiling=limits.ceiling)
+    queue = replace(QUEUE, requires_advice=limits.advice is not None)
+    return Manifest(
+        version=1,
+        queues_by_name=Map(quotes=queue),
+        pools_by_name=Map((name, WorkerPool(name)) for name in limits.pools),
+        quotas_by_team=Map(quotas),
+        team_by_key=Map(
+            (key, team) for key, team in TEAM_BY_KEY.items() if team in teams
+        ),
+    )
+
+
 def schedule_jobs(
     simulation: JobSimulation, caller: Caller, leader_changes: int
 ) -> None:
--- a/bench/jobcallers.py
+++ b/bench/jobcallers.py
@@ -22,6 +22,7 @@
 FAILING_JOB_TASKS = 3  # the first of them always fails
 LONG_JOB_TASKS = 2
 WIDE_JOB_TASKS = 40
+TEAM_BY_KEY = {"k": "guild", "k2": "office"}  # the first one is usual
 TASK_SIZE = Size(1_000, 1_000)
 
 
@@ -41,6 +42,7 @@
         self._simulation = simulation
         self._serial = 0
         self.accepted: dict[str, bool] = {}
+        self._key_by_job: dict[str, str] = {}
 
     def submit(self) -> None:
         """Submit a job with one or two small steps."""
@@ -66,6 +68,27 @@
         steps = (StepPlan(LONG_JOB_TASKS, TASK_SIZE, 3_000),)
         self._submit(job_id, JobDraft(LONG_COMMAND, steps))
 
+    def submit_lasting_job(self) -> None:
+        """Submit a job of long-running tasks, which rank before others."""
+        self._serial += 1
+        job_id = f"{self._serial:016x}"
+        step = StepPlan(LONG_JOB_TASKS, TASK_SIZE, 3_000, long_running=True)
+        self._submit(job_id, JobDraft(LONG_COMMAND, (step,)))
+
+    def submit_for_other_team(self) -> None:
+        """Submit a small job of the second team."""
+        self._serial += 1
+        job_id = f"{self._serial:016x}"
+        self._key_by_job[job_id] = "k2"
+        steps = (StepPlan(1, TASK_SIZE, 400),)
+        self._submit(job_id, JobDraft("work", steps))
+
+    def check_begun(self) -> None:
+        """Check that the accepted jobs of the second team have begun."""
+        for job_id in self._key_by_job:
+            if job_id in self.accepted:
+                self._simulation.checker.check_begun(job_id)
+
     def submit_wide_job(self) -> None:
         """Submit a job with many tasks."""
         self._serial += 1
@@ -74,7 +97,8 @@
         self._submit(job_id, JobDraft("work", steps))
 
     def _submit(self, job_id, draft):
-        self._simulation.checker.record_submission(job_id, draft.steps)
+        team = TEAM_BY_KEY[self._key_by_job.get(job_id, "k")]
+        self._simulation.checker.record_submission(job_id, draft.steps, team)
         self._call_manager(job_id, SubmitJob(draft), CALL_ATTEMPTS, False)
 
     def _call_manager(self, job_id, kind, attempts_left, maybe_applied):
@@ -104,7 +128,8 @@
             simulation.on_answer_by_call_id[call_id] = handle_answer
             at_ms = simulation.clock_ms(process)
             path = f"/q/{job_id}"
-            call = JobCall(call_id, at_ms, "q.example", path, "k", kind)
+            key = self._key_by_job.get(job_id, "k")
+            call = JobCall(call_id, at_ms, "q.example", path, key, kind)
             simulation.deliver(process, lambda now_ms: JobCalled(now_ms, call))
         simulation.call_later(CALL_TIMEOUT_MS, handle_answer, None)
 
--- a/bench/jobchecks.py
+++ b/bench/jobchecks.py
@@ -12,9 +12,11 @@
   ORDER: a step starts before the steps that it depends on are done.
   REFUSED: a rejected job runs.
   UNASKED: a task of a cancelled or ended job runs.
+  QUOTA: a start brings what a team has running above its ceiling by more
+    than a tenth and one task more.
   EVAC: a task starts in a drained data centre after the limit.
   MIXED: a job is shown as done before all its tasks are.
-  LOST: a job is lost, does not end, or is wrongly shown as failed.
+  LOST: a job is lost, does not begin or end, or is wrongly shown as failed.
   ERROR: the reducer raised an exception; recorded by the simulation.
 """
 
@@ -27,11 +29,13 @@
 from sesamehall.core.jobtiming import START_LEASE_MS
 from sesamehall.core.work import parse_task_id
 from sesamehall.core.work import RunEnd
+from sesamehall.core.work import Size
 from sesamehall.core.work import StepPlan
 from sesamehall.core.work import task_id
 from sesamehall.core.work import TaskPlace
 
 MAX_CANCEL_DELAY_MS = 3_000  # tasks may start this long after cancellation
+OVERRUN_PERCENT = 110  # of a ceiling that may be in use
 MAX_SHOWN_DELAY_MS = 1_000  # and this long after their job was shown as done
 # A start that arrives late is void this long after it was decided, by the
 # slowest clock that the protocol allows.
@@ -63,6 +67,8 @@
       data_centre_by_worker_id: Data centres of the workers.
       max_drain_delay_ms: Time after a drain request from which no start in
         its data centre is permitted.
+      ceiling_by_team: Ceilings of the teams that have one; only processor
+        time is checked.
       starts: Number of started runs.
       ends: Number of ended runs by outcome, without those that were lost with
         their worker.
@@ -79,6 +85,7 @@
         self._max_attempts = max_attempts
         self._steps_by_job: dict[str, tuple[StepPlan, ...]] = {}
         self._runs_by_task: dict[str, list[SimulatedRun]] = defaultdict(list)
+        self._team_by_job: dict[str, str] = {}
         self._rejected_by_job: dict[str, bool] = {}
         self._shown_done_ms_by_job: dict[str, int] = {}
         self.cancelled_ms_by_job: dict[str, int] = {}
@@ -87,19 +94,22 @@
         self.data_centre_by_worker_id: dict[str, str] = {}
         self.max_drain_delay_ms = 0
         self.faults_over = False
+        self.ceiling_by_team: dict[str, Size] = {}
         self.starts = 0
         self.ends: Counter[str] = Counter()
 
     def record_submission(
-        self, job_id: str, steps: tuple[StepPlan, ...]
+        self, job_id: str, steps: tuple[StepPlan, ...], team: str = ""
     ) -> None:
         """Record the submission of a job.
 
         Args:
           job_id: Identifier of the job.
           steps: Steps of the job.
+          team: Team that submits it.
         """
         self._steps_by_job[job_id] = steps
+        self._team_by_job[job_id] = team
 
     def record_rejection(self, job_id: str) -> None:
         """Record that all attempts to submit a job were rejected.
@@ -141,6 +151,7 @@
         self._record_violation_if(late, "EVAC", run.task_id, run)
         others.append(run)
         job_id, place = parse_task_id(run.task_id)
+        self._check_ceiling(job_id, run)
         rejected = self._rejected_by_job.get(job_id, False)
         self._record_violation_if(rejected, "REFUSED", run.task_id, run)
         for number in self._steps_by_job[job_id][place.step].depends_on:
@@ -157,6 +168,42 @@
         )
         self._record_violation_if(late, "TWICE", run.task_id, run)
 
+    def _check_ceiling(self, job_id, run):
+        """Check what the team of a started run has running."""
+        team = self._team_by_job.get(job_id, "")
+        ceiling = self.ceiling_by_team.get(team)
+        if ceiling is None:
+            return
+        limit = ceiling.cpu_milli * OVERRUN_PERCENT // 100
+        limit += self._cpu_milli(run.task_id)
+        running = [
+            task
+            for task, runs in self._runs_by_task.items()
+            for other in runs
+            if other.outcome is None
+            and self._team_by_job[parse_task_id(task)[0]] == team
+        ]
+        used = sum(map(self._cpu_milli, running))
+        self._record_violation_if(
+            used > limit, "QUOTA", run.task_id, used, "of", limit, run
+        )
+
+    def _cpu_milli(self, task):
+        job_id, place = parse_task_id(task)
+        return self._steps_by_job[job_id][place.step].size.cpu_milli
+
+    def check_begun(self, job_id: str) -> None:
+        """Check that a job that nobody has cancelled has begun.
+
+        Args:
+          job_id: Identifier of an accepted job.
+        """
+        waits = (
+            job_id not in self.cancelled_ms_by_job
+            and not self._was_started(job_id)
+        )
+        self._record_violation_if(waits, "LOST", job_id, "has not begun")
+
     def _is_after(self, times_ms_by_name, name, delay_ms):
         """Check whether a name's time, if any, is longer ago than a delay."""
         at_ms = times_ms_by_name.get(name)
--- a/bench/jobchecks_test.py
+++ b/bench/jobchecks_test.py
@@ -103,3 +103,36 @@
     checked.checker.faults_over = faults_over
     checked.start(2, start_ms)
     assert ("TWICE" in checked.rules()) == broken
+
+
+@pytest.mark.parametrize(
+    ("ceiling", "broken"),
+    [(2_000, 2), (3_000, 1), (3_700, 0), (0, 0)],
+    ids=["two too many", "one", "a tenth and one task more", "no ceiling"],
+)
+def test_starts_above_a_ceiling_break_the_rule(ceiling, broken):
+    """A team has five tasks of one core running."""
+    checked = Checked()
+    checker = checked.checker
+    step = StepPlan(5, Size(1_000), 400)
+    checker.record_submission(JOB_ID, (step,), "guild")
+    if ceiling:
+        checker.ceiling_by_team["guild"] = Size(ceiling)
+    for index in range(5):
+        task = f"{JOB_ID}.0.0.{index}"
+        checker.check_start(SimulatedRun(task, 1, "w1", 0, 100))
+    assert checked.rules() == ["QUOTA"] * broken
+
+
+@pytest.mark.parametrize(
+    ("begun", "cancelled", "broken"),
+    [(False, False, True), (True, False, False), (False, True, False)],
+)
+def test_accepted_jobs_have_to_begin(begun, cancelled, broken):
+    checked = Checked()
+    if begun:
+        checked.start(1, 0)
+    if cancelled:
+        checked.checker.cancelled_ms_by_job[JOB_ID] = 5
+    checked.checker.check_begun(JOB_ID)
+    assert checked.rules() == (["LOST"] if broken else [])
--- a/bench/jobguards.py
+++ b/bench/jobguards.py
@@ -1,9 +1,12 @@
 """Guards of the reducer that job histories can disable."""
 
 from sesamehall.core.replacing import replace
+from sesamehall.core.work import NO_SIZE
 from sesamehall.reducer.jobs import adoption
+from sesamehall.reducer.jobs import advice_requests
 from sesamehall.reducer.jobs import leases
 from sesamehall.reducer.jobs import orders
+from sesamehall.reducer.jobs import placement_round
 from sesamehall.reducer.jobs import queue_pools
 from sesamehall.reducer.jobs import queueing
 from sesamehall.reducer.jobs import reports
@@ -42,6 +45,10 @@
     "requests",
     # Send a call only to the incarnation of a worker that it is meant for.
     "incarnations",
+    # Count what may run unreported against ceilings.
+    "unreported",
+    # Give the advice service to steps that it can start.
+    "turns",
 )
 
 
@@ -79,6 +86,10 @@
         case "requests":
             leases.are_drains_known = lambda manager, at_ms: True
             orders.limit_start_ms = lambda manager, until_ms, at_ms: until_ms
+        case "unreported":
+            placement_round.unreported_by_team = _no_unreported_use
+        case "turns":
+            advice_requests.choose_candidate = _choose_first
         case "forgotten":
             runs._is_unstored = _is_dirty
         case _:
@@ -91,6 +102,16 @@
     return () if queue is None else (queue.pool,)
 
 
+def _no_unreported_use(manager):
+    """Take what no report tells of for nothing."""
+    return dict.fromkeys(manager.manifest.quotas_by_team, NO_SIZE)
+
+
+def _choose_first(candidates, request_count, requested_ms_by_team):
+    """Choose the first step in rank, whether it can start or not."""
+    return min(candidates, key=lambda item: item.rank, default=None)
+
+
 def _is_dirty(manager, job_id):
     """Check whether a job has changes that no write contains yet.
 
--- a/bench/jobhistories_test.py
+++ b/bench/jobhistories_test.py
@@ -14,8 +14,10 @@
 from bench.jobguards import disable_guard
 from bench.jobguards import GUARDS
 from sesamehall.reducer.jobs import adoption
+from sesamehall.reducer.jobs import advice_requests
 from sesamehall.reducer.jobs import leases
 from sesamehall.reducer.jobs import orders
+from sesamehall.reducer.jobs import placement_round
 from sesamehall.reducer.jobs import queue_pools
 from sesamehall.reducer.jobs import queueing
 from sesamehall.reducer.jobs import reports
@@ -31,6 +33,8 @@
         (reports, "is_job_unread"),
         (adoption, "is_job_unread"),
         (reports, "_apply_ends"),
+        (advice_requests, "choose_candidate"),
+        (placement_round, "unreported_by_team"),
         (queue_pools, "pool_may_have_untracked_runs"),
         (queue_pools, "possible_pools"),
         (task_placement, "extend_lease"),
@@ -106,6 +110,13 @@
         ("restarts", 0, "", False),
         ("restarts", 138, "", False),
         ("restarts", 138, "incarnations", True),
+        ("ceilings", 0, "", False),
+        ("ceilings", 2, "", False),
+        ("ceilings", 30, "", False),
+        ("ceilings", 2, "unreported", True),
+        ("advice", 1, "", False),
+        ("advice", 16, "", False),
+        ("advice", 16, "turns", True),
         ("drains", 0, "drained", True),
         ("drains", 47, "requests", True),
         ("zones", 37, "unread", True),
--- a/bench/jobscenariofaults.py
+++ b/bench/jobscenariofaults.py
@@ -11,6 +11,7 @@
 from bench.jobprocesses import CallFaultRates
 from bench.jobprocesses import ManagerProcess
 from bench.jobprocesses import NO_FAULTS
+from bench.jobscenarios import AdviceShortage
 from bench.jobscenarios import DrainedDataCentre
 from bench.jobscenarios import Fault
 from bench.jobscenarios import IsolationInWave
@@ -19,6 +20,7 @@
 from bench.jobscenarios import MaintenanceWave
 from bench.jobscenarios import ManyEnds
 from bench.jobscenarios import NodesTurnedAway
+from bench.jobscenarios import PartitionUnderCeiling
 from bench.jobscenarios import QUEUE
 from bench.jobscenarios import QueueMoves
 from bench.jobscenarios import RestartsBeforeCuts
@@ -70,6 +72,13 @@
 LATE_CALLS_RATE = 0.25  # while the workers restart
 LATE_CALLS_MS = 8_000  # from before the restarts
 LATE_CALLS_BEFORE_MS = 3_000
+CEILING_JOBS = 16
+CEILING_JOBS_RANGE_MS = (-3_000, 6_000)  # around the partition
+BLOCKING_JOBS = 14  # their steps take longer than tickets are valid
+BLOCKING_ADVANCE_MS = 4_000  # before the faults end
+OTHER_JOBS = 3
+OTHER_ADVANCE_MS = 1_000  # before the faults end
+BEGUN_WITHIN_MS = 17_000  # from the end of the faults, as the rules say
 OUTAGE_DELAY_RANGE_MS = (50, 1_000)  # after a wide job was submitted
 
 
@@ -159,6 +168,27 @@
                 at_ms - LATE_CALLS_BEFORE_MS, _carry_out_late, simulation
             )
             simulation.call_later(at_ms, _restart_and_cut_workers, simulation)
+        case PartitionUnderCeiling():
+            for _ in range(CEILING_JOBS):
+                offset_ms = simulation.random.randint(*CEILING_JOBS_RANGE_MS)
+                simulation.call_later(
+                    at_ms + offset_ms, caller.submit_long_job
+                )
+            simulation.call_later(at_ms, _isolate_leader, simulation)
+        case AdviceShortage():
+            for _ in range(BLOCKING_JOBS):
+                simulation.call_later(
+                    FAULT_PERIOD_MS - BLOCKING_ADVANCE_MS,
+                    caller.submit_lasting_job,
+                )
+            for _ in range(OTHER_JOBS):
+                simulation.call_later(
+                    FAULT_PERIOD_MS - OTHER_ADVANCE_MS,
+                    caller.submit_for_other_team,
+                )
+            simulation.call_later(
+                FAULT_PERIOD_MS + BEGUN_WITHIN_MS, caller.check_begun
+            )
         case DrainedDataCentre():
             for _ in range(DRAIN_JOBS):
                 offset_ms = simulation.random.randint(*DRAIN_JOBS_RANGE_MS)
--- a/bench/jobscenarios.py
+++ b/bench/jobscenarios.py
@@ -6,8 +6,11 @@
 
 from dataclasses import dataclass
 
+from bench.jobadvice import AdviceTimes
 from bench.jobworkers import LONG_RUN_MS
 from sesamehall.core.manifest import Queue
+from sesamehall.core.work import NO_SIZE
+from sesamehall.core.work import Size
 
 MAX_ATTEMPTS = 2
 QUEUE = Queue("quotes", "q.example", "/q/", "a", max_attempts=MAX_ATTEMPTS)
@@ -34,6 +37,9 @@
         clock; run times are measured only then.
       has_peers: Whether managers forward calls to each other.
       long_run_ms: Least and greatest duration of long runs.
+      ceiling: Ceiling of the team that submits most jobs.
+      advice: Times of the advice service, or None if nothing requires advice.
+        If so, there is a second team.
     """
 
     ends_per_report: int = ENDS_PER_REPORT
@@ -45,6 +51,8 @@
     start_clocks: bool = False
     has_peers: bool = False
     long_run_ms: tuple[int, int] = LONG_RUN_MS
+    ceiling: Size = NO_SIZE
+    advice: AdviceTimes | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -148,6 +156,25 @@
     """
 
 
+@dataclass(frozen=True, slots=True)
+class PartitionUnderCeiling:
+    """The leader's zone is cut off while its team's jobs wait for a ceiling.
+
+    Long jobs are submitted from before the partition until after it, so the
+    successor, which cannot reach the workers of that zone, has jobs that it
+    could start.  Some of the jobs are cancelled meanwhile.
+    """
+
+
+@dataclass(frozen=True, slots=True)
+class AdviceShortage:
+    """More steps wait than the advice service can answer in time.
+
+    A team at its ceiling submits lasting jobs, whose steps rank first.  Then
+    another team, for which there is room, submits jobs, which have to begin.
+    """
+
+
 Fault = (
     ZonePartition
     | ManyEnds
@@ -159,6 +186,8 @@
     | DrainedDataCentre
     | NodesTurnedAway
     | RestartsBeforeCuts
+    | PartitionUnderCeiling
+    | AdviceShortage
 )
 
 
@@ -253,4 +282,18 @@
         general_faults=1,
         recovery_ms=LONG_RUNS_RECOVERY_MS,
     ),
+    "ceilings": Scenario(
+        limits=Limits(ceiling=Size(cpu_milli=6_000)),
+        faults=(PartitionUnderCeiling(), PartitionUnderCeiling()),
+        leader_changes=1,
+        general_faults=1,
+        recovery_ms=LONG_RUNS_RECOVERY_MS,
+    ),
+    "advice": Scenario(
+        limits=Limits(ceiling=Size(cpu_milli=1_000), advice=AdviceTimes()),
+        faults=(AdviceShortage(),),
+        leader_changes=1,
+        general_faults=2,
+        recovery_ms=LONG_RUNS_RECOVERY_MS,
+    ),
 }
--- a/bench/jobworkers.py
+++ b/bench/jobworkers.py
@@ -97,6 +97,8 @@
       highest_run_number_by_task: Highest run number started or stopped.
       ended: Ended runs that are not yet acknowledged.
       waiters: Functions to call at the next end.
+      has_valid_ticket: Checks the ticket of a start order, or None if its
+        queue requires none.
       draw_end: Draws the outcome and the run time of a start order, in place
         of the usual ones, or None.
     """
@@ -120,6 +122,7 @@
     highest_run_number_by_task: dict[str, int] = field(default_factory=dict)
     ended: list[SimulatedRun] = field(default_factory=list)
     waiters: list[Callable[[], None]] = field(default_factory=list)
+    has_valid_ticket: Callable[[StartRun], bool] | None = None
     draw_end: Callable[[StartRun], tuple[RunEnd, int]] | None = None
 
     def clock_ms(self) -> int:
@@ -224,6 +227,8 @@
             effect.task, 0
         ):
             return OrderRefusal.OLD_RUN
+        if self.has_valid_ticket and not self.has_valid_ticket(effect):
+            return OrderRefusal.NO_TICKET
         self.highest_run_number_by_task[effect.task] = effect.number
         outcome, run_time_ms = self._draw_end(effect)
         run = SimulatedRun(
--- a/bench/jobworld.py
+++ b/bench/jobworld.py
@@ -16,6 +16,7 @@
 from time import process_time_ns
 
 from bench.event_scheduler import EventScheduler
+from bench.jobadvice import AdviceService
 from bench.jobchecks import JobChecker
 from bench.jobchecks import max_drain_delay_ms
 from bench.jobmachines import CloudApi
@@ -50,6 +51,7 @@
 from sesamehall.core.managereffects import OfferToLead
 from sesamehall.core.managereffects import ReadStream
 from sesamehall.core.managereffects import RegisterNode
+from sesamehall.core.managereffects import RequestAdvice
 from sesamehall.core.managereffects import StartRun
 from sesamehall.core.managereffects import StopRun
 from sesamehall.core.managereffects import StoreJob
@@ -119,6 +121,9 @@
         self._worker_calls = WorkerCalls(self, limits.start_clocks)
         self.cloud_api = CloudApi(self)
         self.peer_links = PeerLinks(self)
+        self._advice_service = None
+        if limits.advice is not None:
+            self._advice_service = AdviceService(self, limits.advice)
         self.store = JobStore(on_append=self._store_calls.notify_readers)
         self.checker = JobChecker(lambda: self.now_ms, max_attempts)
         self.checker.max_drain_delay_ms = max_drain_delay_ms(limits)
@@ -173,6 +178,8 @@
             pool=pool,
             long_run_ms=self.limits.long_run_ms,
         )
+        if self._advice_service is not None:
+            worker.has_valid_ticket = self._has_valid_ticket
         self.workers_by_address[address] = worker
         data_centre = self._data_centre(address)
         self.checker.data_centre_by_worker_id[worker_id] = data_centre
@@ -295,6 +302,11 @@
         """Return the time on a manager's clock in milliseconds."""
         return self.now_ms + process.clock_skew_ms
 
+    def _has_valid_ticket(self, order):
+        return self._advice_service.is_valid(
+            order.task, order.worker_id, order.ticket
+        )
+
     def _data_centre(self, address):
         """Deal addresses to data centres in turn."""
         names = self.data_centre_by_address
@@ -405,6 +417,14 @@
                     process.start_count,
                     effect,
                 )
+            case RequestAdvice():
+                self.schedule_call(
+                    process,
+                    self._advice_service.request,
+                    process,
+                    process.start_count,
+                    effect,
+                )
             case AnswerPeer():
                 self.peer_links.answer(effect)
             case StoreJob():
--- a/sesamehall/reducer/jobs/advice_test.py
+++ b/sesamehall/reducer/jobs/advice_test.py
@@ -11,6 +11,7 @@
 from sesamehall.core.managerevents import RunAnswered
 from sesamehall.core.replacing import replace
 from sesamehall.reducer.jobs.advice import apply_advice
+from sesamehall.reducer.jobs.advice import drop_job_tickets
 from sesamehall.reducer.jobs.advice import handle_missing_advice
 from sesamehall.reducer.jobs.advice import record_request
 from sesamehall.reducer.jobs.advice_requests import MAX_WORKERS_PER_REQUEST
@@ -132,3 +133,12 @@
     step = place_all(manager)
     assert not effects_of(step, StartRun)
     assert effects_of(step, RequestAdvice)
+
+
+@pytest.mark.parametrize(
+    ("ended", "kept"), [(JOB_ID, 0), (JOB_ID[:-1], 1)], ids=["own", "prefix"]
+)
+def test_end_of_a_job_drops_its_own_tickets(ended, kept):
+    manager = give_advice(build_leader_with_policy("w1", "w2"), ["w1"])
+    manager = drop_job_tickets(manager, ended)
+    assert len(manager.advice.advice_by_step) == kept
--- a/sesamehall/reducer/jobs/placement_round_test.py
+++ b/sesamehall/reducer/jobs/placement_round_test.py
@@ -12,6 +12,8 @@
 from sesamehall.core.work import NO_SIZE
 from sesamehall.core.work import Size
 from sesamehall.reducer.jobs import placement_round
+from sesamehall.reducer.jobs.state_updates import add_waiting_task
+from sesamehall.reducer.jobs.state_updates import release_run
 from sesamehall.reducer.jobs.testing import activate_jobs
 from sesamehall.reducer.jobs.testing import build_leader
 from sesamehall.reducer.jobs.testing import build_plan
@@ -186,3 +188,19 @@
     manager = replace(manager, workers_by_id=workers_by_id)
     step = place_all(activate_jobs(manager, build_plan(small)))
     assert len(effects_of(step, StartRun)) == started
+
+
+def test_running_tasks_count_once_against_the_limit_per_worker():
+    """Two occurrences of a step with two tasks each run beside each other."""
+    step = build_step(2, LITTLE, max_per_worker=2)
+    plan = replace(
+        build_plan(step), occurrence_count=2, first_wall_ms=0, period_ms=1
+    )
+    manager = activate_jobs(build_leader(build_worker("w1")), plan)
+    manager = place_all(manager).state
+    for occurrence in (0, 1):
+        run = manager.runs_by_task[f"{JOB_ID}.{occurrence}.0.1"]
+        manager = release_run(manager, run)
+        manager = add_waiting_task(manager, JOB_ID, run.place)
+    started = effects_of(place_all(manager), StartRun)
+    assert len(started) == 2
