--- a/sesamehall/core/work.py
+++ b/sesamehall/core/work.py
@@ -120,9 +120,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Progress:
-    """The progress of a job.
-
-    Older versions stored it like this; now its compact form is stored.
+    """The progress of a job as older versions stored it.
 
     Attributes:
       job_id: Identifier of the job.
@@ -294,6 +292,17 @@
     return number.to_bytes(size, "little")
 
 
+def all_bits(count: int) -> bytes:
+    """Build a bitmap whose first bits are set.
+
+    Args:
+      count: Number of bits.
+    Returns:
+      The bitmap.
+    """
+    return ((1 << count) - 1).to_bytes((count + 7) // 8, "little")
+
+
 def count_bits(bits: bytes) -> int:
     """Count the bits that are set.
 
--- a/sesamehall/core/workstate.py
+++ b/sesamehall/core/workstate.py
@@ -12,13 +12,14 @@
 from immutables import Map
 
 from sesamehall.core.data import EMPTY_MAP
+from sesamehall.core.data import JobPhase
 from sesamehall.core.fleet import WorkerEntry
 from sesamehall.core.runtimes import RunSample
 from sesamehall.core.runtimes import StepSamples
 from sesamehall.core.work import JobPlan
 from sesamehall.core.work import NO_SIZE
-from sesamehall.core.work import Progress
 from sesamehall.core.work import Size
+from sesamehall.core.work import StepProgress
 from sesamehall.core.work import TaskPlace
 
 
@@ -35,6 +36,28 @@
     steps: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class JobProgress:
+    """The progress of a job, as the leader tracks it.
+
+    It is stored as a CompactProgress.
+
+    Attributes:
+      job_id: Identifier of the job.
+      phase: Phase of the job.
+      detail: Human-readable reason for the final phase.
+      completed: Bitmap of the occurrences whose tasks have all succeeded.
+      steps_by_occurrence: Progress of the steps of each other occurrence that
+        has any.
+    """
+
+    job_id: str
+    phase: JobPhase = JobPhase.WAITING
+    detail: str = ""
+    completed: bytes = b""
+    steps_by_occurrence: Map[int, tuple[StepProgress, ...]] = EMPTY_MAP
+
+
 @dataclass(frozen=True)
 class ActiveJob:
     """A job that has not ended, as the leader tracks it.
@@ -45,6 +68,7 @@
       first_seen_ms: Time at which this node first saw it.
       goal_ms: Time by which it should be done.
       waiting: Tasks that may start.
+      due_count: Number of occurrences whose tasks have been queued as due.
       running_count: Number of tasks with a run.
       inherited: Whether an earlier leader may have started tasks of it.
       remaining_core_ms: Declared processor time of the unfinished tasks, in
@@ -58,10 +82,11 @@
     """
 
     plan: JobPlan
-    progress: Progress
+    progress: JobProgress
     first_seen_ms: int
     goal_ms: int
     waiting: tuple[TaskPlace, ...] = ()
+    due_count: int = 0
     running_count: int = 0
     inherited: bool = False
     remaining_core_ms: float = 0.0
--- a/sesamehall/reducer/jobs/active_jobs.py
+++ b/sesamehall/reducer/jobs/active_jobs.py
@@ -18,6 +18,7 @@
 from sesamehall.reducer.jobs.compacting import expand_progress
 from sesamehall.reducer.jobs.durations import duration_ratio
 from sesamehall.reducer.jobs.progress import build_active_job
+from sesamehall.reducer.jobs.progress import count_due
 from sesamehall.reducer.jobs.progress import is_task_done
 from sesamehall.reducer.jobs.progress import plan_core_ms
 from sesamehall.reducer.jobs.progress import startable_tasks
@@ -158,7 +159,11 @@
     job = manager.active_jobs_by_id.get(job_id)
     if job is None:
         return Step(manager)
-    for place in startable_tasks(job, at_ms + manager.wall_offset_ms):
+    due_count = count_due(job.plan, at_ms + manager.wall_offset_ms)
+    due_count = max(due_count, job.due_count)
+    newly_due = range(job.due_count, due_count)
+    manager = put_job(manager, replace(job, due_count=due_count))
+    for place in startable_tasks(job, newly_due):
         running = task_id(job_id, place) in manager.runs_by_task
         if not running and not is_task_done(job, place):
             manager = add_waiting_task(manager, job_id, place)
@@ -171,9 +176,9 @@
     if not plan.occurrence_count:
         return Step(manager)
     wall_ms = at_ms + manager.wall_offset_ms
-    for number in range(plan.occurrence_count):
-        due_ms = plan.first_wall_ms + number * plan.period_ms
-        if due_ms > wall_ms:
-            timer = SetTimer(DueTimer(plan.job_id), at_ms + due_ms - wall_ms)
-            return Step(manager, (timer,))
-    return Step(manager)
+    due_count = count_due(plan, wall_ms)
+    if due_count >= plan.occurrence_count:
+        return Step(manager)
+    due_ms = plan.first_wall_ms + due_count * plan.period_ms
+    timer = SetTimer(DueTimer(plan.job_id), at_ms + due_ms - wall_ms)
+    return Step(manager, (timer,))
--- a/sesamehall/reducer/jobs/attempts.py
+++ b/sesamehall/reducer/jobs/attempts.py
@@ -31,7 +31,8 @@
     limit = max_attempts(manager, job)
     if limit is None:
         return ""
-    for _, progress_by_step in job.progress.occurrences:
+    occurrences = job.progress.steps_by_occurrence
+    for _, progress_by_step in sorted(occurrences.items()):
         for step_number, progress in enumerate(progress_by_step):
             for index, count in progress.failures:
                 if count >= limit and not has_bit(progress.done, index):
--- a/sesamehall/reducer/jobs/compacting.py
+++ b/sesamehall/reducer/jobs/compacting.py
@@ -5,15 +5,19 @@
 each other one that has begun.
 """
 
+from immutables import Map
+
 from sesamehall.core.replacing import replace
 from sesamehall.core.work import CompactProgress
 from sesamehall.core.work import has_bit
 from sesamehall.core.work import JobPlan
 from sesamehall.core.work import Progress
 from sesamehall.core.work import StepProgress
+from sesamehall.core.work import with_bit
+from sesamehall.core.workstate import JobProgress
 
 
-def compact_progress(progress: Progress, plan: JobPlan) -> CompactProgress:
+def compact_progress(progress: JobProgress, plan: JobPlan) -> CompactProgress:
     """Build the stored form of a job's progress.
 
     Args:
@@ -24,16 +28,13 @@
       succeeded.
     """
     offsets = _step_offsets(plan)
-    all_done = (1 << offsets[-1]) - 1
-    completed = 0
     done = []
     failures = []
     checkpoints = []
-    for occurrence, progress_by_step in progress.occurrences:
+    for occurrence, progress_by_step in sorted(
+        progress.steps_by_occurrence.items()
+    ):
         bits = _flatten(progress_by_step, offsets)
-        if bits == all_done:
-            completed |= 1 << occurrence
-            continue
         if bits:
             done.append((occurrence, _to_bytes(bits)))
         for offset, step in zip(offsets, progress_by_step, strict=False):
@@ -45,7 +46,7 @@
         job_id=progress.job_id,
         phase=progress.phase,
         detail=progress.detail,
-        completed=_to_bytes(completed),
+        completed=progress.completed,
         done=tuple(done),
         failures=tuple(failures),
         checkpoints=tuple(checkpoints),
@@ -54,37 +55,48 @@
 
 def expand_progress(
     stored: Progress | CompactProgress, plan: JobPlan
-) -> Progress:
+) -> JobProgress:
     """Build a job's progress from its stored form.
 
     Args:
-      stored: The stored form, or the progress itself as older versions stored
-        it.
+      stored: The stored form, or that of older versions.
       plan: The job.
     Returns:
       The progress.
     """
     match stored:
         case Progress():
-            return stored
+            return _expand_older(stored, plan)
     offsets = _step_offsets(plan)
     all_done = (1 << offsets[-1]) - 1
-    completed = _unflatten(all_done, offsets)
-    occurrences = {
-        occurrence: completed
-        for occurrence in range(len(stored.completed) * 8)
-        if has_bit(stored.completed, occurrence)
-    }
+    occurrences: dict[int, tuple[StepProgress, ...]] = {}
     for occurrence, bits in stored.done:
         number = int.from_bytes(bits, "little") & all_done
         occurrences[occurrence] = _unflatten(number, offsets)
     _add_rows(occurrences, stored.failures, _with_failures, offsets)
     _add_rows(occurrences, stored.checkpoints, _with_checkpoint, offsets)
-    return Progress(
+    return JobProgress(
         stored.job_id,
         stored.phase,
         stored.detail,
-        tuple(sorted(occurrences.items())),
+        stored.completed,
+        Map(occurrences),
+    )
+
+
+def _expand_older(stored: Progress, plan: JobPlan) -> JobProgress:
+    """Separate the completed occurrences from those that have begun."""
+    offsets = _step_offsets(plan)
+    all_done = (1 << offsets[-1]) - 1
+    completed = b""
+    begun = {}
+    for occurrence, progress_by_step in stored.occurrences:
+        if _flatten(progress_by_step, offsets) == all_done:
+            completed = with_bit(completed, occurrence)
+        else:
+            begun[occurrence] = progress_by_step
+    return JobProgress(
+        stored.job_id, stored.phase, stored.detail, completed, Map(begun)
     )
 
 
--- a/sesamehall/reducer/jobs/compacting_test.py
+++ b/sesamehall/reducer/jobs/compacting_test.py
@@ -11,6 +11,7 @@
 from sesamehall.platform.records import MAX_RECORD_BYTES
 from sesamehall.reducer.jobs.compacting import compact_progress
 from sesamehall.reducer.jobs.compacting import expand_progress
+from sesamehall.reducer.jobs.progress import step_progress
 from sesamehall.reducer.jobs.state_updates import put_job
 from sesamehall.reducer.jobs.storing import write_changed_records
 from sesamehall.reducer.jobs.testing import activate_jobs
@@ -56,23 +57,22 @@
     ],
 )
 def test_stored_progress_expands_to_itself(occurrences):
-    progress = Progress(JOB_ID, JobPhase.RUNNING, "why", occurrences)
+    older = Progress(JOB_ID, JobPhase.RUNNING, "why", occurrences)
+    progress = expand_progress(older, PLAN)
     stored = compact_progress(progress, PLAN)
     assert expand_progress(stored, PLAN) == progress
-
-
-def test_progress_of_an_older_version_is_used_as_it_is():
-    progress = Progress(JOB_ID, JobPhase.RUNNING, "", ((0, (ONE,) * 3),))
-    assert expand_progress(progress, PLAN) is progress
+    assert (stored.phase, stored.detail) == (older.phase, older.detail)
+    by_occurrence = dict(occurrences)
+    for number in range(PLAN.occurrence_count):
+        expected = by_occurrence.get(number, (NONE,) * 3)
+        assert step_progress(progress, PLAN, number) == expected
 
 
 # Only unfinished tasks fail a job or resume from a checkpoint.
 def test_failures_and_checkpoints_of_done_tasks_are_not_stored():
     step = StepProgress(b"\x01", ((0, 1), (1, 2)), ((0, "c0"), (1, "c1")))
-    progress = Progress(
-        JOB_ID, JobPhase.RUNNING, "", ((0, (step, NONE, NONE)),)
-    )
-    stored = compact_progress(progress, PLAN)
+    older = Progress(JOB_ID, JobPhase.RUNNING, "", ((0, (step, NONE, NONE)),))
+    stored = compact_progress(expand_progress(older, PLAN), PLAN)
     assert stored.failures == ((0, 1, 2),)
     assert stored.checkpoints == ((0, 1, "c1"),)
 
@@ -94,7 +94,8 @@
     done = StepProgress(((1 << step_tasks) - 1).to_bytes(2, "little"))
     by_step = (done,) * steps_done + (NONE,) * (5 - steps_done)
     occurrences = tuple((number, by_step) for number in range(2_700))
-    progress = Progress(JOB_ID, JobPhase.RUNNING, "", occurrences)
+    older = Progress(JOB_ID, JobPhase.RUNNING, "", occurrences)
+    progress = expand_progress(older, plan)
     manager = activate_jobs(build_leader(), plan)
     job = replace(manager.active_jobs_by_id[JOB_ID], progress=progress)
     manager = put_job(manager, job)
--- a/sesamehall/reducer/jobs/possible_use_test.py
+++ b/sesamehall/reducer/jobs/possible_use_test.py
@@ -1,14 +1,14 @@
 """Tests of what the untracked runs of a job may use."""
 
+from immutables import Map
 import pytest
 
-from sesamehall.core.data import JobPhase
 from sesamehall.core.replacing import replace
 from sesamehall.core.unreportedstate import PossibleUse
-from sesamehall.core.work import Progress
 from sesamehall.core.work import Size
 from sesamehall.core.work import StepProgress
 from sesamehall.core.work import TaskPlace
+from sesamehall.core.workstate import JobProgress
 from sesamehall.reducer.jobs.possible_use import unreported_use
 from sesamehall.reducer.jobs.progress import build_active_job
 from sesamehall.reducer.jobs.testing import build_plan
@@ -40,7 +40,7 @@
     plan = replace(build_plan(*steps), **others)
     job = build_active_job(
         plan,
-        Progress(JOB_ID, JobPhase.RUNNING, "", progress),
+        JobProgress(JOB_ID, steps_by_occurrence=Map(progress)),
         None,
         0,
         0,
--- a/sesamehall/reducer/jobs/progress.py
+++ b/sesamehall/reducer/jobs/progress.py
@@ -1,24 +1,30 @@
 """Progress of jobs: which tasks may start, and when a job is done."""
 
+from collections.abc import Iterable
+
+from immutables import Map
+
 from sesamehall.core.data import JobPhase
 from sesamehall.core.data import TERMINAL_PHASES
 from sesamehall.core.manifest import Queue
 from sesamehall.core.replacing import replace
+from sesamehall.core.work import all_bits
 from sesamehall.core.work import count_bits
 from sesamehall.core.work import has_bit
 from sesamehall.core.work import JobPlan
-from sesamehall.core.work import Progress
 from sesamehall.core.work import StepPlan
 from sesamehall.core.work import StepProgress
 from sesamehall.core.work import TaskPlace
 from sesamehall.core.work import with_bit
 from sesamehall.core.workstate import ActiveJob
 from sesamehall.core.workstate import CriticalPath
+from sesamehall.core.workstate import JobProgress
+from sesamehall.reducer.counts import drop_key
 
 
 def build_active_job(
     plan: JobPlan,
-    progress: Progress,
+    progress: JobProgress,
     queue: Queue | None,
     first_seen_ms: int,
     wall_ms: int,
@@ -46,9 +52,11 @@
     job = ActiveJob(
         plan, progress, first_seen_ms, goal_ms, inherited=inherited
     )
+    due_count = count_due(plan, wall_ms)
     return replace(
         job,
-        waiting=startable_tasks(job, wall_ms),
+        waiting=startable_tasks(job, range(due_count)),
+        due_count=due_count,
         remaining_core_ms=_remaining_core_ms(job),
         critical_path=_remaining_critical_path(job),
         unfinished_by_step=_unfinished_by_step(job),
@@ -80,8 +88,8 @@
 
 def _remaining_core_ms(job):
     """Sum up the declared processor time of the unfinished tasks."""
-    core_ms = plan_core_ms(job.plan) * max(job.plan.occurrence_count, 1)
-    for _, progress_by_step in job.progress.occurrences:
+    core_ms = plan_core_ms(job.plan) * _incomplete_count(job)
+    for progress_by_step in job.progress.steps_by_occurrence.values():
         for step, progress in zip(
             job.plan.steps, progress_by_step, strict=False
         ):
@@ -89,11 +97,17 @@
     return core_ms
 
 
+def _incomplete_count(job):
+    """Count the occurrences of which some task has not succeeded."""
+    completed = count_bits(job.progress.completed)
+    return max(job.plan.occurrence_count, 1) - completed
+
+
 def _unfinished_by_step(job):
     """Count the unfinished tasks of each step, over all occurrences."""
-    occurrences = max(job.plan.occurrence_count, 1)
+    occurrences = _incomplete_count(job)
     counts = [occurrences * step.count for step in job.plan.steps]
-    for _, progress_by_step in job.progress.occurrences:
+    for progress_by_step in job.progress.steps_by_occurrence.values():
         for step_number, progress in enumerate(progress_by_step):
             counts[step_number] -= count_bits(progress.done)
     return tuple(counts)
@@ -159,26 +173,26 @@
     return max(ends_ms, default=0)
 
 
-def due_occurrences(plan: JobPlan, wall_ms: int) -> range:
-    """List the occurrences of a job that are due.
+def count_due(plan: JobPlan, wall_ms: int) -> int:
+    """Count the occurrences of a job that are due.
 
     Args:
       plan: The job.
       wall_ms: Wall clock time in milliseconds since 1970.
     Returns:
-      Their numbers.
+      Their number; they are the first ones.
     """
     if not plan.occurrence_count:
-        return range(1)
+        return 1
     elapsed_ms = wall_ms - plan.first_wall_ms
     if elapsed_ms < 0:
-        return range(0)
-    return range(
-        min(plan.occurrence_count, elapsed_ms // max(plan.period_ms, 1) + 1)
-    )
+        return 0
+    return min(plan.occurrence_count, elapsed_ms // max(plan.period_ms, 1) + 1)
 
 
-def step_progress(progress: Progress, plan: JobPlan, occurrence: int):
+def step_progress(
+    progress: JobProgress, plan: JobPlan, occurrence: int
+) -> tuple[StepProgress, ...]:
     """Find the progress of the steps of an occurrence.
 
     Args:
@@ -188,10 +202,10 @@
     Returns:
       A StepProgress for each step, in the order of the plan.
     """
-    for occurrence_number, progress_by_step in progress.occurrences:
-        if occurrence_number == occurrence:
-            return progress_by_step
-    return (StepProgress(),) * len(plan.steps)
+    if has_bit(progress.completed, occurrence):
+        return tuple(StepProgress(all_bits(step.count)) for step in plan.steps)
+    begun = progress.steps_by_occurrence.get(occurrence)
+    return begun or (StepProgress(),) * len(plan.steps)
 
 
 def is_step_done(plan: JobPlan, progress_by_step, step_number: int) -> bool:
@@ -210,19 +224,23 @@
     )
 
 
-def startable_tasks(job: ActiveJob, wall_ms: int) -> tuple[TaskPlace, ...]:
+def startable_tasks(
+    job: ActiveJob, occurrences: Iterable[int]
+) -> tuple[TaskPlace, ...]:
     """List the unfinished tasks of due occurrences that may start.
 
     Args:
       job: The job.
-      wall_ms: Wall clock time in milliseconds since 1970.
+      occurrences: Numbers of the occurrences.
     Returns:
       Their positions, including those of tasks with a run.
     """
     if job.progress.phase in TERMINAL_PHASES:
         return ()
     places: list[TaskPlace] = []
-    for occurrence in due_occurrences(job.plan, wall_ms):
+    for occurrence in occurrences:
+        if has_bit(job.progress.completed, occurrence):
+            continue
         progress_by_step = step_progress(job.progress, job.plan, occurrence)
         for step_number in range(len(progress_by_step)):
             places += _unfinished_tasks(
@@ -398,14 +416,15 @@
     Returns:
       The job, whose unfinished tasks begin anew the next time they run.
     """
-    occurrences = tuple(
-        (
-            occurrence,
-            tuple(replace(step, checkpoints=()) for step in progress_by_step),
+    occurrences = {
+        occurrence: tuple(
+            replace(step, checkpoints=()) for step in progress_by_step
         )
-        for occurrence, progress_by_step in job.progress.occurrences
-    )
-    progress = replace(job.progress, occurrences=occurrences)
+        for occurrence, progress_by_step in (
+            job.progress.steps_by_occurrence.items()
+        )
+    }
+    progress = replace(job.progress, steps_by_occurrence=Map(occurrences))
     return replace(job, progress=progress)
 
 
@@ -428,14 +447,21 @@
 def _with_step_progress(job, occurrence, progress_by_step):
     """Replace the progress of an occurrence's steps.
 
-    A job that was waiting is now running.
+    A job that was waiting is now running.  Of a completed occurrence only one
+    bit is kept, since thousands of them may have ended.
     """
-    occurrences = dict(job.progress.occurrences)
-    occurrences[occurrence] = progress_by_step
+    completed = job.progress.completed
+    occurrences = job.progress.steps_by_occurrence
+    if _are_steps_done(job.plan, progress_by_step):
+        completed = with_bit(completed, occurrence)
+        occurrences = drop_key(occurrences, occurrence)
+    else:
+        occurrences = occurrences.set(occurrence, progress_by_step)
     progress = replace(
         job.progress,
         phase=_running_phase(job.progress.phase),
-        occurrences=tuple(sorted(occurrences.items())),
+        completed=completed,
+        steps_by_occurrence=occurrences,
     )
     return replace(job, progress=progress)
 
@@ -445,11 +471,11 @@
 
 
 def _all_done(job):
-    plan = job.plan
-    if len(job.progress.occurrences) < max(plan.occurrence_count, 1):
-        return False
+    return not _incomplete_count(job)
+
+
+def _are_steps_done(plan, progress_by_step):
     return all(
         is_step_done(plan, progress_by_step, step_number)
-        for _, progress_by_step in job.progress.occurrences
         for step_number in range(len(plan.steps))
     )
--- a/sesamehall/reducer/jobs/progress_test.py
+++ b/sesamehall/reducer/jobs/progress_test.py
@@ -4,8 +4,8 @@
 
 from sesamehall.core.data import JobPhase
 from sesamehall.core.replacing import replace
-from sesamehall.core.work import Progress
 from sesamehall.core.work import TaskPlace
+from sesamehall.core.workstate import JobProgress
 from sesamehall.reducer.jobs.progress import build_active_job
 from sesamehall.reducer.jobs.progress import critical_path_ms
 from sesamehall.reducer.jobs.progress import with_task_done
@@ -20,7 +20,7 @@
 
 def build_job(plan, inherited=False, wall_ms=WALL_MS):
     return build_active_job(
-        plan, Progress(JOB_ID), QUEUE, 0, wall_ms, inherited
+        plan, JobProgress(JOB_ID), QUEUE, 0, wall_ms, inherited
     )
 
 
--- a/sesamehall/reducer/jobs/runs.py
+++ b/sesamehall/reducer/jobs/runs.py
@@ -247,7 +247,11 @@
     if phase in PHASES_WITH_RUNS:
         manager = record_own_end(manager, job, runs, at_ms)
     progress = replace(
-        job.progress, phase=phase, detail=reason, occurrences=()
+        job.progress,
+        phase=phase,
+        detail=reason,
+        completed=b"",
+        steps_by_occurrence=EMPTY_MAP,
     )
     job = replace(job, progress=progress, waiting=())
     manager = replace(
