--- a/sesamehall/reducer/jobs/availability.py
+++ b/sesamehall/reducer/jobs/availability.py
@@ -37,6 +37,21 @@
     return exclusion_reason(worker, at_ms) is None
 
 
+def is_incarnation_registered(worker: Worker) -> bool:
+    """Check that a worker's registration is of the incarnation that reports.
+
+    Another incarnation may have other resources and labels.
+
+    Args:
+      worker: The worker.
+    Returns:
+      False if both tell their start times and these differ.
+    """
+    registered_ms = worker.registered_start_ms
+    reported_ms = worker.entry.started_wall_ms
+    return not registered_ms or registered_ms == reported_ms or not reported_ms
+
+
 def exclusion_reason(worker: Worker, at_ms: int) -> ExclusionReason | None:
     """Find the first reason for which a worker gets no new tasks.
 
@@ -46,7 +61,7 @@
     Returns:
       The reason, or None if the worker is available.
     """
-    if not worker.registered:
+    if not worker.registered or not is_incarnation_registered(worker):
         return ExclusionReason.UNREGISTERED
     if not worker.contacted or worker.first_contact_ms < 0:
         return ExclusionReason.NOT_CONTACTED
--- a/sesamehall/reducer/jobs/restarted_workers_test.py
+++ b/sesamehall/reducer/jobs/restarted_workers_test.py
@@ -24,6 +24,7 @@
 from sesamehall.core.managerstate import ManagerState
 from sesamehall.core.managerstate import StreamCursor
 from sesamehall.core.replacing import replace
+from sesamehall.core.work import Size
 from sesamehall.reducer.jobs.leadership import claim_if_vacant
 from sesamehall.reducer.jobs.leadership import handle_progress_stored
 from sesamehall.reducer.jobs.orders import handle_start_answer
@@ -37,7 +38,9 @@
 from sesamehall.reducer.jobs.testing import build_plan
 from sesamehall.reducer.jobs.testing import build_registration
 from sesamehall.reducer.jobs.testing import build_report
+from sesamehall.reducer.jobs.testing import build_step
 from sesamehall.reducer.jobs.testing import build_worker
+from sesamehall.reducer.jobs.testing import CAPACITY
 from sesamehall.reducer.jobs.testing import effects_of
 from sesamehall.reducer.jobs.testing import NOW_MS
 from sesamehall.reducer.jobs.testing import place_all
@@ -266,3 +269,54 @@
         follower, Stream.PROGRESS, *records, covers_all_keys=covers_all_keys
     )
     assert not follower.long_lease_ends_by_worker_id
+
+
+SMALLER = Size(1_000, 8_000)  # room for one task
+
+
+def register_capacity(manager, started_wall_ms, capacity):
+    """Let a leader read a registration of w1 with some capacity."""
+    entry = build_registration(
+        "w1", started_wall_ms=started_wall_ms, capacity=capacity
+    )
+    return register_worker(manager, entry, NOW_MS).state
+
+
+@pytest.mark.parametrize(
+    ("registered", "reported", "capacity", "started"),
+    [
+        (FORMER, FORMER, CAPACITY, 4),
+        (FORMER, CURRENT, CAPACITY, 0),
+        (FORMER, FORMER - 1, CAPACITY, 0),
+        (CURRENT, CURRENT, SMALLER, 1),
+        (0, CURRENT, CAPACITY, 4),
+    ],
+    ids=["same", "later", "clock set back", "registered", "not told"],
+)
+def test_incarnation_gets_tasks_by_its_own_registration(
+    registered, reported, capacity, started
+):
+    """Guards against review/15: one with less room was overfilled (LIMIT)."""
+    manager = build_leader()
+    manager = register_capacity(manager, FORMER * bool(registered), CAPACITY)
+    manager = end_watch(report(manager, FORMER).state)
+    _, manager = store_changes(manager)
+    manager = register_capacity(manager, registered, capacity)
+    manager = end_watch(report(manager, reported).state)
+    if reported != FORMER:
+        _, manager = store_changes(manager)
+    manager = activate_jobs(manager, build_plan(build_step(9)))
+    step = place_all(manager, NOW_MS + 100)
+    assert len(effects_of(step, StartRun)) == started
+
+
+def test_incarnation_gets_tasks_once_it_is_registered():
+    manager = register_capacity(build_leader(), FORMER, CAPACITY)
+    manager = end_watch(report(manager, FORMER).state)
+    manager = end_watch(report(manager, CURRENT).state)
+    _, manager = store_changes(manager)
+    manager = activate_jobs(manager, build_plan(build_step(9)))
+    assert not effects_of(place_all(manager, NOW_MS + 100), StartRun)
+    manager = register_capacity(manager, CURRENT, SMALLER)
+    step = place_all(manager, NOW_MS + 100)
+    assert len(effects_of(step, StartRun)) == 1
--- a/sesamehall/reducer/jobs/workers.py
+++ b/sesamehall/reducer/jobs/workers.py
@@ -53,7 +53,12 @@
     """
     worker = manager.workers_by_id.get(entry.worker_id)
     if worker is None:
-        manager = put_worker(manager, Worker(entry, lease_end_ms=at_ms))
+        worker = Worker(
+            entry,
+            registered_start_ms=entry.started_wall_ms,
+            lease_end_ms=at_ms,
+        )
+        manager = put_worker(manager, worker)
         manager = replace(
             manager,
             dirty_workers=manager.dirty_workers.set(entry.worker_id, True),
