--- a/sesamehall/reducer/jobs/progress.py
+++ b/sesamehall/reducer/jobs/progress.py
@@ -176,6 +176,8 @@
 def count_due(plan: JobPlan, wall_ms: int) -> int:
     """Count the occurrences of a job that are due.
 
+    Without a period all are due at the time of the first.
+
     Args:
       plan: The job.
       wall_ms: Wall clock time in milliseconds since 1970.
@@ -187,7 +189,9 @@
     elapsed_ms = wall_ms - plan.first_wall_ms
     if elapsed_ms < 0:
         return 0
-    return min(plan.occurrence_count, elapsed_ms // max(plan.period_ms, 1) + 1)
+    if not plan.period_ms:
+        return plan.occurrence_count
+    return min(plan.occurrence_count, elapsed_ms // plan.period_ms + 1)
 
 
 def step_progress(
--- a/sesamehall/reducer/jobs/progress_test.py
+++ b/sesamehall/reducer/jobs/progress_test.py
@@ -66,3 +66,13 @@
         build_plan(), occurrence_count=3, first_wall_ms=1_000, period_ms=500
     )
     assert len(build_job(plan, wall_ms=wall_ms).waiting) == occurrences
+
+
+@pytest.mark.parametrize(
+    ("wall_ms", "occurrences"), [(999, 0), (1_000, 3), (9_000, 3)]
+)
+def test_without_a_period_all_occurrences_are_due_at_once(
+    wall_ms, occurrences
+):
+    plan = replace(build_plan(), occurrence_count=3, first_wall_ms=1_000)
+    assert len(build_job(plan, wall_ms=wall_ms).waiting) == occurrences
--- a/sesamehall/reducer/jobs/recurring_load_test.py
+++ b/sesamehall/reducer/jobs/recurring_load_test.py
@@ -6,8 +6,10 @@
 import pytest
 
 from sesamehall.core.data import JobPhase
+from sesamehall.core.effects import SetTimer
 from sesamehall.core.managereffects import StartRun
 from sesamehall.core.replacing import replace
+from sesamehall.core.timers import DueTimer
 from sesamehall.core.work import all_bits
 from sesamehall.core.work import CompactProgress
 from sesamehall.core.work import EndedRun
@@ -99,3 +101,32 @@
     manager = play_next(manager, PLAYED)
     job = manager.active_jobs_by_id[JOB_ID]
     assert job.progress.phase is JobPhase.DONE
+
+
+@pytest.mark.parametrize("late_ms", [0, 1, 40])
+@pytest.mark.parametrize("period_ms", [0, 1, 7])
+def test_timers_find_every_occurrence(period_ms, late_ms):
+    """Guards against review/13: those due at once never started (LOST)."""
+    plan = replace(
+        build_plan(),
+        occurrence_count=30,
+        first_wall_ms=NOW_MS + 500,
+        period_ms=period_ms,
+    )
+    manager = build_leader(plans_by_id=Map({JOB_ID: plan}))
+    step = activate_job(manager, JOB_ID, False, NOW_MS)
+    timers = []
+    while (due_ms := _due_timer_ms(step)) is not None:
+        assert due_ms not in timers
+        timers.append(due_ms)
+        step = start_due_occurrences(step.state, JOB_ID, due_ms + late_ms)
+    assert len(step.state.active_jobs_by_id[JOB_ID].waiting) == 30
+    assert timers[0] == NOW_MS + 500
+
+
+def _due_timer_ms(step):
+    """Find the time that a timer for the next occurrence is set to."""
+    for effect in effects_of(step, SetTimer):
+        if isinstance(effect.timer, DueTimer):
+            return effect.at_ms
+    return None
