--- a/sesamehall/reducer/jobs/advice_requests.py
+++ b/sesamehall/reducer/jobs/advice_requests.py
@@ -13,9 +13,9 @@
 from sesamehall.core.logevents import ADVICE_REQUESTED
 from sesamehall.core.managereffects import RequestAdvice
 from sesamehall.core.managerstate import ManagerState
+from sesamehall.core.sizes import fits
 from sesamehall.core.step import Step
 from sesamehall.core.step import then
-from sesamehall.core.work import fits
 from sesamehall.core.work import StepPlan
 from sesamehall.core.work import TaskPlace
 from sesamehall.core.workstate import ActiveJob
--- a/sesamehall/reducer/jobs/ceilings.py
+++ b/sesamehall/reducer/jobs/ceilings.py
@@ -1,7 +1,7 @@
 """Checks of what teams use against their ceilings."""
 
 from sesamehall.core.managerstate import ManagerState
-from sesamehall.core.work import fits
+from sesamehall.core.sizes import fits
 from sesamehall.core.work import NO_SIZE
 from sesamehall.core.work import Size
 
--- a/sesamehall/reducer/jobs/lasting_room.py
+++ b/sesamehall/reducer/jobs/lasting_room.py
@@ -1,8 +1,8 @@
 """Room on workers that finite tasks use only for a while."""
 
 from sesamehall.core.managerstate import ManagerState
-from sesamehall.core.work import add_size
-from sesamehall.core.work import reserved_size
+from sesamehall.core.sizes import add_size
+from sesamehall.core.sizes import reserved_size
 from sesamehall.core.work import Size
 from sesamehall.core.workstate import Worker
 
--- a/sesamehall/reducer/jobs/placement_round.py
+++ b/sesamehall/reducer/jobs/placement_round.py
@@ -7,12 +7,12 @@
 
 from sesamehall.core.managerstate import ManagerState
 from sesamehall.core.replacing import replace
-from sesamehall.core.work import add_size
-from sesamehall.core.work import count_fitting
-from sesamehall.core.work import fits
-from sesamehall.core.work import multiply_size
+from sesamehall.core.sizes import add_size
+from sesamehall.core.sizes import count_fitting
+from sesamehall.core.sizes import fits
+from sesamehall.core.sizes import multiply_size
+from sesamehall.core.sizes import reserved_size
 from sesamehall.core.work import NO_SIZE
-from sesamehall.core.work import reserved_size
 from sesamehall.core.work import Size
 from sesamehall.core.work import StepPlan
 from sesamehall.core.work import task_id
--- a/sesamehall/reducer/jobs/placement_round_test.py
+++ b/sesamehall/reducer/jobs/placement_round_test.py
@@ -8,7 +8,7 @@
 
 from sesamehall.core.managereffects import StartRun
 from sesamehall.core.replacing import replace
-from sesamehall.core.work import fits
+from sesamehall.core.sizes import fits
 from sesamehall.core.work import NO_SIZE
 from sesamehall.core.work import Size
 from sesamehall.reducer.jobs import placement_round
--- a/sesamehall/reducer/jobs/possible_use.py
+++ b/sesamehall/reducer/jobs/possible_use.py
@@ -1,10 +1,10 @@
 """The most that the runs of a job may use, by its plan and progress."""
 
+from sesamehall.core.sizes import add_size
+from sesamehall.core.sizes import max_size
+from sesamehall.core.sizes import multiply_size
 from sesamehall.core.unreportedstate import PossibleUse
-from sesamehall.core.work import add_size
 from sesamehall.core.work import count_bits
-from sesamehall.core.work import max_size
-from sesamehall.core.work import multiply_size
 from sesamehall.core.work import StepPlan
 from sesamehall.core.workstate import ActiveJob
 from sesamehall.reducer.jobs.progress import is_step_done
--- a/sesamehall/reducer/jobs/share_accounts.py
+++ b/sesamehall/reducer/jobs/share_accounts.py
@@ -12,9 +12,9 @@
 from sesamehall.core.shares import PoolShares
 from sesamehall.core.shares import ResourceShares
 from sesamehall.core.shares import TeamAccount
-from sesamehall.core.work import add_size
+from sesamehall.core.sizes import add_size
+from sesamehall.core.sizes import reserved_size
 from sesamehall.core.work import NO_SIZE
-from sesamehall.core.work import reserved_size
 from sesamehall.core.work import Size
 from sesamehall.core.workstate import ActiveJob
 from sesamehall.core.workstate import Worker
--- a/sesamehall/reducer/jobs/state_updates.py
+++ b/sesamehall/reducer/jobs/state_updates.py
@@ -5,9 +5,9 @@
 from sesamehall.core.data import EMPTY_MAP
 from sesamehall.core.managerstate import ManagerState
 from sesamehall.core.replacing import replace
-from sesamehall.core.work import add_size
+from sesamehall.core.sizes import add_size
+from sesamehall.core.sizes import reserved_size
 from sesamehall.core.work import NO_SIZE
-from sesamehall.core.work import reserved_size
 from sesamehall.core.work import TaskPlace
 from sesamehall.core.workstate import ActiveJob
 from sesamehall.core.workstate import Run
--- a/sesamehall/reducer/jobs/unreported_runs.py
+++ b/sesamehall/reducer/jobs/unreported_runs.py
@@ -12,10 +12,10 @@
 
 from sesamehall.core.data import TERMINAL_PHASES
 from sesamehall.core.managerstate import ManagerState
+from sesamehall.core.sizes import add_size
+from sesamehall.core.sizes import min_size
 from sesamehall.core.unreportedstate import NO_USE
 from sesamehall.core.unreportedstate import PossibleUse
-from sesamehall.core.work import add_size
-from sesamehall.core.work import min_size
 from sesamehall.core.work import NO_SIZE
 from sesamehall.core.work import parse_task_id
 from sesamehall.core.work import Size
--- a/sesamehall/reducer/jobs/waiting_log.py
+++ b/sesamehall/reducer/jobs/waiting_log.py
@@ -7,8 +7,8 @@
 from sesamehall.core.logevents import TASKS_WAITING
 from sesamehall.core.managerstate import ManagerState
 from sesamehall.core.replacing import replace
+from sesamehall.core.sizes import add_size
 from sesamehall.core.step import Step
-from sesamehall.core.work import add_size
 from sesamehall.core.work import NO_SIZE
 from sesamehall.core.work import Size
 from sesamehall.core.workstate import ActiveJob
--- a/sesamehall/reducer/machines/evacuation_room.py
+++ b/sesamehall/reducer/machines/evacuation_room.py
@@ -12,10 +12,10 @@
 from sesamehall.core.fleetstate import PendingOrder
 from sesamehall.core.fleettiming import ORDER_STALLED_MS
 from sesamehall.core.managerstate import ManagerState
-from sesamehall.core.work import add_size
-from sesamehall.core.work import fits
+from sesamehall.core.sizes import add_size
+from sesamehall.core.sizes import fits
+from sesamehall.core.sizes import reserved_size
 from sesamehall.core.work import NO_SIZE
-from sesamehall.core.work import reserved_size
 from sesamehall.core.work import Size
 from sesamehall.core.work import StepPlan
 from sesamehall.core.work import task_id
--- a/sesamehall/reducer/machines/sizing.py
+++ b/sesamehall/reducer/machines/sizing.py
@@ -14,7 +14,7 @@
 from sesamehall.core.fleettiming import SPARE_WORKERS
 from sesamehall.core.fleettiming import SURGE_HEADROOM
 from sesamehall.core.managerstate import ManagerState
-from sesamehall.core.work import reserved_size
+from sesamehall.core.sizes import reserved_size
 from sesamehall.core.work import Size
 from sesamehall.core.work import StepPlan
 from sesamehall.core.workstate import ActiveJob
