--- a/bench/jobscenariofaults.py
+++ b/bench/jobscenariofaults.py
@@ -1,5 +1,7 @@
 """Faults of the scenarios of job histories."""
 
+from collections.abc import Callable
+
 from immutables import Map
 
 from bench.jobcallers import Caller
@@ -99,116 +101,118 @@
 def _schedule_fault(
     simulation: JobSimulation, caller: Caller, fault: Fault
 ) -> None:
-    at_ms = simulation.random.randrange(FAULT_PERIOD_MS)
+    """Schedule a fault at a random time, and jobs around it."""
+    random = simulation.random
+    at_ms = random.randrange(FAULT_PERIOD_MS)
+
+    def submit_around(submit, count, range_ms):
+        _submit_around(simulation, at_ms, submit, count, range_ms)
+
+    def strike(strike_fault, *arguments, after_ms=0):
+        simulation.call_later(
+            at_ms + after_ms, strike_fault, simulation, *arguments
+        )
+
     match fault:
         case ZonePartition():
-            for _ in range(PARTITION_JOBS):
-                offset_ms = simulation.random.randint(*PARTITION_JOBS_RANGE_MS)
-                simulation.call_later(
-                    at_ms + offset_ms, caller.submit_long_job
-                )
-            simulation.call_later(at_ms, _partition_leader_zone, simulation)
+            submit_around(
+                caller.submit_long_job, PARTITION_JOBS, PARTITION_JOBS_RANGE_MS
+            )
+            strike(_partition_leader_zone)
         case QueueMoves():
-            for _ in range(MOVED_JOBS):
-                offset_ms = simulation.random.randint(*MOVED_JOBS_RANGE_MS)
-                simulation.call_later(
-                    at_ms + offset_ms, caller.submit_long_job
-                )
+            submit_around(
+                caller.submit_long_job, MOVED_JOBS, MOVED_JOBS_RANGE_MS
+            )
             _schedule_queue_moves(simulation, at_ms)
-            simulation.call_later(at_ms, _partition_leader_zone, simulation)
+            strike(_partition_leader_zone)
         case IsolationInWave(number):
-            for _ in range(PARTITION_JOBS):
-                offset_ms = simulation.random.randint(*PARTITION_JOBS_RANGE_MS)
-                simulation.call_later(at_ms + offset_ms, caller.submit)
-            simulation.call_later(at_ms, _isolate_leader, simulation)
-            simulation.call_later(
-                at_ms + simulation.random.randint(*ISOLATED_WAVE_RANGE_MS),
-                _request_wave,
-                simulation,
-                number,
+            submit_around(
+                caller.submit, PARTITION_JOBS, PARTITION_JOBS_RANGE_MS
             )
+            strike(_isolate_leader)
+            wave_after_ms = random.randint(*ISOLATED_WAVE_RANGE_MS)
+            strike(_request_wave, number, after_ms=wave_after_ms)
         case ManyEnds():
-            duration_ms = simulation.random.randint(*OUTAGE_RANGE_MS)
+            duration_ms = random.randint(*OUTAGE_RANGE_MS)
             simulation.call_later(at_ms, caller.submit_wide_job)
-            simulation.call_later(
-                at_ms + simulation.random.randint(*OUTAGE_DELAY_RANGE_MS),
-                fail_store,
-                simulation,
-                duration_ms,
-            )
+            outage_after_ms = random.randint(*OUTAGE_DELAY_RANGE_MS)
+            strike(fail_store, duration_ms, after_ms=outage_after_ms)
         case LostConfirmation():
-            for _ in range(CONFIRMATION_JOBS):
-                offset_ms = simulation.random.randint(
-                    *CONFIRMATION_JOBS_RANGE_MS
-                )
-                simulation.call_later(at_ms + offset_ms, caller.submit)
-            simulation.call_later(at_ms, _lose_confirmation, simulation)
+            submit_around(
+                caller.submit, CONFIRMATION_JOBS, CONFIRMATION_JOBS_RANGE_MS
+            )
+            strike(_lose_confirmation)
         case NodesTurnedAway():
-            duration_ms = simulation.random.randint(*TURNED_AWAY_RANGE_MS)
-            for _ in range(TURNED_AWAY_JOBS):
-                offset_ms = simulation.random.randrange(duration_ms)
-                simulation.call_later(at_ms + offset_ms, caller.submit)
-            simulation.call_later(
-                at_ms, _turn_nodes_away, simulation, duration_ms
+            duration_ms = random.randint(*TURNED_AWAY_RANGE_MS)
+            submit_around(
+                caller.submit, TURNED_AWAY_JOBS, (0, duration_ms - 1)
             )
+            strike(_turn_nodes_away, duration_ms)
         case LargeProgress():
             simulation.call_later(at_ms, caller.submit_wide_job)
-            simulation.call_later(
-                at_ms + simulation.random.randint(*WIDE_JOB_RUNS_RANGE_MS),
-                change_leader,
-                simulation,
-            )
+            change_after_ms = random.randint(*WIDE_JOB_RUNS_RANGE_MS)
+            strike(change_leader, after_ms=change_after_ms)
         case RestartsBeforeCuts():
-            for _ in range(RESTART_JOBS):
-                offset_ms = simulation.random.randint(*RESTART_JOBS_RANGE_MS)
-                simulation.call_later(
-                    at_ms + offset_ms, caller.submit_long_job
-                )
-            simulation.call_later(
-                at_ms - LATE_CALLS_BEFORE_MS, _carry_out_late, simulation
+            submit_around(
+                caller.submit_long_job, RESTART_JOBS, RESTART_JOBS_RANGE_MS
             )
-            simulation.call_later(at_ms, _restart_and_cut_workers, simulation)
+            strike(_carry_out_late, after_ms=-LATE_CALLS_BEFORE_MS)
+            strike(_restart_and_cut_workers)
         case PartitionUnderCeiling():
-            for _ in range(CEILING_JOBS):
-                offset_ms = simulation.random.randint(*CEILING_JOBS_RANGE_MS)
-                simulation.call_later(
-                    at_ms + offset_ms, caller.submit_long_job
-                )
-            simulation.call_later(at_ms, _isolate_leader, simulation)
-        case AdviceShortage():
-            for _ in range(BLOCKING_JOBS):
-                simulation.call_later(
-                    FAULT_PERIOD_MS - BLOCKING_ADVANCE_MS,
-                    caller.submit_lasting_job,
-                )
-            for _ in range(OTHER_JOBS):
-                simulation.call_later(
-                    FAULT_PERIOD_MS - OTHER_ADVANCE_MS,
-                    caller.submit_for_other_team,
-                )
-            simulation.call_later(
-                FAULT_PERIOD_MS + BEGUN_WITHIN_MS, caller.check_begun
+            submit_around(
+                caller.submit_long_job, CEILING_JOBS, CEILING_JOBS_RANGE_MS
             )
+            strike(_isolate_leader)
+        case AdviceShortage():
+            _schedule_advice_shortage(simulation, caller)
         case DrainedDataCentre():
-            for _ in range(DRAIN_JOBS):
-                offset_ms = simulation.random.randint(*DRAIN_JOBS_RANGE_MS)
-                simulation.call_later(at_ms + offset_ms, caller.submit)
-            simulation.call_later(at_ms, _drain_data_centre, simulation)
-            simulation.call_later(
-                at_ms + simulation.random.randint(*DRAIN_CHANGE_RANGE_MS),
-                change_leader,
-                simulation,
-            )
+            submit_around(caller.submit, DRAIN_JOBS, DRAIN_JOBS_RANGE_MS)
+            strike(_drain_data_centre)
+            change_after_ms = random.randint(*DRAIN_CHANGE_RANGE_MS)
+            strike(change_leader, after_ms=change_after_ms)
         case MaintenanceWave(number):
-            for _ in range(WAVE_JOBS):
-                offset_ms = simulation.random.randint(*WAVE_JOBS_RANGE_MS)
-                simulation.call_later(at_ms + offset_ms, caller.submit)
-            simulation.call_later(at_ms, _request_wave, simulation, number)
-            simulation.call_later(
-                at_ms + simulation.random.randint(*WAVE_CHANGE_RANGE_MS),
-                change_leader,
-                simulation,
-            )
+            submit_around(caller.submit, WAVE_JOBS, WAVE_JOBS_RANGE_MS)
+            strike(_request_wave, number)
+            change_after_ms = random.randint(*WAVE_CHANGE_RANGE_MS)
+            strike(change_leader, after_ms=change_after_ms)
+
+
+def _submit_around(
+    simulation: JobSimulation,
+    at_ms: int,
+    submit: Callable[[], None],
+    count: int,
+    range_ms: tuple[int, int],
+) -> None:
+    """Schedule submissions at random times around a fault.
+
+    Args:
+      simulation: Simulated managers and workers.
+      at_ms: Time of the fault.
+      submit: Submits a job.
+      count: Number of jobs.
+      range_ms: First and last time, after that of the fault.
+    """
+    for _ in range(count):
+        offset_ms = simulation.random.randint(*range_ms)
+        simulation.call_later(at_ms + offset_ms, submit)
+
+
+def _schedule_advice_shortage(
+    simulation: JobSimulation, caller: Caller
+) -> None:
+    """Let more steps wait as the faults end than the service can answer."""
+    for _ in range(BLOCKING_JOBS):
+        simulation.call_later(
+            FAULT_PERIOD_MS - BLOCKING_ADVANCE_MS, caller.submit_lasting_job
+        )
+    for _ in range(OTHER_JOBS):
+        simulation.call_later(
+            FAULT_PERIOD_MS - OTHER_ADVANCE_MS, caller.submit_for_other_team
+        )
+    simulation.call_later(
+        FAULT_PERIOD_MS + BEGUN_WITHIN_MS, caller.check_begun
+    )
 
 
 def _drain_data_centre(simulation: JobSimulation) -> None:
