Look at a step's ceiling before its workers when advice is due

Each request compared every waiting step with every worker, also the many steps of a team at its ceiling, of which only the first is of interest. A test counts the comparisons.

--- a/sesamehall/reducer/jobs/advice_load_test.py
+++ b/sesamehall/reducer/jobs/advice_load_test.py
@@ -19,6 +19,7 @@
 from sesamehall.core.state import Identity
 from sesamehall.core.state import State
 from sesamehall.core.work import Size
+from sesamehall.reducer.jobs.placement_round import PlacementRound
 from sesamehall.reducer.jobs.task_placement import place_tasks
 from sesamehall.reducer.jobs.testing import activate_jobs
 from sesamehall.reducer.jobs.testing import build_leader
@@ -228,6 +229,25 @@
     assert any(step.startswith("1") for step in steps[:10])
 
 
+def test_steps_at_their_ceiling_cost_no_comparison_with_workers(monkeypatch):
+    """A team may send many times its usual; of its steps one is listed."""
+    compared = []
+    original = PlacementRound.room_by_worker_id
+
+    def count(round_, job, place):
+        compared.append(job.plan.job_id)
+        return original(round_, job, place)
+
+    monkeypatch.setattr(PlacementRound, "room_by_worker_id", count)
+    blocking = plans("guild", 300, SMALL_STEP, "1")
+    waiting = plans("office", 2, build_step(), "2")
+    manager = build_advised_leader(FOUR_WORKERS, Size(cpu_milli=500))
+    manager = activate_jobs(manager, *blocking, *waiting)
+    step = place_tasks(manager, "a", NOW_MS)
+    assert len(effects_of(step, RequestAdvice)) == 1
+    assert len(compared) == len(waiting)
+
+
 def test_failing_service_is_not_called_without_pause():
     manager = activate_jobs(
         build_advised_leader(FOUR_WORKERS), build_plan(SMALL_STEP)
--- a/sesamehall/reducer/jobs/advice_requests.py
+++ b/sesamehall/reducer/jobs/advice_requests.py
@@ -13,6 +13,7 @@
 from sesamehall.core.logevents import ADVICE_REQUESTED
 from sesamehall.core.managereffects import RequestAdvice
 from sesamehall.core.managerstate import ManagerState
+from sesamehall.core.replacing import replace
 from sesamehall.core.sizes import fits
 from sesamehall.core.step import Step
 from sesamehall.core.step import then
@@ -121,31 +122,54 @@
         if not requires_advice(manager, job):
             continue
         for step, places in waiting_by_step(job):
-            candidate = _candidate(round_, job, step, places, rank)
             rank += 1
-            if candidate is None or candidate.use in listed:
+            if not _is_request_due(round_, job, step, places):
                 continue
-            if candidate.use is not AdviceUse.START:
-                listed.add(candidate.use)
-            yield candidate
+            # There may be thousands of steps, so the ceiling comes first.
+            if not round_.is_below_ceiling(job, places[0]):
+                use, room = AdviceUse.AT_CEILING, {}
+            else:
+                room = round_.room_by_worker_id(job, places[0])
+                use = _use(round_, job, places[0], room)
+            if use in listed:
+                continue
+            candidate = _candidate(round_, job, step, places[0], room, use)
+            if candidate is None:
+                continue
+            if use is not AdviceUse.START:
+                listed.add(use)
+            yield replace(candidate, rank=rank)
 
 
-def _candidate(
+def _is_request_due(
     round_: PlacementRound,
     job: ActiveJob,
     step: StepPlan,
     places: list[TaskPlace],
-    rank: int,
+) -> bool:
+    """Check that a step may be requested now and, as a gang, is complete."""
+    if step.gang and len(places) < step.count:
+        return False
+    known = _known_advice(round_.manager, job, places[0])
+    return _retry_from_ms(known) <= round_.at_ms
+
+
+def _known_advice(manager, job, place) -> StepAdvice:
+    name = step_name(job, place)
+    return manager.advice.advice_by_step.get(name, StepAdvice())
+
+
+def _candidate(
+    round_: PlacementRound,
+    job: ActiveJob,
+    step: StepPlan,
+    place: TaskPlace,
+    room: dict[str, int],
+    use: AdviceUse,
 ) -> AdviceCandidate | None:
-    """Describe a step, or return None if no request for it is due."""
+    """Describe a step, or return None if it lacks no ticket."""
     manager = round_.manager
-    name = step_name(job, places[0])
-    known = manager.advice.advice_by_step.get(name, StepAdvice())
-    if _retry_ms(known) > round_.at_ms:
-        return None
-    if step.gang and len(places) < step.count:
-        return None
-    room = round_.room_by_worker_id(job, places[0])
+    name = step_name(job, place)
     lacking = [
         worker
         for worker in round_.workers_by_id.values()
@@ -155,19 +179,19 @@
     ]
     if not lacking:
         return None
-    requested = known.requested_ms >= 0
+    known = _known_advice(manager, job, place)
     return AdviceCandidate(
         step=name,
         team=job.plan.team,
-        rank=rank,
+        rank=0,
         waiting_since_ms=max(known.requested_ms, job.first_seen_ms),
-        requested=requested,
-        use=_use(round_, job, places[0], room, lacking),
+        requested=known.requested_ms >= 0,
+        use=use,
         worker_ids=_worker_ids(manager, name, room, lacking),
     )
 
 
-def _retry_ms(known: StepAdvice) -> int:
+def _retry_from_ms(known: StepAdvice) -> int:
     """Compute from when a step is requested again after failures."""
     if not known.failures:
         return known.requested_ms
@@ -180,31 +204,24 @@
     job: ActiveJob,
     place: TaskPlace,
     room: dict[str, int],
-    lacking: list[Worker],
 ) -> AdviceUse:
-    """Tell what an answer could be used for.
+    """Tell what an answer for a step below its ceiling could be used for.
 
     A step with tickets for enough workers with room needs none to start.
     """
-    if not round_.is_below_ceiling(job, place):
-        return AdviceUse.AT_CEILING
+    manager = round_.manager
     step = job.plan.steps[place.step]
     wanted = step.count if step.gang else 1
     name = step_name(job, place)
-    with_ticket = sum(
-        count
-        for worker_id, count in room.items()
-        if ticket_for(
-            round_.manager,
-            name,
-            round_.workers_by_id[worker_id],
-            round_.at_ms,
-        )
-    )
-    possible = with_ticket + sum(
-        room.get(worker.entry.worker_id, 0) for worker in lacking
-    )
-    if with_ticket < wanted <= possible:
+    with_ticket = 0
+    without_ticket = 0
+    for worker_id, count in room.items():
+        worker = round_.workers_by_id[worker_id]
+        if ticket_for(manager, name, worker, round_.at_ms):
+            with_ticket += count
+        elif needs_advice(manager, name, worker, round_.at_ms):
+            without_ticket += count
+    if with_ticket < wanted <= with_ticket + without_ticket:
         return AdviceUse.START
     return AdviceUse.ROOM_MISSING
 
--- a/sesamehall/reducer/jobs/advice_turns.py
+++ b/sesamehall/reducer/jobs/advice_turns.py
@@ -46,7 +46,7 @@
     Attributes:
       step: Name of the step.
       team: Team of its job.
-      rank: Its place in the order of its pool, from 0.
+      rank: Its place in the order of its pool; the first has the lowest.
       waiting_since_ms: Time of its latest request, or before the first that
         at which its job was first seen.
       requested: Whether advice was requested for it before.
