Bound unreported use by the room of the pools that it may be in

The sum of a team stopped growing at its ceiling, and the room of the workers was taken of the pools seen until then. With little room in one pool and more in another, what may run in the second could be left out, or be counted by the room of both. Found on reading the change again; each group of queues with the same pools now has a sum of its own.

--- a/sesamehall/reducer/jobs/unreported_runs.py
+++ b/sesamehall/reducer/jobs/unreported_runs.py
@@ -52,12 +52,17 @@
         return dict.fromkeys(ceilings, NO_SIZE)
     if not manager.jobs_caught_up:
         return ceilings  # there may be jobs of any team that are not read yet
-    sums = UseByTeam(manager, tuple(workers), ceilings, {}, {}, {})
+    sums = UnreportedSums(manager, tuple(workers), ceilings, {}, {})
     for job in manager.active_jobs_by_id.values():
-        if job.inherited and job.waiting and sums.is_open(job.plan.team):
-            sums.add(job.plan.team, job.plan.queue, unreported_use(job))
+        plan = job.plan
+        if (
+            job.inherited
+            and job.waiting
+            and sums.may_grow(plan.team, plan.queue)
+        ):
+            sums.add(plan.team, plan.queue, unreported_use(job))
     for ended in manager.ended_jobs_by_id.values():
-        if sums.is_open(ended.team):
+        if sums.may_grow(ended.team, ended.queue):
             sums.add(ended.team, ended.queue, _use_in_term(manager, ended))
     for worker in workers:
         for task, _ in worker.unneeded_runs:
@@ -79,66 +84,71 @@
     if job is None or job.progress.phase in TERMINAL_PHASES:
         return  # counted as an ended job
     plan = job.plan
-    if parsed[1].step < len(plan.steps):
+    if plan.team in sums.ceilings and parsed[1].step < len(plan.steps):
         use = step_use(plan.steps[parsed[1].step], 1)
         sums.add(plan.team, plan.queue, use)
 
 
 @dataclass(frozen=True, slots=True)
-class UseByTeam:
-    """Sums of what untracked runs of teams may use; `add` updates its tables.
+class UnreportedSums:
+    """Sums of what untracked runs may use; `add` updates its tables.
+
+    Queues with the same pools share a sum, since their tasks share the room on
+    the workers there.
 
     Attributes:
       manager: State of the leader.
       workers: Workers that may have untracked runs.
       ceilings: Ceilings of the teams that have one.
-      use_by_team: The sums.
-      pools_by_team: Pools in which such runs of a team may be.
-      pools_by_queue: The same for the queues looked up so far.
+      use_by_team_pools: The sums, by team and pools.
+      pools_by_queue: Pools with untracked runs in which a queue's tasks may
+        run, of the queues looked up so far.
     """
 
     manager: ManagerState
     workers: tuple[Worker, ...]
     ceilings: dict[str, Size]
-    use_by_team: dict[str, PossibleUse]
-    pools_by_team: dict[str, set[str]]
-    pools_by_queue: dict[str, set[str]]
+    use_by_team_pools: dict[tuple[str, frozenset[str]], PossibleUse]
+    pools_by_queue: dict[str, frozenset[str]]
+
+    def may_grow(self, team: str, queue: str) -> bool:
+        """Check whether more use of a queue by a team makes a difference.
 
-    def is_open(self, team: str) -> bool:
-        """Check whether more use of a team would make a difference."""
+        It makes none without a ceiling, without untracked runs in the queue's
+        pools, or beyond the ceiling.
+        """
         ceiling = self.ceilings.get(team)
-        if ceiling is None:
+        pools = self._pools(queue)
+        if ceiling is None or not pools:
             return False
-        use = self.use_by_team.get(team, NO_USE)
-        return limited_part(
-            min_size(use.regular, ceiling), ceiling
-        ) != limited_part(ceiling, ceiling)
+        use = self.use_by_team_pools.get((team, pools), NO_USE)
+        reached = min_size(use.regular, ceiling)
+        return limited_part(reached, ceiling) != limited_part(ceiling, ceiling)
 
     def add(self, team: str, queue: str, use: PossibleUse) -> None:
-        """Add what runs of a queue's tasks may use.
-
-        It counts only if the queue's tasks may run in a pool with untracked
-        runs, and the team has a ceiling.
-        """
-        pools = self._open_pools(queue)
-        if not pools or team not in self.ceilings:
-            return
-        before = self.use_by_team.get(team, NO_USE)
-        self.use_by_team[team] = add_use(before, use)
-        self.pools_by_team.setdefault(team, set()).update(pools)
+        """Add what runs of a queue may use, of a team with a ceiling."""
+        key = (team, self._pools(queue))
+        before = self.use_by_team_pools.get(key, NO_USE)
+        self.use_by_team_pools[key] = add_use(before, use)
 
     def total(self, team: str) -> Size:
         """Return the sum of a team, as far as the workers have room for it."""
-        use = self.use_by_team.get(team, NO_USE)
-        room = self._room(self.pools_by_team.get(team, set()))
-        regular = use.regular if room is None else min_size(use.regular, room)
-        return add_size(regular, use.best_effort)
-
-    def _open_pools(self, queue):
+        total = NO_SIZE
+        for (owner, pools), use in self.use_by_team_pools.items():
+            if owner != team:
+                continue
+            room = self._room(pools)
+            regular = use.regular
+            if room is not None:
+                regular = min_size(regular, room)
+            total = add_size(add_size(total, regular), use.best_effort)
+        return total
+
+    def _pools(self, queue):
         if queue not in self.pools_by_queue:
             pools = {worker.entry.pool for worker in self.workers}
             pools.intersection_update(possible_pools(self.manager, queue))
-            self.pools_by_queue[queue] = pools
+            self.pools_by_queue[queue] = frozenset(pools)
         return self.pools_by_queue[queue]
 
     def _room(self, pools) -> Size | None:
--- a/sesamehall/reducer/jobs/unreported_runs_test.py
+++ b/sesamehall/reducer/jobs/unreported_runs_test.py
@@ -127,6 +127,17 @@
         ([unheard_worker(pool="b")], [inherited(4)], 4),
         ([unheard_worker(pool="b")], [inherited(3, queue="others")], 1),
         ([unheard_worker(lease_end_ms=0)], [inherited(4)], 4),
+        (
+            [
+                unheard_worker(capacity=Size(1_000, 8_000)),
+                unheard_worker("w3", "b"),
+            ],
+            [
+                inherited(9),
+                inherited(2, job_id="00000000000000cc", queue="others"),
+            ],
+            1,
+        ),
     ],
     ids=[
         "all of the ceiling may run",
@@ -139,6 +150,7 @@
         "workers of another pool",
         "another queue of the team",
         "the worker can run nothing any more",
+        "little room in one of two pools",
     ],
 )
 def test_what_unheard_workers_may_run_counts(unheard, jobs, expected):
